transport: Carry messages and calls between instances over gRPC

Messages to one peer travel one envelope at a time; what is put in meanwhile goes together with the next, so a busy link needs few of them. telemetry: a counter for each reason of refusal and of retry stands at zero from the start.

--- /dev/null
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -0,0 +1,144 @@
+#include "samphirebridge/telemetry/counters.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <span>
+
+namespace samphirebridge::telemetry
+{
+
+namespace
+{
+
+template <typename Key>
+struct Description {
+    Key key;
+    const char *name;
+    const char *help;
+};
+
+constexpr Description<Event> Events[] = {
+    {Event::RequestsReceived, "requests_received_total", "Requests that callers sent."},
+    {Event::RequestsFinished, "requests_finished_total", "Requests answered whole."},
+    {Event::AttemptsStarted, "attempts_started_total", "Attempts sent to targets."},
+    {Event::ForeignAnswersDropped,
+     "foreign_answers_dropped_total",
+     "Answers that carried another attempt's id."},
+    {Event::CallersGone, "callers_gone_total", "Callers that left before their answer ended."},
+    {Event::AnnouncementsReceived, "announcements_received_total", "Announcements accepted."},
+    {Event::AnnouncementsRejected, "announcements_rejected_total", "Announcements refused."},
+    {Event::ClaimsGranted, "claims_granted_total", "Request keys claimed."},
+    {Event::ClaimsAnsweredFromLedger,
+     "claims_answered_from_ledger_total",
+     "Repeated requests answered from the ledger."},
+    {Event::EscrowBatchesSent, "escrow_batches_sent_total", "Batches reported to the ledger."},
+    {Event::EscrowBatchesResent, "escrow_batches_resent_total", "Batches sent once more."},
+    {Event::ManifestsInForce, "manifests_in_force_total", "Versions that came into force."},
+    {Event::LeaderChanges, "leader_changes_total", "Changes of the known leader."},
+    {Event::LogSyncs, "log_syncs_total", "Syncs of the replicated log."},
+    {Event::LogEntriesApplied, "log_entries_applied_total", "Entries applied to the ledger."},
+    {Event::EnvelopesSent, "envelopes_sent_total", "Messages sent to other instances."},
+    {Event::EnvelopesFailed, "envelopes_failed_total", "Messages that were not delivered."},
+    {Event::EnvelopeBytesSent, "envelope_bytes_sent_total", "Bytes of messages sent."},
+    {Event::RequestsPutBeforeOthers,
+     "requests_put_before_others_total",
+     "Requests that passed longer ones in the queue."},
+};
+
+constexpr Description<Level> Levels[] = {
+    {Level::RequestsInFlight, "requests_in_flight", "Requests being served."},
+    {Level::EscrowTokens, "escrow_tokens", "Tokens set aside for this instance."},
+    {Level::TargetsReady, "targets_ready", "Targets that may get work."},
+    {Level::ManifestVersion, "manifest_version", "Version in force on this instance."},
+    {Level::LedgerTerm, "ledger_term", "Term of the replicated log."},
+    {Level::LedgerCommitIndex, "ledger_commit_index", "Index of the last committed entry."},
+    {Level::OpenReservations, "open_reservations", "Reservations that are not settled yet."},
+};
+
+// Boundaries of the time to the first byte, in seconds.
+const prometheus::Histogram::BucketBoundaries FirstByteBoundaries{
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.85, 1.5, 3, 6, 12, 30};
+
+std::string prefixed(const char *name)
+{
+    return std::string("samphirebridge_") + name;
+}
+
+prometheus::Family<prometheus::Counter> &
+counterFamily(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildCounter().Name(prefixed(name)).Help(help).Register(registry);
+}
+
+} // namespace
+
+Counters::Counters()
+{
+    auto &refusalFamily
+        = counterFamily(this->registry, "refusals_total", "Requests refused, by reason.");
+    for (const core::RefusalReason reason : core::AllRefusalReasons) {
+        this->refusals[static_cast<size_t>(reason)]
+            = &refusalFamily.Add({{"reason", std::string(core::refusalName(reason))}});
+    }
+    auto &retryFamily = counterFamily(this->registry, "retries_total", "Retries, by reason.");
+    for (const core::RetryReason reason : core::AllRetryReasons) {
+        this->retries[static_cast<size_t>(reason)]
+            = &retryFamily.Add({{"reason", std::string(core::retryName(reason))}});
+    }
+    for (const auto &event : Events) {
+        this->events[static_cast<size_t>(event.key)]
+            = &counterFamily(this->registry, event.name, event.help).Add({});
+    }
+    for (const auto &level : Levels) {
+        this->levels[static_cast<size_t>(level.key)] = &prometheus::BuildGauge()
+                                                            .Name(prefixed(level.name))
+                                                            .Help(level.help)
+                                                            .Register(this->registry)
+                                                            .Add({});
+    }
+    this->billed
+        = &counterFamily(this->registry, "tokens_billed_total", "Tokens settled here.").Add({});
+    this->firstByteSeconds = &prometheus::BuildHistogram()
+                                  .Name(prefixed("first_byte_seconds"))
+                                  .Help("Time from a request's arrival to its first byte.")
+                                  .Register(this->registry)
+                                  .Add({}, FirstByteBoundaries);
+}
+
+void Counters::refused(core::RefusalReason reason)
+{
+    this->refusals[static_cast<size_t>(reason)]->Increment();
+}
+
+void Counters::retried(core::RetryReason reason)
+{
+    this->retries[static_cast<size_t>(reason)]->Increment();
+}
+
+void Counters::count(Event event, double amount)
+{
+    this->events[static_cast<size_t>(event)]->Increment(amount);
+}
+
+void Counters::set(Level level, double value)
+{
+    this->levels[static_cast<size_t>(level)]->Set(value);
+}
+
+void Counters::addBilled(core::Tokens tokens)
+{
+    this->billed->Increment(static_cast<double>(tokens.count));
+}
+
+void Counters::firstByte(core::Duration latency)
+{
+    this->firstByteSeconds->Observe(std::chrono::duration<double>(latency).count());
+}
+
+std::string Counters::text() const
+{
+    const prometheus::TextSerializer serializer;
+    return serializer.Serialize(this->registry.Collect());
+}
+
+} // namespace samphirebridge::telemetry
--- /dev/null
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -0,0 +1,219 @@
+#include "samphirebridge/transport/peerchannel.h"
+
+#include "generated/instance.grpc.pb.h"
+#include "samphirebridge/core/errors.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+namespace samphirebridge::transport
+{
+
+namespace
+{
+
+// Time after which a message is given up; Raft and anti-entropy send anew.
+constexpr std::chrono::milliseconds DeliverTimeout{1000};
+
+// Messages of one kind that wait for a peer that does not keep up.
+constexpr int MaximumQueuedMessages = 512;
+
+// Bounds of the pause between attempts to connect, in milliseconds.
+constexpr int MinimumReconnectMs = 50;
+constexpr int MaximumReconnectMs = 500;
+
+constexpr int MaximumMessageBytes = 64 * 1024 * 1024;
+
+grpc::ChannelArguments channelArguments()
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, MinimumReconnectMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MinimumReconnectMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaximumReconnectMs);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetMaxReceiveMessageSize(MaximumMessageBytes);
+    return arguments;
+}
+
+absl::Status errorOf(const grpc::Status &status)
+{
+    const bool timedOut = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    return core::makeError(timedOut ? core::ErrorCode::Timeout : core::ErrorCode::Unreachable,
+                           status.error_message());
+}
+
+// Everything that one asynchronous call needs until it ends.
+template <typename Request, typename Reply>
+struct Call {
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+    OnReply<Reply> onReply;
+};
+
+// Keeps the newest messages of a field that holds too many.
+template <typename Field>
+void dropOldest(Field *field)
+{
+    const int surplus = field->size() - MaximumQueuedMessages;
+    if (surplus > 0) {
+        field->DeleteSubrange(0, surplus);
+    }
+}
+
+} // namespace
+
+struct PeerChannel::State : public std::enable_shared_from_this<PeerChannel::State> {
+    State(std::string_view address, telemetry::Counters &processCounters)
+        : counters(processCounters)
+        , stub(proto::InstanceService::NewStub(grpc::CreateCustomChannel(
+              std::string(address), grpc::InsecureChannelCredentials(), channelArguments())))
+    {
+    }
+
+    // Starts a call whose state lives until its reply came.
+    template <typename Request, typename Reply, typename Start>
+    void
+    call(const Request &request, core::Duration timeout, OnReply<Reply> onReply, const Start &start)
+    {
+        auto pending = std::make_shared<Call<Request, Reply>>();
+        pending->request = request;
+        pending->onReply = std::move(onReply);
+        pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
+        start(this->stub->async(), pending.get(), [pending](const grpc::Status &status) {
+            if (!status.ok()) {
+                pending->onReply(errorOf(status));
+                return;
+            }
+            pending->onReply(std::move(pending->reply));
+        });
+    }
+
+    // Sends what is queued unless a message is on its way.
+    void sendNext()
+    {
+        auto pending = std::make_shared<Call<proto::Envelope, proto::EnvelopeReply>>();
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->sending || this->closed || !this->hasQueued()) {
+                return;
+            }
+            this->sending = true;
+            pending->request.Swap(&this->queued);
+            this->queued.set_from(pending->request.from());
+        }
+        pending->context.set_deadline(std::chrono::system_clock::now() + DeliverTimeout);
+        this->counters.count(telemetry::Event::EnvelopesSent);
+        this->counters.count(telemetry::Event::EnvelopeBytesSent,
+                             static_cast<double>(pending->request.ByteSizeLong()));
+        auto self = this->shared_from_this();
+        this->stub->async()->Deliver(
+            &pending->context,
+            &pending->request,
+            &pending->reply,
+            [self, pending](const grpc::Status &status) { self->onDelivered(status); });
+    }
+
+    void onDelivered(const grpc::Status &status)
+    {
+        if (!status.ok()) {
+            this->counters.count(telemetry::Event::EnvelopesFailed);
+        }
+        {
+            const std::lock_guard lock(this->mutex);
+            this->sending = false;
+        }
+        this->sendNext();
+    }
+
+    [[nodiscard]] bool hasQueued() const
+    {
+        return this->queued.raft_size() + this->queued.updates_size() + this->queued.digests_size()
+               > 0;
+    }
+
+    telemetry::Counters &counters;
+    std::unique_ptr<proto::InstanceService::Stub> stub;
+    std::mutex mutex;
+    proto::Envelope queued;
+    bool sending = false;
+    bool closed = false;
+};
+
+PeerChannel::PeerChannel(std::string_view address, telemetry::Counters &counters)
+    : state(std::make_shared<State>(address, counters))
+{
+}
+
+PeerChannel::~PeerChannel()
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->closed = true;
+}
+
+void PeerChannel::deliver(const proto::Envelope &envelope)
+{
+    {
+        const std::lock_guard lock(this->state->mutex);
+        this->state->queued.MergeFrom(envelope);
+        dropOldest(this->state->queued.mutable_raft());
+        dropOldest(this->state->queued.mutable_updates());
+        dropOldest(this->state->queued.mutable_digests());
+    }
+    this->state->sendNext();
+}
+
+void PeerChannel::submit(const proto::SubmitRequest &request,
+                         core::Duration timeout,
+                         OnReply<proto::SubmitReply> onReply)
+{
+    this->state->call<proto::SubmitRequest, proto::SubmitReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->Submit(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
+void PeerChannel::readManifest(const proto::ReadManifestRequest &request,
+                               core::Duration timeout,
+                               OnReply<proto::ReadManifestReply> onReply)
+{
+    this->state->call<proto::ReadManifestRequest, proto::ReadManifestReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->ReadManifest(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
+void PeerChannel::readBudgets(const proto::ReadBudgetsRequest &request,
+                              core::Duration timeout,
+                              OnReply<proto::ReadBudgetsReply> onReply)
+{
+    this->state->call<proto::ReadBudgetsRequest, proto::ReadBudgetsReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->ReadBudgets(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
+void PeerChannel::readStatus(const proto::ReadStatusRequest &request,
+                             core::Duration timeout,
+                             OnReply<proto::ReadStatusReply> onReply)
+{
+    this->state->call<proto::ReadStatusRequest, proto::ReadStatusReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->ReadStatus(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
+void PeerChannel::changeVoters(const proto::ChangeVotersRequest &request,
+                               core::Duration timeout,
+                               OnReply<proto::ChangeVotersReply> onReply)
+{
+    this->state->call<proto::ChangeVotersRequest, proto::ChangeVotersReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->ChangeVoters(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
+} // namespace samphirebridge::transport
--- /dev/null
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -0,0 +1,143 @@
+#include "samphirebridge/transport/rpcserver.h"
+
+#include "generated/instance.grpc.pb.h"
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <utility>
+
+namespace samphirebridge::transport
+{
+
+namespace
+{
+
+// Time that calls under way get when the server stops.
+constexpr std::chrono::milliseconds StopGrace{500};
+
+// The largest message, in bytes: a snapshot chunk or a checkpoint of a large manifest.
+constexpr int MaximumMessageBytes = 64 * 1024 * 1024;
+
+using Context = grpc::CallbackServerContext;
+using Reactor = grpc::ServerUnaryReactor;
+
+// Starts the handler and finishes the call with what it responds.
+template <typename Request, typename Reply, typename Handler>
+Reactor *carry(Context *context, const Request &request, Reply *reply, const Handler &handler)
+{
+    Reactor *reactor = context->DefaultReactor();
+    handler(request, [reactor, reply](Reply answer) {
+        *reply = std::move(answer);
+        reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+}
+
+class Service final : public proto::InstanceService::CallbackService
+{
+public:
+    explicit Service(RpcHandlers rpcHandlers)
+        : handlers(std::move(rpcHandlers))
+    {
+    }
+
+    Reactor *Deliver(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                     const proto::Envelope *request,
+                     proto::EnvelopeReply * /*reply*/) override
+    {
+        this->handlers.deliver(*request);
+        Reactor *reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    Reactor *Submit(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                    const proto::SubmitRequest *request,
+                    proto::SubmitReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.submit);
+    }
+
+    Reactor *ReadManifest(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                          const proto::ReadManifestRequest *request,
+                          proto::ReadManifestReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.readManifest);
+    }
+
+    Reactor *ReadBudgets(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                         const proto::ReadBudgetsRequest *request,
+                         proto::ReadBudgetsReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.readBudgets);
+    }
+
+    Reactor *ReadStatus(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                        const proto::ReadStatusRequest *request,
+                        proto::ReadStatusReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.readStatus);
+    }
+
+    Reactor *ChangeVoters(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                          const proto::ChangeVotersRequest *request,
+                          proto::ChangeVotersReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.changeVoters);
+    }
+
+private:
+    RpcHandlers handlers;
+};
+
+} // namespace
+
+struct RpcServer::Impl {
+    explicit Impl(RpcHandlers handlers)
+        : service(std::move(handlers))
+    {
+    }
+
+    Service service;
+    std::unique_ptr<grpc::Server> server;
+};
+
+absl::StatusOr<std::unique_ptr<RpcServer>> RpcServer::start(std::string_view address,
+                                                            RpcHandlers handlers)
+{
+    auto impl = std::make_unique<Impl>(std::move(handlers));
+    grpc::ServerBuilder builder;
+    int boundPort = 0;
+    builder.AddListeningPort(std::string(address), grpc::InsecureServerCredentials(), &boundPort);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.SetMaxReceiveMessageSize(MaximumMessageBytes);
+    builder.RegisterService(&impl->service);
+    impl->server = builder.BuildAndStart();
+    if (impl->server == nullptr || boundPort == 0) {
+        return core::makeError(
+            core::ErrorCode::AddressInUse,
+            fmt::format("cannot listen on {}; accepted is a free address of this machine",
+                        address));
+    }
+    return std::unique_ptr<RpcServer>(new RpcServer(std::move(impl)));
+}
+
+RpcServer::RpcServer(std::unique_ptr<Impl> serverImpl)
+    : impl(std::move(serverImpl))
+{
+}
+
+RpcServer::~RpcServer()
+{
+    this->stop();
+}
+
+void RpcServer::stop()
+{
+    this->impl->server->Shutdown(std::chrono::system_clock::now() + StopGrace);
+}
+
+} // namespace samphirebridge::transport
--- /dev/null
+++ b/source/samphirebridge/transport/rpcserver.h
@@ -0,0 +1,70 @@
+// The gRPC server of one instance. It only carries calls: what they mean is the handler's.
+#pragma once
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace samphirebridge::proto
+{
+class ChangeVotersReply;
+class ChangeVotersRequest;
+class Envelope;
+class ReadBudgetsReply;
+class ReadBudgetsRequest;
+class ReadManifestReply;
+class ReadManifestRequest;
+class ReadStatusReply;
+class ReadStatusRequest;
+class SubmitReply;
+class SubmitRequest;
+} // namespace samphirebridge::proto
+
+namespace samphirebridge::transport
+{
+
+// Answers one call; to be called exactly once, from any thread.
+template <typename Reply>
+using Respond = std::function<void(Reply)>;
+
+// What a server does with each call. The functions run on gRPC's threads and must not block.
+struct RpcHandlers {
+    std::function<void(const proto::Envelope &)> deliver;
+    std::function<void(const proto::SubmitRequest &, Respond<proto::SubmitReply>)> submit;
+    std::function<void(const proto::ReadManifestRequest &, Respond<proto::ReadManifestReply>)>
+        readManifest;
+    std::function<void(const proto::ReadBudgetsRequest &, Respond<proto::ReadBudgetsReply>)>
+        readBudgets;
+    std::function<void(const proto::ReadStatusRequest &, Respond<proto::ReadStatusReply>)>
+        readStatus;
+    std::function<void(const proto::ChangeVotersRequest &, Respond<proto::ChangeVotersReply>)>
+        changeVoters;
+};
+
+// Listens from construction by start() until destruction.
+class RpcServer
+{
+public:
+    // Listens on host:port. AddressInUse if that is taken.
+    static absl::StatusOr<std::unique_ptr<RpcServer>> start(std::string_view address,
+                                                            RpcHandlers handlers);
+
+    RpcServer(const RpcServer &) = delete;
+    RpcServer &operator=(const RpcServer &) = delete;
+    ~RpcServer();
+
+    // Takes no further calls and gives those under way a bounded time to end.
+    void stop();
+
+private:
+    struct Impl;
+    explicit RpcServer(std::unique_ptr<Impl> impl);
+
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace samphirebridge::transport
