--- /dev/null
+++ b/source/samphirebridge/runtime/controlthread.h
@@ -0,0 +1,88 @@
+// The one thread of a process that owns control state.
+#pragma once
+
+#include "samphirebridge/core/time.h"
+#include "samphirebridge/runtime/taskqueue.h"
+
+#include <atomic>
+#include <concepts>
+#include <thread>
+
+namespace samphirebridge::runtime
+{
+
+// What the control thread drives.
+template <typename T>
+concept ControlHost = requires(T host, core::TimePoint now)
+{
+    // Called once every tick interval.
+    {
+        host.tick(now)
+        } -> std::same_as<void>;
+    // Called after each batch of tasks, so that many of them share one sync and one message.
+    {
+        host.flush(now)
+        } -> std::same_as<void>;
+};
+
+// Runs the queue's tasks and the host's ticks from start() to stop().
+template <ControlHost Host>
+class ControlThread
+{
+public:
+    ControlThread(TaskQueue &taskQueue, Host &controlHost, core::Duration interval)
+        : queue(taskQueue)
+        , host(controlHost)
+        , tickInterval(interval)
+    {
+    }
+
+    ControlThread(const ControlThread &) = delete;
+    ControlThread &operator=(const ControlThread &) = delete;
+
+    ~ControlThread()
+    {
+        this->stop();
+    }
+
+    void start()
+    {
+        this->thread = std::thread([this] { this->run(); });
+    }
+
+    // Ends the thread after the tasks that are queued. Later tasks never run.
+    void stop()
+    {
+        if (!this->thread.joinable()) {
+            return;
+        }
+        this->stopping = true;
+        this->queue.post([] {});
+        this->thread.join();
+    }
+
+private:
+    void run()
+    {
+        core::TimePoint nextTick = this->clock.now();
+        while (!this->stopping) {
+            this->queue.runUntil(nextTick, this->clock);
+            const core::TimePoint now = this->clock.now();
+            if (now >= nextTick) {
+                this->host.tick(now);
+                nextTick = now + this->tickInterval;
+            }
+            this->host.flush(now);
+        }
+        this->queue.close();
+    }
+
+    TaskQueue &queue;
+    Host &host;
+    core::Duration tickInterval;
+    core::SteadyClock clock;
+    std::atomic<bool> stopping = false;
+    std::thread thread;
+};
+
+} // namespace samphirebridge::runtime
