--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -6,7 +6,9 @@
 #include <grpcpp/grpcpp.h>
 
 #include <chrono>
+#include <condition_variable>
 #include <mutex>
+#include <set>
 #include <utility>
 
 namespace samphirebridge::transport
@@ -83,15 +85,50 @@
         pending->request = request;
         pending->onReply = std::move(onReply);
         pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
-        start(this->stub->async(), pending.get(), [pending](const grpc::Status &status) {
-            if (!status.ok()) {
+        if (!this->begin(pending->context)) {
+            pending->onReply(core::makeError(core::ErrorCode::Unreachable, "shutting down"));
+            return;
+        }
+        auto self = this->shared_from_this();
+        start(this->stub->async(), pending.get(), [self, pending](const grpc::Status &status) {
+            if (status.ok()) {
+                pending->onReply(std::move(pending->reply));
+            } else {
                 pending->onReply(errorOf(status));
-                return;
             }
-            pending->onReply(std::move(pending->reply));
+            self->end(pending->context);
         });
     }
 
+    // Notes a call under way. False: the channel is closed.
+    bool begin(grpc::ClientContext &context)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->closed) {
+            return false;
+        }
+        this->active.insert(&context);
+        return true;
+    }
+
+    void end(grpc::ClientContext &context)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->active.erase(&context);
+        this->ended.notify_all();
+    }
+
+    // Cancels what is under way and waits until each call's end was told.
+    void close()
+    {
+        std::unique_lock lock(this->mutex);
+        this->closed = true;
+        for (grpc::ClientContext *context : this->active) {
+            context->TryCancel();
+        }
+        this->ended.wait(lock, [this] { return this->active.empty(); });
+    }
+
     // Sends what is queued unless a message is on its way.
     void sendNext()
     {
@@ -102,6 +139,7 @@
                 return;
             }
             this->sending = true;
+            this->active.insert(&pending->context);
             pending->request.Swap(&this->queued);
             this->queued.set_from(pending->request.from());
         }
@@ -117,7 +155,7 @@
             [self, pending](const grpc::Status &status) { self->onDelivered(status); });
     }
 
-    void onDelivered(const grpc::Status &status)
+    void onDelivered(const grpc::Status &status, grpc::ClientContext &context)
     {
         if (!status.ok()) {
             this->counters.count(telemetry::Event::EnvelopesFailed);
@@ -125,6 +163,8 @@
         {
             const std::lock_guard lock(this->mutex);
             this->sending = false;
+            this->active.erase(&context);
+            this->ended.notify_all();
         }
         this->sendNext();
     }
@@ -139,6 +179,8 @@
     std::unique_ptr<proto::InstanceService::Stub> stub;
     std::mutex mutex;
     proto::Envelope queued;
+    std::condition_variable ended;
+    std::set<grpc::ClientContext *> active;
     bool sending = false;
     bool closed = false;
 };
@@ -150,8 +192,7 @@
 
 PeerChannel::~PeerChannel()
 {
-    const std::lock_guard lock(this->state->mutex);
-    this->state->closed = true;
+    this->state->close();
 }
 
 void PeerChannel::deliver(const proto::Envelope &envelope)
--- a/source/samphirebridge/transport/peerchannel.h
+++ b/source/samphirebridge/transport/peerchannel.h
@@ -42,6 +42,7 @@
     PeerChannel(std::string_view address, telemetry::Counters &counters);
     PeerChannel(const PeerChannel &) = delete;
     PeerChannel &operator=(const PeerChannel &) = delete;
+    // Cancels the calls under way and waits until their replies were handed over.
     ~PeerChannel();
 
     // Queues one-way messages. They may be lost; the oldest are dropped if the peer does not keep
--- a/source/samphirebridge/transport/rpcserver.h
+++ b/source/samphirebridge/transport/rpcserver.h
@@ -1,6 +1,8 @@
 // The gRPC server of one instance. It only carries calls: what they mean is the handler's.
 #pragma once
 
+#include "samphirebridge/transport/respond.h"
+
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
