--- /dev/null
+++ b/source/samphirebridge/budget/budgetaccount.h
@@ -0,0 +1,107 @@
+// What a holder has of one budget, and what it asks of the ledger for it.
+//
+// free + open + pending is the escrow here. What a recorded reservation leaves unused is pending
+// until the ledger has confirmed its settlement: were the holder over before, the ledger would
+// return that rest to the pool, so it must not have been spent again.
+#pragma once
+
+#include "samphirebridge/budget/demand.h"
+#include "samphirebridge/budget/escrowbook.h"
+
+#include <ledger.pb.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace samphirebridge::budget
+{
+
+// What the ledger told of a budget in its last answers.
+struct LedgerView {
+    int64_t pool = 0;
+    int64_t recallable = 0;
+    core::TimePoint at;
+};
+
+class BudgetAccount
+{
+public:
+    // Moves tokens between free and open.
+    void open(int64_t tokens, core::TimePoint now);
+    void close(int64_t tokens);
+
+    // Ends a recorded reservation: the rest is pending until confirmRest().
+    void closeRecorded(int64_t tokens, int64_t used);
+    void confirmRest(int64_t rest);
+
+    // Ends an unrecorded reservation: the rest is free at once.
+    void closeUnrecorded(int64_t tokens, int64_t used);
+
+    void addUnrecorded(int64_t tokens);
+    void removeUnrecorded(int64_t tokens);
+
+    // Notes a request that free tokens don't cover. Until forgetWaiters() it is part of the next
+    // request for escrow.
+    void addWaiter(int64_t tokens, core::TimePoint now);
+    void forgetWaiters();
+    void setUrgent();
+    [[nodiscard]] bool isUrgent() const;
+
+    void takeGrant(const proto::EscrowGrant &grant, core::TimePoint now);
+    void takeRecall(int64_t tokens);
+
+    // The holder is over: nothing free is its own any more.
+    void dropFree();
+
+    // Tells whether the ledger's last answer is recent enough to decide on.
+    [[nodiscard]] bool hasFreshView(core::TimePoint now, const EscrowOptions &options) const;
+
+    // Returns the most that a request here can hope for, as the last two answers have it.
+    [[nodiscard]] int64_t reach() const;
+
+    // Returns what this holder's own open requests are expected to leave unused.
+    [[nodiscard]] int64_t expectedRest() const;
+
+    // Tells whether a batch built now would ask for escrow or return some.
+    [[nodiscard]] bool hasBusiness(core::TimePoint now, const EscrowOptions &options) const;
+
+    // Takes what is to be returned now off the free tokens: what was recalled and what is idle, or
+    // everything.
+    int64_t takeReturn(core::TimePoint now, const EscrowOptions &options, bool everything);
+
+    // Returns what to ask for now, if anything.
+    std::optional<proto::EscrowRequest> takeRequest(core::TimePoint now,
+                                                    const EscrowOptions &options);
+
+    // Tells whether the account holds nothing and was not used for a horizon.
+    [[nodiscard]] bool isForgettable(core::TimePoint now, const EscrowOptions &options) const;
+
+    [[nodiscard]] int64_t freeTokens() const;
+    [[nodiscard]] int64_t openTokens() const;
+    [[nodiscard]] int64_t pendingTokens() const;
+    [[nodiscard]] int64_t unrecordedTokens() const;
+    [[nodiscard]] const Demand &demandEstimate() const;
+
+private:
+    [[nodiscard]] int64_t target(core::TimePoint now, const EscrowOptions &options) const;
+    [[nodiscard]] int64_t idleTokens(core::TimePoint now, const EscrowOptions &options) const;
+    [[nodiscard]] bool wantsMore(core::TimePoint now, const EscrowOptions &options) const;
+
+    int64_t free = 0;
+    int64_t reserved = 0;
+    int64_t pending = 0;
+    int64_t unrecorded = 0;
+    int64_t recalled = 0;
+    int64_t waiting = 0; // The sum over the waiting requests.
+    int64_t smallestWaiting = 0;
+    bool urgent = false;
+    Demand demand;
+    std::optional<LedgerView> last;
+    std::optional<LedgerView> beforeLast;
+    core::TimePoint usedAt;
+    core::TimePoint wantedAt; // When demand alone last asked for escrow.
+    bool everWanted = false;
+};
+
+} // namespace samphirebridge::budget
--- /dev/null
+++ b/source/samphirebridge/budget/escrowbatches.cpp
@@ -0,0 +1,232 @@
+// The batches of an EscrowState: when one is due, what goes in, and what its result changes.
+#include "samphirebridge/budget/escrowstate.h"
+#include "samphirebridge/core/errors.h"
+
+#include <algorithm>
+
+namespace samphirebridge::budget
+{
+
+namespace
+{
+
+// Bounds a batch after a long silence; the rest goes into the next ones.
+constexpr size_t MaximumRecordsPerBatch = 1024;
+
+} // namespace
+
+std::optional<proto::HolderBatch> EscrowState::nextBatch(core::TimePoint now)
+{
+    if (this->inFlight) {
+        const bool due = this->inFlight->lostAt
+                         && now >= *this->inFlight->lostAt + this->options.flushInterval;
+        return due ? this->resend(now) : std::nullopt;
+    }
+    this->releaseForgotten(now);
+    const core::Duration silence
+        = this->lastBatchAt ? now - *this->lastBatchAt : core::Duration::max();
+    const bool flush = silence >= this->options.flushInterval && this->hasBusiness(now);
+    const bool poll = silence >= this->options.idleInterval && !this->accounts.empty();
+    if (!this->isUrgent() && !flush && !poll) {
+        return std::nullopt;
+    }
+    return this->buildBatch(now);
+}
+
+std::optional<core::TimePoint> EscrowState::nextBatchDue() const
+{
+    if (this->inFlight) {
+        return this->inFlight->lostAt
+                   ? std::optional(*this->inFlight->lostAt + this->options.flushInterval)
+                   : std::nullopt;
+    }
+    if (!this->lastBatchAt || this->isUrgent()) {
+        return this->lastBatchAt.value_or(core::TimePoint{});
+    }
+    return *this->lastBatchAt + this->options.flushInterval;
+}
+
+std::optional<proto::HolderBatch> EscrowState::shutdownBatch(core::TimePoint now)
+{
+    this->stopping = true;
+    if (this->inFlight) {
+        return this->inFlight->lostAt ? this->resend(now) : std::nullopt;
+    }
+    this->releaseForgotten(now);
+    const bool holds = std::ranges::any_of(
+        this->accounts, [](const auto &entry) { return entry.second.freeTokens() > 0; });
+    if (!holds && this->settlements.empty() && this->unsent.empty()) {
+        return std::nullopt;
+    }
+    return this->buildBatch(now);
+}
+
+absl::Status EscrowState::onBatchResult(const proto::CommandResult &result, core::TimePoint now)
+{
+    const uint64_t sequence = result.holder_batch().sequence();
+    const bool named = sequence != 0 || result.error_code() == 0;
+    if (!this->inFlight || (named && sequence != this->inFlight->message.sequence())) {
+        return absl::OkStatus();
+    }
+    const auto code = static_cast<core::ErrorCode>(result.error_code());
+    if (code != core::ErrorCode::None && code != core::ErrorCode::HolderRetired) {
+        this->onBatchLost(now);
+        return core::makeError(code, result.error_message());
+    }
+    const BatchInFlight answered = *std::move(this->inFlight);
+    this->inFlight.reset();
+    this->confirm(answered);
+    this->forgetWaiters();
+    if (code == core::ErrorCode::HolderRetired) {
+        this->retire();
+        return core::makeError(code, result.error_message());
+    }
+    this->takeGrants(result.holder_batch(), now);
+    return absl::OkStatus();
+}
+
+void EscrowState::onBatchLost(core::TimePoint now)
+{
+    if (this->inFlight) {
+        this->inFlight->lostAt = now;
+        this->forgetWaiters();
+    }
+}
+
+bool EscrowState::hasBusiness(core::TimePoint now) const
+{
+    return !this->unsent.empty() || !this->settlements.empty()
+           || std::ranges::any_of(this->accounts, [&](const auto &entry) {
+                  return entry.second.hasBusiness(now, this->options);
+              });
+}
+
+bool EscrowState::isUrgent() const
+{
+    return this->openingWanted || std::ranges::any_of(this->accounts, [](const auto &entry) {
+               return entry.second.isUrgent();
+           });
+}
+
+proto::HolderBatch EscrowState::buildBatch(core::TimePoint now)
+{
+    BatchInFlight batch;
+    batch.firstSentAt = now;
+    batch.message.mutable_holder()->set_instance(this->holder.instance.value);
+    batch.message.mutable_holder()->set_incarnation(this->holder.incarnation);
+    batch.message.set_sequence(++this->lastSequence);
+    this->addOpenings(batch);
+    this->addSettlements(batch);
+    this->addEscrow(batch, now);
+    this->openingWanted = false;
+    this->lastBatchAt = now;
+    ++this->counters.batches;
+    this->inFlight = std::move(batch);
+    return this->inFlight->message;
+}
+
+std::optional<proto::HolderBatch> EscrowState::resend(core::TimePoint now)
+{
+    this->inFlight->lostAt.reset();
+    this->lastBatchAt = now;
+    ++this->counters.resentBatches;
+    return this->inFlight->message;
+}
+
+void EscrowState::addOpenings(BatchInFlight &batch)
+{
+    while (!this->unsent.empty() && batch.openings.size() < MaximumRecordsPerBatch) {
+        const ReservationId id = *this->unsent.begin();
+        this->unsent.erase(this->unsent.begin());
+        Reservation &reservation = this->reservations.at(id);
+        reservation.record = RecordState::Sent;
+        const bool undispatched
+            = std::ranges::find(this->recordedFirst, id, &RecordedFirst::reservation)
+              != this->recordedFirst.end();
+        const int64_t unrecorded = undispatched ? 0 : reservation.tokens;
+        batch.openings.push_back({id, reservation.budget, unrecorded});
+        proto::Opening *opening = batch.message.add_openings();
+        opening->set_reservation(id);
+        opening->set_budget(reservation.budget.value);
+        opening->set_tokens(reservation.tokens);
+    }
+}
+
+void EscrowState::addSettlements(BatchInFlight &batch)
+{
+    const size_t count = std::min(this->settlements.size(), MaximumRecordsPerBatch);
+    const auto end = this->settlements.begin() + static_cast<std::ptrdiff_t>(count);
+    for (auto entry = this->settlements.begin(); entry != end; ++entry) {
+        *batch.message.add_settlements() = entry->message;
+        batch.settlements.push_back(std::move(*entry));
+    }
+    this->settlements.erase(this->settlements.begin(), end);
+}
+
+void EscrowState::addEscrow(BatchInFlight &batch, core::TimePoint now)
+{
+    for (auto &[budget, account] : this->accounts) {
+        const int64_t returned = account.takeReturn(now, this->options, this->stopping);
+        if (returned > 0) {
+            proto::EscrowReturn *message = batch.message.add_returns();
+            message->set_budget(budget.value);
+            message->set_tokens(returned);
+            this->counters.returnedTokens += returned;
+        }
+        if (this->stopping || this->retired) {
+            continue;
+        }
+        if (auto request = account.takeRequest(now, this->options)) {
+            request->set_budget(budget.value);
+            *batch.message.add_requests() = *std::move(request);
+        }
+    }
+    absl::erase_if(this->accounts, [&](const auto &entry) {
+        return entry.second.isForgettable(now, this->options);
+    });
+}
+
+void EscrowState::confirm(const BatchInFlight &batch)
+{
+    for (const SentOpening &opening : batch.openings) {
+        this->accounts[opening.budget].removeUnrecorded(opening.unrecorded);
+        const auto found = this->reservations.find(opening.reservation);
+        if (found != this->reservations.end()) {
+            found->second.record = RecordState::Recorded;
+        }
+    }
+    for (const QueuedSettlement &settlement : batch.settlements) {
+        BudgetAccount &account = this->accounts[core::BudgetId(settlement.message.budget())];
+        account.removeUnrecorded(settlement.unrecorded);
+        account.confirmRest(settlement.rest);
+    }
+}
+
+void EscrowState::takeGrants(const proto::HolderBatchResult &result, core::TimePoint now)
+{
+    for (const proto::EscrowGrant &grant : result.grants()) {
+        this->accounts[core::BudgetId(grant.budget())].takeGrant(grant, now);
+        this->counters.grantedTokens += grant.granted_tokens();
+    }
+    for (const proto::EscrowRecall &recall : result.recalls()) {
+        this->accounts[core::BudgetId(recall.budget())].takeRecall(recall.tokens());
+        ++this->counters.recalled;
+    }
+}
+
+void EscrowState::retire()
+{
+    this->retired = true;
+    for (auto &[budget, account] : this->accounts) {
+        account.dropFree();
+    }
+}
+
+void EscrowState::forgetWaiters()
+{
+    for (auto &[budget, account] : this->accounts) {
+        account.forgetWaiters();
+    }
+}
+
+} // namespace samphirebridge::budget
--- /dev/null
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -0,0 +1,98 @@
+#include "samphirebridge/budget/escrowbook.h"
+
+#include "samphirebridge/budget/escrowstate.h"
+
+namespace samphirebridge::budget
+{
+
+EscrowBook::EscrowBook(core::HolderId holder, EscrowOptions options)
+    : state(std::make_unique<EscrowState>(std::move(holder), options))
+{
+}
+
+EscrowBook::~EscrowBook() = default;
+EscrowBook::EscrowBook(EscrowBook &&) noexcept = default;
+EscrowBook &EscrowBook::operator=(EscrowBook &&) noexcept = default;
+
+void EscrowBook::setOptions(const EscrowOptions &options)
+{
+    this->state->options = options;
+}
+
+Decision EscrowBook::reserve(const core::BudgetId &budget,
+                             core::Tokens tokens,
+                             core::TimePoint now,
+                             Recording recording)
+{
+    return this->state->reserve(budget, tokens.count, now, recording);
+}
+
+absl::Status EscrowBook::openClaimed(ReservationId reservation)
+{
+    return this->state->openClaimed(reservation);
+}
+
+absl::Status EscrowBook::settle(ReservationId reservation,
+                                core::Tokens used,
+                                core::TimePoint now,
+                                std::optional<ClaimedEnd> claimed)
+{
+    return this->state->settle(reservation, used.count, now, claimed);
+}
+
+absl::Status EscrowBook::release(ReservationId reservation, core::TimePoint now)
+{
+    return this->state->release(reservation, now);
+}
+
+std::optional<proto::HolderBatch> EscrowBook::nextBatch(core::TimePoint now)
+{
+    return this->state->nextBatch(now);
+}
+
+std::optional<core::TimePoint> EscrowBook::nextBatchDue() const
+{
+    return this->state->nextBatchDue();
+}
+
+absl::Status EscrowBook::onBatchResult(const proto::CommandResult &result, core::TimePoint now)
+{
+    return this->state->onBatchResult(result, now);
+}
+
+void EscrowBook::onBatchLost(core::TimePoint now)
+{
+    this->state->onBatchLost(now);
+}
+
+std::optional<proto::HolderBatch> EscrowBook::shutdownBatch(core::TimePoint now)
+{
+    return this->state->shutdownBatch(now);
+}
+
+bool EscrowBook::isSettled() const
+{
+    return this->state->isSettled();
+}
+
+bool EscrowBook::inContact(core::TimePoint now) const
+{
+    return this->state->inContact(now);
+}
+
+const core::HolderId &EscrowBook::holder() const
+{
+    return this->state->holder;
+}
+
+const EscrowCounters &EscrowBook::counters() const
+{
+    return this->state->counters;
+}
+
+std::vector<BudgetShare> EscrowBook::shares() const
+{
+    return this->state->shares();
+}
+
+} // namespace samphirebridge::budget
--- /dev/null
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -0,0 +1,280 @@
+#include "samphirebridge/budget/escrowstate.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::budget
+{
+
+EscrowState::EscrowState(core::HolderId holder, const EscrowOptions &options)
+    : holder(std::move(holder))
+    , options(options)
+{
+}
+
+Decision EscrowState::reserve(const core::BudgetId &budget,
+                              int64_t tokens,
+                              core::TimePoint now,
+                              Recording recording)
+{
+    if (this->stopping || this->retired || tokens < 0) {
+        return this->refuse(DecisionKind::Unconfirmed);
+    }
+    const bool byBatch = recording == Recording::Batch;
+    const bool recordFirst = byBatch && tokens > this->options.exposureLimit.count;
+    if (recordFirst) {
+        const auto recorded = this->takeRecordedFirst(budget, tokens);
+        if (recorded) {
+            ++this->counters.reserved;
+            return {.kind = DecisionKind::Reserved, .reservation = *recorded};
+        }
+    }
+    BudgetAccount &account = this->accounts[budget];
+    if (tokens > account.freeTokens()) {
+        return this->lacking(account, tokens, now);
+    }
+    if (recordFirst) {
+        return this->reserveRecordedFirst(budget, tokens, now);
+    }
+    if (byBatch && account.unrecordedTokens() + tokens > this->options.exposureLimit.count) {
+        if (!this->inContact(now)) {
+            return this->refuse(DecisionKind::Unconfirmed);
+        }
+        this->openingWanted = true;
+        return this->wait(WaitCause::Opening);
+    }
+    const RecordState record = byBatch ? RecordState::Unsent : RecordState::Claiming;
+    const ReservationId reservation = this->openReservation(budget, tokens, record, now);
+    if (byBatch) {
+        account.addUnrecorded(tokens);
+    }
+    ++this->counters.reserved;
+    return {.kind = DecisionKind::Reserved, .reservation = reservation};
+}
+
+absl::Status EscrowState::openClaimed(ReservationId reservation)
+{
+    const auto found = this->reservations.find(reservation);
+    if (found == this->reservations.end()) {
+        return this->unknown(reservation);
+    }
+    if (found->second.record == RecordState::Claiming) {
+        found->second.record = RecordState::Recorded;
+    }
+    return absl::OkStatus();
+}
+
+absl::Status EscrowState::settle(ReservationId reservation,
+                                 int64_t used,
+                                 core::TimePoint /*now*/,
+                                 const std::optional<ClaimedEnd> &claimed)
+{
+    const auto found = this->reservations.find(reservation);
+    if (found == this->reservations.end()) {
+        return this->unknown(reservation);
+    }
+    if (used < 0 || used > found->second.tokens) {
+        return core::makeError(core::ErrorCode::InvalidRequest,
+                               fmt::format("reservation {} of {} tokens can't be settled with {}",
+                                           reservation,
+                                           found->second.tokens,
+                                           used));
+    }
+    if (found->second.record == RecordState::Claiming) {
+        return core::makeError(
+            core::ErrorCode::InvalidRequest,
+            fmt::format("the claim of reservation {} was not answered yet", reservation));
+    }
+    ++this->counters.settled;
+    this->counters.usedTokens += used;
+    this->finish(reservation, used, claimed);
+    return absl::OkStatus();
+}
+
+absl::Status EscrowState::release(ReservationId reservation, core::TimePoint /*now*/)
+{
+    const auto found = this->reservations.find(reservation);
+    if (found == this->reservations.end()) {
+        return this->unknown(reservation);
+    }
+    ++this->counters.released;
+    this->finish(reservation, 0, std::nullopt);
+    return absl::OkStatus();
+}
+
+bool EscrowState::isSettled() const
+{
+    const bool reported
+        = this->reservations.empty() && this->settlements.empty() && !this->inFlight;
+    return reported && std::ranges::all_of(this->accounts, [](const auto &entry) {
+               return entry.second.freeTokens() == 0 && entry.second.pendingTokens() == 0;
+           });
+}
+
+bool EscrowState::inContact(core::TimePoint now) const
+{
+    return !this->inFlight || now - this->inFlight->firstSentAt <= this->options.contactTimeout;
+}
+
+std::vector<BudgetShare> EscrowState::shares() const
+{
+    std::vector<BudgetShare> shares;
+    shares.reserve(this->accounts.size());
+    for (const auto &[budget, account] : this->accounts) {
+        const int64_t escrow
+            = account.freeTokens() + account.openTokens() + account.pendingTokens();
+        const core::TimePoint now = this->lastBatchAt.value_or(core::TimePoint{});
+        shares.push_back({budget,
+                          core::Tokens{escrow},
+                          core::Tokens{account.openTokens()},
+                          core::Tokens{account.unrecordedTokens()},
+                          account.demandEstimate().tokensPerSecond(now)});
+    }
+    return shares;
+}
+
+ReservationId EscrowState::openReservation(const core::BudgetId &budget,
+                                           int64_t tokens,
+                                           RecordState record,
+                                           core::TimePoint now)
+{
+    const ReservationId reservation = ++this->lastReservation;
+    this->accounts[budget].open(tokens, now);
+    this->reservations.emplace(reservation, Reservation{budget, tokens, record});
+    if (record == RecordState::Unsent) {
+        this->unsent.insert(reservation);
+    }
+    return reservation;
+}
+
+std::optional<ReservationId> EscrowState::takeRecordedFirst(const core::BudgetId &budget,
+                                                            int64_t tokens)
+{
+    const auto found = std::ranges::find_if(this->recordedFirst, [&](const RecordedFirst &entry) {
+        return entry.budget == budget && entry.tokens == tokens
+               && this->reservations.at(entry.reservation).record == RecordState::Recorded;
+    });
+    if (found == this->recordedFirst.end()) {
+        return std::nullopt;
+    }
+    const ReservationId reservation = found->reservation;
+    this->recordedFirst.erase(found);
+    return reservation;
+}
+
+// One at a time for each budget and size: of several that ask, the next result serves the first.
+Decision
+EscrowState::reserveRecordedFirst(const core::BudgetId &budget, int64_t tokens, core::TimePoint now)
+{
+    if (!this->inContact(now)) {
+        return this->refuse(DecisionKind::Unconfirmed);
+    }
+    const bool underWay = std::ranges::any_of(this->recordedFirst, [&](const RecordedFirst &entry) {
+        return entry.budget == budget && entry.tokens == tokens;
+    });
+    if (!underWay) {
+        const ReservationId reservation
+            = this->openReservation(budget, tokens, RecordState::Unsent, now);
+        this->recordedFirst.push_back({reservation, budget, tokens, now});
+    }
+    this->openingWanted = true;
+    return this->wait(WaitCause::Opening);
+}
+
+Decision EscrowState::lacking(BudgetAccount &account, int64_t tokens, core::TimePoint now)
+{
+    if (!this->inContact(now)) {
+        return this->refuse(DecisionKind::Unconfirmed);
+    }
+    if (!account.hasFreshView(now, this->options)) {
+        account.addWaiter(tokens, now);
+        account.setUrgent();
+        return this->wait(WaitCause::Grant);
+    }
+    if (tokens <= account.reach()) {
+        account.addWaiter(tokens, now);
+        return this->wait(WaitCause::Grant);
+    }
+    if (tokens <= account.reach() + account.expectedRest()) {
+        account.addWaiter(tokens, now);
+        return this->wait(WaitCause::Settlement);
+    }
+    return this->refuse(DecisionKind::Exhausted);
+}
+
+Decision EscrowState::wait(WaitCause cause)
+{
+    ++this->counters.waited;
+    const bool flushNow = !this->inFlight && this->isUrgent();
+    return {.kind = DecisionKind::Wait, .cause = cause, .flushNow = flushNow};
+}
+
+Decision EscrowState::refuse(DecisionKind kind)
+{
+    ++(kind == DecisionKind::Exhausted ? this->counters.exhausted : this->counters.unconfirmed);
+    return {.kind = kind, .retryAfter = this->options.retryAfter};
+}
+
+absl::Status EscrowState::unknown(ReservationId reservation) const
+{
+    return core::makeError(core::ErrorCode::UnknownReservation,
+                           fmt::format("reservation {} is not open; the last one made is {}",
+                                       reservation,
+                                       this->lastReservation));
+}
+
+void EscrowState::finish(ReservationId reservation,
+                         int64_t used,
+                         const std::optional<ClaimedEnd> &claimed)
+{
+    const auto found = this->reservations.find(reservation);
+    const Reservation ended = std::move(found->second);
+    this->reservations.erase(found);
+    BudgetAccount &account = this->accounts[ended.budget];
+    if (ended.record == RecordState::Claiming) {
+        account.close(ended.tokens);
+        return;
+    }
+    QueuedSettlement settlement;
+    if (ended.record == RecordState::Unsent) {
+        this->unsent.erase(reservation);
+        account.closeUnrecorded(ended.tokens, used);
+        settlement.unrecorded = used;
+        if (used == 0) {
+            return;
+        }
+    } else {
+        account.closeRecorded(ended.tokens, used);
+        settlement.rest = ended.tokens - used;
+    }
+    settlement.message.set_reservation(reservation);
+    settlement.message.set_budget(ended.budget.value);
+    settlement.message.set_reserved_tokens(ended.tokens);
+    settlement.message.set_used_tokens(used);
+    if (claimed) {
+        settlement.message.mutable_key()->set_organisation(claimed->key.organisation.value);
+        settlement.message.mutable_key()->set_key(claimed->key.key);
+        *settlement.message.mutable_answer() = claimed->answer;
+    }
+    this->settlements.push_back(std::move(settlement));
+}
+
+// A reservation that was recorded for somebody who did not come back is given up.
+void EscrowState::releaseForgotten(core::TimePoint now)
+{
+    std::erase_if(this->recordedFirst, [&](const RecordedFirst &entry) {
+        const bool recorded
+            = this->reservations.at(entry.reservation).record == RecordState::Recorded;
+        const bool forgotten = this->stopping || now - entry.since > this->options.contactTimeout;
+        if (!recorded || !forgotten) {
+            return false;
+        }
+        this->finish(entry.reservation, 0, std::nullopt);
+        return true;
+    });
+}
+
+} // namespace samphirebridge::budget
--- /dev/null
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -0,0 +1,178 @@
+#include "samphirebridge/ledger/commands.h"
+#include "samphirebridge/ledger/ledgerstate.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+// A settlement of a reservation that was never recorded: it was opened inside the exposure window.
+void settleUnrecorded(LedgerState &state, HolderIndex holder, const proto::Settlement &settlement)
+{
+    // A claimed reservation is always recorded: this one was settled before, was taken over or was
+    // resolved by an operator.
+    if (settlement.has_key()) {
+        return;
+    }
+    const BudgetIndex budget = state.budgets.find(settlement.budget());
+    if (budget == NoIndex) {
+        return;
+    }
+    const Share *share = state.budgets.share(budget, holder);
+    if (share == nullptr) {
+        return;
+    }
+    const int64_t used = std::clamp<int64_t>(settlement.used_tokens(), 0, share->free());
+    state.budgets.settleUnrecorded(budget, holder, used);
+}
+
+proto::StoredAnswer answerOf(const proto::Settlement &settlement)
+{
+    if (settlement.has_answer()) {
+        return settlement.answer();
+    }
+    proto::StoredAnswer answer;
+    answer.set_outcome(settlement.used_tokens() == 0 ? proto::NOT_RUN : proto::UNKNOWN);
+    return answer;
+}
+
+void takeSettlements(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
+{
+    for (const proto::Settlement &settlement : batch.settlements()) {
+        if (!state.holders.at(holder).open.contains(settlement.reservation())) {
+            settleUnrecorded(state, holder, settlement);
+            continue;
+        }
+        settleRecorded(state,
+                       holder,
+                       settlement.reservation(),
+                       settlement.used_tokens(),
+                       answerOf(settlement));
+    }
+}
+
+void takeOpenings(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
+{
+    HolderRecord &record = state.holders.at(holder);
+    for (const proto::Opening &opening : batch.openings()) {
+        const BudgetIndex budget = state.budgets.find(opening.budget());
+        const Share *share = budget == NoIndex ? nullptr : state.budgets.share(budget, holder);
+        if (share == nullptr || record.open.contains(opening.reservation())) {
+            continue;
+        }
+        const int64_t tokens = std::clamp<int64_t>(opening.tokens(), 0, share->free());
+        state.budgets.open(budget, holder, tokens);
+        record.open.emplace(opening.reservation(), OpenItem{tokens, budget, NoIndex});
+    }
+}
+
+void takeReturns(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
+{
+    for (const proto::EscrowReturn &returned : batch.returns()) {
+        const BudgetIndex budget = state.budgets.find(returned.budget());
+        const Share *share = budget == NoIndex ? nullptr : state.budgets.share(budget, holder);
+        if (share != nullptr) {
+            const int64_t tokens = std::clamp<int64_t>(returned.tokens(), 0, share->free());
+            state.budgets.giveBack(budget, holder, tokens);
+        }
+    }
+}
+
+void addRecalls(LedgerState &state, HolderIndex holder, proto::HolderBatchResult &result)
+{
+    HolderRecord &record = state.holders.at(holder);
+    for (const auto &[budget, tokens] : record.recalls) {
+        proto::EscrowRecall *recall = result.add_recalls();
+        recall->set_budget(state.budgets.at(budget).id);
+        recall->set_tokens(tokens);
+    }
+    record.recalls.clear();
+    std::ranges::sort(*result.mutable_recalls(), {}, &proto::EscrowRecall::budget);
+}
+
+proto::CommandResult
+lateBatch(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
+{
+    HolderRecord &record = state.holders.at(holder);
+    if (batch.sequence() == record.lastSequence + 1) {
+        record.lastSequence = batch.sequence();
+        record.lastResult.clear();
+        takeSettlements(state, holder, batch);
+        forgetIfDone(state, holder);
+    }
+    return refusal(core::ErrorCode::HolderRetired,
+                   fmt::format("{} is over; only its settlements are taken",
+                               describe(holderIdOf(batch.holder()))));
+}
+
+proto::CommandResult sequencedBatch(LedgerState &state, const proto::HolderBatch &batch)
+{
+    const absl::StatusOr<HolderIndex> live = liveHolder(state, batch.holder());
+    if (!live.ok()) {
+        const HolderIndex known = state.holders.find(holderIdOf(batch.holder()));
+        return known == NoIndex ? refusal(live.status()) : lateBatch(state, known, batch);
+    }
+    const HolderIndex holder = *live;
+    HolderRecord &record = state.holders.at(holder);
+    proto::CommandResult result;
+    if (batch.sequence() == record.lastSequence && batch.sequence() != 0) {
+        result.mutable_holder_batch()->ParseFromString(record.lastResult);
+        return result;
+    }
+    if (batch.sequence() != record.lastSequence + 1) {
+        return refusal(core::ErrorCode::SequenceGap,
+                       fmt::format("batch {} of {} does not follow batch {}",
+                                   batch.sequence(),
+                                   describe(record.id),
+                                   record.lastSequence));
+    }
+    takeSettlements(state, holder, batch);
+    takeOpenings(state, holder, batch);
+    takeReturns(state, holder, batch);
+    state.shortages.clear(holder);
+    for (const proto::EscrowRequest &request : batch.requests()) {
+        *result.mutable_holder_batch()->add_grants() = answerRequest(state, holder, request);
+    }
+    addRecalls(state, holder, *result.mutable_holder_batch());
+    result.mutable_holder_batch()->set_sequence(batch.sequence());
+    record.lastSequence = batch.sequence();
+    record.lastResult = result.holder_batch().SerializeAsString();
+    return result;
+}
+
+} // namespace
+
+proto::CommandResult applyBatch(LedgerState &state, const proto::HolderBatch &batch)
+{
+    proto::CommandResult result = sequencedBatch(state, batch);
+    result.mutable_holder_batch()->set_sequence(batch.sequence());
+    return result;
+}
+
+proto::CommandResult registerHolder(LedgerState &state, const proto::RegisterHolder &command)
+{
+    const core::HolderId id = holderIdOf(command.holder());
+    if (id.instance.empty()) {
+        return refusal(core::ErrorCode::InvalidRequest, "the holder names no instance");
+    }
+    const absl::StatusOr<HolderIndex> live = liveHolder(state, command.holder());
+    if (live.ok()) {
+        return {};
+    }
+    if (core::errorCodeOf(live.status()) == core::ErrorCode::HolderRetired) {
+        return refusal(live.status());
+    }
+    const HolderIndex previous = state.holders.liveOf(id.instance);
+    state.holders.add(id);
+    if (previous != NoIndex) {
+        endHolder(state, previous);
+    }
+    return {};
+}
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/claimcommands.cpp
@@ -0,0 +1,189 @@
+#include "samphirebridge/ledger/commands.h"
+#include "samphirebridge/ledger/ledgerstate.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+proto::CommandResult verdict(proto::ClaimVerdict value, const core::HolderId &holder)
+{
+    proto::CommandResult result;
+    result.mutable_claim()->set_verdict(value);
+    *result.mutable_claim()->mutable_holder() = protoOf(holder);
+    return result;
+}
+
+absl::Status checkClaim(const proto::Claim &claim)
+{
+    const bool named = !claim.key().organisation().empty() && !claim.key().key().empty();
+    const bool wellFormed = named && claim.fingerprint().size() == core::FingerprintLength
+                            && claim.tokens() >= 0
+                            && claim.key().organisation().find('\0') == std::string::npos;
+    if (wellFormed) {
+        return absl::OkStatus();
+    }
+    return core::makeError(core::ErrorCode::InvalidRequest,
+                           fmt::format("a claim needs an organisation, a key, a fingerprint of {} "
+                                       "bytes and tokens of at least 0",
+                                       core::FingerprintLength));
+}
+
+// Checks that the reservation can be opened out of what the holder has free.
+absl::Status checkOpening(const LedgerState &state, HolderIndex holder, const proto::Claim &claim)
+{
+    const BudgetIndex budget = state.budgets.find(claim.budget());
+    if (budget == NoIndex) {
+        return core::makeError(core::ErrorCode::UnknownBudget,
+                               fmt::format("budget '{}' is not declared", claim.budget()));
+    }
+    if (state.holders.at(holder).open.contains(claim.reservation())) {
+        return core::makeError(core::ErrorCode::InvalidRequest,
+                               fmt::format("reservation {} is open already", claim.reservation()));
+    }
+    const Share *share = state.budgets.share(budget, holder);
+    const int64_t free = share == nullptr ? 0 : share->free();
+    if (free >= claim.tokens()) {
+        return absl::OkStatus();
+    }
+    return core::makeError(
+        core::ErrorCode::InsufficientTokens,
+        fmt::format("the claim needs {} tokens of budget '{}', the holder has {} "
+                    "free",
+                    claim.tokens(),
+                    claim.budget(),
+                    free));
+}
+
+// Opens the reservation and makes the holder the claim's.
+void hold(LedgerState &state, HolderIndex holder, ClaimIndex index, const proto::Claim &claim)
+{
+    ClaimRecord &record = state.claims.at(index);
+    record.holder = holder;
+    record.reservation = claim.reservation();
+    record.tokens = claim.tokens();
+    record.budget = state.budgets.find(claim.budget());
+    HolderRecord &holderRecord = state.holders.at(holder);
+    ++holderRecord.claims;
+    holderRecord.open.emplace(claim.reservation(), OpenItem{claim.tokens(), record.budget, index});
+    state.budgets.open(record.budget, holder, claim.tokens());
+}
+
+void leave(LedgerState &state, HolderIndex holder)
+{
+    --state.holders.at(holder).claims;
+    forgetIfDone(state, holder);
+}
+
+proto::CommandResult firstClaim(LedgerState &state, HolderIndex holder, const proto::Claim &claim)
+{
+    if (const absl::Status status = checkOpening(state, holder, claim); !status.ok()) {
+        return refusal(status);
+    }
+    HolderIndex replaced = NoIndex;
+    const ClaimIndex index
+        = state.claims.add(claim.key().organisation(), claim.key().key(), replaced);
+    if (replaced != NoIndex) {
+        leave(state, replaced);
+    }
+    ClaimRecord &record = state.claims.at(index);
+    std::ranges::copy(claim.fingerprint(), record.fingerprint.begin());
+    record.repeat = claim.repeat();
+    record.retentionS = claim.key_retention_s();
+    hold(state, holder, index, claim);
+    return verdict(proto::CLAIMED, state.holders.at(holder).id);
+}
+
+// The new holder opens a reservation of its own; the price of the old one returns to the pool, and
+// a late settlement of it is ignored, so that the request is billed once.
+proto::CommandResult
+takeOver(LedgerState &state, HolderIndex holder, ClaimIndex index, const proto::Claim &claim)
+{
+    if (const absl::Status status = checkOpening(state, holder, claim); !status.ok()) {
+        return refusal(status);
+    }
+    const HolderIndex previous = state.claims.at(index).holder;
+    const uint64_t reservation = state.claims.at(index).reservation;
+    HolderRecord &previousRecord = state.holders.at(previous);
+    const auto found = previousRecord.open.find(reservation);
+    if (found != previousRecord.open.end()) {
+        const OpenItem item = found->second;
+        previousRecord.open.erase(found);
+        state.budgets.settleOpen(item.budget, previous, item.tokens, 0);
+    }
+    hold(state, holder, index, claim);
+    proto::CommandResult result = verdict(proto::TAKEN_OVER, previousRecord.id);
+    leave(state, previous);
+    return result;
+}
+
+// A finished request may run again only if it is known that it did not run.
+proto::CommandResult
+finishedClaim(LedgerState &state, HolderIndex holder, ClaimIndex index, const proto::Claim &claim)
+{
+    ClaimRecord &record = state.claims.at(index);
+    proto::StoredAnswer answer;
+    const std::string_view bytes = record.answer.view();
+    answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+    const bool resend = record.holder == holder && record.reservation == claim.reservation();
+    if (answer.outcome() != proto::NOT_RUN || resend) {
+        proto::CommandResult result = verdict(proto::FINISHED, state.holders.at(record.holder).id);
+        *result.mutable_claim()->mutable_answer() = std::move(answer);
+        return result;
+    }
+    if (const absl::Status status = checkOpening(state, holder, claim); !status.ok()) {
+        return refusal(status);
+    }
+    const HolderIndex previous = record.holder;
+    record.finished = false;
+    record.answer = {};
+    record.repeat = claim.repeat();
+    record.retentionS = claim.key_retention_s();
+    hold(state, holder, index, claim);
+    leave(state, previous);
+    return verdict(proto::CLAIMED, state.holders.at(holder).id);
+}
+
+} // namespace
+
+proto::CommandResult applyClaim(LedgerState &state, const proto::Claim &claim)
+{
+    if (const absl::Status status = checkClaim(claim); !status.ok()) {
+        return refusal(status);
+    }
+    const absl::StatusOr<HolderIndex> live = liveHolder(state, claim.holder());
+    if (!live.ok()) {
+        return refusal(live.status());
+    }
+    const HolderIndex holder = *live;
+    const ClaimIndex index
+        = state.claims.find(claim.key().organisation(), claim.key().key(), state.timeMs);
+    if (index == NoIndex) {
+        return firstClaim(state, holder, claim);
+    }
+    const ClaimRecord &record = state.claims.at(index);
+    const HolderRecord &owner = state.holders.at(record.holder);
+    if (!std::ranges::equal(record.fingerprint, claim.fingerprint())) {
+        return verdict(proto::BODY_MISMATCH, owner.id);
+    }
+    if (record.finished) {
+        return finishedClaim(state, holder, index, claim);
+    }
+    if (record.holder == holder && record.reservation == claim.reservation()) {
+        return verdict(proto::CLAIMED, owner.id);
+    }
+    if (!owner.over) {
+        return verdict(proto::RUNNING, owner.id);
+    }
+    const bool repeatable
+        = record.repeat == proto::REPEATABLE || record.repeat == proto::TARGET_DEDUPLICATES;
+    return repeatable ? takeOver(state, holder, index, claim)
+                      : verdict(proto::OUTCOME_UNKNOWN, owner.id);
+}
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/escrowgrants.cpp
@@ -0,0 +1,205 @@
+#include "samphirebridge/ledger/escrowgrants.h"
+
+#include "samphirebridge/ledger/ledgerstate.h"
+
+#include <algorithm>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+// What other holders lack, split by whether they go before the asking one.
+struct Claims {
+    int64_t before = 0;
+    int64_t all = 0;
+};
+
+Claims shortagesOfOthers(const LedgerState &state, BudgetIndex budget, HolderIndex holder)
+{
+    Claims claims;
+    const core::HolderId &asking = state.holders.at(holder).id;
+    for (const Shortage &shortage : state.shortages.of(budget, state.timeMs)) {
+        if (shortage.holder == holder) {
+            continue;
+        }
+        claims.all += shortage.tokens;
+        if (state.holders.at(shortage.holder).id < asking) {
+            claims.before += shortage.tokens;
+        }
+    }
+    return claims;
+}
+
+int64_t sharers(const BudgetRecord &record, HolderIndex holder)
+{
+    int64_t count = 1;
+    for (const Share &share : record.shares) {
+        count += !share.over && share.holder != holder ? 1 : 0;
+    }
+    return count;
+}
+
+int64_t recallable(const BudgetRecord &record, HolderIndex holder)
+{
+    int64_t tokens = 0;
+    for (const Share &share : record.shares) {
+        tokens += !share.over && share.holder != holder ? share.free() : 0;
+    }
+    return tokens;
+}
+
+// What the waiting requests need, or zero where not even the smallest could be covered: then the
+// tokens are left to those who can use them.
+int64_t reachableMinimum(const BudgetRecord &record,
+                         HolderIndex holder,
+                         const proto::EscrowRequest &request)
+{
+    const int64_t minimum = std::max<int64_t>(request.minimum_tokens(), 0);
+    const int64_t smallest = request.smallest_tokens() > 0 ? request.smallest_tokens() : minimum;
+    const int64_t reach = record.pool() + recallable(record, holder);
+    return smallest <= reach ? std::min(minimum, reach) : 0;
+}
+
+int64_t grantFor(const LedgerState &state,
+                 BudgetIndex budget,
+                 HolderIndex holder,
+                 int64_t wantedTokens,
+                 int64_t minimum)
+{
+    const BudgetRecord &record = state.budgets.at(budget);
+    const Claims claims = shortagesOfOthers(state, budget, holder);
+    const int64_t wanted = std::max(wantedTokens, minimum);
+    const int64_t first = std::clamp<int64_t>(record.pool() - claims.before, 0, minimum);
+    // One share more than holders keeps something for one that comes new.
+    const int64_t rest = record.pool() - first - claims.all;
+    const int64_t share = std::max<int64_t>(rest, 0) / (sharers(record, holder) + 1);
+    return first + std::min(wanted - first, share);
+}
+
+// Returns the holders that may be asked to return escrow, those with most of it first.
+std::vector<Share> sources(const LedgerState &state, BudgetIndex budget, HolderIndex holder)
+{
+    const core::HolderId &asking = state.holders.at(holder).id;
+    const std::vector<Shortage> shortages = state.shortages.of(budget, state.timeMs);
+    std::vector<Share> found;
+    for (const Share &share : state.budgets.at(budget).shares) {
+        if (share.over || share.holder == holder || share.free() <= 0) {
+            continue;
+        }
+        const bool lacks
+            = std::ranges::find(shortages, share.holder, &Shortage::holder) != shortages.end();
+        if (lacks && state.holders.at(share.holder).id < asking) {
+            continue;
+        }
+        found.push_back(share);
+    }
+    std::ranges::sort(found, [&state](const Share &left, const Share &right) {
+        if (left.free() != right.free()) {
+            return left.free() > right.free();
+        }
+        return state.holders.at(left.holder).id < state.holders.at(right.holder).id;
+    });
+    return found;
+}
+
+// Asks for what all holders lack together and nobody was asked for yet.
+void recall(LedgerState &state, BudgetIndex budget, HolderIndex holder)
+{
+    int64_t missing = 0;
+    for (const Shortage &shortage : state.shortages.of(budget, state.timeMs)) {
+        missing += shortage.tokens;
+    }
+    const std::vector<Share> found = sources(state, budget, holder);
+    for (const Share &share : found) {
+        const auto &recalls = state.holders.at(share.holder).recalls;
+        const auto asked = recalls.find(budget);
+        missing -= asked == recalls.end() ? 0 : asked->second;
+    }
+    for (const Share &share : found) {
+        if (missing <= 0) {
+            return;
+        }
+        int64_t &asked = state.holders.at(share.holder).recalls[budget];
+        const int64_t more = std::clamp<int64_t>(share.free() - asked, 0, missing);
+        asked += more;
+        missing -= more;
+    }
+}
+
+} // namespace
+
+void ShortageBook::set(BudgetIndex budget, Shortage shortage)
+{
+    if (shortage.tokens <= 0 && !this->byBudget.contains(budget)) {
+        return;
+    }
+    std::vector<Shortage> &entries = this->byBudget[budget];
+    std::erase_if(entries,
+                  [&shortage](const Shortage &entry) { return entry.holder == shortage.holder; });
+    if (shortage.tokens > 0) {
+        entries.push_back(shortage);
+    }
+    if (entries.empty()) {
+        this->byBudget.erase(budget);
+    }
+}
+
+void ShortageBook::clear(HolderIndex holder)
+{
+    for (const BudgetIndex budget : this->budgets()) {
+        this->set(budget, {holder, 0, 0});
+    }
+}
+
+std::vector<Shortage> ShortageBook::of(BudgetIndex budget, uint64_t nowMs) const
+{
+    std::vector<Shortage> counting;
+    const auto found = this->byBudget.find(budget);
+    if (found == this->byBudget.end()) {
+        return counting;
+    }
+    for (const Shortage &entry : found->second) {
+        if (entry.atMs + ShortageLifetimeMs > nowMs) {
+            counting.push_back(entry);
+        }
+    }
+    return counting;
+}
+
+std::vector<BudgetIndex> ShortageBook::budgets() const
+{
+    std::vector<BudgetIndex> indices;
+    indices.reserve(this->byBudget.size());
+    for (const auto &[budget, entries] : this->byBudget) {
+        indices.push_back(budget);
+    }
+    return indices;
+}
+
+proto::EscrowGrant
+answerRequest(LedgerState &state, HolderIndex holder, const proto::EscrowRequest &request)
+{
+    proto::EscrowGrant grant;
+    grant.set_budget(request.budget());
+    const BudgetIndex budget = state.budgets.find(request.budget());
+    if (budget == NoIndex) {
+        return grant;
+    }
+    const int64_t minimum = reachableMinimum(state.budgets.at(budget), holder, request);
+    const int64_t granted = grantFor(state, budget, holder, request.wanted_tokens(), minimum);
+    state.budgets.grant(budget, holder, granted);
+    const int64_t missing = std::max<int64_t>(minimum - granted, 0);
+    state.shortages.set(budget, {holder, missing, state.timeMs});
+    if (missing > 0) {
+        recall(state, budget, holder);
+    }
+    const BudgetRecord &record = state.budgets.at(budget);
+    grant.set_granted_tokens(granted);
+    grant.set_pool_tokens(record.pool());
+    grant.set_recallable_tokens(recallable(record, holder));
+    return grant;
+}
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -0,0 +1,72 @@
+// Holders: lives of instances, their numbered batches, recorded openings and undelivered recalls.
+#pragma once
+
+#include "samphirebridge/core/ids.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace samphirebridge::ledger
+{
+
+// Positions inside one replica's memory. They differ between replicas and never leave the process.
+using HolderIndex = uint32_t;
+using BudgetIndex = uint32_t;
+using ClaimIndex = uint32_t;
+
+inline constexpr uint32_t NoIndex = std::numeric_limits<uint32_t>::max();
+
+// A recorded opening. Its tokens are escrow of a live holder and quarantined at one that is over.
+struct OpenItem {
+    int64_t tokens = 0;
+    BudgetIndex budget = NoIndex;
+    ClaimIndex claim = NoIndex; // Set when the reservation was opened by a claim.
+};
+
+struct HolderRecord {
+    core::HolderId id;
+    bool over = false;
+    uint32_t claims = 0; // Claims that name the holder.
+    uint64_t lastSequence = 0;
+    std::string lastResult; // The serialised HolderBatchResult of the last sequence.
+    absl::flat_hash_map<uint64_t, OpenItem> open;
+    absl::flat_hash_map<BudgetIndex, int64_t> recalls;
+};
+
+class HolderBook
+{
+public:
+    // Returns the holder's position, or NoIndex.
+    [[nodiscard]] HolderIndex find(const core::HolderId &id) const;
+
+    // Returns the highest incarnation of the instance that was ever known, if any.
+    [[nodiscard]] std::optional<core::Incarnation> highest(const core::InstanceId &instance) const;
+
+    // Returns the instance's holder that is not over, or NoIndex.
+    [[nodiscard]] HolderIndex liveOf(const core::InstanceId &instance) const;
+
+    // Adds a holder that is not known yet.
+    HolderIndex add(const core::HolderId &id);
+
+    // Forgets a holder that is over, unless it is the last known life of its instance.
+    void forget(HolderIndex index);
+
+    [[nodiscard]] HolderRecord &at(HolderIndex index);
+    [[nodiscard]] const HolderRecord &at(HolderIndex index) const;
+
+    // Returns the positions of all holders, ordered by id.
+    [[nodiscard]] std::vector<HolderIndex> ordered() const;
+
+private:
+    std::vector<HolderRecord> records;
+    std::vector<HolderIndex> unused;
+    absl::btree_map<core::HolderId, HolderIndex> byId;
+};
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -0,0 +1,159 @@
+#include "samphirebridge/ledger/ledger.h"
+
+#include "samphirebridge/ledger/commands.h"
+#include "samphirebridge/ledger/ledgerstate.h"
+#include "samphirebridge/ledger/snapshots.h"
+
+#include <algorithm>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+// Expired records removed per command: more than a command can add, so that none pile up.
+constexpr size_t ExpiriesPerCommand = 64;
+
+void expire(LedgerState &state)
+{
+    for (const HolderIndex holder : state.claims.expire(state.timeMs, ExpiriesPerCommand)) {
+        --state.holders.at(holder).claims;
+        forgetIfDone(state, holder);
+    }
+    state.changes.expire(state.timeMs, ExpiriesPerCommand);
+}
+
+proto::CommandResult dispatch(LedgerState &state, const proto::Command &command)
+{
+    switch (command.value_case()) {
+    case proto::Command::kRegisterHolder:
+        return registerHolder(state, command.register_holder());
+    case proto::Command::kRetireHolder:
+        return retireHolder(state, command.retire_holder());
+    case proto::Command::kHolderBatch:
+        return applyBatch(state, command.holder_batch());
+    case proto::Command::kClaim:
+        return applyClaim(state, command.claim());
+    case proto::Command::kResolveClaim:
+        return resolveClaim(state, command.resolve_claim());
+    case proto::Command::kTopUp:
+        return topUp(state, command.top_up());
+    case proto::Command::kReleaseQuarantine:
+        return releaseQuarantine(state, command.release_quarantine());
+    case proto::Command::kApplyManifest:
+        return applyManifest(state, command.apply_manifest());
+    case proto::Command::kNumberOrder:
+        return numberOrder(state, command.number_order());
+    case proto::Command::VALUE_NOT_SET:
+        break;
+    }
+    return refusal(core::ErrorCode::InvalidRequest, "the command has no value");
+}
+
+} // namespace
+
+Ledger::Ledger()
+    : state(std::make_unique<LedgerState>())
+{
+}
+
+Ledger::~Ledger() = default;
+Ledger::Ledger(Ledger &&) noexcept = default;
+Ledger &Ledger::operator=(Ledger &&) noexcept = default;
+
+proto::CommandResult Ledger::apply(const proto::Command &command)
+{
+    this->state->timeMs = std::max(this->state->timeMs, command.proposed_at_ms());
+    expire(*this->state);
+    proto::CommandResult result = dispatch(*this->state, command);
+    const absl::Status status = this->state->budgets.checkTouched();
+    return status.ok() ? result : refusal(status);
+}
+
+proto::LedgerSnapshot Ledger::snapshot() const
+{
+    return snapshotOf(*this->state);
+}
+
+absl::Status Ledger::restore(const proto::LedgerSnapshot &snapshot)
+{
+    auto restored = std::make_unique<LedgerState>();
+    const absl::Status status = restoreInto(*restored, snapshot);
+    if (!status.ok()) {
+        return core::makeError(core::ErrorCode::StorageCorrupt, core::messageOf(status));
+    }
+    this->state = std::move(restored);
+    return absl::OkStatus();
+}
+
+uint64_t Ledger::manifestVersion() const
+{
+    return this->state->manifest.version();
+}
+
+proto::ManifestDelta Ledger::manifestSince(uint64_t knownVersion) const
+{
+    return this->state->manifest.since(knownVersion);
+}
+
+std::vector<proto::BudgetState> Ledger::budgets(std::span<const core::BudgetId> ids) const
+{
+    std::vector<proto::BudgetState> states;
+    if (ids.empty()) {
+        for (const BudgetIndex index : this->state->budgets.ordered()) {
+            states.push_back(stateOf(this->state->budgets.at(index)));
+        }
+        return states;
+    }
+    for (const core::BudgetId &id : ids) {
+        const BudgetIndex index = this->state->budgets.find(id.value);
+        if (index != NoIndex) {
+            states.push_back(stateOf(this->state->budgets.at(index)));
+        }
+    }
+    return states;
+}
+
+std::vector<core::HolderId> Ledger::liveHolders() const
+{
+    std::vector<core::HolderId> live;
+    for (const HolderIndex index : this->state->holders.ordered()) {
+        const HolderRecord &record = this->state->holders.at(index);
+        if (!record.over) {
+            live.push_back(record.id);
+        }
+    }
+    return live;
+}
+
+std::vector<UnresolvedClaim> Ledger::unresolvedClaims() const
+{
+    std::vector<UnresolvedClaim> unresolved;
+    for (const HolderIndex index : this->state->holders.ordered()) {
+        const HolderRecord &holder = this->state->holders.at(index);
+        if (!holder.over) {
+            continue;
+        }
+        for (const auto &[reservation, item] : holder.open) {
+            if (item.claim == NoIndex) {
+                continue;
+            }
+            const ClaimRecord &claim = this->state->claims.at(item.claim);
+            unresolved.push_back(
+                {{core::OrganisationId(claim.organisation()), std::string(claim.callerKey())},
+                 holder.id,
+                 core::BudgetId(this->state->budgets.at(item.budget).id),
+                 core::Tokens{item.tokens}});
+        }
+    }
+    std::ranges::sort(unresolved, {}, &UnresolvedClaim::key);
+    return unresolved;
+}
+
+absl::Status Ledger::checkInvariant() const
+{
+    return this->state->budgets.checkAll();
+}
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -0,0 +1,63 @@
+// The parts of one replica's state, and the helpers that the commands share.
+#pragma once
+
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/ledger/budgetbook.h"
+#include "samphirebridge/ledger/changebook.h"
+#include "samphirebridge/ledger/claimbook.h"
+#include "samphirebridge/ledger/escrowgrants.h"
+#include "samphirebridge/ledger/holderbook.h"
+#include "samphirebridge/ledger/manifeststore.h"
+
+#include <ledger.pb.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace samphirebridge::ledger
+{
+
+// The exposure that a policy without `exposure_tokens` stands for.
+inline constexpr int64_t DefaultExposureTokens = 100'000;
+
+struct LedgerState {
+    uint64_t timeMs = 0;
+    HolderBook holders;
+    BudgetBook budgets;
+    ClaimBook claims;
+    ChangeBook changes;
+    ManifestStore manifest;
+    ShortageBook shortages;
+    uint64_t lastOrderNumber = 0;
+    // The highest exposure that any policy stated: a holder may not have heard of a lower one yet.
+    int64_t highestExposure = DefaultExposureTokens;
+};
+
+// Builds a result that carries an error and nothing else.
+proto::CommandResult refusal(core::ErrorCode code, std::string_view message);
+proto::CommandResult refusal(const absl::Status &status);
+
+core::HolderId holderIdOf(const proto::Holder &holder);
+proto::Holder protoOf(const core::HolderId &holder);
+std::string describe(const core::HolderId &holder);
+proto::BudgetState stateOf(const BudgetRecord &record);
+
+// Looks a holder up for a command that only a live one may send. UnknownHolder, HolderRetired.
+absl::StatusOr<HolderIndex> liveHolder(const LedgerState &state, const proto::Holder &holder);
+
+// Ends a holder: quarantines what is open and what may have been opened without a record, and
+// returns the rest to the pools.
+void endHolder(LedgerState &state, HolderIndex holder);
+
+// Forgets a holder that is over, once nothing refers to it.
+void forgetIfDone(LedgerState &state, HolderIndex holder);
+
+// Ends a recorded reservation and, if it was claimed, the claim. `used` is cut to what was
+// reserved.
+void settleRecorded(LedgerState &state,
+                    HolderIndex holder,
+                    uint64_t reservation,
+                    int64_t used,
+                    const proto::StoredAnswer &answer);
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/operatorcommands.cpp
@@ -0,0 +1,404 @@
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/tokens.h"
+#include "samphirebridge/ledger/commands.h"
+#include "samphirebridge/ledger/ledgerstate.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+std::string digestOf(std::string_view command, const google::protobuf::Message &message)
+{
+    return core::fingerprintOf({command, message.SerializeAsString()});
+}
+
+// Answers a resend with the first result; otherwise applies the change and remembers it if it was
+// accepted.
+template <typename Change>
+proto::CommandResult
+once(LedgerState &state, const std::string &changeId, const std::string &digest, Change change)
+{
+    const auto first = state.changes.firstAnswer(changeId, digest, state.timeMs);
+    if (!first.ok()) {
+        return refusal(first.status());
+    }
+    if (first->has_value()) {
+        proto::CommandResult result = **first;
+        if (result.has_apply_manifest()) {
+            result.mutable_apply_manifest()->set_resend(true);
+        }
+        return result;
+    }
+    proto::CommandResult result = change();
+    if (result.error_code() == 0) {
+        state.changes.add(changeId, {state.timeMs, digest, result.SerializeAsString()});
+    }
+    return result;
+}
+
+proto::CommandResult budgetResult(const LedgerState &state, BudgetIndex budget)
+{
+    proto::CommandResult result;
+    *result.mutable_budget() = stateOf(state.budgets.at(budget));
+    return result;
+}
+
+proto::CommandResult unknownBudget(const std::string &budget)
+{
+    return refusal(core::ErrorCode::UnknownBudget,
+                   fmt::format("budget '{}' is not declared", budget));
+}
+
+proto::CommandResult retire(LedgerState &state, const proto::RetireHolder &command)
+{
+    const absl::StatusOr<HolderIndex> live = liveHolder(state, command.holder());
+    if (live.ok()) {
+        endHolder(state, *live);
+        return {};
+    }
+    if (core::errorCodeOf(live.status()) == core::ErrorCode::HolderRetired) {
+        return {};
+    }
+    return refusal(live.status());
+}
+
+proto::CommandResult resolve(LedgerState &state, const proto::ResolveClaim &command)
+{
+    const ClaimIndex index
+        = state.claims.find(command.key().organisation(), command.key().key(), state.timeMs);
+    if (index == NoIndex) {
+        return refusal(core::ErrorCode::UnknownClaim,
+                       fmt::format("organisation '{}' has no claim of key '{}'",
+                                   command.key().organisation(),
+                                   command.key().key()));
+    }
+    const ClaimRecord &record = state.claims.at(index);
+    const HolderIndex holder = record.holder;
+    if (record.finished || !state.holders.at(holder).over) {
+        return refusal(core::ErrorCode::ClaimNotInDoubt,
+                       fmt::format("the claim of key '{}' {}; only one whose holder is over and "
+                                   "that has no outcome can be resolved",
+                                   command.key().key(),
+                                   record.finished ? "is finished" : "runs at a live holder"));
+    }
+    proto::StoredAnswer answer;
+    answer.set_outcome(command.ran() ? proto::RAN : proto::NOT_RUN);
+    const BudgetIndex budget = record.budget;
+    settleRecorded(state, holder, record.reservation, command.ran() ? record.tokens : 0, answer);
+    return budgetResult(state, budget);
+}
+
+absl::Status checkAmount(const LedgerState &state, BudgetIndex budget, int64_t tokens)
+{
+    const int64_t most = core::MaximumPurchase.count;
+    const int64_t purchased = state.budgets.at(budget).purchased();
+    if (tokens > 0 && tokens <= most && purchased + tokens <= most) {
+        return absl::OkStatus();
+    }
+    return core::makeError(core::ErrorCode::InvalidRequest,
+                           fmt::format("a top-up of {} on top of {} purchased tokens; accepted is "
+                                       "1 or more, up to {} in all",
+                                       tokens,
+                                       purchased,
+                                       most));
+}
+
+// Recorded openings of holders that are over, without those of claims: their outcome is decided by
+// ResolveClaim.
+struct Doubtful {
+    HolderIndex holder;
+    uint64_t reservation;
+    int64_t tokens;
+};
+
+std::vector<Doubtful> doubtfulOpenings(const LedgerState &state, BudgetIndex budget)
+{
+    std::vector<Doubtful> found;
+    for (const Share &share : state.budgets.at(budget).shares) {
+        if (!share.over) {
+            continue;
+        }
+        for (const auto &[reservation, item] : state.holders.at(share.holder).open) {
+            if (item.budget == budget && item.claim == NoIndex) {
+                found.push_back({share.holder, reservation, item.tokens});
+            }
+        }
+    }
+    std::ranges::sort(found, [&state](const Doubtful &left, const Doubtful &right) {
+        const core::HolderId &leftId = state.holders.at(left.holder).id;
+        const core::HolderId &rightId = state.holders.at(right.holder).id;
+        return leftId != rightId ? leftId < rightId : left.reservation < right.reservation;
+    });
+    return found;
+}
+
+std::vector<Share> unrecordedExposures(const LedgerState &state, BudgetIndex budget)
+{
+    std::vector<Share> found;
+    for (const Share &share : state.budgets.at(budget).shares) {
+        if (share.over && share.free() > 0) {
+            found.push_back(share);
+        }
+    }
+    std::ranges::sort(found, {}, [&state](const Share &share) -> const core::HolderId & {
+        return state.holders.at(share.holder).id;
+    });
+    return found;
+}
+
+// Bills, then returns, what an operator decided about.
+class Release
+{
+public:
+    Release(LedgerState &state, BudgetIndex budget, int64_t billed, int64_t returned)
+        : state(state)
+        , budget(budget)
+        , billed(billed)
+        , returned(returned)
+    {
+    }
+
+    void takeUnrecorded(const Share &share)
+    {
+        const int64_t toBill = std::min(this->billed, share.free());
+        const int64_t toReturn = std::min(this->returned, share.free() - toBill);
+        this->state.budgets.settleUnrecorded(this->budget, share.holder, toBill);
+        this->state.budgets.returnUnrecorded(this->budget, share.holder, toReturn);
+        this->advance(toBill, toReturn);
+    }
+
+    void takeOpening(const Doubtful &opening)
+    {
+        const int64_t toBill = std::min(this->billed, opening.tokens);
+        const int64_t toReturn = std::min(this->returned, opening.tokens - toBill);
+        const int64_t taken = toBill + toReturn;
+        if (taken == 0) {
+            return;
+        }
+        auto &open = this->state.holders.at(opening.holder).open;
+        this->state.budgets.settleOpen(this->budget, opening.holder, taken, toBill);
+        if (taken == opening.tokens) {
+            open.erase(opening.reservation);
+        } else {
+            open.at(opening.reservation).tokens -= taken;
+        }
+        this->advance(toBill, toReturn);
+    }
+
+private:
+    void advance(int64_t toBill, int64_t toReturn)
+    {
+        this->billed -= toBill;
+        this->returned -= toReturn;
+    }
+
+    LedgerState &state;
+    BudgetIndex budget;
+    int64_t billed;
+    int64_t returned;
+};
+
+proto::CommandResult release(LedgerState &state, const proto::ReleaseQuarantine &command)
+{
+    const BudgetIndex budget = state.budgets.find(command.budget());
+    if (budget == NoIndex) {
+        return unknownBudget(command.budget());
+    }
+    const std::vector<Share> exposures = unrecordedExposures(state, budget);
+    const std::vector<Doubtful> openings = doubtfulOpenings(state, budget);
+    int64_t available = 0;
+    for (const Share &share : exposures) {
+        available += share.free();
+    }
+    for (const Doubtful &opening : openings) {
+        available += opening.tokens;
+    }
+    const int64_t billed = command.billed_tokens();
+    const int64_t returned = command.returned_tokens();
+    const bool valid = billed >= 0 && returned >= 0 && billed <= available
+                       && returned <= available - billed && billed + returned > 0;
+    if (!valid) {
+        return refusal(core::ErrorCode::InsufficientTokens,
+                       fmt::format("{} tokens to bill and {} to return; budget '{}' has {} in "
+                                   "quarantine outside of claims in doubt",
+                                   billed,
+                                   returned,
+                                   command.budget(),
+                                   available));
+    }
+    Release decision(state, budget, billed, returned);
+    for (const Share &share : exposures) {
+        decision.takeUnrecorded(share);
+    }
+    for (const Doubtful &opening : openings) {
+        decision.takeOpening(opening);
+    }
+    for (const Share &share : exposures) {
+        forgetIfDone(state, share.holder);
+    }
+    for (const Doubtful &opening : openings) {
+        forgetIfDone(state, opening.holder);
+    }
+    return budgetResult(state, budget);
+}
+
+absl::Status checkBudget(const LedgerState &state, const proto::Budget &budget)
+{
+    if (budget.tokens() < 0 || budget.tokens() > core::MaximumPurchase.count) {
+        return core::makeError(core::ErrorCode::InvalidManifest,
+                               fmt::format("budget '{}' declares {} tokens; accepted are 0 to {}",
+                                           budget.id(),
+                                           budget.tokens(),
+                                           core::MaximumPurchase.count));
+    }
+    const BudgetIndex index = state.budgets.find(budget.id());
+    if (index == NoIndex) {
+        return absl::OkStatus();
+    }
+    const BudgetRecord &record = state.budgets.at(index);
+    const int64_t spent = record.billed + record.escrow + record.quarantined;
+    if (budget.tokens() + record.toppedUp >= spent) {
+        return absl::OkStatus();
+    }
+    return core::makeError(
+        core::ErrorCode::BudgetBelowSpend,
+        fmt::format("budget '{}' declares {} tokens besides {} topped up; {} are "
+                    "billed, in escrow or quarantined",
+                    budget.id(),
+                    budget.tokens(),
+                    record.toppedUp,
+                    spent));
+}
+
+absl::Status checkRemoval(const LedgerState &state, const std::string &budget)
+{
+    const BudgetIndex index = state.budgets.find(budget);
+    if (index == NoIndex) {
+        return absl::OkStatus();
+    }
+    const BudgetRecord &record = state.budgets.at(index);
+    if (record.escrow == 0 && record.quarantined == 0) {
+        return absl::OkStatus();
+    }
+    return core::makeError(
+        core::ErrorCode::BudgetBelowSpend,
+        fmt::format("budget '{}' cannot be removed while {} tokens are in escrow "
+                    "and {} quarantined",
+                    budget,
+                    record.escrow,
+                    record.quarantined));
+}
+
+absl::Status checkDelta(const LedgerState &state, const proto::ManifestDelta &delta)
+{
+    absl::Status status = state.manifest.check(delta);
+    for (const proto::Entity &entity : delta.upserts()) {
+        if (status.ok() && entity.has_budget()) {
+            status = checkBudget(state, entity.budget());
+        }
+    }
+    for (const proto::EntityKey &key : delta.removals()) {
+        if (status.ok() && key.kind() == proto::BUDGET) {
+            status = checkRemoval(state, key.id());
+        }
+    }
+    return status;
+}
+
+proto::CommandResult changeManifest(LedgerState &state, const proto::ApplyManifest &command)
+{
+    if (command.expected_version() != state.manifest.version()) {
+        proto::CommandResult result
+            = refusal(core::ErrorCode::VersionConflict,
+                      fmt::format("the change expects version {}, in force is version {}",
+                                  command.expected_version(),
+                                  state.manifest.version()));
+        result.set_current_version(state.manifest.version());
+        return result;
+    }
+    if (const absl::Status status = checkDelta(state, command.delta()); !status.ok()) {
+        return refusal(status);
+    }
+    state.manifest.apply(command.delta());
+    for (const proto::Entity &entity : command.delta().upserts()) {
+        if (entity.has_budget()) {
+            state.budgets.declare(entity.budget().id(), entity.budget().tokens());
+        }
+        if (entity.has_policy()) {
+            state.highestExposure
+                = std::max(state.highestExposure, entity.policy().exposure_tokens());
+        }
+    }
+    for (const proto::EntityKey &key : command.delta().removals()) {
+        if (key.kind() == proto::BUDGET) {
+            state.budgets.remove(key.id());
+        }
+    }
+    proto::CommandResult result;
+    result.mutable_apply_manifest()->set_version(state.manifest.version());
+    return result;
+}
+
+} // namespace
+
+proto::CommandResult retireHolder(LedgerState &state, const proto::RetireHolder &command)
+{
+    return once(state, command.change_id(), digestOf("retire", command), [&] {
+        return retire(state, command);
+    });
+}
+
+proto::CommandResult resolveClaim(LedgerState &state, const proto::ResolveClaim &command)
+{
+    return once(state, command.change_id(), digestOf("resolve", command), [&] {
+        return resolve(state, command);
+    });
+}
+
+proto::CommandResult topUp(LedgerState &state, const proto::TopUp &command)
+{
+    return once(state, command.change_id(), digestOf("top-up", command), [&] {
+        const BudgetIndex budget = state.budgets.find(command.budget());
+        if (budget == NoIndex) {
+            return unknownBudget(command.budget());
+        }
+        if (const absl::Status status = checkAmount(state, budget, command.tokens());
+            !status.ok()) {
+            return refusal(status);
+        }
+        state.budgets.topUp(budget, command.tokens());
+        return budgetResult(state, budget);
+    });
+}
+
+proto::CommandResult releaseQuarantine(LedgerState &state, const proto::ReleaseQuarantine &command)
+{
+    return once(state, command.change_id(), digestOf("release", command), [&] {
+        return release(state, command);
+    });
+}
+
+proto::CommandResult applyManifest(LedgerState &state, const proto::ApplyManifest &command)
+{
+    const std::string digest = command.content_digest().empty()
+                                   ? digestOf("manifest", command.delta())
+                                   : core::fingerprintOf({"manifest", command.content_digest()});
+    return once(state, command.change_id(), digest, [&] { return changeManifest(state, command); });
+}
+
+proto::CommandResult numberOrder(LedgerState &state, const proto::NumberOrder &command)
+{
+    return once(state, command.change_id(), digestOf("order", command), [&] {
+        proto::CommandResult result;
+        result.mutable_number_order()->set_number(++state.lastOrderNumber);
+        return result;
+    });
+}
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -0,0 +1,369 @@
+#include "samphirebridge/ledger/snapshots.h"
+
+#include "samphirebridge/ledger/ledgerstate.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+using Snapshot = proto::LedgerSnapshot;
+
+absl::Status corrupt(std::string_view message)
+{
+    return core::makeError(core::ErrorCode::StorageCorrupt, message);
+}
+
+proto::RequestKey keyOf(const ClaimRecord &record)
+{
+    proto::RequestKey key;
+    key.set_organisation(std::string(record.organisation()));
+    key.set_key(std::string(record.callerKey()));
+    return key;
+}
+
+void writeBudgets(const LedgerState &state, Snapshot &snapshot)
+{
+    for (const BudgetIndex index : state.budgets.ordered()) {
+        const BudgetRecord &record = state.budgets.at(index);
+        Snapshot::BudgetRecord *message = snapshot.add_budgets();
+        message->set_budget(record.id);
+        message->set_declared_tokens(record.declared);
+        message->set_topped_up_tokens(record.toppedUp);
+        message->set_billed_tokens(record.billed);
+        message->set_quarantined_tokens(record.quarantined);
+        std::vector<Share> shares = record.shares;
+        std::ranges::sort(shares, {}, [&state](const Share &share) -> const core::HolderId & {
+            return state.holders.at(share.holder).id;
+        });
+        for (const Share &share : shares) {
+            Snapshot::EscrowShare *entry = message->add_shares();
+            *entry->mutable_holder() = protoOf(state.holders.at(share.holder).id);
+            entry->set_escrow_tokens(share.tokens);
+            entry->set_open_tokens(share.open);
+        }
+    }
+}
+
+void writeOpen(const LedgerState &state,
+               const HolderRecord &record,
+               Snapshot::HolderRecord &message)
+{
+    std::vector<uint64_t> reservations;
+    for (const auto &[reservation, item] : record.open) {
+        reservations.push_back(reservation);
+    }
+    std::ranges::sort(reservations);
+    for (const uint64_t reservation : reservations) {
+        const OpenItem &item = record.open.at(reservation);
+        Snapshot::OpenReservation *entry = message.add_open();
+        entry->set_reservation(reservation);
+        entry->set_budget(state.budgets.at(item.budget).id);
+        entry->set_tokens(item.tokens);
+        if (item.claim != NoIndex) {
+            *entry->mutable_key() = keyOf(state.claims.at(item.claim));
+        }
+    }
+}
+
+// A holder that is over and of which nothing is left may or may not have been forgotten yet.
+bool isForgettable(const LedgerState &state,
+                   HolderIndex index,
+                   const absl::flat_hash_set<HolderIndex> &named)
+{
+    const HolderRecord &record = state.holders.at(index);
+    return record.over && record.open.empty() && !named.contains(index)
+           && state.budgets.budgetsOf(index).empty()
+           && state.holders.highest(record.id.instance) != record.id.incarnation;
+}
+
+void writeHolders(const LedgerState &state,
+                  const absl::flat_hash_set<HolderIndex> &named,
+                  Snapshot &snapshot)
+{
+    for (const HolderIndex index : state.holders.ordered()) {
+        if (isForgettable(state, index, named)) {
+            continue;
+        }
+        const HolderRecord &record = state.holders.at(index);
+        Snapshot::HolderRecord *message = snapshot.add_holders();
+        *message->mutable_holder() = protoOf(record.id);
+        message->set_retired(record.over);
+        message->set_last_sequence(record.lastSequence);
+        if (!record.lastResult.empty()) {
+            message->mutable_last_result()->ParseFromString(record.lastResult);
+        }
+        writeOpen(state, record, *message);
+        for (const auto &[budget, tokens] : record.recalls) {
+            proto::EscrowRecall *recall = message->add_recalls();
+            recall->set_budget(state.budgets.at(budget).id);
+            recall->set_tokens(tokens);
+        }
+        std::ranges::sort(*message->mutable_recalls(), {}, &proto::EscrowRecall::budget);
+    }
+}
+
+// Returns the holders that the claims name.
+absl::flat_hash_set<HolderIndex> writeClaims(const LedgerState &state, Snapshot &snapshot)
+{
+    absl::flat_hash_set<HolderIndex> named;
+    for (const ClaimIndex index : state.claims.ordered(state.timeMs)) {
+        const ClaimRecord &record = state.claims.at(index);
+        named.insert(record.holder);
+        Snapshot::ClaimRecord *message = snapshot.add_claims();
+        *message->mutable_key() = keyOf(record);
+        *message->mutable_holder() = protoOf(state.holders.at(record.holder).id);
+        message->set_reservation(record.reservation);
+        message->set_fingerprint(record.fingerprint.data(), record.fingerprint.size());
+        message->set_repeat(record.repeat);
+        message->set_budget(state.budgets.at(record.budget).id);
+        message->set_tokens(record.tokens);
+        message->set_key_retention_s(record.retentionS);
+        message->set_finished(record.finished);
+        message->set_finished_at_ms(record.finishedAtMs);
+        if (record.finished) {
+            const std::string_view bytes = record.answer.view();
+            message->mutable_answer()->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+        }
+    }
+    return named;
+}
+
+void writeChanges(const LedgerState &state, Snapshot &snapshot)
+{
+    for (const std::string &id : state.changes.ordered(state.timeMs)) {
+        const ChangeRecord &record = state.changes.at(id);
+        Snapshot::ChangeRecord *message = snapshot.add_changes();
+        message->set_change_id(id);
+        message->set_at_ms(record.atMs);
+        message->set_command_digest(record.digest);
+        message->mutable_result()->ParseFromString(record.result);
+    }
+}
+
+void writeShortages(const LedgerState &state, Snapshot &snapshot)
+{
+    for (const BudgetIndex budget : state.shortages.budgets()) {
+        for (const Shortage &shortage : state.shortages.of(budget, state.timeMs)) {
+            Snapshot::Shortage *message = snapshot.add_shortages();
+            message->set_budget(state.budgets.at(budget).id);
+            *message->mutable_holder() = protoOf(state.holders.at(shortage.holder).id);
+            message->set_tokens(shortage.tokens);
+            message->set_at_ms(shortage.atMs);
+        }
+    }
+    std::ranges::sort(*snapshot.mutable_shortages(),
+                      [](const Snapshot::Shortage &left, const Snapshot::Shortage &right) {
+                          return left.budget() != right.budget()
+                                     ? left.budget() < right.budget()
+                                     : holderIdOf(left.holder()) < holderIdOf(right.holder());
+                      });
+}
+
+class Restorer
+{
+public:
+    Restorer(LedgerState &state, const Snapshot &snapshot)
+        : state(state)
+        , snapshot(snapshot)
+    {
+    }
+
+    absl::Status run()
+    {
+        absl::Status status = this->state.manifest.restore(
+            this->snapshot.manifest(),
+            {this->snapshot.recent_deltas().begin(), this->snapshot.recent_deltas().end()});
+        this->state.timeMs = this->snapshot.time_ms();
+        this->state.lastOrderNumber = this->snapshot.last_order_number();
+        this->state.highestExposure
+            = std::max(DefaultExposureTokens, this->snapshot.highest_exposure_tokens());
+        status.Update(this->readHolders());
+        if (status.ok()) {
+            status = this->readBudgets();
+        }
+        if (status.ok()) {
+            status = this->readClaims();
+        }
+        if (status.ok()) {
+            status = this->readOpen();
+        }
+        if (status.ok()) {
+            status = this->readShortages();
+        }
+        this->readChanges();
+        status.Update(this->state.budgets.checkTouched());
+        status.Update(this->state.budgets.checkAll());
+        return status;
+    }
+
+private:
+    HolderIndex holderOf(const proto::Holder &holder) const
+    {
+        return this->state.holders.find(holderIdOf(holder));
+    }
+
+    absl::Status unknown(std::string_view what, std::string_view id) const
+    {
+        return corrupt(fmt::format("the snapshot names {} '{}' without a record of it", what, id));
+    }
+
+    absl::Status readHolders()
+    {
+        for (const Snapshot::HolderRecord &message : this->snapshot.holders()) {
+            const core::HolderId id = holderIdOf(message.holder());
+            if (this->state.holders.find(id) != NoIndex) {
+                return corrupt(fmt::format("the snapshot has two records of {}", describe(id)));
+            }
+            HolderRecord &record = this->state.holders.at(this->state.holders.add(id));
+            record.over = message.retired();
+            record.lastSequence = message.last_sequence();
+            if (message.has_last_result()) {
+                record.lastResult = message.last_result().SerializeAsString();
+            }
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status readBudgets()
+    {
+        for (const Snapshot::BudgetRecord &message : this->snapshot.budgets()) {
+            const BudgetIndex budget = this->state.budgets.intern(message.budget());
+            this->state.budgets.restoreRecord(budget,
+                                              message.declared_tokens(),
+                                              message.topped_up_tokens(),
+                                              message.billed_tokens());
+            for (const Snapshot::EscrowShare &share : message.shares()) {
+                const HolderIndex holder = this->holderOf(share.holder());
+                if (holder == NoIndex) {
+                    return this->unknown("holder", share.holder().instance());
+                }
+                this->state.budgets.restoreShare(budget,
+                                                 holder,
+                                                 this->state.holders.at(holder).over,
+                                                 share.escrow_tokens(),
+                                                 share.open_tokens());
+            }
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status readClaims()
+    {
+        for (const Snapshot::ClaimRecord &message : this->snapshot.claims()) {
+            const HolderIndex holder = this->holderOf(message.holder());
+            if (holder == NoIndex) {
+                return this->unknown("holder", message.holder().instance());
+            }
+            if (message.fingerprint().size() != core::FingerprintLength) {
+                return corrupt("the snapshot has a claim whose fingerprint has a wrong length");
+            }
+            HolderIndex replaced = NoIndex;
+            const ClaimIndex index = this->state.claims.add(
+                message.key().organisation(), message.key().key(), replaced);
+            ClaimRecord &record = this->state.claims.at(index);
+            record.holder = holder;
+            record.reservation = message.reservation();
+            std::ranges::copy(message.fingerprint(), record.fingerprint.begin());
+            record.repeat = message.repeat();
+            record.budget = this->state.budgets.intern(message.budget());
+            record.tokens = message.tokens();
+            record.retentionS = message.key_retention_s();
+            ++this->state.holders.at(holder).claims;
+            if (message.finished()) {
+                this->state.claims.finish(
+                    index, message.answer().SerializeAsString(), message.finished_at_ms());
+            }
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status readOpen()
+    {
+        for (const Snapshot::HolderRecord &message : this->snapshot.holders()) {
+            HolderRecord &record = this->state.holders.at(this->holderOf(message.holder()));
+            for (const Snapshot::OpenReservation &open : message.open()) {
+                ClaimIndex claim = NoIndex;
+                if (open.has_key()) {
+                    claim = this->state.claims.find(
+                        open.key().organisation(), open.key().key(), this->state.timeMs);
+                }
+                if (open.has_key() && claim == NoIndex) {
+                    return this->unknown("claim", open.key().key());
+                }
+                record.open.emplace(
+                    open.reservation(),
+                    OpenItem{open.tokens(), this->state.budgets.intern(open.budget()), claim});
+            }
+            for (const proto::EscrowRecall &recall : message.recalls()) {
+                record.recalls.emplace(this->state.budgets.intern(recall.budget()),
+                                       recall.tokens());
+            }
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status readShortages()
+    {
+        for (const Snapshot::Shortage &message : this->snapshot.shortages()) {
+            const HolderIndex holder = this->holderOf(message.holder());
+            if (holder == NoIndex) {
+                return this->unknown("holder", message.holder().instance());
+            }
+            this->state.shortages.set(this->state.budgets.intern(message.budget()),
+                                      {holder, message.tokens(), message.at_ms()});
+        }
+        return absl::OkStatus();
+    }
+
+    void readChanges()
+    {
+        std::vector<const Snapshot::ChangeRecord *> changes;
+        for (const Snapshot::ChangeRecord &message : this->snapshot.changes()) {
+            changes.push_back(&message);
+        }
+        std::ranges::stable_sort(changes, {}, &Snapshot::ChangeRecord::at_ms);
+        for (const Snapshot::ChangeRecord *message : changes) {
+            this->state.changes.add(message->change_id(),
+                                    {message->at_ms(),
+                                     message->command_digest(),
+                                     message->result().SerializeAsString()});
+        }
+    }
+
+    LedgerState &state;
+    const Snapshot &snapshot;
+};
+
+} // namespace
+
+Snapshot snapshotOf(const LedgerState &state)
+{
+    Snapshot snapshot;
+    snapshot.set_time_ms(state.timeMs);
+    *snapshot.mutable_manifest() = state.manifest.manifest();
+    for (const proto::ManifestDelta &delta : state.manifest.recentDeltas()) {
+        *snapshot.add_recent_deltas() = delta;
+    }
+    writeBudgets(state, snapshot);
+    const absl::flat_hash_set<HolderIndex> named = writeClaims(state, snapshot);
+    writeHolders(state, named, snapshot);
+    writeChanges(state, snapshot);
+    writeShortages(state, snapshot);
+    snapshot.set_last_order_number(state.lastOrderNumber);
+    snapshot.set_highest_exposure_tokens(state.highestExposure);
+    return snapshot;
+}
+
+absl::Status restoreInto(LedgerState &state, const Snapshot &snapshot)
+{
+    return Restorer(state, snapshot).run();
+}
+
+} // namespace samphirebridge::ledger
--- /dev/null
+++ b/tests/budget/escrowbooktest.cpp
@@ -0,0 +1,3 @@
+#include "samphirebridge/budget/escrowbook.h"
+
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/budget/fleetsimulation.cpp
@@ -0,0 +1,658 @@
+#include "tests/budget/fleetsimulation.h"
+
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+#include <google/protobuf/util/message_differencer.h>
+
+#include <algorithm>
+
+namespace samphirebridge::tests
+{
+
+namespace
+{
+
+constexpr uint64_t TickMs = 10;
+constexpr uint64_t AnswerTimeoutMs = 250;
+constexpr uint64_t RequestDeadlineMs = 2'500;
+
+bool equal(const proto::LedgerSnapshot &left, const proto::LedgerSnapshot &right)
+{
+    return left.SerializeAsString() == right.SerializeAsString();
+}
+
+} // namespace
+
+FleetSimulation::FleetSimulation(const FleetOptions &options)
+    : options(options)
+    , generator(options.seed)
+    , nodes(static_cast<size_t>(options.nodes))
+    , truth(static_cast<size_t>(options.budgets))
+{
+}
+
+const FleetTotals &FleetSimulation::totals() const
+{
+    return this->sums;
+}
+
+std::string FleetSimulation::run()
+{
+    proto::Command command;
+    proto::ApplyManifest *manifest = command.mutable_apply_manifest();
+    manifest->set_change_id("first");
+    for (int index = 0; index < this->options.budgets; ++index) {
+        proto::Budget *budget = manifest->mutable_delta()->add_upserts()->mutable_budget();
+        budget->set_id(budgetName(index));
+        budget->set_tokens(this->options.declaredTokens);
+        this->truth[index].purchased = this->options.declaredTokens;
+    }
+    proto::Policy *policy = manifest->mutable_delta()->add_upserts()->mutable_policy();
+    policy->set_id("policy");
+    policy->set_exposure_tokens(this->options.exposureTokens);
+    this->apply(command);
+    for (int node = 0; node < this->options.nodes; ++node) {
+        this->nodes[node].id = {core::InstanceId(fmt::format("node-{}", node)), 0};
+        this->start(node);
+        this->at(this->nowMs + this->random(100), [this, node] { this->arrive(node); });
+        this->tick(node);
+    }
+    const uint64_t endMs = this->nowMs + this->options.runMs;
+    while (this->options.faults && this->nowMs < endMs && this->failure.empty()) {
+        this->advance(this->nowMs + 200 + this->random(600));
+        const int node = static_cast<int>(this->random(this->options.nodes));
+        switch (this->random(6)) {
+        case 0:
+            this->kill(node);
+            break;
+        case 1:
+            this->nodes[node].partitioned = true;
+            break;
+        case 2:
+            this->topUp();
+            break;
+        case 3:
+            this->restartLedger();
+            break;
+        default:
+            std::ranges::for_each(this->nodes, [](Node &each) { each.partitioned = false; });
+            break;
+        }
+    }
+    this->advance(endMs);
+    this->drain();
+    this->decide();
+    this->checkEnd();
+    return this->failure;
+}
+
+void FleetSimulation::at(uint64_t atMs, std::function<void()> action)
+{
+    this->queue.emplace(std::pair(atMs, ++this->events), std::move(action));
+}
+
+void FleetSimulation::advance(uint64_t untilMs)
+{
+    while (!this->queue.empty() && this->queue.begin()->first.first <= untilMs
+           && this->failure.empty()) {
+        auto first = this->queue.extract(this->queue.begin());
+        this->nowMs = std::max(this->nowMs, first.key().first);
+        first.mapped()();
+    }
+    this->nowMs = std::max(this->nowMs, untilMs);
+}
+
+uint64_t FleetSimulation::random(uint64_t below)
+{
+    return this->generator() % below;
+}
+
+bool FleetSimulation::chance(int percent)
+{
+    return this->random(100) < static_cast<uint64_t>(percent);
+}
+
+core::TimePoint FleetSimulation::now() const
+{
+    return core::TimePoint(std::chrono::milliseconds(this->nowMs));
+}
+
+void FleetSimulation::fail(const std::string &what)
+{
+    if (this->failure.empty()) {
+        this->failure = fmt::format("seed {} at {} ms: {}", this->options.seed, this->nowMs, what);
+    }
+}
+
+std::string FleetSimulation::budgetName(int budget)
+{
+    return fmt::format("budget-{}", budget);
+}
+
+proto::CommandResult FleetSimulation::apply(proto::Command command)
+{
+    command.set_proposed_at_ms(this->nowMs - this->random(50));
+    const proto::CommandResult result = this->ledger.apply(command);
+    if (result.SerializeAsString() != this->replica.apply(command).SerializeAsString()) {
+        this->fail("two replicas gave different results");
+    }
+    if (result.error_code() == static_cast<uint32_t>(core::ErrorCode::Internal)) {
+        this->fail(result.error_message());
+    }
+    if (command.has_holder_batch()) {
+        this->noteBatch(command.holder_batch(), result);
+    }
+    const proto::ClaimVerdict verdict = result.claim().verdict();
+    if (verdict == proto::CLAIMED || verdict == proto::TAKEN_OVER) {
+        const proto::Holder &holder = command.claim().holder();
+        this->keyHolders[command.claim().key().key()]
+            = {core::InstanceId(holder.instance()), holder.incarnation()};
+        this->sums.takeovers += verdict == proto::TAKEN_OVER ? 1 : 0;
+    }
+    this->checkStep();
+    return result;
+}
+
+void FleetSimulation::checkStep()
+{
+    const absl::Status status = this->ledger.checkInvariant();
+    if (!status.ok()) {
+        this->fail(std::string(core::messageOf(status)));
+    }
+    const std::vector<proto::BudgetState> states = this->ledger.budgets();
+    for (size_t index = 0; index < states.size(); ++index) {
+        const Truth &expected = this->truth[index];
+        const proto::BudgetState &state = states[index];
+        if (state.billed_tokens() != expected.billed) {
+            this->fail(fmt::format("{} billed {} instead of {}",
+                                   state.budget(),
+                                   state.billed_tokens(),
+                                   expected.billed));
+        }
+        const int64_t setAside = state.escrow_tokens() + state.quarantined_tokens();
+        if (expected.consumed - expected.billed > setAside) {
+            this->fail(fmt::format("{}: {} consumed, {} billed, only {} set aside",
+                                   state.budget(),
+                                   expected.consumed,
+                                   expected.billed,
+                                   setAside));
+        }
+        if (state.purchased_tokens() != expected.purchased) {
+            this->fail(fmt::format("{} purchased {} instead of {}",
+                                   state.budget(),
+                                   state.purchased_tokens(),
+                                   expected.purchased));
+        }
+    }
+}
+
+// Follows what the ledger should have billed: each batch once, in sequence, late ones included.
+void FleetSimulation::noteBatch(const proto::HolderBatch &batch, const proto::CommandResult &result)
+{
+    const core::HolderId holder{core::InstanceId(batch.holder().instance()),
+                                batch.holder().incarnation()};
+    const bool late = result.error_code() == static_cast<uint32_t>(core::ErrorCode::HolderRetired);
+    if ((result.error_code() != 0 && !late) || batch.sequence() != this->sequences[holder] + 1) {
+        return;
+    }
+    this->sequences[holder] = batch.sequence();
+    for (const proto::Settlement &settlement : batch.settlements()) {
+        this->sums.lateSettlements += late ? 1 : 0;
+        this->noteSettlement(batch, settlement);
+    }
+}
+
+void FleetSimulation::noteSettlement(const proto::HolderBatch &batch,
+                                     const proto::Settlement &settlement)
+{
+    const core::HolderId holder{core::InstanceId(batch.holder().instance()),
+                                batch.holder().incarnation()};
+    const std::string &key = settlement.key().key();
+    if (!key.empty()) {
+        // A claimed request counts for its present holder only, and once.
+        if (this->keyHolders[key] != holder || !this->settledKeys.insert(key).second) {
+            return;
+        }
+    }
+    if (!this->settledReservations.emplace(holder, settlement.reservation()).second) {
+        this->fail("a reservation was settled in two batches");
+    }
+    const size_t budget = std::stoul(settlement.budget().substr(settlement.budget().size() - 1));
+    this->truth[budget].billed += settlement.used_tokens();
+}
+
+void FleetSimulation::restartLedger()
+{
+    const proto::LedgerSnapshot before = this->ledger.snapshot();
+    proto::LedgerSnapshot read;
+    read.ParseFromString(before.SerializeAsString());
+    ledger::Ledger restarted;
+    const absl::Status status = restarted.restore(read);
+    if (!status.ok()) {
+        this->fail(std::string(core::messageOf(status)));
+    }
+    if (!equal(restarted.snapshot(), before) || !equal(this->replica.snapshot(), before)) {
+        this->fail("the snapshot of a restarted ledger differs");
+    }
+    this->ledger = std::move(restarted);
+}
+
+// Sends a command that may be lost, repeated or delayed, and so may its answer.
+void FleetSimulation::send(int node,
+                           const proto::Command &command,
+                           std::function<void(const proto::CommandResult &)> onResult)
+{
+    const bool faults = this->options.faults;
+    const int copies = faults && this->chance(10) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        if (this->nodes[node].partitioned || (faults && this->chance(8))) {
+            continue;
+        }
+        const uint64_t late = faults && this->chance(5) ? this->random(3'000) : 0;
+        this->at(this->nowMs + 1 + this->random(30) + late, [this, node, command, onResult] {
+            const proto::CommandResult result = this->apply(command);
+            const bool lost
+                = this->nodes[node].partitioned || (this->options.faults && this->chance(8));
+            if (!lost) {
+                this->at(this->nowMs + 1 + this->random(30),
+                         [onResult, result] { onResult(result); });
+            }
+        });
+    }
+}
+
+void FleetSimulation::start(int node)
+{
+    Node &state = this->nodes[node];
+    ++state.id.incarnation;
+    budget::EscrowOptions escrow;
+    escrow.horizon = std::chrono::seconds(5);
+    escrow.exposureLimit = core::Tokens{this->options.exposureTokens};
+    state.book = std::make_unique<budget::EscrowBook>(state.id, escrow);
+    state.registered = false;
+    this->registerNode(node);
+}
+
+void FleetSimulation::registerNode(int node)
+{
+    const core::HolderId id = this->nodes[node].id;
+    if (this->nodes[node].registered) {
+        return;
+    }
+    proto::Command command;
+    command.mutable_register_holder()->mutable_holder()->set_instance(id.instance.value);
+    command.mutable_register_holder()->mutable_holder()->set_incarnation(id.incarnation);
+    this->send(node, command, [this, node, id](const proto::CommandResult &result) {
+        if (this->nodes[node].id == id && result.error_code() == 0) {
+            this->nodes[node].registered = true;
+        }
+    });
+    this->at(this->nowMs + AnswerTimeoutMs, [this, node, id] {
+        if (this->nodes[node].id == id) {
+            this->registerNode(node);
+        }
+    });
+}
+
+// Ends a process. Its messages in flight, and sometimes a spooled batch, arrive later; requests
+// with a key are sent again by their callers, to another node.
+void FleetSimulation::kill(int node)
+{
+    Node &state = this->nodes[node];
+    ++this->sums.kills;
+    if (state.registered && this->chance(60)) {
+        const auto spooled
+            = state.book->nextBatch(this->now() + std::chrono::milliseconds(this->random(200)));
+        if (spooled) {
+            proto::Command command;
+            *command.mutable_holder_batch() = *spooled;
+            this->at(this->nowMs + this->random(4'000), [this, command] { this->apply(command); });
+        }
+    }
+    std::vector<Request> again;
+    while (!state.open.empty()) {
+        if (!state.open.begin()->second.key.empty()) {
+            again.push_back(state.open.begin()->second);
+        }
+        this->closeReservation(node, state.open.begin()->first);
+    }
+    state.waiting.clear();
+    const bool retired = this->chance(30);
+    if (retired) {
+        proto::Command command;
+        command.mutable_retire_holder()->mutable_holder()->set_instance(state.id.instance.value);
+        command.mutable_retire_holder()->mutable_holder()->set_incarnation(state.id.incarnation);
+        command.mutable_retire_holder()->set_change_id(fmt::format("change-{}", ++this->changes));
+        this->apply(command);
+        this->apply(command);
+    }
+    this->start(node);
+    for (Request &request : again) {
+        const int other = static_cast<int>(this->random(this->options.nodes));
+        request.deadlineMs = this->nowMs + RequestDeadlineMs + 1'000;
+        this->at(this->nowMs + 50 + this->random(1'500),
+                 [this, other, request] { this->attempt(other, request); });
+    }
+}
+
+void FleetSimulation::tick(int node)
+{
+    Node &state = this->nodes[node];
+    if (state.registered) {
+        const auto batch = this->draining ? state.book->shutdownBatch(this->now())
+                                          : state.book->nextBatch(this->now());
+        if (batch) {
+            this->sendBatch(node, *batch);
+        }
+    }
+    this->at(this->nowMs + TickMs, [this, node] { this->tick(node); });
+}
+
+void FleetSimulation::sendBatch(int node, const proto::HolderBatch &batch)
+{
+    proto::Command command;
+    *command.mutable_holder_batch() = batch;
+    const core::HolderId id = this->nodes[node].id;
+    const auto answered = std::make_shared<bool>(false);
+    this->send(node, command, [this, node, id, answered](const proto::CommandResult &result) {
+        if (this->nodes[node].id != id) {
+            return;
+        }
+        *answered = true;
+        const absl::Status status = this->nodes[node].book->onBatchResult(result, this->now());
+        if (core::errorCodeOf(status) == core::ErrorCode::HolderRetired) {
+            return;
+        }
+        this->reask(node);
+    });
+    this->at(this->nowMs + AnswerTimeoutMs, [this, node, id, answered] {
+        if (this->nodes[node].id == id && !*answered) {
+            this->nodes[node].book->onBatchLost(this->now());
+            this->reask(node);
+        }
+    });
+}
+
+void FleetSimulation::arrive(int node)
+{
+    if (this->draining) {
+        return;
+    }
+    Request request;
+    request.id = ++this->requests;
+    request.budget = static_cast<int>(this->random(this->options.budgets));
+    request.bound = 1 + static_cast<int64_t>(this->random(this->options.maximumBound));
+    request.used = static_cast<int64_t>(this->random(request.bound + 1));
+    request.durationMs = static_cast<int>(this->random(1'500));
+    request.deadlineMs = this->nowMs + RequestDeadlineMs;
+    if (this->chance(this->options.keyedPercent)) {
+        request.key = fmt::format("key-{}", request.id);
+        request.repeatable = this->chance(50);
+    }
+    this->attempt(node, request);
+    this->at(this->nowMs + 1 + this->random(2 * this->options.arrivalMs),
+             [this, node] { this->arrive(node); });
+}
+
+void FleetSimulation::attempt(int node, const Request &request)
+{
+    Node &state = this->nodes[node];
+    if (this->draining) {
+        return;
+    }
+    const budget::Decision decision = state.book->reserve(
+        core::BudgetId(budgetName(request.budget)),
+        core::Tokens{request.bound},
+        this->now(),
+        request.key.empty() ? budget::Recording::Batch : budget::Recording::Claim);
+    switch (decision.kind) {
+    case budget::DecisionKind::Reserved:
+        state.open.emplace(decision.reservation, request);
+        this->truth[request.budget].openBounds += request.bound;
+        if (request.key.empty()) {
+            this->dispatch(node, decision.reservation, request);
+        } else {
+            this->claim(node, decision.reservation, request, 0);
+        }
+        return;
+    case budget::DecisionKind::Wait:
+        if (this->nowMs < request.deadlineMs) {
+            state.waiting.push_back(request);
+            return;
+        }
+        ++this->sums.expired;
+        this->sums.expiredCovered += this->covered(request) ? 1 : 0;
+        return;
+    case budget::DecisionKind::Exhausted:
+        ++(this->covered(request) ? this->sums.refusedCovered : this->sums.refusedShort);
+        return;
+    case budget::DecisionKind::Unconfirmed:
+        ++this->sums.unconfirmed;
+        return;
+    }
+}
+
+void FleetSimulation::reask(int node)
+{
+    std::vector<Request> waiting;
+    waiting.swap(this->nodes[node].waiting);
+    for (const Request &request : waiting) {
+        this->attempt(node, request);
+    }
+}
+
+void FleetSimulation::claim(int node,
+                            budget::ReservationId reservation,
+                            const Request &request,
+                            int tries)
+{
+    Node &state = this->nodes[node];
+    const core::HolderId id = state.id;
+    if (!state.open.contains(reservation)) {
+        return;
+    }
+    proto::Command command;
+    proto::Claim *message = command.mutable_claim();
+    message->mutable_holder()->set_instance(id.instance.value);
+    message->mutable_holder()->set_incarnation(id.incarnation);
+    message->set_reservation(reservation);
+    message->mutable_key()->set_organisation("school");
+    message->mutable_key()->set_key(request.key);
+    message->set_fingerprint(core::fingerprintOf({request.key}));
+    message->set_budget(budgetName(request.budget));
+    message->set_tokens(request.bound);
+    message->set_repeat(request.repeatable ? proto::REPEATABLE : proto::NEVER);
+    message->set_key_retention_s(60);
+    const auto answered = std::make_shared<bool>(false);
+    const auto onResult = [this, node, id, reservation, request, answered](
+                              const proto::CommandResult &result) {
+        if (!(this->nodes[node].id == id) || *answered) {
+            return;
+        }
+        *answered = true;
+        if (result.error_code() != 0) {
+            if (result.error_code() == static_cast<uint32_t>(core::ErrorCode::InsufficientTokens)) {
+                this->fail("the ledger lacked tokens that the book had reserved");
+            }
+            return;
+        }
+        this->onVerdict(node, reservation, request, result.claim());
+    };
+    this->send(node, command, onResult);
+    this->at(this->nowMs + AnswerTimeoutMs,
+             [this, node, id, reservation, request, tries, answered] {
+                 if (this->nodes[node].id == id && !*answered) {
+                     *answered = true;
+                     this->claim(node, reservation, request, tries + 1);
+                 }
+             });
+}
+
+void FleetSimulation::onVerdict(int node,
+                                budget::ReservationId reservation,
+                                const Request &request,
+                                const proto::ClaimResult &result)
+{
+    Node &state = this->nodes[node];
+    if (!state.open.contains(reservation)) {
+        return;
+    }
+    const proto::ClaimVerdict verdict = result.verdict();
+    if (verdict == proto::CLAIMED || verdict == proto::TAKEN_OVER) {
+        if (!state.book->openClaimed(reservation).ok()) {
+            this->fail("the book does not know a claimed reservation");
+        }
+        this->dispatch(node, reservation, request);
+        return;
+    }
+    if (!state.book->release(reservation, this->now()).ok()) {
+        this->fail("the book does not know a reservation to release");
+    }
+    this->closeReservation(node, reservation);
+    if (verdict == proto::RUNNING && this->nowMs < request.deadlineMs) {
+        this->at(this->nowMs + 300, [this, node, request] { this->attempt(node, request); });
+    }
+}
+
+void FleetSimulation::dispatch(int node, budget::ReservationId reservation, const Request &request)
+{
+    ++this->sums.dispatched;
+    const bool first = request.key.empty() || this->dispatchedKeys.insert(request.key).second;
+    if (first) {
+        this->truth[request.budget].consumed += request.used;
+        this->sums.consumed += request.used;
+    }
+    if (!first && !request.repeatable) {
+        this->fail("a request that may not be repeated was dispatched twice");
+    }
+    const core::Incarnation life = this->nodes[node].id.incarnation;
+    this->at(this->nowMs + request.durationMs,
+             [this, node, life, reservation] { this->end(node, life, reservation); });
+}
+
+void FleetSimulation::end(int node, core::Incarnation life, budget::ReservationId reservation)
+{
+    Node &state = this->nodes[node];
+    if (state.id.incarnation != life) {
+        return;
+    }
+    const Request request = state.open.at(reservation);
+    std::optional<budget::ClaimedEnd> claimed;
+    if (!request.key.empty()) {
+        claimed = budget::ClaimedEnd{{core::OrganisationId("school"), request.key}, {}};
+        claimed->answer.set_outcome(proto::RAN);
+    }
+    if (!state.book->settle(reservation, core::Tokens{request.used}, this->now(), claimed).ok()) {
+        this->fail("a settlement was refused");
+    }
+    if (request.used > 0) {
+        this->mustBeBilled.emplace(state.id, reservation);
+    }
+    this->closeReservation(node, reservation);
+}
+
+void FleetSimulation::closeReservation(int node, budget::ReservationId reservation)
+{
+    const auto found = this->nodes[node].open.find(reservation);
+    this->truth[found->second.budget].openBounds -= found->second.bound;
+    this->nodes[node].open.erase(found);
+}
+
+bool FleetSimulation::covered(const Request &request) const
+{
+    const Truth &expected = this->truth[request.budget];
+    return expected.purchased - expected.consumed - expected.openBounds >= request.bound;
+}
+
+// An operator's top-up, sent twice.
+void FleetSimulation::topUp()
+{
+    const size_t budget = this->random(this->options.budgets);
+    const int64_t tokens = 1 + static_cast<int64_t>(this->random(5'000));
+    proto::Command command;
+    command.mutable_top_up()->set_budget(budgetName(static_cast<int>(budget)));
+    command.mutable_top_up()->set_tokens(tokens);
+    command.mutable_top_up()->set_change_id(fmt::format("change-{}", ++this->changes));
+    this->truth[budget].purchased += tokens;
+    this->apply(command);
+    this->apply(command);
+}
+
+// Heals everything, lets requests end and returns all escrow.
+void FleetSimulation::drain()
+{
+    std::ranges::for_each(this->nodes, [](Node &node) { node.partitioned = false; });
+    this->advance(this->nowMs + 1'000);
+    this->draining = true;
+    this->options.faults = false;
+    this->advance(this->nowMs + 12'000);
+    for (const Node &node : this->nodes) {
+        if (!node.book->isSettled()) {
+            this->fail(fmt::format("{} did not settle", node.id.instance.value));
+        }
+        for (const auto &[holder, reservation] : this->mustBeBilled) {
+            if (holder == node.id && !this->settledReservations.contains({holder, reservation})) {
+                this->fail("a settlement of a node that lives was not billed");
+            }
+        }
+    }
+}
+
+// The operator decides what became of claims in doubt and of the rest of the quarantine.
+void FleetSimulation::decide()
+{
+    for (const ledger::UnresolvedClaim &claim : this->ledger.unresolvedClaims()) {
+        const bool ran = this->dispatchedKeys.contains(claim.key.key);
+        const size_t budget = std::stoul(claim.budget.value.substr(claim.budget.value.size() - 1));
+        this->truth[budget].billed += ran ? claim.tokens.count : 0;
+        this->truth[budget].consumed += ran ? claim.tokens.count : 0;
+        proto::Command command;
+        command.mutable_resolve_claim()->mutable_key()->set_organisation("school");
+        command.mutable_resolve_claim()->mutable_key()->set_key(claim.key.key);
+        command.mutable_resolve_claim()->set_ran(ran);
+        command.mutable_resolve_claim()->set_change_id(fmt::format("change-{}", ++this->changes));
+        this->apply(command);
+        this->apply(command);
+    }
+    for (const proto::BudgetState &state : this->ledger.budgets()) {
+        if (state.quarantined_tokens() == 0) {
+            continue;
+        }
+        const size_t budget = std::stoul(state.budget().substr(state.budget().size() - 1));
+        const int64_t lost = state.quarantined_tokens() / 2;
+        this->truth[budget].billed += lost;
+        this->truth[budget].consumed = this->truth[budget].billed;
+        proto::Command command;
+        command.mutable_release_quarantine()->set_budget(state.budget());
+        command.mutable_release_quarantine()->set_billed_tokens(lost);
+        command.mutable_release_quarantine()->set_returned_tokens(state.quarantined_tokens()
+                                                                  - lost);
+        command.mutable_release_quarantine()->set_change_id(
+            fmt::format("change-{}", ++this->changes));
+        this->apply(command);
+        this->apply(command);
+    }
+}
+
+void FleetSimulation::checkEnd()
+{
+    this->restartLedger();
+    for (const proto::BudgetState &state : this->ledger.budgets()) {
+        this->sums.purchased += state.purchased_tokens();
+        const bool whole
+            = state.escrow_tokens() == 0 && state.quarantined_tokens() == 0
+              && state.pool_tokens() == state.purchased_tokens() - state.billed_tokens();
+        if (!whole) {
+            this->fail(fmt::format("{} ends with escrow {}, quarantined {}, pool {} of {}",
+                                   state.budget(),
+                                   state.escrow_tokens(),
+                                   state.quarantined_tokens(),
+                                   state.pool_tokens(),
+                                   state.purchased_tokens()));
+        }
+    }
+}
+
+} // namespace samphirebridge::tests
