manifest: Read settings and manifests as checked trees

A digest's text is never shown: it may be the secret. checkDelta and settingSections are additions to the headers.

--- a/source/samphirebridge/manifest/catalogue.h
+++ b/source/samphirebridge/manifest/catalogue.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -83,6 +84,10 @@
 
 private:
     void upsert(const proto::Entity &entity);
+    void upsertCallerKey(const proto::CallerKey &callerKey);
+    void upsertTargetKind(const proto::TargetKind &targetKind);
+    void removeCallerKey(const std::string &id);
+    void removeTargetKind(const std::string &id);
     void remove(const proto::EntityKey &key);
     void indexRoutes();
 
--- a/source/samphirebridge/manifest/manifestdelta.h
+++ b/source/samphirebridge/manifest/manifestdelta.h
@@ -5,6 +5,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <string_view>
 
 namespace samphirebridge::manifest
@@ -33,6 +34,10 @@
 proto::ManifestDelta diffManifests(const proto::Manifest &oldManifest,
                                    const proto::Manifest &newManifest);
 
+// Tells whether a manifest of the given version takes the delta; the errors are those of
+// applyDelta.
+absl::Status checkDelta(uint64_t version, const proto::ManifestDelta &delta);
+
 // Applies the delta in place. VersionConflict, with the manifest unchanged, if the delta starts at
 // another version or does not rise. A delta from version 0 is a checkpoint: it replaces every
 // entity, unless its version is lower than the manifest's. InvalidManifest for an entity without a
--- a/source/samphirebridge/manifest/manifestfile.h
+++ b/source/samphirebridge/manifest/manifestfile.h
@@ -7,6 +7,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,19 @@
 inline constexpr uint32_t MaximumTargets = 10'000;
 inline constexpr uint32_t DefaultWeight = 1;
 
+// The keys that the declarations of one kind accept.
+struct DeclarationKeys {
+    std::string_view section; // The key at the file's top, such as "caller_keys".
+    proto::EntityKind kind = proto::ENTITY_KIND_UNSPECIFIED;
+    std::span<const std::string_view> keys;
+};
+
+// Returns every section of the text with its keys, as the reader accepts them.
+std::span<const DeclarationKeys> declarationKeys();
+
+// Returns the keys that a route accepts.
+std::span<const std::string_view> routeKeys();
+
 // What became of a text: a manifest of version 0 if the problems are empty.
 struct CheckedManifest {
     proto::Manifest manifest;
--- /dev/null
+++ b/source/samphirebridge/manifest/policy.cpp
@@ -0,0 +1,31 @@
+#include "samphirebridge/manifest/policy.h"
+
+#include <chrono>
+
+namespace samphirebridge::manifest
+{
+
+namespace
+{
+
+template <typename Value>
+Value orDefault(Value value, Value fallback)
+{
+    return value == 0 ? fallback : value;
+}
+
+} // namespace
+
+EffectivePolicy effectivePolicy(const proto::Policy &policy)
+{
+    EffectivePolicy effective;
+    effective.escrowHorizon
+        = std::chrono::milliseconds(orDefault(policy.escrow_horizon_ms(), DefaultEscrowHorizonMs));
+    effective.exposure
+        = core::Tokens{orDefault<int64_t>(policy.exposure_tokens(), DefaultExposureTokens)};
+    effective.retrySharePercent = orDefault(policy.retry_share_percent(), DefaultRetrySharePercent);
+    effective.outOfContactServe = std::chrono::milliseconds(policy.out_of_contact_serve_ms());
+    return effective;
+}
+
+} // namespace samphirebridge::manifest
--- /dev/null
+++ b/source/samphirebridge/manifest/routepath.h
@@ -0,0 +1,20 @@
+// What a route may declare as its path prefix.
+#pragma once
+
+#include <string_view>
+
+namespace samphirebridge::manifest
+{
+
+// The longest path prefix, in bytes.
+inline constexpr size_t MaximumPathBytes = 1024;
+
+// Whether the prefix starts with '/' and is made of whole segments out of letters, digits, '-',
+// '_',
+// '.' and '~', without "//", "." and "..": a path that a proxy could read in two ways is no prefix.
+bool isPathPrefix(std::string_view prefix);
+
+// Whether every path under the prefix is one that the fleet itself answers.
+bool isReservedPath(std::string_view prefix);
+
+} // namespace samphirebridge::manifest
--- a/source/samphirebridge/settings/problem.h
+++ b/source/samphirebridge/settings/problem.h
@@ -16,11 +16,11 @@
 // What was found at one entry of a file, and what would have been accepted there.
 struct Problem {
     core::ErrorCode code = core::ErrorCode::Internal;
-    std::string file;
+    std::string file{};
     int line = 0; // From 1; 0: the file as a whole.
-    std::string entry; // Path of the entry, such as "peers[2].rpc"; empty: the file as a whole.
-    std::string found;
-    std::string accepted;
+    std::string entry{}; // Path of the entry, such as "peers[2].rpc"; empty: the file as a whole.
+    std::string found{};
+    std::string accepted{};
 
     friend bool operator==(const Problem &, const Problem &) = default;
 };
--- a/source/samphirebridge/settings/settings.h
+++ b/source/samphirebridge/settings/settings.h
@@ -4,11 +4,13 @@
 
 #include "samphirebridge/core/ids.h"
 #include "samphirebridge/core/time.h"
+#include "samphirebridge/settings/address.h"
 #include "samphirebridge/settings/problem.h"
 
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,17 +18,6 @@
 namespace samphirebridge::settings
 {
 
-// A host name or IP address (IPv6 in brackets in the file, without them here) and a port.
-struct Address {
-    std::string host;
-    uint16_t port = 0;
-
-    friend bool operator==(const Address &, const Address &) = default;
-};
-
-// Returns "host:port", an IPv6 host in brackets.
-std::string formatAddress(const Address &address);
-
 // What an instance does. At least one of both is set.
 struct Roles {
     bool entry = false; // Serves callers, targets and operators.
@@ -84,6 +75,15 @@
     [[nodiscard]] const Peer &self() const;
 };
 
+// The keys that one map of the settings file accepts.
+struct SettingSection {
+    std::string_view name; // Empty: the file's top.
+    std::span<const std::string_view> keys;
+};
+
+// Returns every map of the settings file with its keys, as the reader accepts them.
+std::span<const SettingSection> settingSections();
+
 // The largest settings file, in bytes.
 inline constexpr size_t MaximumSettingsBytes = size_t{1} << 20;
 
--- /dev/null
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -0,0 +1,383 @@
+#include "samphirebridge/settings/settingsreader.h"
+
+#include "samphirebridge/settings/reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace samphirebridge::settings
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 12> TopKeys{
+    "instance",
+    "data_centre",
+    "roles",
+    "http",
+    "rpc",
+    "peers",
+    "data_folder",
+    "operator_token_sha256",
+    "consensus",
+    "escrow",
+    "shutdown_grace_ms",
+    "log_level",
+};
+constexpr std::array<std::string_view, 4> HttpKeys{
+    "listen",
+    "threads",
+    "max_body_bytes",
+    "max_caller_buffer_bytes",
+};
+constexpr std::array<std::string_view, 1> RpcKeys{"listen"};
+constexpr std::array<std::string_view, 5> PeerKeys{"id", "rpc", "http", "data_centre", "roles"};
+constexpr std::array<std::string_view, 2> ConsensusKeys{"heartbeat_ms", "election_timeout_ms"};
+constexpr std::array<std::string_view, 1> EscrowKeys{"flush_interval_ms"};
+constexpr std::array<SettingSection, 6> Sections{{
+    {"", TopKeys},
+    {"http", HttpKeys},
+    {"rpc", RpcKeys},
+    {"peers", PeerKeys},
+    {"consensus", ConsensusKeys},
+    {"escrow", EscrowKeys},
+}};
+constexpr std::array<std::string_view, 4> LogLevels{"error", "warning", "info", "debug"};
+
+constexpr std::string_view AcceptedAddress
+    = "HOST:PORT with a port from 1 to 65535, IPv6 addresses in brackets";
+constexpr std::string_view AcceptedRoles = "a list of entry, control or both";
+constexpr size_t MaximumFolderBytes = 1024;
+constexpr size_t MaximumPeers = 1024;
+
+// A value's accepted range and its default.
+struct Bounds {
+    IntegerRange range;
+    int64_t fallback;
+};
+constexpr Bounds HttpThreads{{1, 4096}, 512};
+constexpr Bounds BodyBytes{{1024, 64 << 20}, 1 << 20};
+constexpr Bounds CallerBufferBytes{{4096, 64 << 20}, 1 << 20};
+constexpr Bounds HeartbeatMs{{10, 10'000}, 100};
+constexpr Bounds ElectionTimeoutMs{{50, 60'000}, 1000};
+constexpr Bounds FlushIntervalMs{{10, 10'000}, 100};
+constexpr Bounds ShutdownGraceMs{{0, 3'600'000}, 30'000};
+constexpr int64_t HeartbeatsPerTimeout = 3;
+
+int64_t readBounded(MapReader &reader, std::string_view key, const Bounds &bounds)
+{
+    return reader.integer(key, bounds.range, bounds.fallback);
+}
+
+core::Duration readMilliseconds(MapReader &reader, std::string_view key, const Bounds &bounds)
+{
+    return std::chrono::milliseconds(readBounded(reader, key, bounds));
+}
+
+Address readAddress(MapReader &reader, std::string_view key, ProblemCollector &problems)
+{
+    const Node *node = reader.require(key, AcceptedAddress);
+    if (node == nullptr) {
+        return {};
+    }
+    std::optional<Address> address;
+    if (node->kind == NodeKind::Scalar) {
+        address = parseAddress(node->value);
+    }
+    if (!address) {
+        problems.add(node->line, reader.placeOf(key), describeValue(*node), AcceptedAddress);
+    }
+    return address.value_or(Address{});
+}
+
+Roles readRoles(MapReader &reader, ProblemCollector &problems)
+{
+    Roles roles;
+    const Node *node = reader.require("roles", AcceptedRoles);
+    if (node == nullptr) {
+        return roles;
+    }
+    const Place place = reader.placeOf("roles");
+    if (node->kind != NodeKind::List || node->children.empty()) {
+        const std::string found
+            = node->kind == NodeKind::List ? "an empty list" : describeValue(*node);
+        problems.add(node->line, place, found, AcceptedRoles);
+        return roles;
+    }
+    for (size_t index = 0; index < node->children.size(); ++index) {
+        const Node &item = node->children[index];
+        const bool isEntry = item.value == "entry" && !roles.entry;
+        const bool isControl = item.value == "control" && !roles.control;
+        roles.entry = roles.entry || isEntry;
+        roles.control = roles.control || isControl;
+        if (!isEntry && !isControl) {
+            problems.add(item.line,
+                         Place{.parent = &place, .index = index},
+                         describeValue(item),
+                         "entry or control, each once");
+        }
+    }
+    return roles;
+}
+
+std::string describeRoles(Roles roles)
+{
+    if (roles.entry && roles.control) {
+        return "[entry, control]";
+    }
+    return roles.entry ? "[entry]" : "[control]";
+}
+
+// Reads a map that may be missing: then every value in it is its default.
+const Node &sectionOf(MapReader &top, std::string_view key)
+{
+    static const Node empty{.kind = NodeKind::Map};
+    const Node *node = top.find(key);
+    return node == nullptr ? empty : *node;
+}
+
+void readHttp(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Node *node = top.require("http", "a map with listen");
+    if (node == nullptr) {
+        return;
+    }
+    const Place place = top.placeOf("http");
+    MapReader reader(*node, place, HttpKeys, problems);
+    settings.http.listen = readAddress(reader, "listen", problems);
+    settings.http.threads = static_cast<uint32_t>(readBounded(reader, "threads", HttpThreads));
+    settings.http.maxBodyBytes
+        = static_cast<uint64_t>(readBounded(reader, "max_body_bytes", BodyBytes));
+    settings.http.maxCallerBufferBytes
+        = static_cast<uint64_t>(readBounded(reader, "max_caller_buffer_bytes", CallerBufferBytes));
+}
+
+void readRpc(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Node *node = top.require("rpc", "a map with listen");
+    if (node == nullptr) {
+        return;
+    }
+    const Place place = top.placeOf("rpc");
+    MapReader reader(*node, place, RpcKeys, problems);
+    settings.rpcListen = readAddress(reader, "listen", problems);
+    const bool known = settings.rpcListen.port != 0;
+    if (known && settings.rpcListen == settings.http.listen) {
+        problems.add(reader.line(),
+                     reader.placeOf("listen"),
+                     "the address of http.listen",
+                     "an address of its own");
+    }
+}
+
+Peer readPeer(const Node &node, const Place &place, ProblemCollector &problems)
+{
+    MapReader reader(node, place, PeerKeys, problems);
+    Peer peer;
+    peer.id = core::InstanceId(reader.name("id"));
+    peer.rpc = readAddress(reader, "rpc", problems);
+    peer.http = readAddress(reader, "http", problems);
+    peer.dataCentre = core::DataCentreId(reader.name("data_centre"));
+    peer.roles = readRoles(reader, problems);
+    return peer;
+}
+
+// Finds ids and addresses that two peers share.
+class PeerDuplicates
+{
+public:
+    explicit PeerDuplicates(ProblemCollector &problems)
+        : problems(problems)
+    {
+    }
+
+    void check(const Peer &peer, const Node &node, const Place &place)
+    {
+        if (!peer.id.empty() && !this->ids.insert(peer.id.value).second) {
+            this->add(node, Place{.parent = &place, .key = "id"}, peer.id.value);
+        }
+        this->checkAddress(peer.rpc, node, Place{.parent = &place, .key = "rpc"});
+        this->checkAddress(peer.http, node, Place{.parent = &place, .key = "http"});
+    }
+
+private:
+    void checkAddress(const Address &address, const Node &node, const Place &place)
+    {
+        if (address.port != 0 && !this->addresses.insert(formatAddress(address)).second) {
+            this->add(node, place, formatAddress(address));
+        }
+    }
+
+    void add(const Node &node, const Place &place, std::string_view value)
+    {
+        this->problems.add(node.line,
+                           place,
+                           fmt::format("'{}' a second time", value),
+                           "a value that no other peer has");
+    }
+
+    ProblemCollector &problems;
+    std::set<std::string> ids;
+    std::set<std::string> addresses;
+};
+
+void readPeers(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const std::string accepted
+        = fmt::format("a list of 1 to {} instances, this one included", MaximumPeers);
+    const Node *node = top.require("peers", accepted);
+    if (node == nullptr) {
+        return;
+    }
+    const std::span<const Node> items = top.list("peers");
+    const Place place = top.placeOf("peers");
+    if (node->kind == NodeKind::List && (items.empty() || items.size() > MaximumPeers)) {
+        problems.add(node->line, place, fmt::format("{} items", items.size()), accepted);
+        return;
+    }
+    PeerDuplicates duplicates(problems);
+    bool hasVoter = false;
+    for (size_t index = 0; index < items.size(); ++index) {
+        const Place itemPlace{.parent = &place, .index = index};
+        settings.peers.push_back(readPeer(items[index], itemPlace, problems));
+        duplicates.check(settings.peers.back(), items[index], itemPlace);
+        hasVoter = hasVoter || settings.peers.back().roles.control;
+    }
+    if (!items.empty() && !hasVoter) {
+        problems.add(node->line, place, "no peer with the role control", "at least one");
+    }
+}
+
+// The file belongs to this instance: its id, data centre and roles are those of its peers entry.
+void checkSelf(MapReader &top, const Settings &settings, ProblemCollector &problems)
+{
+    if (settings.instance.empty() || settings.peers.empty()) {
+        return;
+    }
+    const auto self
+        = std::find_if(settings.peers.begin(), settings.peers.end(), [&settings](const Peer &peer) {
+              return peer.id == settings.instance;
+          });
+    if (self == settings.peers.end()) {
+        problems.add(top.find("peers")->line,
+                     top.placeOf("peers"),
+                     fmt::format("no peer '{}'", settings.instance.value),
+                     "a list that includes this instance");
+        return;
+    }
+    const Node *dataCentre = top.find("data_centre");
+    if (dataCentre != nullptr && self->dataCentre != settings.dataCentre) {
+        problems.add(
+            dataCentre->line,
+            top.placeOf("data_centre"),
+            describeValue(*dataCentre),
+            fmt::format("'{}', as this instance's peers entry says", self->dataCentre.value));
+    }
+    const Node *roles = top.find("roles");
+    if (roles != nullptr && self->roles != settings.roles) {
+        problems.add(
+            roles->line,
+            top.placeOf("roles"),
+            describeRoles(settings.roles),
+            fmt::format("{}, as this instance's peers entry says", describeRoles(self->roles)));
+    }
+}
+
+void readDataFolder(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Node *node = top.find("data_folder");
+    const Place place = top.placeOf("data_folder");
+    if (node == nullptr) {
+        if (settings.roles.control) {
+            problems.add(top.line(), place, "nothing", "a folder, since the roles include control");
+        }
+        return;
+    }
+    settings.dataFolder = top.text("data_folder", MaximumFolderBytes, std::nullopt);
+    if (settings.roles.entry && !settings.roles.control) {
+        problems.add(
+            node->line, place, describeValue(*node), "no data folder without the role control");
+    }
+}
+
+void readOperatorTokens(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const std::span<const Node> items = top.list("operator_token_sha256");
+    const Place place = top.placeOf("operator_token_sha256");
+    for (size_t index = 0; index < items.size(); ++index) {
+        const Place itemPlace{.parent = &place, .index = index};
+        std::optional<std::string> digest = readDigest(items[index], itemPlace, problems);
+        if (!digest) {
+            continue;
+        }
+        std::vector<std::string> &digests = settings.operatorTokenDigests;
+        if (std::find(digests.begin(), digests.end(), *digest) != digests.end()) {
+            problems.add(items[index].line, itemPlace, "a digest a second time", "each once");
+            continue;
+        }
+        digests.push_back(std::move(*digest));
+    }
+}
+
+void readConsensus(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Place place = top.placeOf("consensus");
+    const Node &node = sectionOf(top, "consensus");
+    MapReader reader(node, place, ConsensusKeys, problems);
+    settings.consensus.heartbeat = readMilliseconds(reader, "heartbeat_ms", HeartbeatMs);
+    settings.consensus.electionTimeout
+        = readMilliseconds(reader, "election_timeout_ms", ElectionTimeoutMs);
+    if (settings.consensus.electionTimeout < HeartbeatsPerTimeout * settings.consensus.heartbeat) {
+        problems.add(node.line,
+                     reader.placeOf("election_timeout_ms"),
+                     fmt::format("{}", settings.consensus.electionTimeout.count() / 1000),
+                     fmt::format("at least {} times heartbeat_ms ({})",
+                                 HeartbeatsPerTimeout,
+                                 settings.consensus.heartbeat.count() / 1000));
+    }
+}
+
+void readEscrow(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Place place = top.placeOf("escrow");
+    MapReader reader(sectionOf(top, "escrow"), place, EscrowKeys, problems);
+    settings.escrowFlushInterval = readMilliseconds(reader, "flush_interval_ms", FlushIntervalMs);
+}
+
+} // namespace
+
+std::span<const SettingSection> settingSections()
+{
+    return Sections;
+}
+
+Settings readSettings(const Node &document, ProblemCollector &problems)
+{
+    Settings settings;
+    const Place root;
+    MapReader top(document, root, TopKeys, problems);
+    if (document.kind != NodeKind::Map) {
+        return settings;
+    }
+    settings.instance = core::InstanceId(top.name("instance"));
+    settings.dataCentre = core::DataCentreId(top.name("data_centre"));
+    settings.roles = readRoles(top, problems);
+    readHttp(top, settings, problems);
+    readRpc(top, settings, problems);
+    readPeers(top, settings, problems);
+    checkSelf(top, settings, problems);
+    readDataFolder(top, settings, problems);
+    readOperatorTokens(top, settings, problems);
+    readConsensus(top, settings, problems);
+    readEscrow(top, settings, problems);
+    settings.shutdownGrace = readMilliseconds(top, "shutdown_grace_ms", ShutdownGraceMs);
+    const auto info = static_cast<size_t>(LogLevel::Info);
+    settings.logLevel = static_cast<LogLevel>(top.choice("log_level", LogLevels, info));
+    return settings;
+}
+
+} // namespace samphirebridge::settings
