--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -36,9 +36,9 @@
     LeaderChanges,
     LogSyncs,
     LogEntriesApplied,
-    EnvelopesSent,
-    EnvelopesFailed,
-    EnvelopeBytesSent,
+    ControlMessagesSent,
+    ControlMessagesFailed,
+    ControlBytesSent,
     RequestsPutBeforeOthers,
 };
 
--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -89,6 +89,7 @@
             pending->onReply(core::makeError(core::ErrorCode::Unreachable, "shutting down"));
             return;
         }
+        this->countSent(request.ByteSizeLong());
         auto self = this->shared_from_this();
         start(this->stub->async(), pending.get(), [self, pending](const grpc::Status &status) {
             if (status.ok()) {
@@ -100,6 +101,12 @@
         });
     }
 
+    void countSent(size_t bytes)
+    {
+        this->counters.count(telemetry::Event::ControlMessagesSent);
+        this->counters.count(telemetry::Event::ControlBytesSent, static_cast<double>(bytes));
+    }
+
     // Notes a call under way. False: the channel is closed.
     bool begin(grpc::ClientContext &context)
     {
@@ -144,9 +151,7 @@
             this->queued.set_from(pending->request.from());
         }
         pending->context.set_deadline(std::chrono::system_clock::now() + DeliverTimeout);
-        this->counters.count(telemetry::Event::EnvelopesSent);
-        this->counters.count(telemetry::Event::EnvelopeBytesSent,
-                             static_cast<double>(pending->request.ByteSizeLong()));
+        this->countSent(pending->request.ByteSizeLong());
         auto self = this->shared_from_this();
         this->stub->async()->Deliver(
             &pending->context,
@@ -158,7 +163,7 @@
     void onDelivered(const grpc::Status &status, grpc::ClientContext &context)
     {
         if (!status.ok()) {
-            this->counters.count(telemetry::Event::EnvelopesFailed);
+            this->counters.count(telemetry::Event::ControlMessagesFailed);
         }
         {
             const std::lock_guard lock(this->mutex);
--- a/source/samphirebridge/transport/respond.h
+++ b/source/samphirebridge/transport/respond.h
@@ -7,7 +7,7 @@
 {
 
 // Answers one call; to be called exactly once, from any thread.
-template<typename Reply>
+template <typename Reply>
 using Respond = std::function<void(Reply)>;
 
 } // namespace samphirebridge::transport
--- a/source/samphirebridge/transport/rpcserver.cpp
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -26,11 +26,18 @@
 
 // Starts the handler and finishes the call with what it responds.
 template <typename Request, typename Reply, typename Handler>
-Reactor *carry(Context *context, const Request &request, Reply *reply, const Handler &handler)
+Reactor *carry(Context *context,
+               const Request &request,
+               Reply *reply,
+               const Handler &handler,
+               telemetry::Counters &counters)
 {
     Reactor *reactor = context->DefaultReactor();
-    handler(request, [reactor, reply](Reply answer) {
+    handler(request, [reactor, reply, &counters](Reply answer) {
         *reply = std::move(answer);
+        counters.count(telemetry::Event::ControlMessagesSent);
+        counters.count(telemetry::Event::ControlBytesSent,
+                       static_cast<double>(reply->ByteSizeLong()));
         reactor->Finish(grpc::Status::OK);
     });
     return reactor;
@@ -39,8 +46,9 @@
 class Service final : public proto::InstanceService::CallbackService
 {
 public:
-    explicit Service(RpcHandlers rpcHandlers)
+    Service(RpcHandlers rpcHandlers, telemetry::Counters &processCounters)
         : handlers(std::move(rpcHandlers))
+        , counters(processCounters)
     {
     }
 
@@ -58,46 +66,47 @@
                     const proto::SubmitRequest *request,
                     proto::SubmitReply *reply) override
     {
-        return carry(context, *request, reply, this->handlers.submit);
+        return carry(context, *request, reply, this->handlers.submit, this->counters);
     }
 
     Reactor *ReadManifest(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                           const proto::ReadManifestRequest *request,
                           proto::ReadManifestReply *reply) override
     {
-        return carry(context, *request, reply, this->handlers.readManifest);
+        return carry(context, *request, reply, this->handlers.readManifest, this->counters);
     }
 
     Reactor *ReadBudgets(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                          const proto::ReadBudgetsRequest *request,
                          proto::ReadBudgetsReply *reply) override
     {
-        return carry(context, *request, reply, this->handlers.readBudgets);
+        return carry(context, *request, reply, this->handlers.readBudgets, this->counters);
     }
 
     Reactor *ReadStatus(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                         const proto::ReadStatusRequest *request,
                         proto::ReadStatusReply *reply) override
     {
-        return carry(context, *request, reply, this->handlers.readStatus);
+        return carry(context, *request, reply, this->handlers.readStatus, this->counters);
     }
 
     Reactor *ChangeVoters(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                           const proto::ChangeVotersRequest *request,
                           proto::ChangeVotersReply *reply) override
     {
-        return carry(context, *request, reply, this->handlers.changeVoters);
+        return carry(context, *request, reply, this->handlers.changeVoters, this->counters);
     }
 
 private:
     RpcHandlers handlers;
+    telemetry::Counters &counters;
 };
 
 } // namespace
 
 struct RpcServer::Impl {
-    explicit Impl(RpcHandlers handlers)
-        : service(std::move(handlers))
+    Impl(RpcHandlers handlers, telemetry::Counters &counters)
+        : service(std::move(handlers), counters)
     {
     }
 
@@ -105,10 +114,10 @@
     std::unique_ptr<grpc::Server> server;
 };
 
-absl::StatusOr<std::unique_ptr<RpcServer>> RpcServer::start(std::string_view address,
-                                                            RpcHandlers handlers)
+absl::StatusOr<std::unique_ptr<RpcServer>>
+RpcServer::start(std::string_view address, RpcHandlers handlers, telemetry::Counters &counters)
 {
-    auto impl = std::make_unique<Impl>(std::move(handlers));
+    auto impl = std::make_unique<Impl>(std::move(handlers), counters);
     grpc::ServerBuilder builder;
     int boundPort = 0;
     builder.AddListeningPort(std::string(address), grpc::InsecureServerCredentials(), &boundPort);
--- a/source/samphirebridge/transport/rpcserver.h
+++ b/source/samphirebridge/transport/rpcserver.h
@@ -1,6 +1,7 @@
 // The gRPC server of one instance. It only carries calls: what they mean is the handler's.
 #pragma once
 
+#include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/transport/respond.h"
 
 #include <absl/status/status.h>
@@ -52,8 +53,8 @@
 {
 public:
     // Listens on host:port. AddressInUse if that is taken.
-    static absl::StatusOr<std::unique_ptr<RpcServer>> start(std::string_view address,
-                                                            RpcHandlers handlers);
+    static absl::StatusOr<std::unique_ptr<RpcServer>>
+    start(std::string_view address, RpcHandlers handlers, telemetry::Counters &counters);
 
     RpcServer(const RpcServer &) = delete;
     RpcServer &operator=(const RpcServer &) = delete;
--- a/tests/transport/transporttest.cpp
+++ b/tests/transport/transporttest.cpp
@@ -36,7 +36,7 @@
 {
     std::promise<proto::Envelope> received;
     telemetry::Counters counters;
-    auto server = transport::RpcServer::start(Address, handlersOf(received));
+    auto server = transport::RpcServer::start(Address, handlersOf(received), counters);
     REQUIRE(server.ok());
     const transport::PeerSet peers({{core::InstanceId("c1"), std::string(Address)}}, counters);
     transport::PeerChannel *channel = peers.find(core::InstanceId("c1"));
@@ -59,9 +59,10 @@
 TEST_CASE("an address that is taken is a typed error")
 {
     std::promise<proto::Envelope> received;
-    auto first = transport::RpcServer::start(Address, handlersOf(received));
+    telemetry::Counters counters;
+    auto first = transport::RpcServer::start(Address, handlersOf(received), counters);
     REQUIRE(first.ok());
-    const auto second = transport::RpcServer::start(Address, handlersOf(received));
+    const auto second = transport::RpcServer::start(Address, handlersOf(received), counters);
     CHECK(core::errorCodeOf(second.status()) == core::ErrorCode::AddressInUse);
 }
 
--- a/utilities/cmake/SamphirebridgeTargets.cmake
+++ b/utilities/cmake/SamphirebridgeTargets.cmake
@@ -27,15 +27,16 @@
     samphirebridge_apply_options(${target})
 endfunction()
 
-# Adds the Catch2 program test_<name> and registers each of its test cases with CTest under LABELS.
+# Adds the Catch2 program test_<name> and registers each of its test cases with CTest under LABELS,
+# with further PROPERTIES of CTest's if given.
 function(samphirebridge_add_test name)
-    cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS;LABELS" ${ARGN})
+    cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS;LABELS;PROPERTIES" ${ARGN})
     set(target test_${name})
     add_executable(${target} ${arg_SOURCES})
     target_link_libraries(${target} PRIVATE ${arg_DEPENDS} samphirebridge_test_main)
     target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
     samphirebridge_apply_options(${target})
-    catch_discover_tests(${target} TEST_PREFIX "${name}: " PROPERTIES LABELS "${arg_LABELS}")
+    catch_discover_tests(${target} TEST_PREFIX "${name}: " PROPERTIES LABELS "${arg_LABELS}" ${arg_PROPERTIES})
 endfunction()
 
 # Adds a libFuzzer target and a CTest entry that runs a bounded number of inputs from a fixed seed
