--- a/source/samphirebridge/manifest/declarations.h
+++ b/source/samphirebridge/manifest/declarations.h
@@ -16,7 +16,7 @@
 template <typename Value>
 struct Declared {
     Value value;
-    const settings::Node *node = nullptr;
+    const settings::DocumentNode *node = nullptr;
     size_t index = 0; // Within its section.
 };
 
--- a/source/samphirebridge/manifest/manifestdelta.cpp
+++ b/source/samphirebridge/manifest/manifestdelta.cpp
@@ -218,14 +218,15 @@
 
 absl::Status checkDelta(uint64_t version, const proto::ManifestDelta &delta)
 {
-    const absl::Status status = checkVersions(version, delta);
-    return status.ok() ? checkUpserts(delta) : status;
+    if (absl::Status status = checkVersions(version, delta); !status.ok()) {
+        return status;
+    }
+    return checkUpserts(delta);
 }
 
 absl::Status applyDelta(proto::Manifest &manifest, const proto::ManifestDelta &delta)
 {
-    const absl::Status status = checkDelta(manifest.version(), delta);
-    if (!status.ok()) {
+    if (absl::Status status = checkDelta(manifest.version(), delta); !status.ok()) {
         return status;
     }
     Entities &entities = *manifest.mutable_entities();
--- a/source/samphirebridge/manifest/manifestreader.cpp
+++ b/source/samphirebridge/manifest/manifestreader.cpp
@@ -19,9 +19,9 @@
 namespace
 {
 
+using settings::DocumentNode;
 using settings::IntegerRange;
 using settings::MapReader;
-using settings::Node;
 using settings::Place;
 using settings::ProblemCollector;
 
@@ -100,14 +100,14 @@
                std::string_view accepted,
                ProblemCollector &problems)
 {
-    const Node *node = reader.find(key);
+    const DocumentNode *node = reader.find(key);
     if (node != nullptr) {
         problems.add(node->line, reader.placeOf(key), settings::describeValue(*node), accepted);
     }
 }
 
 proto::Organisation
-readOrganisation(const Node &node, const Place &place, ProblemCollector &problems)
+readOrganisation(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, OrganisationKeys, problems);
     proto::Organisation organisation;
@@ -123,7 +123,8 @@
     return organisation;
 }
 
-proto::CallerKey readCallerKey(const Node &node, const Place &place, ProblemCollector &problems)
+proto::CallerKey
+readCallerKey(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, CallerKeyKeys, problems);
     proto::CallerKey key;
@@ -134,7 +135,7 @@
     return key;
 }
 
-proto::Budget readBudget(const Node &node, const Place &place, ProblemCollector &problems)
+proto::Budget readBudget(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, BudgetKeys, problems);
     proto::Budget budget;
@@ -154,7 +155,7 @@
 
 void readMethod(MapReader &reader, proto::Route &route, ProblemCollector &problems)
 {
-    const Node *node = reader.find("method");
+    const DocumentNode *node = reader.find("method");
     if (node == nullptr) {
         return;
     }
@@ -172,7 +173,7 @@
 
 void readPathPrefix(MapReader &reader, proto::Route &route, ProblemCollector &problems)
 {
-    const Node *node = reader.require("path_prefix", "a path that starts with '/'");
+    const DocumentNode *node = reader.require("path_prefix", "a path that starts with '/'");
     if (node == nullptr) {
         return;
     }
@@ -196,7 +197,7 @@
     route.set_path_prefix(node->value);
 }
 
-proto::Route readRoute(const Node &node, const Place &place, ProblemCollector &problems)
+proto::Route readRoute(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, RouteKeys, problems);
     proto::Route route;
@@ -218,7 +219,7 @@
 {
     refuseKey(reader, "max_output_tokens", "no output bound for a plain service", problems);
     service.set_price_tokens(reader.integer("price_tokens", TokenRange, std::nullopt));
-    const std::span<const Node> routes = reader.list("routes");
+    const std::span<const DocumentNode> routes = reader.list("routes");
     const Place place = reader.placeOf("routes");
     if (routes.empty()) {
         problems.add(reader.line(), place, "no routes", "at least one for a plain service");
@@ -244,7 +245,7 @@
     }
 }
 
-proto::Service readService(const Node &node, const Place &place, ProblemCollector &problems)
+proto::Service readService(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, ServiceKeys, problems);
     proto::Service service;
@@ -262,7 +263,7 @@
     return service;
 }
 
-proto::Model readModel(const Node &node, const Place &place, ProblemCollector &problems)
+proto::Model readModel(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, ModelKeys, problems);
     proto::Model model;
@@ -279,7 +280,8 @@
     return model;
 }
 
-proto::TargetKind readTargetKind(const Node &node, const Place &place, ProblemCollector &problems)
+proto::TargetKind
+readTargetKind(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, TargetKindKeys, problems);
     proto::TargetKind kind;
@@ -290,7 +292,7 @@
     return kind;
 }
 
-proto::Policy readPolicy(const Node &node, const Place &place, ProblemCollector &problems)
+proto::Policy readPolicy(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, PolicyKeys, problems);
     proto::Policy policy;
@@ -308,10 +310,10 @@
 std::vector<Declared<Value>>
 readSection(MapReader &top,
             std::string_view key,
-            Value (*readOne)(const Node &, const Place &, ProblemCollector &),
+            Value (*readOne)(const DocumentNode &, const Place &, ProblemCollector &),
             ProblemCollector &problems)
 {
-    const std::span<const Node> items = top.list(key);
+    const std::span<const DocumentNode> items = top.list(key);
     const Place section = top.placeOf(key);
     std::vector<Declared<Value>> declared;
     declared.reserve(items.size());
@@ -322,7 +324,7 @@
     return declared;
 }
 
-Declarations readDeclarations(const Node &document, ProblemCollector &problems)
+Declarations readDeclarations(const DocumentNode &document, ProblemCollector &problems)
 {
     const Place root;
     MapReader top(document, root, TopKeys, problems);
@@ -333,7 +335,7 @@
     read.services = readSection(top, ServicesKey, readService, problems);
     read.models = readSection(top, ModelsKey, readModel, problems);
     read.targetKinds = readSection(top, TargetKindsKey, readTargetKind, problems);
-    const Node *policy = top.find(PolicyKey);
+    const DocumentNode *policy = top.find(PolicyKey);
     if (policy != nullptr) {
         read.policy = readPolicy(*policy, top.placeOf(PolicyKey), problems);
     }
@@ -384,7 +386,7 @@
 {
     ProblemCollector problems(core::ErrorCode::InvalidManifest, fileName);
     CheckedManifest checked;
-    const std::optional<Node> document
+    const std::optional<DocumentNode> document
         = settings::readDocument(text, MaximumManifestBytes, problems);
     if (document) {
         Declarations declarations = readDeclarations(*document, problems);
--- a/source/samphirebridge/manifest/references.cpp
+++ b/source/samphirebridge/manifest/references.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-using settings::Node;
+using settings::DocumentNode;
 using settings::Place;
 using settings::ProblemCollector;
 
@@ -22,11 +22,12 @@
 template <typename Value>
 using ById = absl::flat_hash_map<std::string, const Value *>;
 
-int lineOf(const Node &node, std::string_view key)
+int lineOf(const DocumentNode &node, std::string_view key)
 {
-    const auto child = std::find_if(node.children.begin(),
-                                    node.children.end(),
-                                    [key](const Node &candidate) { return candidate.key == key; });
+    const auto child
+        = std::find_if(node.children.begin(),
+                       node.children.end(),
+                       [key](const DocumentNode &candidate) { return candidate.key == key; });
     return child == node.children.end() ? node.line : child->line;
 }
 
--- a/source/samphirebridge/settings/document.cpp
+++ b/source/samphirebridge/settings/document.cpp
@@ -22,8 +22,8 @@
 struct Refusal {
     core::ErrorCode code = core::ErrorCode::None; // None: the collector's own.
     int line = 0;
-    std::string found;
-    std::string accepted;
+    std::string found{};
+    std::string accepted{};
 };
 
 // Hands the text to the parser in pieces, and ends it where the parser reads too far ahead of the
@@ -99,7 +99,7 @@
     void OnNull(const YAML::Mark &mark, YAML::anchor_t anchor) override
     {
         this->checkValue(mark, "", anchor);
-        this->finish(Node{.kind = NodeKind::Null, .line = mark.line + 1});
+        this->finish(DocumentNode{.kind = NodeKind::Null, .line = mark.line + 1});
     }
 
     void OnAlias(const YAML::Mark &mark, YAML::anchor_t /*anchor*/) override
@@ -115,7 +115,7 @@
                   const std::string &value) override
     {
         this->checkValue(mark, tag, anchor);
-        this->finish(Node{
+        this->finish(DocumentNode{
             .kind = NodeKind::Scalar, .quoted = tag == "!", .line = mark.line + 1, .value = value});
     }
 
@@ -145,7 +145,7 @@
         this->close();
     }
 
-    Node takeRoot()
+    DocumentNode takeRoot()
     {
         return std::move(this->root);
     }
@@ -153,7 +153,7 @@
 private:
     // A list or map that is not yet closed; a map alternates between keys and values.
     struct Level {
-        Node node{};
+        DocumentNode node{};
         std::optional<std::string> pendingKey{};
         int pendingLine = 0;
     };
@@ -198,17 +198,17 @@
                           .found = fmt::format("more than {} levels", MaximumDepth),
                           .accepted = fmt::format("at most {}", MaximumDepth)};
         }
-        this->levels.push_back(Level{.node = Node{.kind = kind, .line = mark.line + 1}});
+        this->levels.push_back(Level{.node = DocumentNode{.kind = kind, .line = mark.line + 1}});
     }
 
     void close()
     {
-        Node node = std::move(this->levels.back().node);
+        DocumentNode node = std::move(this->levels.back().node);
         this->levels.pop_back();
         this->finish(std::move(node));
     }
 
-    void finish(Node node)
+    void finish(DocumentNode node)
     {
         if (this->levels.empty()) {
             this->root = std::move(node);
@@ -232,7 +232,7 @@
     bool started = false;
     size_t nodes = 0;
     std::vector<Level> levels;
-    Node root;
+    DocumentNode root;
 };
 
 int lineOf(std::string_view text, size_t offset)
@@ -240,15 +240,14 @@
     return 1 + static_cast<int>(std::count(text.begin(), text.begin() + offset, '\n'));
 }
 
-Refusal lookaheadRefusal(int line)
+Refusal lookaheadRefusal()
 {
     return Refusal{.code = core::ErrorCode::TooLarge,
-                   .line = line,
                    .found = fmt::format("more than {} bytes in one piece", MaximumLookahead),
                    .accepted = "values, comments and lists in brackets below that"};
 }
 
-Node buildTree(std::string_view text)
+DocumentNode buildTree(std::string_view text)
 {
     MeteredBuffer buffer(text);
     std::istream stream(&buffer);
@@ -256,16 +255,22 @@
     try {
         YAML::Parser parser(stream);
         while (parser.HandleNextDocument(builder)) { }
+    } catch (const Refusal &) {
+        // What the parser made of a text cut short says nothing about the text.
+        if (buffer.exceeded()) {
+            throw lookaheadRefusal();
+        }
+        throw;
     } catch (const YAML::Exception &error) {
         if (buffer.exceeded()) {
-            throw lookaheadRefusal(0);
+            throw lookaheadRefusal();
         }
         throw Refusal{.line = error.mark.line + 1,
                       .found = fmt::format("no YAML ({})", error.msg),
                       .accepted = "a YAML document"};
     }
     if (buffer.exceeded()) {
-        throw lookaheadRefusal(0);
+        throw lookaheadRefusal();
     }
     return builder.takeRoot();
 }
@@ -338,7 +343,7 @@
     return std::move(this->problems);
 }
 
-std::optional<Node>
+std::optional<DocumentNode>
 readDocument(std::string_view text, size_t maximumBytes, ProblemCollector &problems)
 {
     if (text.size() > maximumBytes) {
--- a/source/samphirebridge/settings/document.h
+++ b/source/samphirebridge/settings/document.h
@@ -23,13 +23,13 @@
 };
 
 // One value of the document. The children of a map carry their keys; keys may repeat.
-struct Node {
+struct DocumentNode {
     NodeKind kind = NodeKind::Null;
     bool quoted = false; // Only scalars.
     int line = 0;
     std::string key{};
     std::string value{}; // Only scalars.
-    std::vector<Node> children{}; // Only lists and maps.
+    std::vector<DocumentNode> children{}; // Only lists and maps.
 };
 
 // The bounds of every document.
@@ -74,7 +74,7 @@
 };
 
 // Returns the text's one document; nothing, and one problem, if it is refused.
-std::optional<Node>
+std::optional<DocumentNode>
 readDocument(std::string_view text, size_t maximumBytes, ProblemCollector &problems);
 
 } // namespace samphirebridge::settings
--- a/source/samphirebridge/settings/reader.cpp
+++ b/source/samphirebridge/settings/reader.cpp
@@ -66,7 +66,7 @@
 
 } // namespace
 
-std::string describeValue(const Node &node)
+std::string describeValue(const DocumentNode &node)
 {
     switch (node.kind) {
     case NodeKind::Null:
@@ -81,8 +81,10 @@
     return fmt::format("{0}{1}{0}", node.quoted ? "\"" : "'", shorten(node.value));
 }
 
-std::optional<int64_t>
-readInteger(const Node &node, const Place &place, IntegerRange range, ProblemCollector &problems)
+std::optional<int64_t> readInteger(const DocumentNode &node,
+                                   const Place &place,
+                                   IntegerRange range,
+                                   ProblemCollector &problems)
 {
     std::optional<int64_t> value;
     if (node.kind == NodeKind::Scalar && !node.quoted) {
@@ -99,7 +101,7 @@
 }
 
 std::optional<std::string>
-readName(const Node &node, const Place &place, ProblemCollector &problems)
+readName(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     if (node.kind != NodeKind::Scalar || !core::checkName(node.value).ok()) {
         problems.add(node.line, place, describeValue(node), AcceptedName);
@@ -109,7 +111,7 @@
 }
 
 std::optional<std::string>
-readDigest(const Node &node, const Place &place, ProblemCollector &problems)
+readDigest(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     if (node.kind != NodeKind::Scalar || !isDigest(node.value)) {
         const std::string found = node.kind == NodeKind::Scalar
@@ -121,8 +123,10 @@
     return absl::HexStringToBytes(node.value);
 }
 
-std::optional<std::string>
-readText(const Node &node, const Place &place, size_t maximumBytes, ProblemCollector &problems)
+std::optional<std::string> readText(const DocumentNode &node,
+                                    const Place &place,
+                                    size_t maximumBytes,
+                                    ProblemCollector &problems)
 {
     const bool accepted = node.kind == NodeKind::Scalar && !node.value.empty()
                           && node.value.size() <= maximumBytes
@@ -139,7 +143,7 @@
     return node.value;
 }
 
-MapReader::MapReader(const Node &node,
+MapReader::MapReader(const DocumentNode &node,
                      const Place &place,
                      std::span<const std::string_view> keys,
                      ProblemCollector &problems)
@@ -154,7 +158,7 @@
             node.line, place, describeValue(node), fmt::format("a map of {}", joinKeys(keys)));
         return;
     }
-    for (const Node &child : node.children) {
+    for (const DocumentNode &child : node.children) {
         const auto known = std::find(keys.begin(), keys.end(), child.key);
         if (known == keys.end()) {
             problems.add(child.line,
@@ -163,7 +167,7 @@
                          joinKeys(keys));
             continue;
         }
-        const Node *&value = this->values[static_cast<size_t>(known - keys.begin())];
+        const DocumentNode *&value = this->values[static_cast<size_t>(known - keys.begin())];
         if (value != nullptr) {
             problems.add(child.line,
                          Place{.parent = &place, .key = child.key},
@@ -175,7 +179,7 @@
     }
 }
 
-const Node *MapReader::find(std::string_view key) const
+const DocumentNode *MapReader::find(std::string_view key) const
 {
     const auto known = std::find(this->keys.begin(), this->keys.end(), key);
     if (known == this->keys.end()) {
@@ -191,9 +195,9 @@
     }
 }
 
-const Node *MapReader::require(std::string_view key, std::string_view accepted)
+const DocumentNode *MapReader::require(std::string_view key, std::string_view accepted)
 {
-    const Node *value = this->find(key);
+    const DocumentNode *value = this->find(key);
     if (value == nullptr) {
         this->missing(key, accepted);
     }
@@ -203,7 +207,7 @@
 int64_t
 MapReader::integer(std::string_view key, IntegerRange range, std::optional<int64_t> fallback)
 {
-    const Node *value = this->find(key);
+    const DocumentNode *value = this->find(key);
     if (value != nullptr) {
         return readInteger(*value, this->placeOf(key), range, this->problems).value_or(range.least);
     }
@@ -215,7 +219,7 @@
 
 bool MapReader::boolean(std::string_view key, bool fallback)
 {
-    const Node *value = this->find(key);
+    const DocumentNode *value = this->find(key);
     if (value == nullptr) {
         return fallback;
     }
@@ -230,7 +234,7 @@
 std::string
 MapReader::text(std::string_view key, size_t maximumBytes, std::optional<std::string_view> fallback)
 {
-    const Node *value = this->find(key);
+    const DocumentNode *value = this->find(key);
     if (value != nullptr) {
         return readText(*value, this->placeOf(key), maximumBytes, this->problems).value_or("");
     }
@@ -244,7 +248,7 @@
                          std::span<const std::string_view> choices,
                          std::optional<size_t> fallback)
 {
-    const Node *value = this->find(key);
+    const DocumentNode *value = this->find(key);
     if (value == nullptr) {
         if (!fallback) {
             this->missing(key, joinKeys(choices));
@@ -262,7 +266,7 @@
 
 std::string MapReader::name(std::string_view key)
 {
-    const Node *value = this->require(key, AcceptedName);
+    const DocumentNode *value = this->require(key, AcceptedName);
     if (value == nullptr) {
         return {};
     }
@@ -271,16 +275,16 @@
 
 std::string MapReader::digest(std::string_view key)
 {
-    const Node *value = this->require(key, AcceptedDigest);
+    const DocumentNode *value = this->require(key, AcceptedDigest);
     if (value == nullptr) {
         return {};
     }
     return readDigest(*value, this->placeOf(key), this->problems).value_or("");
 }
 
-std::span<const Node> MapReader::list(std::string_view key)
+std::span<const DocumentNode> MapReader::list(std::string_view key)
 {
-    const Node *value = this->find(key);
+    const DocumentNode *value = this->find(key);
     if (value == nullptr) {
         return {};
     }
@@ -293,7 +297,7 @@
 
 std::vector<std::string> MapReader::names(std::string_view key)
 {
-    const std::span<const Node> items = this->list(key);
+    const std::span<const DocumentNode> items = this->list(key);
     const Place listPlace = this->placeOf(key);
     std::vector<std::string> names;
     std::set<std::string_view> seen;
--- a/source/samphirebridge/settings/reader.h
+++ b/source/samphirebridge/settings/reader.h
@@ -21,34 +21,38 @@
 };
 
 // Returns the value as messages show it: its kind, and a scalar's text if it is short enough.
-std::string describeValue(const Node &node);
+std::string describeValue(const DocumentNode &node);
 
 // Reads one scalar as an integer, a name of core::checkName, or the 64 hexadecimal digits of a
 // SHA-256. A digest's text is never shown in a problem: it may be the secret itself.
-std::optional<int64_t>
-readInteger(const Node &node, const Place &place, IntegerRange range, ProblemCollector &problems);
+std::optional<int64_t> readInteger(const DocumentNode &node,
+                                   const Place &place,
+                                   IntegerRange range,
+                                   ProblemCollector &problems);
 std::optional<std::string>
-readName(const Node &node, const Place &place, ProblemCollector &problems);
+readName(const DocumentNode &node, const Place &place, ProblemCollector &problems);
 std::optional<std::string>
-readDigest(const Node &node, const Place &place, ProblemCollector &problems);
-std::optional<std::string>
-readText(const Node &node, const Place &place, size_t maximumBytes, ProblemCollector &problems);
+readDigest(const DocumentNode &node, const Place &place, ProblemCollector &problems);
+std::optional<std::string> readText(const DocumentNode &node,
+                                    const Place &place,
+                                    size_t maximumBytes,
+                                    ProblemCollector &problems);
 
 // Reads one map whose keys are known. Unknown and repeated keys are problems.
 class MapReader
 {
 public:
     // The keys must outlive the reader.
-    MapReader(const Node &node,
+    MapReader(const DocumentNode &node,
               const Place &place,
               std::span<const std::string_view> keys,
               ProblemCollector &problems);
 
     // Returns the key's value, or null.
-    [[nodiscard]] const Node *find(std::string_view key) const;
+    [[nodiscard]] const DocumentNode *find(std::string_view key) const;
 
     // Returns the key's value; without one, null and a problem that tells what is accepted.
-    const Node *require(std::string_view key, std::string_view accepted);
+    const DocumentNode *require(std::string_view key, std::string_view accepted);
 
     // The key's value; without one, the fallback, or a problem if there is no fallback either.
     int64_t integer(std::string_view key, IntegerRange range, std::optional<int64_t> fallback);
@@ -66,7 +70,7 @@
     std::string digest(std::string_view key);
 
     // Returns the items of the key's list; none without the key.
-    std::span<const Node> list(std::string_view key);
+    std::span<const DocumentNode> list(std::string_view key);
 
     // Returns the names in the key's list; none without the key. Repeated names are problems.
     std::vector<std::string> names(std::string_view key);
@@ -79,10 +83,10 @@
 private:
     void missing(std::string_view key, std::string_view accepted);
 
-    const Node &node;
+    const DocumentNode &node;
     const Place &place;
     std::span<const std::string_view> keys;
-    std::vector<const Node *> values; // One for each key.
+    std::vector<const DocumentNode *> values; // One for each key.
     ProblemCollector &problems;
 };
 
--- a/source/samphirebridge/settings/settings.cpp
+++ b/source/samphirebridge/settings/settings.cpp
@@ -41,7 +41,7 @@
 {
     ProblemCollector problems(core::ErrorCode::InvalidSettings, fileName);
     CheckedSettings checked;
-    const std::optional<Node> document = readDocument(text, MaximumSettingsBytes, problems);
+    const std::optional<DocumentNode> document = readDocument(text, MaximumSettingsBytes, problems);
     if (document) {
         checked.settings = readSettings(*document, problems);
     }
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -80,7 +80,7 @@
 
 Address readAddress(MapReader &reader, std::string_view key, ProblemCollector &problems)
 {
-    const Node *node = reader.require(key, AcceptedAddress);
+    const DocumentNode *node = reader.require(key, AcceptedAddress);
     if (node == nullptr) {
         return {};
     }
@@ -97,7 +97,7 @@
 Roles readRoles(MapReader &reader, ProblemCollector &problems)
 {
     Roles roles;
-    const Node *node = reader.require("roles", AcceptedRoles);
+    const DocumentNode *node = reader.require("roles", AcceptedRoles);
     if (node == nullptr) {
         return roles;
     }
@@ -109,7 +109,7 @@
         return roles;
     }
     for (size_t index = 0; index < node->children.size(); ++index) {
-        const Node &item = node->children[index];
+        const DocumentNode &item = node->children[index];
         const bool isEntry = item.value == "entry" && !roles.entry;
         const bool isControl = item.value == "control" && !roles.control;
         roles.entry = roles.entry || isEntry;
@@ -133,16 +133,16 @@
 }
 
 // Reads a map that may be missing: then every value in it is its default.
-const Node &sectionOf(MapReader &top, std::string_view key)
+const DocumentNode &sectionOf(MapReader &top, std::string_view key)
 {
-    static const Node empty{.kind = NodeKind::Map};
-    const Node *node = top.find(key);
+    static const DocumentNode empty{.kind = NodeKind::Map};
+    const DocumentNode *node = top.find(key);
     return node == nullptr ? empty : *node;
 }
 
 void readHttp(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
-    const Node *node = top.require("http", "a map with listen");
+    const DocumentNode *node = top.require("http", "a map with listen");
     if (node == nullptr) {
         return;
     }
@@ -158,7 +158,7 @@
 
 void readRpc(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
-    const Node *node = top.require("rpc", "a map with listen");
+    const DocumentNode *node = top.require("rpc", "a map with listen");
     if (node == nullptr) {
         return;
     }
@@ -174,7 +174,7 @@
     }
 }
 
-Peer readPeer(const Node &node, const Place &place, ProblemCollector &problems)
+Peer readPeer(const DocumentNode &node, const Place &place, ProblemCollector &problems)
 {
     MapReader reader(node, place, PeerKeys, problems);
     Peer peer;
@@ -195,7 +195,7 @@
     {
     }
 
-    void check(const Peer &peer, const Node &node, const Place &place)
+    void check(const Peer &peer, const DocumentNode &node, const Place &place)
     {
         if (!peer.id.empty() && !this->ids.insert(peer.id.value).second) {
             this->add(node, Place{.parent = &place, .key = "id"}, peer.id.value);
@@ -205,14 +205,14 @@
     }
 
 private:
-    void checkAddress(const Address &address, const Node &node, const Place &place)
+    void checkAddress(const Address &address, const DocumentNode &node, const Place &place)
     {
         if (address.port != 0 && !this->addresses.insert(formatAddress(address)).second) {
             this->add(node, place, formatAddress(address));
         }
     }
 
-    void add(const Node &node, const Place &place, std::string_view value)
+    void add(const DocumentNode &node, const Place &place, std::string_view value)
     {
         this->problems.add(node.line,
                            place,
@@ -229,11 +229,11 @@
 {
     const std::string accepted
         = fmt::format("a list of 1 to {} instances, this one included", MaximumPeers);
-    const Node *node = top.require("peers", accepted);
+    const DocumentNode *node = top.require("peers", accepted);
     if (node == nullptr) {
         return;
     }
-    const std::span<const Node> items = top.list("peers");
+    const std::span<const DocumentNode> items = top.list("peers");
     const Place place = top.placeOf("peers");
     if (node->kind == NodeKind::List && (items.empty() || items.size() > MaximumPeers)) {
         problems.add(node->line, place, fmt::format("{} items", items.size()), accepted);
@@ -269,7 +269,7 @@
                      "a list that includes this instance");
         return;
     }
-    const Node *dataCentre = top.find("data_centre");
+    const DocumentNode *dataCentre = top.find("data_centre");
     if (dataCentre != nullptr && self->dataCentre != settings.dataCentre) {
         problems.add(
             dataCentre->line,
@@ -277,7 +277,7 @@
             describeValue(*dataCentre),
             fmt::format("'{}', as this instance's peers entry says", self->dataCentre.value));
     }
-    const Node *roles = top.find("roles");
+    const DocumentNode *roles = top.find("roles");
     if (roles != nullptr && self->roles != settings.roles) {
         problems.add(
             roles->line,
@@ -289,7 +289,7 @@
 
 void readDataFolder(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
-    const Node *node = top.find("data_folder");
+    const DocumentNode *node = top.find("data_folder");
     const Place place = top.placeOf("data_folder");
     if (node == nullptr) {
         if (settings.roles.control) {
@@ -306,7 +306,7 @@
 
 void readOperatorTokens(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
-    const std::span<const Node> items = top.list("operator_token_sha256");
+    const std::span<const DocumentNode> items = top.list("operator_token_sha256");
     const Place place = top.placeOf("operator_token_sha256");
     for (size_t index = 0; index < items.size(); ++index) {
         const Place itemPlace{.parent = &place, .index = index};
@@ -326,7 +326,7 @@
 void readConsensus(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
     const Place place = top.placeOf("consensus");
-    const Node &node = sectionOf(top, "consensus");
+    const DocumentNode &node = sectionOf(top, "consensus");
     MapReader reader(node, place, ConsensusKeys, problems);
     settings.consensus.heartbeat = readMilliseconds(reader, "heartbeat_ms", HeartbeatMs);
     settings.consensus.electionTimeout
@@ -355,7 +355,7 @@
     return Sections;
 }
 
-Settings readSettings(const Node &document, ProblemCollector &problems)
+Settings readSettings(const DocumentNode &document, ProblemCollector &problems)
 {
     Settings settings;
     const Place root;
--- a/source/samphirebridge/settings/settingsreader.h
+++ b/source/samphirebridge/settings/settingsreader.h
@@ -8,6 +8,6 @@
 {
 
 // Reads and checks the settings; they are only good if no problem was added.
-Settings readSettings(const Node &document, ProblemCollector &problems);
+Settings readSettings(const DocumentNode &document, ProblemCollector &problems);
 
 } // namespace samphirebridge::settings
