--- /dev/null
+++ b/tests/manifest/bench.cpp
@@ -0,0 +1,103 @@
+// Prints what a manifest of the target size costs. Not a test: its figures go into
+// docs/reference/manifest/index.md.
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/manifest/catalogue.h"
+#include "samphirebridge/manifest/manifestdelta.h"
+#include "samphirebridge/manifest/manifestfile.h"
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+
+#include <chrono>
+#include <functional>
+
+using namespace samphirebridge;
+using namespace samphirebridge::manifest;
+
+namespace
+{
+
+constexpr int Organisations = 2900;
+constexpr int Budgets = 55'000;
+
+proto::Manifest targetSize()
+{
+    proto::Manifest manifest;
+    proto::Service &chat = *manifest.add_entities()->mutable_service();
+    chat.set_id("chat");
+    chat.set_kind(proto::CHAT);
+    chat.set_max_output_tokens(DefaultMaxOutputTokens);
+    chat.set_stall_timeout_ms(DefaultStallTimeoutMs);
+    chat.set_deadline_ms(DefaultDeadlineMs);
+    chat.set_key_retention_s(DefaultKeyRetentionSeconds);
+    for (int index = 0; index < Organisations; ++index) {
+        proto::Organisation &organisation = *manifest.add_entities()->mutable_organisation();
+        organisation.set_id(fmt::format("org-{}", index));
+        organisation.set_name(fmt::format("Organisation {}", index));
+        organisation.set_weight(1);
+        organisation.add_services("chat");
+        proto::CallerKey &key = *manifest.add_entities()->mutable_caller_key();
+        key.set_id(fmt::format("org-{}/key", index));
+        key.set_organisation(organisation.id());
+        key.set_budget(fmt::format("org-{}/b{}", index, index));
+        key.set_sha256(core::sha256Of(key.id()));
+    }
+    for (int index = 0; index < Budgets; ++index) {
+        const int organisation = index % Organisations;
+        proto::Budget &budget = *manifest.add_entities()->mutable_budget();
+        budget.set_id(fmt::format("org-{}/b{}", organisation, index));
+        budget.set_organisation(fmt::format("org-{}", organisation));
+        budget.set_tokens(1'000'000);
+    }
+    sortEntities(manifest);
+    return manifest;
+}
+
+double millisecondsOf(const std::function<void()> &step)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    step();
+    const std::chrono::duration<double, std::milli> span = std::chrono::steady_clock::now() - begin;
+    return span.count();
+}
+
+void report(std::string_view step, double milliseconds)
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    fmt::print("{:<28} {:>10.3f} ms, peak {} MB\n", step, milliseconds, usage.ru_maxrss / 1024);
+}
+
+} // namespace
+
+int main()
+{
+    proto::Manifest manifest = targetSize();
+    std::string text;
+    report("generate", 0.0);
+    report("render", millisecondsOf([&] { text = renderManifest(manifest); }));
+    fmt::print("{} bytes of text, {} bytes of protobuf\n", text.size(), manifest.ByteSizeLong());
+    absl::StatusOr<proto::Manifest> parsed;
+    report("parse", millisecondsOf([&] { parsed = parseManifest(text, "bench"); }));
+    if (!parsed.ok()) {
+        fmt::print("refused: {}\n", core::messageOf(parsed.status()));
+        return 1;
+    }
+    parsed->set_version(1);
+    Catalogue catalogue;
+    report("index", millisecondsOf([&] { catalogue = Catalogue(*parsed); }));
+    proto::Manifest next = *parsed;
+    next.mutable_entities(Organisations * 2)->mutable_budget()->set_tokens(7);
+    proto::ManifestDelta delta;
+    report("diff of one change", millisecondsOf([&] { delta = diffManifests(*parsed, next); }));
+    report("update by one change", millisecondsOf([&] { (void)catalogue.updated(delta); }));
+    const std::string digest = core::sha256Of("org-1234/key");
+    constexpr int Lookups = 1'000'000;
+    size_t found = 0;
+    report("1,000,000 look-ups by digest", millisecondsOf([&] {
+               for (int round = 0; round < Lookups; ++round) {
+                   found += catalogue.callerKeyByDigest(digest) == nullptr ? 0 : 1;
+               }
+           }));
+    return found == Lookups ? 0 : 1;
+}
