--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -153,11 +153,12 @@
         pending->context.set_deadline(std::chrono::system_clock::now() + DeliverTimeout);
         this->countSent(pending->request.ByteSizeLong());
         auto self = this->shared_from_this();
-        this->stub->async()->Deliver(
-            &pending->context,
-            &pending->request,
-            &pending->reply,
-            [self, pending](const grpc::Status &status) { self->onDelivered(status); });
+        this->stub->async()->Deliver(&pending->context,
+                                     &pending->request,
+                                     &pending->reply,
+                                     [self, pending](const grpc::Status &status) {
+                                         self->onDelivered(status, pending->context);
+                                     });
     }
 
     void onDelivered(const grpc::Status &status, grpc::ClientContext &context)
