--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -95,27 +95,29 @@
     std::ranges::sort(*result.mutable_recalls(), {}, &proto::EscrowRecall::budget);
 }
 
-proto::CommandResult
-lateBatch(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
+// Takes what a holder that is over reports late: settlements only, and each batch once.
+void takeLate(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
 {
     HolderRecord &record = state.holders.at(holder);
-    if (batch.sequence() == record.lastSequence + 1) {
-        record.lastSequence = batch.sequence();
-        record.lastResult.clear();
-        takeSettlements(state, holder, batch);
-        forgetIfDone(state, holder);
-    }
-    return refusal(core::ErrorCode::HolderRetired,
-                   fmt::format("{} is over; only its settlements are taken",
-                               describe(holderIdOf(batch.holder()))));
+    if (batch.sequence() != record.lastSequence + 1) {
+        return;
+    }
+    record.lastSequence = batch.sequence();
+    record.lastResult.clear();
+    takeSettlements(state, holder, batch);
+    forgetIfDone(state, holder);
 }
 
 proto::CommandResult sequencedBatch(LedgerState &state, const proto::HolderBatch &batch)
 {
     const absl::StatusOr<HolderIndex> live = liveHolder(state, batch.holder());
     if (!live.ok()) {
+        // The answer is the same when nothing is left of the holder and it was forgotten.
         const HolderIndex known = state.holders.find(holderIdOf(batch.holder()));
-        return known == NoIndex ? refusal(live.status()) : lateBatch(state, known, batch);
+        if (known != NoIndex) {
+            takeLate(state, known, batch);
+        }
+        return refusal(live.status());
     }
     const HolderIndex holder = *live;
     HolderRecord &record = state.holders.at(holder);
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -198,6 +198,9 @@
             status = this->readShortages();
         }
         this->readChanges();
+        if (status.ok()) {
+            status = this->checkSums();
+        }
         status.Update(this->state.budgets.checkTouched());
         status.Update(this->state.budgets.checkAll());
         return status;
@@ -322,6 +325,39 @@
         return absl::OkStatus();
     }
 
+    // Checks that the sums which the snapshot states are those of its parts.
+    absl::Status checkSums() const
+    {
+        absl::flat_hash_map<std::pair<HolderIndex, BudgetIndex>, int64_t> open;
+        size_t claims = 0;
+        for (const HolderIndex holder : this->state.holders.ordered()) {
+            for (const auto &[reservation, item] : this->state.holders.at(holder).open) {
+                open[{holder, item.budget}] += item.tokens;
+                claims += item.claim != NoIndex ? 1 : 0;
+            }
+        }
+        for (const Snapshot::ClaimRecord &claim : this->snapshot.claims()) {
+            claims -= claim.finished() ? 0 : 1;
+        }
+        if (claims != 0) {
+            return corrupt("the snapshot's unfinished claims differ from the claimed reservations");
+        }
+        for (const Snapshot::BudgetRecord &message : this->snapshot.budgets()) {
+            const BudgetIndex budget = this->state.budgets.find(message.budget());
+            const BudgetRecord &record = this->state.budgets.at(budget);
+            bool whole = record.quarantined == message.quarantined_tokens();
+            for (const Share &share : record.shares) {
+                const auto found = open.find({share.holder, budget});
+                whole = whole && share.open == (found == open.end() ? 0 : found->second);
+            }
+            if (!whole) {
+                return corrupt(
+                    fmt::format("the sums of budget '{}' differ from its parts", message.budget()));
+            }
+        }
+        return absl::OkStatus();
+    }
+
     void readChanges()
     {
         std::vector<const Snapshot::ChangeRecord *> changes;
--- a/tests/budget/fleetsimulation.cpp
+++ b/tests/budget/fleetsimulation.cpp
@@ -519,7 +519,8 @@
 void FleetSimulation::dispatch(int node, budget::ReservationId reservation, const Request &request)
 {
     ++this->sums.dispatched;
-    const bool first = request.key.empty() || this->dispatchedKeys.insert(request.key).second;
+    const bool first
+        = request.key.empty() || this->dispatchedKeys.emplace(request.key, request.used).second;
     if (first) {
         this->truth[request.budget].consumed += request.used;
         this->sums.consumed += request.used;
@@ -604,10 +605,12 @@
 void FleetSimulation::decide()
 {
     for (const ledger::UnresolvedClaim &claim : this->ledger.unresolvedClaims()) {
-        const bool ran = this->dispatchedKeys.contains(claim.key.key);
+        const auto dispatched = this->dispatchedKeys.find(claim.key.key);
+        const bool ran = dispatched != this->dispatchedKeys.end();
         const size_t budget = std::stoul(claim.budget.value.substr(claim.budget.value.size() - 1));
+        // The price is the bound: it stands for what was used from here on.
         this->truth[budget].billed += ran ? claim.tokens.count : 0;
-        this->truth[budget].consumed += ran ? claim.tokens.count : 0;
+        this->truth[budget].consumed += ran ? claim.tokens.count - dispatched->second : 0;
         proto::Command command;
         command.mutable_resolve_claim()->mutable_key()->set_organisation("school");
         command.mutable_resolve_claim()->mutable_key()->set_key(claim.key.key);
@@ -621,9 +624,8 @@
             continue;
         }
         const size_t budget = std::stoul(state.budget().substr(state.budget().size() - 1));
-        const int64_t lost = state.quarantined_tokens() / 2;
+        const int64_t lost = this->truth[budget].consumed - this->truth[budget].billed;
         this->truth[budget].billed += lost;
-        this->truth[budget].consumed = this->truth[budget].billed;
         proto::Command command;
         command.mutable_release_quarantine()->set_budget(state.budget());
         command.mutable_release_quarantine()->set_billed_tokens(lost);
--- a/tests/budget/fleetsimulation.h
+++ b/tests/budget/fleetsimulation.h
@@ -136,7 +136,7 @@
     std::set<std::pair<core::HolderId, uint64_t>> settledReservations;
     std::map<std::string, core::HolderId> keyHolders;
     std::set<std::string> settledKeys;
-    std::set<std::string> dispatchedKeys;
+    std::map<std::string, int64_t> dispatchedKeys; // What each consumed.
     std::set<std::pair<core::HolderId, uint64_t>> mustBeBilled;
     uint64_t requests = 0;
     uint64_t changes = 0;
--- /dev/null
+++ b/tests/ledger/batchestest.cpp
@@ -0,0 +1,111 @@
+#include "tests/ledger/testledger.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphirebridge;
+using namespace samphirebridge::tests;
+
+TEST_CASE("a resent batch changes nothing and is answered with the first result")
+{
+    TestLedger ledger;
+    ledger.registerHolder("a", 1);
+    proto::HolderBatch batch = batchOf("a", 1);
+    addRequest(batch, 200, 200);
+    const proto::CommandResult first = ledger.sendAs(batch, 1);
+    CHECK(first.holder_batch().grants(0).granted_tokens() == 200);
+    const proto::CommandResult second = ledger.sendAs(batch, 1);
+    CHECK(second.SerializeAsString() == first.SerializeAsString());
+    CHECK(ledger.budget().escrow_tokens() == 200);
+}
+
+TEST_CASE("a batch that leaves a gap, comes too late or names an unknown holder is refused")
+{
+    TestLedger ledger;
+    ledger.registerHolder("a", 1);
+    proto::HolderBatch batch = batchOf("a", 1);
+    addRequest(batch, 100, 100);
+    CHECK(codeOf(ledger.sendAs(batch, 2)) == core::ErrorCode::SequenceGap);
+    CHECK(codeOf(ledger.sendAs(batch, 0)) == core::ErrorCode::SequenceGap);
+    CHECK(codeOf(ledger.sendAs(batch, 1)) == core::ErrorCode::None);
+    CHECK(codeOf(ledger.sendAs(batch, 2)) == core::ErrorCode::None);
+    CHECK(codeOf(ledger.sendAs(batch, 1)) == core::ErrorCode::SequenceGap);
+    CHECK(codeOf(ledger.sendAs(batchOf("b", 1), 1)) == core::ErrorCode::UnknownHolder);
+    CHECK(ledger.budget().escrow_tokens() == 200);
+}
+
+TEST_CASE("a settlement bills what was used and leaves the rest with the holder")
+{
+    TestLedger ledger;
+    ledger.registerHolder("a", 1);
+    proto::HolderBatch batch = batchOf("a", 1);
+    addRequest(batch, 300, 300);
+    ledger.send(batch);
+    addOpening(batch, 1, 100);
+    ledger.send(batch);
+    addSettlement(batch, 1, 100, 30);
+    addSettlement(batch, 2, 50, 20); // Opened and ended between two batches.
+    ledger.send(batch);
+    CHECK(ledger.budget().billed_tokens() == 50);
+    CHECK(ledger.budget().escrow_tokens() == 250);
+    addReturn(batch, 1'000);
+    ledger.send(batch);
+    CHECK(ledger.budget().escrow_tokens() == 0);
+    CHECK(ledger.budget().pool_tokens() == 950);
+}
+
+TEST_CASE("demand gets a share of the pool, a waiting request what it needs")
+{
+    TestLedger ledger;
+    ledger.registerHolder("a", 1);
+    ledger.registerHolder("b", 1);
+    proto::HolderBatch a = batchOf("a", 1);
+    proto::HolderBatch b = batchOf("b", 1);
+    addRequest(a, 100'000, 0);
+    const int64_t granted = ledger.send(a).holder_batch().grants(0).granted_tokens();
+    CHECK(granted == 500);
+    addRequest(b, 450, 450);
+    CHECK(ledger.send(b).holder_batch().grants(0).granted_tokens() == 450);
+    addRequest(a, 100'000, 0);
+    const proto::CommandResult last = ledger.send(a);
+    CHECK(last.holder_batch().grants(0).granted_tokens() < 50);
+    CHECK(last.holder_batch().grants(0).recallable_tokens() == 450);
+}
+
+TEST_CASE("free escrow is recalled from its holder for a request elsewhere that needs it")
+{
+    TestLedger ledger;
+    ledger.registerHolder("a", 1);
+    ledger.registerHolder("b", 1);
+    proto::HolderBatch a = batchOf("a", 1);
+    proto::HolderBatch b = batchOf("b", 1);
+    addRequest(a, 900, 900);
+    ledger.send(a);
+    addRequest(b, 400, 400);
+    const proto::CommandResult shortOf = ledger.send(b);
+    CHECK(shortOf.holder_batch().grants(0).granted_tokens() == 100);
+    CHECK(shortOf.holder_batch().grants(0).recallable_tokens() == 900);
+    const proto::CommandResult recalled = ledger.send(a);
+    REQUIRE(recalled.holder_batch().recalls_size() == 1);
+    CHECK(recalled.holder_batch().recalls(0).tokens() == 300);
+    addReturn(a, 300);
+    addRequest(a, 300, 0);
+    CHECK(ledger.send(a).holder_batch().grants(0).granted_tokens() == 0);
+    addRequest(b, 300, 300);
+    CHECK(ledger.send(b).holder_batch().grants(0).granted_tokens() == 300);
+}
+
+TEST_CASE("nothing is granted or recalled for a request that all holders together can't cover")
+{
+    TestLedger ledger;
+    ledger.registerHolder("a", 1);
+    ledger.registerHolder("b", 1);
+    proto::HolderBatch a = batchOf("a", 1);
+    proto::HolderBatch b = batchOf("b", 1);
+    addRequest(a, 600, 600);
+    ledger.send(a);
+    addRequest(b, 1'001, 1'001);
+    const proto::EscrowGrant grant = ledger.send(b).holder_batch().grants(0);
+    CHECK(grant.granted_tokens() == 133); // Its share of the pool, as for any demand.
+    CHECK(grant.pool_tokens() + grant.recallable_tokens() + grant.granted_tokens() == 1'000);
+    CHECK(ledger.send(a).holder_batch().recalls_size() == 0);
+}
