--- a/source/samphirebridge/consensus/durablenode.h
+++ b/source/samphirebridge/consensus/durablenode.h
@@ -2,6 +2,7 @@
 // Nothing leaves the node before what it promises is durable.
 #pragma once
 
+#include "samphirebridge/consensus/datafolder.h"
 #include "samphirebridge/consensus/raftnode.h"
 #include "samphirebridge/consensus/statemachine.h"
 #include "samphirebridge/storage/hardstatestore.h"
@@ -13,8 +14,9 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <cstdint>
+#include <iterator>
 #include <memory>
-#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -56,24 +58,6 @@
     uint64_t restoredIndex = 0;
 };
 
-// Writes the folder of one of the first voters of a new group: its name (generation 0), and a log
-// that begins with the configuration, equal on all of them. Repeating it after a crash in the
-// middle is harmless. StorageCorrupt if the folder belongs to another member or has a log but no
-// name; InvalidRequest if `ownName` is not among the voters; InvalidName.
-// Never to be run for a voter whose disk was lost: it might vote twice.
-template <storage::Storage Storage>
-absl::Status
-initialise(Storage &storage, std::span<const std::string> voters, std::string_view ownName);
-
-// Writes the folder of a member that joins an existing group: only its name, under a generation
-// never used before. The leader adds it as a learner then.
-template <storage::Storage Storage>
-absl::Status initialiseJoining(Storage &storage, std::string_view ownName);
-
-// Tells whether initialise() or initialiseJoining() was completed on this folder.
-template <storage::Storage Storage>
-absl::StatusOr<bool> isInitialised(Storage &storage);
-
 // Runs one member. After any error of flush(), compaction included, the host stops the process: in
 // particular a SyncFailed is never retried.
 template <storage::Storage Storage, StateMachine Machine>
@@ -136,9 +120,207 @@
     }
 
 private:
+    DurableNode(Storage &storage,
+                Machine &machine,
+                DurableNodeSettings settings,
+                storage::Log<Storage> log,
+                RestoredState restored,
+                core::TimePoint now);
+
+    absl::Status persist(const Ready &ready);
+    absl::Status install(const Snapshot &snapshot, Output<Result> &output);
+    void apply(const std::vector<proto::LogEntry> &committed, Output<Result> &output);
+    void releaseReads(Output<Result> &output);
+    absl::Status takeSnapshotIfDue();
+
+    Machine &machine;
+    DurableNodeSettings settings;
+    storage::HardStateStore<Storage> hardStates;
+    storage::SnapshotStore<Storage> snapshots;
+    storage::Log<Storage> log;
     RaftNode raft;
     std::string name;
     uint64_t applied = 0;
+    uint64_t snapshotIndex = 0;
+    std::vector<ConfirmedRead> waitingReads;
 };
 
+template <storage::Storage Storage, StateMachine Machine>
+DurableNode<Storage, Machine>::DurableNode(Storage &storage,
+                                           Machine &machine,
+                                           DurableNodeSettings settings,
+                                           storage::Log<Storage> log,
+                                           RestoredState restored,
+                                           core::TimePoint now)
+    : machine(machine)
+    , settings(settings)
+    , hardStates(storage)
+    , snapshots(storage)
+    , log(std::move(log))
+    , raft(settings.raft, restored, now)
+    , name(settings.raft.member)
+    , applied(restored.snapshot.meta.index())
+    , snapshotIndex(restored.snapshot.meta.index())
+{
+}
+
+template <storage::Storage Storage, StateMachine Machine>
+absl::StatusOr<std::unique_ptr<DurableNode<Storage, Machine>>> DurableNode<Storage, Machine>::open(
+    Storage &storage, Machine &machine, DurableNodeSettings settings, core::TimePoint now)
+{
+    // What an earlier process renamed may be visible without being durable; from here on it counts.
+    if (absl::Status status = storage.syncFolder(); !status.ok()) {
+        return status;
+    }
+    const auto member = storage::MemberIdentity<Storage>(storage).load();
+    if (!member.ok()) {
+        return member.status();
+    }
+    if (!*member) {
+        return core::makeError(core::ErrorCode::NotFound,
+                               "found a data folder without a member; accepted is one that was "
+                               "initialised");
+    }
+    settings.raft.member = **member;
+    absl::StatusOr<storage::Log<Storage>> log = storage::Log<Storage>::open(storage, settings.log);
+    if (!log.ok()) {
+        return log.status();
+    }
+    absl::StatusOr<RestoredState> restored = restoreState(storage, *log);
+    if (!restored.ok()) {
+        return restored.status();
+    }
+    if (restored->snapshot.meta.index() > 0) {
+        absl::Status status = machine.restore(*restored->snapshot.data);
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    return std::unique_ptr<DurableNode>(new DurableNode(
+        storage, machine, std::move(settings), *std::move(log), *std::move(restored), now));
+}
+
+template <storage::Storage Storage, StateMachine Machine>
+auto DurableNode<Storage, Machine>::flush() -> absl::StatusOr<Output<Result>>
+{
+    Output<Result> output;
+    while (this->raft.hasReady()) {
+        Ready ready = this->raft.takeReady();
+        if (ready.needsStorage()) {
+            if (absl::Status status = this->persist(ready); !status.ok()) {
+                return status;
+            }
+            this->raft.persisted();
+        }
+        std::move(
+            ready.messages.begin(), ready.messages.end(), std::back_inserter(output.messages));
+        if (ready.snapshot) {
+            if (absl::Status status = this->install(*ready.snapshot, output); !status.ok()) {
+                return status;
+            }
+        }
+        this->apply(ready.committed, output);
+        this->waitingReads.insert(
+            this->waitingReads.end(), ready.confirmedReads.begin(), ready.confirmedReads.end());
+        output.failedReads.insert(
+            output.failedReads.end(), ready.failedReads.begin(), ready.failedReads.end());
+    }
+    this->releaseReads(output);
+    if (absl::Status status = this->takeSnapshotIfDue(); !status.ok()) {
+        return status;
+    }
+    return output;
+}
+
+template <storage::Storage Storage, StateMachine Machine>
+absl::Status DurableNode<Storage, Machine>::persist(const Ready &ready)
+{
+    // The term comes first: entries of a term that the folder does not know would look damaged.
+    if (ready.hardState) {
+        if (absl::Status status = this->hardStates.save(*ready.hardState); !status.ok()) {
+            return status;
+        }
+    }
+    // The snapshot comes before the log is cut: a crash in between leaves a log that open() drops.
+    if (ready.snapshot) {
+        const Snapshot &snapshot = *ready.snapshot;
+        absl::Status status = this->snapshots.save(snapshot.meta, *snapshot.data);
+        if (!status.ok()) {
+            return status;
+        }
+        if (status = this->log.reset(snapshot.meta.index() + 1); !status.ok()) {
+            return status;
+        }
+    }
+    if (ready.truncateFrom) {
+        if (absl::Status status = this->log.truncateFrom(*ready.truncateFrom); !status.ok()) {
+            return status;
+        }
+    }
+    if (ready.entries.empty()) {
+        return absl::OkStatus();
+    }
+    if (absl::Status status = this->log.append(ready.entries); !status.ok()) {
+        return status;
+    }
+    return this->log.sync();
+}
+
+template <storage::Storage Storage, StateMachine Machine>
+absl::Status DurableNode<Storage, Machine>::install(const Snapshot &snapshot,
+                                                    Output<Result> &output)
+{
+    this->applied = snapshot.meta.index();
+    this->snapshotIndex = this->applied;
+    output.restored = true;
+    output.restoredIndex = this->applied;
+    return this->machine.restore(*snapshot.data);
+}
+
+template <storage::Storage Storage, StateMachine Machine>
+void DurableNode<Storage, Machine>::apply(const std::vector<proto::LogEntry> &committed,
+                                          Output<Result> &output)
+{
+    for (const proto::LogEntry &entry : committed) {
+        this->applied = entry.index();
+        if (entry.kind() == proto::COMMAND) {
+            output.applied.push_back({
+                .index = entry.index(),
+                .term = entry.term(),
+                .result = this->machine.apply(entry),
+            });
+        }
+    }
+}
+
+template <storage::Storage Storage, StateMachine Machine>
+void DurableNode<Storage, Machine>::releaseReads(Output<Result> &output)
+{
+    std::erase_if(this->waitingReads, [&](const ConfirmedRead &read) {
+        const bool isReady = read.index <= this->applied;
+        if (isReady) {
+            output.confirmedReads.push_back(read.id);
+        }
+        return isReady;
+    });
+}
+
+template <storage::Storage Storage, StateMachine Machine>
+absl::Status DurableNode<Storage, Machine>::takeSnapshotIfDue()
+{
+    if (this->applied - this->snapshotIndex < this->settings.snapshotEveryEntries) {
+        return absl::OkStatus();
+    }
+    Snapshot snapshot;
+    snapshot.meta = this->raft.snapshotMetaAt(this->applied);
+    snapshot.data = std::make_shared<const std::string>(this->machine.snapshot());
+    absl::Status status = this->snapshots.save(snapshot.meta, *snapshot.data);
+    if (!status.ok()) {
+        return status;
+    }
+    this->snapshotIndex = this->applied;
+    this->raft.compact(std::move(snapshot));
+    return this->log.dropBefore(this->raft.firstIndex());
+}
+
 } // namespace samphirebridge::consensus
--- /dev/null
+++ b/source/samphirebridge/consensus/leadership.cpp
@@ -0,0 +1,223 @@
+#include "samphirebridge/consensus/leadership.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace samphirebridge::consensus
+{
+
+using core::ErrorCode;
+using core::makeError;
+
+Leadership::Leadership(NodeState &state)
+    : state(state)
+    , replicator(state)
+    , firstIndex(state.append(proto::NOOP, {}))
+    , nextHeartbeat(state.now + state.settings.heartbeatInterval)
+{
+}
+
+bool Leadership::tick()
+{
+    const core::TimePoint now = this->state.now;
+    const core::TimePoint heard = this->replicator.quorumHeard(now);
+    if (heard + this->state.settings.electionTimeoutMinimum <= now) {
+        return false;
+    }
+    if (this->handover && now >= this->handover->deadline) {
+        this->handover.reset();
+    }
+    if (now < this->nextHeartbeat) {
+        return true;
+    }
+    this->nextHeartbeat = now + this->state.settings.heartbeatInterval;
+    this->replicator.heartbeat();
+    if (this->handover) {
+        this->handover->messageDue = true;
+    }
+    this->workPending = true;
+    return true;
+}
+
+absl::StatusOr<uint64_t> Leadership::propose(std::string_view data)
+{
+    if (this->handover) {
+        return makeError(ErrorCode::LeadershipLost,
+                         fmt::format("found leadership being handed to {}; accepted are proposals "
+                                     "to the next leader",
+                                     this->handover->to));
+    }
+    const RaftLog &log = this->state.log;
+    if (log.lastIndex() - log.commitIndex() >= this->state.settings.maximumUncommittedEntries) {
+        return makeError(ErrorCode::NoQuorum,
+                         fmt::format("found {} entries without a quorum; accepted are up to {}",
+                                     log.lastIndex() - log.commitIndex(),
+                                     this->state.settings.maximumUncommittedEntries));
+    }
+    this->workPending = true;
+    return this->state.append(proto::COMMAND, data);
+}
+
+absl::StatusOr<uint64_t> Leadership::changeVoters(const MemberChange &change)
+{
+    // Without a committed entry of its own term, a leader could change on top of a change that it
+    // does not know, and two quorums would not meet.
+    if (!this->hasCommittedTerm()
+        || this->state.members.latestIndex() > this->state.log.commitIndex()) {
+        return makeError(ErrorCode::ConfigurationChangePending,
+                         "found an earlier change not committed; accepted is one at a time");
+    }
+    const absl::StatusOr<proto::Configuration> next = changed(this->state.members.latest(), change);
+    if (!next.ok()) {
+        return next.status();
+    }
+    if (change.kind == MemberChangeKind::Promote && !this->isCaughtUp(change.member)) {
+        return makeError(ErrorCode::ConfigurationChangePending,
+                         fmt::format("learner {}: found it behind the log; accepted is one that "
+                                     "lacks at most {} entries",
+                                     change.member,
+                                     this->state.settings.promotionLag));
+    }
+    const uint64_t index = this->state.append(proto::CONFIGURATION, next->SerializeAsString());
+    this->replicator.reconfigure();
+    this->workPending = true;
+    return index;
+}
+
+void Leadership::requestRead(ReadId id)
+{
+    this->reads.add(id);
+    this->workPending = true;
+}
+
+absl::Status Leadership::transfer(std::string_view to)
+{
+    if (to == this->state.self() || !isVoter(this->state.members.latest(), to)) {
+        return makeError(
+            ErrorCode::UnknownMember,
+            fmt::format("member {}: found no such other voter; accepted is another voter", to));
+    }
+    this->handover = Transfer{
+        .to = std::string(to),
+        .deadline = this->state.now + this->state.settings.electionTimeoutMinimum,
+    };
+    this->workPending = true;
+    return absl::OkStatus();
+}
+
+void Leadership::handleAppendReply(const proto::RaftMessage &message)
+{
+    this->workPending |= this->replicator.handleAppendReply(message);
+}
+
+void Leadership::handleSnapshotReply(const proto::RaftMessage &message)
+{
+    this->workPending |= this->replicator.handleSnapshotReply(message);
+}
+
+void Leadership::wake()
+{
+    this->workPending = true;
+}
+
+bool Leadership::hasWork() const
+{
+    return this->workPending;
+}
+
+bool Leadership::prepare(std::vector<ConfirmedRead> &confirmed)
+{
+    this->workPending = false;
+    this->advanceCommit();
+    if (this->reads.beginRound()) {
+        this->replicator.requestBroadcast();
+    }
+    this->replicator.send(this->reads.round());
+    this->continueTransfer();
+    if (this->hasCommittedTerm()) {
+        const uint64_t round = this->replicator.quorumRound(this->reads.round());
+        confirmed = this->reads.confirm(round, this->state.log.commitIndex());
+    }
+    if (!this->wasRemoved()) {
+        return true;
+    }
+    this->sendTimeoutNow(this->replicator.mostAdvancedVoter());
+    return false;
+}
+
+void Leadership::advanceCommit()
+{
+    const uint64_t before = this->state.log.commitIndex();
+    const uint64_t index = this->replicator.quorumMatch(this->state.log.persistedIndex());
+    // An entry of an earlier term is not committed by counting: a later leader may replace it.
+    if (index <= before || this->state.log.termAt(index) != this->state.term()) {
+        return;
+    }
+    this->state.log.commitTo(index);
+    const uint64_t changedAt = this->state.members.latestIndex();
+    if (changedAt > before && changedAt <= index) {
+        this->replicator.requestBroadcast();
+    }
+}
+
+bool Leadership::wasRemoved() const
+{
+    return !this->state.hasVote()
+           && this->state.members.latestIndex() <= this->state.log.commitIndex();
+}
+
+void Leadership::sendTimeoutNow(std::string_view to)
+{
+    if (!to.empty()) {
+        this->state.send(to).mutable_timeout_now();
+    }
+}
+
+void Leadership::continueTransfer()
+{
+    if (!this->handover || !this->handover->messageDue) {
+        return;
+    }
+    const Progress *const progress = this->replicator.find(this->handover->to);
+    if (progress == nullptr) {
+        this->handover.reset();
+        return;
+    }
+    if (progress->matchIndex() == this->state.log.lastIndex()) {
+        this->handover->messageDue = false;
+        this->sendTimeoutNow(this->handover->to);
+    }
+}
+
+std::vector<ReadId> Leadership::end()
+{
+    return this->reads.fail();
+}
+
+bool Leadership::hasCommittedTerm() const
+{
+    return this->state.log.commitIndex() >= this->firstIndex;
+}
+
+bool Leadership::isCaughtUp(std::string_view member) const
+{
+    const Progress *const progress = this->replicator.find(member);
+    if (progress == nullptr) {
+        return false;
+    }
+    const RaftSettings &settings = this->state.settings;
+    return progress->matchIndex() + settings.promotionLag >= this->state.log.lastIndex()
+           && progress->matchIndex() > 0
+           && progress->lastHeard() + settings.electionTimeoutMinimum > this->state.now;
+}
+
+core::TimePoint Leadership::lastHeard(std::string_view member) const
+{
+    const Progress *const progress = this->replicator.find(member);
+    return progress == nullptr ? core::TimePoint() : progress->lastHeard();
+}
+
+} // namespace samphirebridge::consensus
--- /dev/null
+++ b/source/samphirebridge/consensus/memberhistory.cpp
@@ -0,0 +1,169 @@
+#include "samphirebridge/consensus/memberhistory.h"
+
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/core/ids.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace samphirebridge::consensus
+{
+
+namespace
+{
+
+using Names = google::protobuf::RepeatedPtrField<std::string>;
+
+bool contains(const Names &names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+void removeName(Names &names, std::string_view name)
+{
+    names.erase(std::remove(names.begin(), names.end(), name), names.end());
+}
+
+absl::Status unfit(std::string_view member, std::string_view found, std::string_view accepted)
+{
+    return core::makeError(
+        core::ErrorCode::InvalidRequest,
+        fmt::format("member {}: found {}; accepted is {}", member, found, accepted));
+}
+
+absl::StatusOr<proto::Configuration> withLearner(proto::Configuration configuration,
+                                                 const std::string &member)
+{
+    if (absl::Status status = core::checkName(member); !status.ok()) {
+        return status;
+    }
+    if (isVoter(configuration, member) || isLearner(configuration, member)) {
+        return unfit(member, "a present member to be added", "a name that is not in use");
+    }
+    configuration.add_learners(member);
+    return configuration;
+}
+
+absl::StatusOr<proto::Configuration> withPromoted(proto::Configuration configuration,
+                                                  const std::string &member)
+{
+    if (isVoter(configuration, member)) {
+        return unfit(member, "a voter to be promoted", "a learner");
+    }
+    if (!isLearner(configuration, member)) {
+        return core::makeError(
+            core::ErrorCode::UnknownMember,
+            fmt::format("member {}: found no such learner; accepted is one that was added",
+                        member));
+    }
+    removeName(*configuration.mutable_learners(), member);
+    configuration.add_voters(member);
+    return configuration;
+}
+
+absl::StatusOr<proto::Configuration> withRemoved(proto::Configuration configuration,
+                                                 const std::string &member)
+{
+    if (!isVoter(configuration, member) && !isLearner(configuration, member)) {
+        return core::makeError(
+            core::ErrorCode::UnknownMember,
+            fmt::format("member {}: found no such member; accepted is a voter or a learner",
+                        member));
+    }
+    removeName(*configuration.mutable_learners(), member);
+    removeName(*configuration.mutable_voters(), member);
+    if (configuration.voters().empty()) {
+        return unfit(member, "the last voter to be removed", "a group that keeps a voter");
+    }
+    return configuration;
+}
+
+} // namespace
+
+bool isVoter(const proto::Configuration &configuration, std::string_view member)
+{
+    return contains(configuration.voters(), member);
+}
+
+bool isLearner(const proto::Configuration &configuration, std::string_view member)
+{
+    return contains(configuration.learners(), member);
+}
+
+size_t quorumOf(const proto::Configuration &configuration)
+{
+    return static_cast<size_t>(configuration.voters_size()) / 2 + 1;
+}
+
+absl::StatusOr<proto::Configuration> changed(const proto::Configuration &configuration,
+                                             const MemberChange &change)
+{
+    switch (change.kind) {
+    case MemberChangeKind::AddLearner:
+        return withLearner(configuration, change.member);
+    case MemberChangeKind::Promote:
+        return withPromoted(configuration, change.member);
+    case MemberChangeKind::Remove:
+        return withRemoved(configuration, change.member);
+    }
+    return core::makeError(core::ErrorCode::Internal, "found an unknown kind of member change");
+}
+
+MemberHistory::MemberHistory(uint64_t index, proto::Configuration configuration)
+{
+    this->restore(index, std::move(configuration));
+}
+
+const proto::Configuration &MemberHistory::latest() const
+{
+    return this->places.back().configuration;
+}
+
+uint64_t MemberHistory::latestIndex() const
+{
+    return this->places.back().index;
+}
+
+const proto::Configuration &MemberHistory::at(uint64_t index) const
+{
+    size_t place = this->places.size() - 1;
+    while (place > 0 && this->places[place].index > index) {
+        --place;
+    }
+    return this->places[place].configuration;
+}
+
+void MemberHistory::add(const proto::LogEntry &entry)
+{
+    if (entry.kind() != proto::CONFIGURATION || entry.index() <= this->latestIndex()) {
+        return;
+    }
+    Place place{.index = entry.index(), .configuration = {}};
+    place.configuration.ParseFromString(entry.data());
+    this->places.push_back(std::move(place));
+}
+
+void MemberHistory::truncateFrom(uint64_t index)
+{
+    while (this->places.size() > 1 && this->places.back().index >= index) {
+        this->places.pop_back();
+    }
+}
+
+void MemberHistory::compact(uint64_t index)
+{
+    while (this->places.size() > 1 && this->places[1].index <= index) {
+        this->places.erase(this->places.begin());
+    }
+}
+
+void MemberHistory::restore(uint64_t index, proto::Configuration configuration)
+{
+    this->places.clear();
+    this->places.push_back({.index = index, .configuration = std::move(configuration)});
+}
+
+} // namespace samphirebridge::consensus
--- a/source/samphirebridge/consensus/raftnode.h
+++ b/source/samphirebridge/consensus/raftnode.h
@@ -5,6 +5,7 @@
 #include "samphirebridge/consensus/memberchange.h"
 #include "samphirebridge/consensus/raftsettings.h"
 #include "samphirebridge/consensus/ready.h"
+#include "samphirebridge/consensus/role.h"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -16,16 +17,6 @@
 namespace samphirebridge::consensus
 {
 
-enum class Role : uint8_t {
-    Follower,
-    PreCandidate, // Asks whether it would get votes, without raising the term.
-    Candidate,
-    Leader,
-};
-
-// Returns the role's stable name in snake_case.
-std::string_view roleName(Role role);
-
 // One member of one group.
 class RaftNode
 {
--- /dev/null
+++ b/source/samphirebridge/consensus/snapshotassembly.cpp
@@ -0,0 +1,40 @@
+#include "samphirebridge/consensus/snapshotassembly.h"
+
+#include <utility>
+
+namespace samphirebridge::consensus
+{
+
+std::optional<Snapshot> SnapshotAssembly::add(const std::string &from,
+                                              const proto::InstallSnapshot &chunk)
+{
+    if (!this->continues(from, chunk)) {
+        this->sender = from;
+        this->meta = chunk.meta();
+        this->data.clear();
+    }
+    if (chunk.offset() != this->data.size()) {
+        return std::nullopt;
+    }
+    this->data.append(chunk.data());
+    if (!chunk.last()) {
+        return std::nullopt;
+    }
+    Snapshot whole;
+    whole.meta = std::exchange(this->meta, {});
+    whole.data = std::make_shared<const std::string>(std::exchange(this->data, {}));
+    return whole;
+}
+
+uint64_t SnapshotAssembly::offset() const
+{
+    return this->data.size();
+}
+
+bool SnapshotAssembly::continues(const std::string &from, const proto::InstallSnapshot &chunk) const
+{
+    return this->sender == from && this->meta.index() == chunk.meta().index()
+           && this->meta.term() == chunk.meta().term();
+}
+
+} // namespace samphirebridge::consensus
--- /dev/null
+++ b/source/samphirebridge/storage/filestorage.cpp
@@ -0,0 +1,309 @@
+#include "samphirebridge/storage/filestorage.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <filesystem>
+#include <system_error>
+#include <utility>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace samphirebridge::storage
+{
+
+namespace
+{
+
+constexpr mode_t FileMode = 0640;
+
+absl::Status systemError(core::ErrorCode code, std::string_view action, std::string_view path)
+{
+    const std::string reason = std::generic_category().message(errno);
+    return core::makeError(code, fmt::format("{}: {} failed: {}", path, action, reason));
+}
+
+absl::Status unavailable(std::string_view action, std::string_view path)
+{
+    return systemError(core::ErrorCode::StorageUnavailable, action, path);
+}
+
+absl::Status earlierSyncFailed(std::string_view folder)
+{
+    return core::makeError(
+        core::ErrorCode::SyncFailed,
+        fmt::format("{}: found an earlier sync failed; the process has to end", folder));
+}
+
+// Repeats a call that a signal interrupted.
+template <typename Call>
+auto retryInterrupted(Call call)
+{
+    auto result = call();
+    while (result < 0 && errno == EINTR) {
+        result = call();
+    }
+    return result;
+}
+
+} // namespace
+
+absl::StatusOr<FileStorage> FileStorage::open(std::string_view folder)
+{
+    const std::string path(folder);
+    const int descriptor = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0 && (errno == ENOENT || errno == ENOTDIR)) {
+        return core::makeError(
+            core::ErrorCode::DataFolderMissing,
+            fmt::format("{}: found no such folder; accepted is an existing one", folder));
+    }
+    if (descriptor < 0) {
+        return unavailable("opening the data folder", folder);
+    }
+    FileStorage storage(folder, descriptor);
+    if (::flock(descriptor, LOCK_EX | LOCK_NB) != 0) {
+        return unavailable("locking the data folder, which another process may have open,", folder);
+    }
+    return storage;
+}
+
+FileStorage::FileStorage(std::string_view folder, int folderDescriptor)
+    : folder(folder)
+    , folderDescriptor(folderDescriptor)
+{
+}
+
+FileStorage::FileStorage(FileStorage &&other) noexcept
+    : folder(std::move(other.folder))
+    , folderDescriptor(std::exchange(other.folderDescriptor, -1))
+    , syncFailed(other.syncFailed)
+    , descriptors(std::exchange(other.descriptors, {}))
+{
+}
+
+FileStorage &FileStorage::operator=(FileStorage &&other) noexcept
+{
+    if (this == &other) {
+        return *this;
+    }
+    this->closeAll();
+    this->folder = std::move(other.folder);
+    this->folderDescriptor = std::exchange(other.folderDescriptor, -1);
+    this->syncFailed = other.syncFailed;
+    this->descriptors = std::exchange(other.descriptors, {});
+    return *this;
+}
+
+FileStorage::~FileStorage()
+{
+    this->closeAll();
+}
+
+void FileStorage::closeAll()
+{
+    for (const auto &[name, descriptor] : this->descriptors) {
+        ::close(descriptor);
+    }
+    this->descriptors.clear();
+    if (this->folderDescriptor >= 0) {
+        ::close(std::exchange(this->folderDescriptor, -1));
+    }
+}
+
+void FileStorage::forget(std::string_view name)
+{
+    const auto place = this->descriptors.find(std::string(name));
+    if (place == this->descriptors.end()) {
+        return;
+    }
+    ::close(place->second);
+    this->descriptors.erase(place);
+}
+
+std::string FileStorage::pathOf(std::string_view name) const
+{
+    return fmt::format("{}/{}", this->folder, name);
+}
+
+absl::StatusOr<int> FileStorage::descriptorOf(std::string_view name)
+{
+    std::string key(name);
+    const auto place = this->descriptors.find(key);
+    if (place != this->descriptors.end()) {
+        return place->second;
+    }
+    const int descriptor = ::openat(
+        this->folderDescriptor, key.c_str(), O_RDWR | O_APPEND | O_CREAT | O_CLOEXEC, FileMode);
+    if (descriptor < 0) {
+        return unavailable("opening", this->pathOf(name));
+    }
+    this->descriptors.emplace(std::move(key), descriptor);
+    return descriptor;
+}
+
+absl::Status FileStorage::append(std::string_view name, std::string_view bytes)
+{
+    if (this->syncFailed) {
+        return earlierSyncFailed(this->folder);
+    }
+    const absl::StatusOr<int> descriptor = this->descriptorOf(name);
+    if (!descriptor.ok()) {
+        return descriptor.status();
+    }
+    while (!bytes.empty()) {
+        const ssize_t written
+            = retryInterrupted([&] { return ::write(*descriptor, bytes.data(), bytes.size()); });
+        if (written < 0) {
+            return unavailable("writing", this->pathOf(name));
+        }
+        bytes.remove_prefix(static_cast<size_t>(written));
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<std::string> FileStorage::read(std::string_view name)
+{
+    const std::string key(name);
+    const int descriptor = ::openat(this->folderDescriptor, key.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0) {
+        return unavailable("opening", this->pathOf(name));
+    }
+    struct stat status = {};
+    std::string bytes;
+    if (::fstat(descriptor, &status) == 0) {
+        bytes.resize(static_cast<size_t>(status.st_size));
+    }
+    size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t count = retryInterrupted(
+            [&] { return ::read(descriptor, bytes.data() + done, bytes.size() - done); });
+        if (count < 0) {
+            absl::Status error = unavailable("reading", this->pathOf(name));
+            ::close(descriptor);
+            return error;
+        }
+        if (count == 0) {
+            break;
+        }
+        done += static_cast<size_t>(count);
+    }
+    ::close(descriptor);
+    bytes.resize(done);
+    return bytes;
+}
+
+absl::StatusOr<bool> FileStorage::exists(std::string_view name)
+{
+    const std::string key(name);
+    if (::faccessat(this->folderDescriptor, key.c_str(), F_OK, 0) == 0) {
+        return true;
+    }
+    if (errno == ENOENT) {
+        return false;
+    }
+    return unavailable("looking for", this->pathOf(name));
+}
+
+absl::Status FileStorage::sync(std::string_view name)
+{
+    if (this->syncFailed) {
+        return earlierSyncFailed(this->folder);
+    }
+    const absl::StatusOr<int> descriptor = this->descriptorOf(name);
+    if (!descriptor.ok()) {
+        return descriptor.status();
+    }
+    if (::fdatasync(*descriptor) != 0) {
+        // The kernel may have dropped the pages that it could not write, so a second try that
+        // succeeds would prove nothing.
+        this->syncFailed = true;
+        return systemError(core::ErrorCode::SyncFailed, "sync", this->pathOf(name));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::syncFolder()
+{
+    if (this->syncFailed) {
+        return earlierSyncFailed(this->folder);
+    }
+    if (::fsync(this->folderDescriptor) != 0) {
+        this->syncFailed = true;
+        return systemError(core::ErrorCode::SyncFailed, "sync", this->folder);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::rename(std::string_view from, std::string_view to)
+{
+    if (this->syncFailed) {
+        return earlierSyncFailed(this->folder);
+    }
+    this->forget(from);
+    this->forget(to);
+    const std::string oldName(from);
+    const std::string newName(to);
+    const int result = ::renameat(
+        this->folderDescriptor, oldName.c_str(), this->folderDescriptor, newName.c_str());
+    if (result != 0) {
+        return unavailable("renaming", this->pathOf(from));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::truncate(std::string_view name, uint64_t length)
+{
+    if (this->syncFailed) {
+        return earlierSyncFailed(this->folder);
+    }
+    const absl::StatusOr<int> descriptor = this->descriptorOf(name);
+    if (!descriptor.ok()) {
+        return descriptor.status();
+    }
+    if (::ftruncate(*descriptor, static_cast<off_t>(length)) != 0) {
+        return unavailable("truncating", this->pathOf(name));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::remove(std::string_view name)
+{
+    if (this->syncFailed) {
+        return earlierSyncFailed(this->folder);
+    }
+    this->forget(name);
+    const std::string key(name);
+    if (::unlinkat(this->folderDescriptor, key.c_str(), 0) != 0 && errno != ENOENT) {
+        return unavailable("removing", this->pathOf(name));
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<std::vector<std::string>> FileStorage::list()
+{
+    std::error_code error;
+    std::vector<std::string> found;
+    for (std::filesystem::directory_iterator entry(this->folder, error), end;
+         !error && entry != end;
+         entry.increment(error)) {
+        std::string name = entry->path().filename().string();
+        if (!name.starts_with('.')) {
+            found.push_back(std::move(name));
+        }
+    }
+    if (error) {
+        return core::makeError(
+            core::ErrorCode::StorageUnavailable,
+            fmt::format("{}: listing failed: {}", this->folder, error.message()));
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+} // namespace samphirebridge::storage
--- a/source/samphirebridge/storage/log.h
+++ b/source/samphirebridge/storage/log.h
@@ -1,6 +1,9 @@
 // Raft's log on disk: segments of framed, checksummed entries.
 #pragma once
 
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/storage/framing.h"
+#include "samphirebridge/storage/logsegment.h"
 #include "samphirebridge/storage/storage.h"
 
 #include "consensus.pb.h"
@@ -8,10 +11,14 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <fmt/format.h>
+
 #include <cstdint>
+#include <deque>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace samphirebridge::storage
@@ -28,16 +35,19 @@
 class Log
 {
 public:
-    // Reads all segments. A torn tail at the end of the last segment, left by a crash, is cut off.
-    // StorageCorrupt, with file and offset, for a hole or damage before it. The storage outlives
-    // the log.
+    // Reads all segments and makes durable what it found. A torn tail at the end of the last
+    // segment, left by a crash, is cut off. StorageCorrupt, with file and offset, for a hole or
+    // damage before it. The storage outlives the log.
     static absl::StatusOr<Log> open(Storage &storage, LogSettings settings);
 
     // Moves out the entries that open() found.
-    std::vector<proto::LogEntry> takeEntries();
+    std::vector<proto::LogEntry> takeEntries()
+    {
+        return std::exchange(this->entries, {});
+    }
 
     // Adds entries after the last one. Internal if the first does not follow it.
-    absl::Status append(std::span<const proto::LogEntry> entries);
+    absl::Status append(std::span<const proto::LogEntry> added);
 
     // Removes the entries from `index` on; durable at once.
     absl::Status truncateFrom(uint64_t index);
@@ -52,8 +62,229 @@
     absl::Status reset(uint64_t next);
 
     // The first and the last index stored; lastIndex() is firstIndex() - 1 in an empty log.
-    [[nodiscard]] uint64_t firstIndex() const;
-    [[nodiscard]] uint64_t lastIndex() const;
+    [[nodiscard]] uint64_t firstIndex() const
+    {
+        return this->segments.empty() ? 1 : this->segments.front().firstIndex;
+    }
+    [[nodiscard]] uint64_t lastIndex() const
+    {
+        return this->segments.empty() ? 0 : this->segments.back().nextIndex() - 1;
+    }
+    // Tells whether there is not even an empty segment.
+    [[nodiscard]] bool isMissing() const
+    {
+        return this->segments.empty();
+    }
+
+private:
+    Log(Storage &storage, LogSettings settings)
+        : storage(&storage)
+        , settings(settings)
+    {
+    }
+
+    absl::Status readSegments();
+    absl::Status readSegment(const std::string &name, bool isLast);
+    absl::Status startSegment(uint64_t firstIndex);
+    absl::Status write(std::string &bytes);
+    absl::Status removeSegment(const LogSegment &segment);
+
+    Storage *storage;
+    LogSettings settings;
+    std::deque<LogSegment> segments;
+    std::vector<proto::LogEntry> entries;
+    bool folderChanged = false;
 };
 
+template <Storage Storage>
+absl::StatusOr<Log<Storage>> Log<Storage>::open(Storage &storage, LogSettings settings)
+{
+    Log log(storage, settings);
+    // What an earlier process wrote may be readable without being durable; from here on it counts.
+    if (absl::Status status = storage.syncFolder(); !status.ok()) {
+        return status;
+    }
+    if (absl::Status status = log.readSegments(); !status.ok()) {
+        return status;
+    }
+    return log;
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::readSegments()
+{
+    const absl::StatusOr<std::vector<std::string>> names = this->storage->list();
+    if (!names.ok()) {
+        return names.status();
+    }
+    std::vector<std::string> found;
+    for (const std::string &name : *names) {
+        if (firstIndexOfSegment(name)) {
+            found.push_back(name);
+        }
+    }
+    for (const std::string &name : found) {
+        if (absl::Status status = this->readSegment(name, name == found.back()); !status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::readSegment(const std::string &name, bool isLast)
+{
+    const absl::StatusOr<std::string> bytes = this->storage->read(name);
+    if (!bytes.ok()) {
+        return bytes.status();
+    }
+    if (!this->segments.empty() && this->segments.back().nextIndex() != firstIndexOfSegment(name)) {
+        return corruptFile(
+            name, 0, fmt::format("a hole: the segment before ends at index {}", this->lastIndex()));
+    }
+    LogSegment segment = LogSegment::startingAt(*firstIndexOfSegment(name));
+    const TailRule rule = isLast ? TailRule::MayBeTorn : TailRule::Whole;
+    if (absl::Status status = segment.parse(*bytes, rule, this->entries); !status.ok()) {
+        return status;
+    }
+    if (segment.bytes < bytes->size()) {
+        absl::Status status = this->storage->truncate(name, segment.bytes);
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    this->segments.push_back(std::move(segment));
+    return isLast ? this->storage->sync(name) : absl::OkStatus();
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::startSegment(uint64_t firstIndex)
+{
+    LogSegment segment = LogSegment::startingAt(firstIndex);
+    if (absl::Status status = this->storage->append(segment.name, {}); !status.ok()) {
+        return status;
+    }
+    this->folderChanged = true;
+    this->segments.push_back(std::move(segment));
+    return absl::OkStatus();
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::write(std::string &bytes)
+{
+    absl::Status status = this->storage->append(this->segments.back().name, bytes);
+    bytes.clear();
+    return status;
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::append(std::span<const proto::LogEntry> added)
+{
+    std::string bytes;
+    for (const proto::LogEntry &entry : added) {
+        if (entry.index() != this->lastIndex() + 1) {
+            return core::makeError(core::ErrorCode::Internal,
+                                   fmt::format("found entry {} to append; accepted is {}",
+                                               entry.index(),
+                                               this->lastIndex() + 1));
+        }
+        if (!this->segments.empty() && this->segments.back().bytes >= settings.segmentBytes) {
+            if (absl::Status status = this->write(bytes); !status.ok()) {
+                return status;
+            }
+            // Only the last segment may be torn, so this one is made durable before the next.
+            if (absl::Status status = this->sync(); !status.ok()) {
+                return status;
+            }
+        }
+        if (this->segments.empty() || this->segments.back().bytes >= settings.segmentBytes) {
+            if (absl::Status status = this->startSegment(entry.index()); !status.ok()) {
+                return status;
+            }
+        }
+        if (absl::Status status = this->segments.back().add(entry, bytes); !status.ok()) {
+            return status;
+        }
+    }
+    return bytes.empty() ? absl::OkStatus() : this->write(bytes);
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::sync()
+{
+    if (this->segments.empty()) {
+        return absl::OkStatus();
+    }
+    LogSegment &last = this->segments.back();
+    if (last.syncedBytes < last.bytes) {
+        if (absl::Status status = this->storage->sync(last.name); !status.ok()) {
+            return status;
+        }
+        last.syncedBytes = last.bytes;
+    }
+    if (!this->folderChanged) {
+        return absl::OkStatus();
+    }
+    this->folderChanged = false;
+    return this->storage->syncFolder();
+}
+
+// One name at a time is made durable, so that a crash leaves no hole between the segments.
+template <Storage Storage>
+absl::Status Log<Storage>::removeSegment(const LogSegment &segment)
+{
+    if (absl::Status status = this->storage->remove(segment.name); !status.ok()) {
+        return status;
+    }
+    return this->storage->syncFolder();
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::truncateFrom(uint64_t index)
+{
+    if (index > this->lastIndex()) {
+        return absl::OkStatus();
+    }
+    while (this->segments.size() > 1 && this->segments.back().firstIndex >= index) {
+        if (absl::Status status = this->removeSegment(this->segments.back()); !status.ok()) {
+            return status;
+        }
+        this->segments.pop_back();
+    }
+    LogSegment &last = this->segments.back();
+    last.truncateFrom(index);
+    if (absl::Status status = this->storage->truncate(last.name, last.bytes); !status.ok()) {
+        return status;
+    }
+    return this->storage->sync(last.name);
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::dropBefore(uint64_t index)
+{
+    while (this->segments.size() > 1 && this->segments[1].firstIndex <= index) {
+        if (absl::Status status = this->removeSegment(this->segments.front()); !status.ok()) {
+            return status;
+        }
+        this->segments.pop_front();
+    }
+    return absl::OkStatus();
+}
+
+template <Storage Storage>
+absl::Status Log<Storage>::reset(uint64_t next)
+{
+    while (!this->segments.empty()) {
+        if (absl::Status status = this->removeSegment(this->segments.back()); !status.ok()) {
+            return status;
+        }
+        this->segments.pop_back();
+    }
+    this->entries.clear();
+    if (absl::Status status = this->startSegment(next); !status.ok()) {
+        return status;
+    }
+    return this->sync();
+}
+
 } // namespace samphirebridge::storage
--- /dev/null
+++ b/source/samphirebridge/storage/logsegment.cpp
@@ -0,0 +1,93 @@
+#include "samphirebridge/storage/logsegment.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace samphirebridge::storage
+{
+
+namespace
+{
+
+constexpr std::string_view Prefix = "log-";
+constexpr std::string_view Suffix = ".segment";
+
+} // namespace
+
+std::optional<uint64_t> firstIndexOfSegment(std::string_view fileName)
+{
+    if (!fileName.starts_with(Prefix) || !fileName.ends_with(Suffix)
+        || fileName.size() <= Prefix.size() + Suffix.size()) {
+        return std::nullopt;
+    }
+    const std::string_view digits
+        = fileName.substr(Prefix.size(), fileName.size() - Prefix.size() - Suffix.size());
+    uint64_t index = 0;
+    const char *const end = digits.data() + digits.size();
+    const auto parsed = std::from_chars(digits.data(), end, index);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return index;
+}
+
+LogSegment LogSegment::startingAt(uint64_t firstIndex)
+{
+    LogSegment segment;
+    segment.firstIndex = firstIndex;
+    segment.name = fmt::format("{}{:020}{}", Prefix, firstIndex, Suffix);
+    return segment;
+}
+
+absl::Status
+LogSegment::parse(std::string_view content, TailRule rule, std::vector<proto::LogEntry> &entries)
+{
+    const absl::StatusOr<ScannedFile> scanned = scanFrames(this->name, content, rule);
+    if (!scanned.ok()) {
+        return scanned.status();
+    }
+    for (const FramedRecord &record : scanned->records) {
+        proto::LogEntry entry;
+        const int length = static_cast<int>(record.payload.size());
+        if (!entry.ParseFromArray(record.payload.data(), length)) {
+            return corruptFile(this->name, record.offset, "a record that is no log entry");
+        }
+        if (entry.index() != this->nextIndex()) {
+            return corruptFile(
+                this->name,
+                record.offset,
+                fmt::format("a hole: entry {} in place of {}", entry.index(), this->nextIndex()));
+        }
+        this->offsets.push_back(record.offset);
+        entries.push_back(std::move(entry));
+    }
+    this->bytes = scanned->wholeBytes;
+    this->syncedBytes = scanned->wholeBytes;
+    return absl::OkStatus();
+}
+
+absl::Status LogSegment::add(const proto::LogEntry &entry, std::string &out)
+{
+    const size_t before = out.size();
+    absl::Status status = appendFrame(out, entry.SerializeAsString(), this->syncedBytes);
+    if (!status.ok()) {
+        return status;
+    }
+    this->offsets.push_back(this->bytes);
+    this->bytes += out.size() - before;
+    return status;
+}
+
+void LogSegment::truncateFrom(uint64_t index)
+{
+    if (index >= this->nextIndex()) {
+        return;
+    }
+    const uint64_t kept = index > this->firstIndex ? index - this->firstIndex : 0;
+    this->bytes = this->offsets[kept];
+    this->offsets.resize(kept);
+    this->syncedBytes = this->bytes;
+}
+
+} // namespace samphirebridge::storage
--- a/source/samphirebridge/storage/memberidentity.h
+++ b/source/samphirebridge/storage/memberidentity.h
@@ -2,6 +2,9 @@
 // content gets a name of a new generation.
 #pragma once
 
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/core/ids.h"
+#include "samphirebridge/storage/recordfile.h"
 #include "samphirebridge/storage/storage.h"
 
 #include <absl/status/status.h>
@@ -26,13 +29,47 @@
 class MemberIdentity
 {
 public:
-    explicit MemberIdentity(Storage &storage);
+    // Its file in the data folder.
+    static constexpr std::string_view FileName = "member";
+
+    explicit MemberIdentity(Storage &storage)
+        : storage(storage)
+    {
+    }
 
     // Returns the name, or nothing in a folder that was never initialised. StorageCorrupt.
-    absl::StatusOr<std::optional<std::string>> load();
+    absl::StatusOr<std::optional<std::string>> load()
+    {
+        return loadRecordFile(this->storage, FileName);
+    }
 
     // Writes the name, durable on return. InvalidName; StorageCorrupt if another name is there.
-    absl::Status save(std::string_view member);
+    absl::Status save(std::string_view member)
+    {
+        if (absl::Status status = core::checkName(member); !status.ok()) {
+            return status;
+        }
+        const absl::StatusOr<std::optional<std::string>> present = this->load();
+        if (!present.ok()) {
+            return present.status();
+        }
+        if (!*present) {
+            return saveRecordFile(this->storage, FileName, member);
+        }
+        if (**present != member) {
+            return core::makeError(
+                core::ErrorCode::StorageCorrupt,
+                fmt::format("file {}: found the member name {} in place of {}; a folder keeps its "
+                            "name for ever",
+                            FileName,
+                            **present,
+                            member));
+        }
+        return absl::OkStatus();
+    }
+
+private:
+    Storage &storage;
 };
 
 } // namespace samphirebridge::storage
--- /dev/null
+++ b/source/samphirebridge/storage/recordfile.h
@@ -0,0 +1,79 @@
+// Small files that are replaced as a whole, so that a crash leaves the old or the new content.
+#pragma once
+
+#include "samphirebridge/storage/framing.h"
+#include "samphirebridge/storage/storage.h"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <fmt/format.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace samphirebridge::storage
+{
+
+// Ends the names of files that were being written; they may be removed at any time.
+inline constexpr std::string_view TemporarySuffix = ".temporary";
+
+// Writes a temporary file, syncs it, renames it over the old one and syncs the folder.
+template <Storage Storage>
+absl::Status replaceFile(Storage &storage, std::string_view name, std::string_view bytes)
+{
+    const std::string temporary = fmt::format("{}{}", name, TemporarySuffix);
+    if (absl::Status status = storage.remove(temporary); !status.ok()) {
+        return status;
+    }
+    if (absl::Status status = storage.append(temporary, bytes); !status.ok()) {
+        return status;
+    }
+    if (absl::Status status = storage.sync(temporary); !status.ok()) {
+        return status;
+    }
+    if (absl::Status status = storage.rename(temporary, name); !status.ok()) {
+        return status;
+    }
+    return storage.syncFolder();
+}
+
+// Replaces the file by one framed record.
+template <Storage Storage>
+absl::Status saveRecordFile(Storage &storage, std::string_view name, std::string_view record)
+{
+    std::string bytes;
+    if (absl::Status status = appendFrame(bytes, record, 0); !status.ok()) {
+        return status;
+    }
+    return replaceFile(storage, name, bytes);
+}
+
+// Returns the file's one record, or nothing if the file is missing. StorageCorrupt.
+template <Storage Storage>
+absl::StatusOr<std::optional<std::string>> loadRecordFile(Storage &storage, std::string_view name)
+{
+    const absl::StatusOr<bool> exists = storage.exists(name);
+    if (!exists.ok()) {
+        return exists.status();
+    }
+    if (!*exists) {
+        return std::optional<std::string>();
+    }
+    const absl::StatusOr<std::string> bytes = storage.read(name);
+    if (!bytes.ok()) {
+        return bytes.status();
+    }
+    const absl::StatusOr<ScannedFile> scanned = scanFrames(name, *bytes, TailRule::Whole);
+    if (!scanned.ok()) {
+        return scanned.status();
+    }
+    if (scanned->records.size() != 1) {
+        return corruptFile(
+            name, 0, fmt::format("{} records in place of one", scanned->records.size()));
+    }
+    return std::optional<std::string>(std::string(scanned->records.front().payload));
+}
+
+} // namespace samphirebridge::storage
--- /dev/null
+++ b/tests/storage/filestoragetest.cpp
@@ -0,0 +1,99 @@
+#include "entries.h"
+
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/storage/filestorage.h"
+#include "samphirebridge/storage/log.h"
+#include "samphirebridge/storage/recordfile.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+
+using namespace samphirebridge;
+using namespace samphirebridge::storage;
+using samphirebridge::storage::tests::entriesBetween;
+
+namespace
+{
+
+// A new folder, removed at the end.
+class Folder
+{
+public:
+    Folder()
+    {
+        std::string pattern
+            = (std::filesystem::temp_directory_path() / "samphirebridge-XXXXXX").string();
+        REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+        this->path = pattern;
+    }
+    ~Folder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->path, ignored);
+    }
+    Folder(const Folder &) = delete;
+    Folder &operator=(const Folder &) = delete;
+
+    std::string path;
+};
+
+} // namespace
+
+TEST_CASE("files are appended to, read, renamed, cut, listed and removed")
+{
+    const Folder folder;
+    auto storage = FileStorage::open(folder.path);
+    REQUIRE(storage.ok());
+    REQUIRE(storage->append("b", "one ").ok());
+    REQUIRE(storage->append("b", "two").ok());
+    REQUIRE(storage->sync("b").ok());
+    REQUIRE(storage->syncFolder().ok());
+    CHECK(*storage->read("b") == "one two");
+    REQUIRE(storage->append("a", "old").ok());
+    REQUIRE(storage->rename("b", "a").ok());
+    CHECK(*storage->read("a") == "one two");
+    CHECK(*storage->list() == std::vector<std::string>{"a"});
+    REQUIRE(storage->truncate("a", 3).ok());
+    REQUIRE(storage->append("a", "!").ok());
+    CHECK(*storage->read("a") == "one!");
+    CHECK(*storage->exists("a"));
+    REQUIRE(storage->remove("a").ok());
+    REQUIRE(storage->remove("a").ok());
+    CHECK_FALSE(*storage->exists("a"));
+    CHECK(core::errorCodeOf(storage->read("a").status()) == core::ErrorCode::StorageUnavailable);
+}
+
+TEST_CASE("a missing data folder and one in use are typed errors")
+{
+    const Folder folder;
+    const absl::Status missing = FileStorage::open(folder.path + "/none").status();
+    CHECK(core::errorCodeOf(missing) == core::ErrorCode::DataFolderMissing);
+    const auto first = FileStorage::open(folder.path);
+    REQUIRE(first.ok());
+    const absl::Status locked = FileStorage::open(folder.path).status();
+    CHECK(core::errorCodeOf(locked) == core::ErrorCode::StorageUnavailable);
+}
+
+TEST_CASE("the log and the record files work on real files")
+{
+    const Folder folder;
+    auto storage = FileStorage::open(folder.path);
+    REQUIRE(storage.ok());
+    REQUIRE(saveRecordFile(*storage, "record", "content").ok());
+    CHECK(**loadRecordFile(*storage, "record") == "content");
+    {
+        auto log = Log<FileStorage>::open(*storage, {.segmentBytes = 100});
+        REQUIRE(log.ok());
+        REQUIRE(log->append(entriesBetween(1, 30)).ok());
+        REQUIRE(log->sync().ok());
+        REQUIRE(log->truncateFrom(20).ok());
+        REQUIRE(log->dropBefore(10).ok());
+    }
+    auto again = Log<FileStorage>::open(*storage, {.segmentBytes = 100});
+    REQUIRE(again.ok());
+    CHECK(again->lastIndex() == 19);
+    CHECK(again->firstIndex() <= 10);
+    CHECK(again->takeEntries().back().data() == "command 19");
+}
