--- a/source/samphirebridge/consensus/durablenode.h
+++ b/source/samphirebridge/consensus/durablenode.h
@@ -319,7 +319,7 @@
         return status;
     }
     this->snapshotIndex = this->applied;
-    this->raft.compact(std::move(snapshot));
+    this->raft.compact(snapshot);
     return this->log.dropBefore(this->raft.firstIndex());
 }
 
--- a/source/samphirebridge/consensus/raftnode.cpp
+++ b/source/samphirebridge/consensus/raftnode.cpp
@@ -294,7 +294,7 @@
     this->parts->persisted();
 }
 
-void RaftNode::compact(Snapshot snapshot)
+void RaftNode::compact(const Snapshot &snapshot)
 {
     NodeState &state = this->parts->state;
     state.log.compact(snapshot, state.settings.entriesKeptBehindSnapshot);
--- a/source/samphirebridge/consensus/raftnode.h
+++ b/source/samphirebridge/consensus/raftnode.h
@@ -71,7 +71,7 @@
     // Tells that the host has stored a snapshot of its state machine. Entries behind it are
     // dropped from memory, except for those kept for slow followers; followers behind that are
     // sent this snapshot.
-    void compact(Snapshot snapshot);
+    void compact(const Snapshot &snapshot);
 
     // Returns the place in the log and the configuration that a snapshot of a state machine that
     // applied entries up to `index` carries. `index` lies between the last snapshot and the commit
