--- /dev/null
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -0,0 +1,76 @@
+// Who the other instances are, which of them are in contact and which manifest is in force there.
+#pragma once
+
+#include "samphirebridge/core/time.h"
+#include "samphirebridge/membership/membershipoptions.h"
+#include "samphirebridge/membership/outgoing.h"
+
+#include <absl/container/btree_map.h>
+
+#include <span>
+#include <vector>
+
+namespace samphirebridge::membership
+{
+
+// One instance as this one sees it.
+struct InstanceView {
+    proto::InstanceRecord record;
+    // Whether a newer heartbeat arrived, directly or relayed, within contactTimeout.
+    bool inContact = false;
+};
+
+class InstanceDirectory
+{
+public:
+    // Incarnation is that of this process.
+    InstanceDirectory(core::InstanceId self,
+                      core::Incarnation incarnation,
+                      MembershipOptions options);
+
+    // Names the instances of the settings, so that the first heartbeats have somewhere to go.
+    void setKnown(std::span<const core::InstanceId> instances);
+
+    // Notes the manifest version in force here; the next heartbeat carries it.
+    void setManifestVersion(uint64_t version);
+
+    // Notes that this instance shuts down and returns the update that tells every peer at once.
+    std::vector<Outgoing> leave(core::TimePoint now);
+
+    // Returns the heartbeats that are due, also to peers out of contact, so that a healed partition
+    // is noticed. Call it at least every heartbeatEvery.
+    std::vector<Outgoing> tick(core::TimePoint now);
+
+    // Merges a peer's instance records. A lower incarnation or heartbeat is ignored.
+    void merge(const proto::MembershipUpdate &update, core::TimePoint now);
+
+    // Returns the instances in contact, without this one, leaving ones included, ordered by id.
+    [[nodiscard]] std::vector<core::InstanceId> peers(core::TimePoint now) const;
+
+    // Returns every instance heard of, this one included, ordered by id.
+    [[nodiscard]] std::vector<InstanceView> view(core::TimePoint now) const;
+
+    // Returns the instances in contact, this one included, whose manifest version is below the one
+    // given: those that an apply still waits for.
+    [[nodiscard]] std::vector<core::InstanceId> behind(uint64_t version, core::TimePoint now) const;
+
+private:
+    struct Entry {
+        proto::InstanceRecord record;
+        core::TimePoint heardAt;
+        bool heard = false;
+    };
+
+    [[nodiscard]] bool inContact(const Entry &entry, core::TimePoint now) const;
+    [[nodiscard]] std::vector<core::InstanceId> receivers();
+    [[nodiscard]] proto::MembershipUpdate heartbeat(core::TimePoint now) const;
+
+    core::InstanceId self;
+    MembershipOptions options;
+    proto::InstanceRecord own;
+    absl::btree_map<std::string, Entry> entries;
+    core::TimePoint lastBeat;
+    bool beaten = false;
+};
+
+} // namespace samphirebridge::membership
