membership: Add announcements, dissemination, expiry and anti-entropy

A change is pushed by whoever heard it; a renewal goes to three watchers found by rendezvous hashing; what is lost comes by a digest of 64 bucket checksums. GONE is the word of a watcher that heard nothing and can be refuted by whoever heard the same life since: ranking GONE above READY for good would have let one side of a partition remove a target that the other still hears. The messages MembershipUpdate gains `heard` and `relay` (additive): without `heard`, a duplicated push counted as a sign of life, and refutations of a dead target could have fed each other.

--- a/source/samphirebridge/membership/announcement.h
+++ b/source/samphirebridge/membership/announcement.h
@@ -21,4 +21,7 @@
 // the field, what was found and what would be accepted. The revision is ignored: instances set it.
 absl::Status checkTarget(const proto::TargetRecord &record);
 
+// The same for a record that a peer tells of, which may also be GONE.
+absl::Status checkRelayedTarget(const proto::TargetRecord &record);
+
 } // namespace samphirebridge::membership
--- a/source/samphirebridge/membership/crashdirectory.h
+++ b/source/samphirebridge/membership/crashdirectory.h
@@ -9,6 +9,7 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphirebridge::membership
@@ -50,6 +51,10 @@
     };
 
     bool store(const proto::CrashReport &report, core::TimePoint now);
+    void push(std::span<const proto::CrashReport> reports,
+              std::string_view source,
+              std::span<const core::InstanceId> peers,
+              std::vector<Outgoing> &outgoing) const;
 
     core::InstanceId self;
     MembershipOptions options;
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -7,7 +7,9 @@
 
 #include <absl/container/btree_map.h>
 
+#include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace samphirebridge::membership
@@ -29,13 +31,13 @@
                       MembershipOptions options);
 
     // Names the instances of the settings, so that the first heartbeats have somewhere to go.
-    void setKnown(std::span<const core::InstanceId> instances);
+    void setKnown(std::span<const core::InstanceId> instances, core::TimePoint now);
 
     // Notes the manifest version in force here; the next heartbeat carries it.
     void setManifestVersion(uint64_t version);
 
     // Notes that this instance shuts down and returns the update that tells every peer at once.
-    std::vector<Outgoing> leave(core::TimePoint now);
+    std::vector<Outgoing> leave();
 
     // Returns the heartbeats that are due, also to peers out of contact, so that a healed partition
     // is noticed. Call it at least every heartbeatEvery.
@@ -57,20 +59,24 @@
 private:
     struct Entry {
         proto::InstanceRecord record;
-        core::TimePoint heardAt;
-        bool heard = false;
+        std::optional<core::TimePoint> heardAt;
+        core::TimePoint listedAt; // When it was named or last heard.
+        uint32_t relays = 0; // Heartbeats of ours that carried this one on.
     };
 
+    // How much slower heartbeats are than in a fleet where everyone tells everyone.
+    [[nodiscard]] int64_t slowdown() const;
     [[nodiscard]] bool inContact(const Entry &entry, core::TimePoint now) const;
-    [[nodiscard]] std::vector<core::InstanceId> receivers();
-    [[nodiscard]] proto::MembershipUpdate heartbeat(core::TimePoint now) const;
+    [[nodiscard]] std::vector<core::InstanceId> receivers() const;
+    void relay(proto::MembershipUpdate &update);
 
     core::InstanceId self;
     MembershipOptions options;
     proto::InstanceRecord own;
     absl::btree_map<std::string, Entry> entries;
-    core::TimePoint lastBeat;
-    bool beaten = false;
+    std::optional<core::TimePoint> lastBeat;
+    std::optional<core::TimePoint> lastAdvance;
+    uint64_t round = 0;
 };
 
 } // namespace samphirebridge::membership
--- /dev/null
+++ b/source/samphirebridge/membership/targetdirectory.cpp
@@ -0,0 +1,353 @@
+#include "samphirebridge/membership/targetdirectory.h"
+
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/rendezvous.h"
+#include "samphirebridge/membership/announcement.h"
+#include "samphirebridge/membership/receivers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphirebridge::membership
+{
+
+namespace
+{
+
+// Set in the revision of a target that is or was leaving.
+constexpr uint64_t LeavingBit = uint64_t{1} << 62U;
+
+// While a part of the fleet is out of contact, silence is believed only after this multiple.
+constexpr int DoubtFactor = 2;
+
+uint64_t checksumOfContent(const proto::TargetRecord &record)
+{
+    proto::TargetRecord content = record;
+    content.clear_revision();
+    content.clear_load();
+    return core::checksumOf(content.SerializeAsString());
+}
+
+uint64_t nextRevision(uint64_t revision)
+{
+    return revision + 1;
+}
+
+bool hasLeft(uint64_t revision)
+{
+    return (revision & LeavingBit) != 0;
+}
+
+// Whether the state and the revision agree.
+bool isConsistent(const proto::TargetRecord &record)
+{
+    switch (record.state()) {
+    case proto::READY:
+        return !hasLeft(record.revision());
+    case proto::LEAVING:
+        return hasLeft(record.revision());
+    default:
+        return true;
+    }
+}
+
+} // namespace
+
+TargetDirectory::TargetDirectory(core::InstanceId self, MembershipOptions options)
+    : self(std::move(self))
+    , options(options)
+{
+}
+
+absl::StatusOr<AnnouncementEffect> TargetDirectory::announce(
+    const proto::TargetRecord &record, std::span<const core::InstanceId> peers, core::TimePoint now)
+{
+    if (absl::Status status = checkTarget(record); !status.ok()) {
+        return status;
+    }
+    AnnouncementEffect result;
+    const auto found = this->entries.find(record.id());
+    const bool known = found != this->entries.end();
+    if (known && record.incarnation() < found->second.record.incarnation()) {
+        return result;
+    }
+    proto::TargetRecord news = record;
+    std::sort(news.mutable_models()->begin(), news.mutable_models()->end());
+    const bool sameLife = known && record.incarnation() == found->second.record.incarnation();
+    const uint64_t revision = sameLife ? found->second.record.revision() : 0;
+    if (hasLeft(revision)) {
+        news.set_state(proto::LEAVING);
+    }
+    if (sameLife && checksumOfContent(news) == found->second.checksum) {
+        *found->second.record.mutable_load() = news.load();
+        found->second.heardAt = now;
+        found->second.waitFrom = now;
+        result.news = AnnouncementNews::Renewal;
+        result.effect.renewed.push_back(found->second.record);
+        this->forwardRenewal(found->second.record, peers, result.effect.outgoing);
+        return result;
+    }
+    const uint64_t leaving = news.state() == proto::LEAVING ? LeavingBit : 0;
+    news.set_revision(nextRevision(revision) | leaving);
+    Entry &entry = this->store(std::move(news), now);
+    entry.heardAt = now;
+    result.news = AnnouncementNews::Change;
+    result.effect.changed.push_back(entry.record);
+    this->push(result.effect.changed, Push{{}, true}, peers, result.effect.outgoing);
+    return result;
+}
+
+DirectoryEffect TargetDirectory::merge(const proto::MembershipUpdate &update,
+                                       std::span<const core::InstanceId> peers,
+                                       core::TimePoint now)
+{
+    DirectoryEffect effect;
+    std::vector<proto::TargetRecord> refuted;
+    for (const proto::TargetRecord &record : update.targets()) {
+        if (!checkRelayedTarget(record).ok() || !isConsistent(record)) {
+            ++this->droppedCount;
+            continue;
+        }
+        this->mergeRecord(record, update.heard(), now, effect, refuted);
+    }
+    const bool tellOn = update.relay() && peers.size() > this->options.directPeers;
+    // Who told us of a target's end must hear that it is refuted.
+    const std::string_view source = refuted.empty() ? update.from() : std::string_view();
+    this->push(tellOn ? effect.changed : refuted, Push{source, false}, peers, effect.outgoing);
+    return effect;
+}
+
+void TargetDirectory::mergeRecord(const proto::TargetRecord &record,
+                                  bool heard,
+                                  core::TimePoint now,
+                                  DirectoryEffect &effect,
+                                  std::vector<proto::TargetRecord> &refuted)
+{
+    const uint64_t checksum = checksumOfContent(record);
+    const auto found = this->entries.find(record.id());
+    if (found == this->entries.end() || supersedes(record, checksum, found->second)) {
+        const bool sameLife = found != this->entries.end()
+                              && found->second.record.incarnation() == record.incarnation();
+        if (sameLife && record.state() == proto::GONE && this->refutes(found->second, now)) {
+            found->second.record.set_revision(record.revision());
+            this->revive(found->second, found->second.record, now, effect, refuted);
+            return;
+        }
+        const auto heardBefore = sameLife ? found->second.heardAt : std::nullopt;
+        Entry &entry = this->store(record, now);
+        entry.heardAt = heard ? std::optional(now) : heardBefore;
+        effect.changed.push_back(entry.record);
+        return;
+    }
+    if (heard && record.incarnation() == found->second.record.incarnation()) {
+        this->signOfLife(found->second, record, now, effect, refuted);
+    }
+}
+
+void TargetDirectory::signOfLife(Entry &entry,
+                                 const proto::TargetRecord &record,
+                                 core::TimePoint now,
+                                 DirectoryEffect &effect,
+                                 std::vector<proto::TargetRecord> &refuted)
+{
+    entry.heardAt = now;
+    entry.waitFrom = now;
+    if (entry.record.state() == proto::GONE) {
+        this->revive(entry, record, now, effect, refuted);
+        return;
+    }
+    *entry.record.mutable_load() = record.load();
+    effect.renewed.push_back(entry.record);
+}
+
+void TargetDirectory::revive(Entry &entry,
+                             const proto::TargetRecord &living,
+                             core::TimePoint now,
+                             DirectoryEffect &effect,
+                             std::vector<proto::TargetRecord> &refuted)
+{
+    proto::TargetRecord record = living;
+    record.set_revision(nextRevision(entry.record.revision()));
+    record.set_state(hasLeft(record.revision()) ? proto::LEAVING : proto::READY);
+    const auto heardAt = entry.heardAt;
+    Entry &stored = this->store(std::move(record), now);
+    stored.heardAt = heardAt;
+    ++this->refutedCount;
+    effect.changed.push_back(stored.record);
+    refuted.push_back(stored.record);
+}
+
+DirectoryEffect TargetDirectory::tick(std::span<const core::InstanceId> peers, core::TimePoint now)
+{
+    DirectoryEffect effect;
+    this->rankWatchers(peers, now);
+    // A process that was stopped for a while heard nothing because it did not listen.
+    const bool stopped = this->lastTick && now - *this->lastTick > this->options.expireAfter / 2;
+    this->lastTick = now;
+    for (auto current = this->entries.begin(); current != this->entries.end();) {
+        Entry &entry = current->second;
+        if (entry.record.state() == proto::GONE) {
+            const core::Duration age = now - entry.waitFrom;
+            entry.listed = age < this->options.keepGone / 2;
+            current
+                = age < this->options.keepGone ? std::next(current) : this->entries.erase(current);
+            continue;
+        }
+        if (stopped) {
+            entry.waitFrom = now;
+        }
+        ++current;
+        if (!entry.rank || now - entry.waitFrom < this->patience(*entry.rank, peers.size() + 1)) {
+            continue;
+        }
+        proto::TargetRecord gone = entry.record;
+        gone.set_state(proto::GONE);
+        gone.set_revision(nextRevision(gone.revision()));
+        gone.clear_load();
+        this->store(gone, now);
+        ++this->declaredGoneCount;
+        effect.changed.push_back(std::move(gone));
+    }
+    this->push(effect.changed, Push{{}, false}, peers, effect.outgoing);
+    return effect;
+}
+
+std::vector<core::InstanceId>
+TargetDirectory::watchersOf(std::string_view target, std::span<const core::InstanceId> peers) const
+{
+    return chooseByWeight(core::checksumOf(target), this->self, peers, this->options.watchers);
+}
+
+const proto::TargetRecord *TargetDirectory::find(std::string_view target) const
+{
+    const auto found = this->entries.find(target);
+    return found == this->entries.end() ? nullptr : &found->second.record;
+}
+
+std::vector<proto::TargetRecord> TargetDirectory::records() const
+{
+    std::vector<proto::TargetRecord> result;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.record.state() != proto::GONE) {
+            result.push_back(entry.record);
+        }
+    }
+    return result;
+}
+
+bool TargetDirectory::supersedes(const proto::TargetRecord &record,
+                                 uint64_t checksum,
+                                 const Entry &old)
+{
+    if (record.incarnation() != old.record.incarnation()) {
+        return record.incarnation() > old.record.incarnation();
+    }
+    if (record.revision() != old.record.revision()) {
+        return record.revision() > old.record.revision();
+    }
+    const bool gone = record.state() == proto::GONE;
+    const bool oldGone = old.record.state() == proto::GONE;
+    if (gone != oldGone) {
+        return oldGone;
+    }
+    return checksum > old.checksum;
+}
+
+TargetDirectory::Entry &TargetDirectory::store(proto::TargetRecord record, core::TimePoint now)
+{
+    Entry &entry = this->entries[record.id()];
+    if (entry.record.id().empty()) {
+        entry.rank = this->rankOf(record.id(), this->rankedPeers);
+    }
+    entry.checksum = checksumOfContent(record);
+    entry.record = std::move(record);
+    entry.waitFrom = now;
+    entry.listed = true;
+    return entry;
+}
+
+void TargetDirectory::rankWatchers(std::span<const core::InstanceId> peers, core::TimePoint now)
+{
+    if (std::equal(
+            peers.begin(), peers.end(), this->rankedPeers.begin(), this->rankedPeers.end())) {
+        return;
+    }
+    this->rankedPeers.assign(peers.begin(), peers.end());
+    for (auto &[id, entry] : this->entries) {
+        const bool watchedBefore = entry.rank.has_value();
+        entry.rank = this->rankOf(id, peers);
+        // Who becomes a watcher begins to wait only now.
+        if (!watchedBefore && entry.record.state() != proto::GONE) {
+            entry.waitFrom = now;
+        }
+    }
+}
+
+std::optional<size_t> TargetDirectory::rankOf(std::string_view target,
+                                              std::span<const core::InstanceId> peers) const
+{
+    const std::vector<core::InstanceId> watchers = this->watchersOf(target, peers);
+    const auto own = std::find(watchers.begin(), watchers.end(), this->self);
+    if (own == watchers.end()) {
+        return std::nullopt;
+    }
+    return static_cast<size_t>(own - watchers.begin());
+}
+
+core::Duration TargetDirectory::patience(size_t rank, size_t inContact) const
+{
+    // The first watcher's word reaches the others before they would speak.
+    const core::Duration stagger = this->options.renewAfter / 2 * static_cast<int64_t>(rank);
+    if (this->fleetSize <= inContact) {
+        return this->options.expireAfter + stagger;
+    }
+    const auto total = static_cast<int64_t>(this->fleetSize);
+    const auto reached = static_cast<int64_t>(inContact);
+    return this->options.expireAfter * DoubtFactor * total / reached + stagger;
+}
+
+bool TargetDirectory::refutes(const Entry &entry, core::TimePoint now) const
+{
+    const bool alive = entry.record.state() != proto::GONE;
+    return alive && entry.heardAt && now - *entry.heardAt < this->options.expireAfter;
+}
+
+void TargetDirectory::push(std::span<const proto::TargetRecord> records,
+                           const Push &how,
+                           std::span<const core::InstanceId> peers,
+                           std::vector<Outgoing> &outgoing) const
+{
+    absl::btree_map<core::InstanceId, proto::MembershipUpdate> updates;
+    for (const proto::TargetRecord &record : records) {
+        const uint64_t key = core::rendezvousWeight(
+            core::checksumOf(record.id()) + record.incarnation(), record.revision());
+        for (const core::InstanceId &peer :
+             chooseReceivers(key, this->self, how.source, peers, this->options)) {
+            *updates[peer].add_targets() = record;
+        }
+    }
+    for (auto &[peer, update] : updates) {
+        update.set_from(this->self.value);
+        update.set_heard(how.heard);
+        update.set_relay(true);
+        outgoing.push_back(Outgoing{peer, std::move(update)});
+    }
+}
+
+void TargetDirectory::forwardRenewal(const proto::TargetRecord &record,
+                                     std::span<const core::InstanceId> peers,
+                                     std::vector<Outgoing> &outgoing) const
+{
+    for (const core::InstanceId &watcher : this->watchersOf(record.id(), peers)) {
+        if (watcher == this->self) {
+            continue;
+        }
+        Outgoing message{watcher, {}};
+        message.update.set_from(this->self.value);
+        message.update.set_heard(true);
+        *message.update.add_targets() = record;
+        outgoing.push_back(std::move(message));
+    }
+}
+
+} // namespace samphirebridge::membership
--- a/source/samphirebridge/membership/targetdirectory.h
+++ b/source/samphirebridge/membership/targetdirectory.h
@@ -2,18 +2,19 @@
 // quorum. Changes are pushed and found again by anti-entropy; renewals go to a target's watchers.
 //
 // Order of records of one target: the higher incarnation wins; within an incarnation the higher
-// revision. The upper half of a revision is the state's rank (READY, LEAVING, GONE), so a record
-// that is leaving never becomes ready again within its life, whoever counted further.
+// revision. A revision's highest bit says that the target was leaving, so a record that is leaving
+// never becomes ready again within its life, whoever counted further. GONE is the word of a watcher
+// that heard nothing; who heard the same life since, or hears it again, takes it back.
 #pragma once
 
 #include "samphirebridge/core/time.h"
+#include "samphirebridge/membership/antientropy.h"
 #include "samphirebridge/membership/membershipoptions.h"
 #include "samphirebridge/membership/outgoing.h"
+#include "samphirebridge/membership/targetentry.h"
 
-#include <absl/container/btree_map.h>
 #include <absl/status/statusor.h>
 
-#include <array>
 #include <optional>
 #include <span>
 #include <string>
@@ -44,12 +45,6 @@
     DirectoryEffect effect;
 };
 
-// The answer to a digest; each part is sent back to the digest's sender if it is set.
-struct DigestAnswer {
-    std::optional<proto::MembershipUpdate> update;
-    std::optional<proto::MembershipDigest> digest;
-};
-
 class TargetDirectory
 {
 public:
@@ -63,6 +58,13 @@
                                                 std::span<const core::InstanceId> peers,
                                                 core::TimePoint now);
 
+    // Says how many instances the fleet has. While fewer are in contact, targets are given up
+    // later: they announce themselves to instances on the other side too.
+    void setFleetSize(size_t instances)
+    {
+        this->fleetSize = instances;
+    }
+
     // Merges a peer's records. Records that are new here are told on only above directPeers. An
     // invalid record is dropped and counted.
     DirectoryEffect merge(const proto::MembershipUpdate &update,
@@ -74,10 +76,16 @@
     DirectoryEffect tick(std::span<const core::InstanceId> peers, core::TimePoint now);
 
     // Returns a summary of what is known here, for one peer picked at random every few seconds.
-    [[nodiscard]] proto::MembershipDigest digest() const;
+    [[nodiscard]] proto::MembershipDigest digest() const
+    {
+        return summarise(this->self, this->entries);
+    }
 
     // Compares a peer's digest with what is known here. The exchange ends by itself.
-    [[nodiscard]] DigestAnswer answer(const proto::MembershipDigest &digest) const;
+    [[nodiscard]] DigestAnswer answer(const proto::MembershipDigest &digest) const
+    {
+        return answerDigest(this->self, this->entries, digest);
+    }
 
     // Returns the instances, this one included if it is one, that watch the target.
     [[nodiscard]] std::vector<core::InstanceId>
@@ -94,39 +102,61 @@
     {
         return this->declaredGoneCount;
     }
+    [[nodiscard]] uint64_t refutedGone() const
+    {
+        return this->refutedCount;
+    }
     [[nodiscard]] uint64_t droppedRecords() const
     {
         return this->droppedCount;
     }
 
 private:
-    struct Entry {
-        proto::TargetRecord record;
-        uint64_t checksum = 0; // Of everything but revision and load.
-        core::TimePoint heardAt; // The last sign of life, or when it became gone.
-        bool watched = false; // Whether this instance watched it at the last tick.
-    };
+    using Entry = TargetEntry;
 
-    static constexpr size_t Buckets = 64;
+    struct Push {
+        std::string_view source; // Who told us; empty: the target itself.
+        bool heard = false;
+    };
 
-    static bool supersedes(const proto::TargetRecord &left, const Entry &right);
-    Entry &store(const proto::TargetRecord &record, core::TimePoint now);
-    bool isWatcher(std::string_view target, std::span<const core::InstanceId> peers) const;
-    void push(const std::vector<proto::TargetRecord> &records,
-              std::string_view source,
+    static bool supersedes(const proto::TargetRecord &record, uint64_t checksum, const Entry &old);
+    Entry &store(proto::TargetRecord record, core::TimePoint now);
+    void rankWatchers(std::span<const core::InstanceId> peers, core::TimePoint now);
+    [[nodiscard]] std::optional<size_t> rankOf(std::string_view target,
+                                               std::span<const core::InstanceId> peers) const;
+    [[nodiscard]] core::Duration patience(size_t rank, size_t inContact) const;
+    [[nodiscard]] bool refutes(const Entry &entry, core::TimePoint now) const;
+    void mergeRecord(const proto::TargetRecord &record,
+                     bool heard,
+                     core::TimePoint now,
+                     DirectoryEffect &effect,
+                     std::vector<proto::TargetRecord> &refuted);
+    void revive(Entry &entry,
+                const proto::TargetRecord &living,
+                core::TimePoint now,
+                DirectoryEffect &effect,
+                std::vector<proto::TargetRecord> &refuted);
+    void push(std::span<const proto::TargetRecord> records,
+              const Push &how,
               std::span<const core::InstanceId> peers,
               std::vector<Outgoing> &outgoing) const;
     void forwardRenewal(const proto::TargetRecord &record,
                         std::span<const core::InstanceId> peers,
                         std::vector<Outgoing> &outgoing) const;
-    [[nodiscard]] std::array<uint64_t, Buckets> bucketChecksums() const;
-    void answerSummary(const proto::MembershipDigest &digest, DigestAnswer &answer) const;
-    void answerDetails(const proto::MembershipDigest &digest, DigestAnswer &answer) const;
+    void signOfLife(Entry &entry,
+                    const proto::TargetRecord &record,
+                    core::TimePoint now,
+                    DirectoryEffect &effect,
+                    std::vector<proto::TargetRecord> &refuted);
 
     core::InstanceId self;
     MembershipOptions options;
-    absl::btree_map<std::string, Entry> entries;
+    std::vector<core::InstanceId> rankedPeers; // The peers that the ranks rest on.
+    size_t fleetSize = 0;
+    std::optional<core::TimePoint> lastTick;
+    TargetEntries entries;
     uint64_t declaredGoneCount = 0;
+    uint64_t refutedCount = 0;
     uint64_t droppedCount = 0;
 };
 
--- /dev/null
+++ b/tests/membership/instancedirectorytest.cpp
@@ -0,0 +1,68 @@
+#include "samphirebridge/membership/instancedirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphirebridge;
+using namespace std::chrono_literals;
+using membership::InstanceDirectory;
+
+namespace
+{
+
+proto::MembershipUpdate beat(uint64_t incarnation, uint64_t heartbeat, uint64_t version)
+{
+    proto::MembershipUpdate update;
+    update.set_from("b");
+    proto::InstanceRecord *record = update.add_instances();
+    record->set_id("b");
+    record->set_incarnation(incarnation);
+    record->set_heartbeat(heartbeat);
+    record->set_manifest_version(version);
+    return update;
+}
+
+} // namespace
+
+TEST_CASE("an instance is in contact while newer heartbeats arrive")
+{
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    const core::TimePoint now;
+    const std::vector<core::InstanceId> known{core::InstanceId("a"), core::InstanceId("b")};
+    directory.setKnown(known, now);
+    CHECK(directory.peers(now).empty());
+    CHECK(directory.tick(now).size() == 1);
+    directory.merge(beat(1, 5, 0), now);
+    CHECK(directory.peers(now).size() == 1);
+    directory.merge(beat(1, 5, 0), now + 3s);
+    CHECK(directory.peers(now + 5s).empty());
+    CHECK(directory.view(now + 5s).size() == 2);
+}
+
+TEST_CASE("an apply waits for those in contact that have an older manifest, and for no other")
+{
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    const core::TimePoint now;
+    directory.setManifestVersion(7);
+    directory.merge(beat(1, 1, 6), now);
+    CHECK(directory.behind(7, now) == std::vector{core::InstanceId("b")});
+    CHECK(directory.behind(7, now + 60s).empty());
+    directory.merge(beat(1, 2, 7), now);
+    CHECK(directory.behind(7, now).empty());
+}
+
+TEST_CASE("a late heartbeat of an earlier process changes nothing")
+{
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    directory.merge(beat(2, 1, 9), {});
+    directory.merge(beat(1, 100, 3), {});
+    CHECK(directory.view({})[1].record.manifest_version() == 9);
+}
+
+TEST_CASE("leaving is told to every known instance at once")
+{
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    directory.merge(beat(1, 1, 0), {});
+    const auto outgoing = directory.leave();
+    REQUIRE(outgoing.size() == 1);
+    CHECK(outgoing[0].update.instances(0).leaving());
+}
--- /dev/null
+++ b/tests/membership/membershippropertytest.cpp
@@ -0,0 +1,151 @@
+#include "tests/membership/simulatedfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphirebridge;
+
+namespace
+{
+
+const std::vector<size_t> All{0, 1, 2, 3, 4, 5, 6, 7};
+const NetworkFaults Lossy{0.2, 0.2, 800};
+
+constexpr uint64_t Seeds = 40;
+
+} // namespace
+
+TEST_CASE("everyone in contact converges over lost, reordered and duplicated updates")
+{
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        INFO("seed " << seed);
+        SimulatedFleet fleet(8, Lossy, seed);
+        fleet.run(3000);
+        std::mt19937_64 random(seed);
+        std::map<std::string, proto::TargetRecord> last;
+        for (int change = 0; change < 60; ++change) {
+            const std::string id = "engine-" + std::to_string(random() % 12);
+            auto [found, fresh] = last.try_emplace(id, makeTarget(id, 1));
+            const uint64_t kind = fresh ? 0 : random() % 4;
+            if (kind == 1) {
+                found->second = makeTarget(id, found->second.incarnation() + 1);
+            } else if (kind == 2) {
+                found->second.add_models("m" + std::to_string(change));
+            } else if (kind == 3) {
+                found->second.set_state(proto::LEAVING);
+            }
+            fleet.start(found->second);
+            fleet.run(100 * static_cast<int>(random() % 8));
+        }
+        fleet.run(20'000);
+        CHECK(fleet.converged());
+        for (const auto &[id, record] : last) {
+            CHECK(fleet.agree(All, id, record.incarnation(), record.state()));
+        }
+    }
+}
+
+TEST_CASE("a partition's both sides agree after it heals and no live target is lost")
+{
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        INFO("seed " << seed);
+        SimulatedFleet fleet(8, Lossy, seed);
+        fleet.run(3000);
+        fleet.confine("left", {0, 1, 2});
+        fleet.start(makeTarget("left", 1));
+        fleet.start(makeTarget("both", 1));
+        fleet.start(makeTarget("dead", 1));
+        fleet.run(4000);
+        fleet.split({0, 0, 0, 1, 1, 1, 1, 1});
+        fleet.silence("dead");
+        fleet.run(60'000);
+        CHECK(fleet.agree({0, 1, 2}, "left", 1, proto::READY));
+        CHECK(fleet.agree({3, 4, 5, 6, 7}, "left", 1, proto::GONE));
+        CHECK(fleet.agree(All, "dead", 1, proto::GONE));
+        fleet.split({0, 0, 0, 0, 0, 0, 0, 0});
+        fleet.run(20'000);
+        CHECK(fleet.agree(All, "left", 1, proto::READY));
+        CHECK(fleet.agree(All, "both", 1, proto::READY));
+        CHECK(fleet.agree(All, "dead", 1, proto::GONE));
+    }
+}
+
+TEST_CASE("leaving holds on the smaller side of a partition and is never taken back")
+{
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        INFO("seed " << seed);
+        SimulatedFleet fleet(8, NetworkFaults{}, seed);
+        fleet.run(3000);
+        fleet.start(makeTarget("engine", 1));
+        fleet.run(2000);
+        fleet.split({0, 0, 1, 1, 1, 1, 1, 1});
+        fleet.run(6000);
+        proto::TargetRecord leaving = makeTarget("engine", 1);
+        leaving.set_state(proto::LEAVING);
+        fleet.announce(leaving, 0);
+        fleet.run(100);
+        CHECK(fleet.agree({0, 1}, "engine", 1, proto::LEAVING));
+        // Late copies of the ready announcement, while the other side counts changes of its own.
+        fleet.run(5000);
+        CHECK(fleet.agree({0, 1}, "engine", 1, proto::LEAVING));
+        fleet.split({0, 0, 0, 0, 0, 0, 0, 0});
+        fleet.run(10'000);
+        CHECK(fleet.agree(All, "engine", 1, proto::LEAVING));
+    }
+}
+
+TEST_CASE("a target that falls silent is gone everywhere and its successor stays")
+{
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        INFO("seed " << seed);
+        SimulatedFleet fleet(8, Lossy, seed);
+        fleet.run(3000);
+        fleet.start(makeTarget("engine", 1));
+        fleet.run(3000);
+        fleet.silence("engine");
+        // The successor comes at about the time at which the watchers give up the first life.
+        fleet.run(4000 + 50 * static_cast<int>(seed));
+        fleet.start(makeTarget("engine", 2));
+        fleet.run(12'000);
+        CHECK(fleet.agree(All, "engine", 2, proto::READY));
+        fleet.silence("engine");
+        fleet.run(30'000);
+        CHECK(fleet.agree(All, "engine", 2, proto::GONE));
+    }
+}
+
+TEST_CASE("a change costs one message per peer and a renewal at most one per watcher")
+{
+    for (const size_t instances : {size_t{2}, size_t{6}, size_t{8}}) {
+        SimulatedFleet fleet(instances, NetworkFaults{}, 7);
+        fleet.setDigests(false);
+        fleet.run(3000);
+        fleet.takeMessages();
+        fleet.start(makeTarget("engine", 1));
+        fleet.run(500);
+        CHECK(fleet.takeMessages() == instances - 1);
+        for (int target = 0; target < 20; ++target) {
+            fleet.start(makeTarget("engine-" + std::to_string(target), 1));
+        }
+        fleet.run(1000);
+        fleet.takeMessages();
+        fleet.run(10'000);
+        CHECK(fleet.takeMessages() <= size_t{10} * 21 * std::min<size_t>(3, instances - 1));
+    }
+}
+
+TEST_CASE("a large fleet hears of a change at bounded cost for each instance")
+{
+    constexpr size_t Instances = 100;
+    SimulatedFleet fleet(Instances, NetworkFaults{}, 3);
+    fleet.run(12'000);
+    fleet.takeMessages();
+    fleet.announce(makeTarget("engine", 1), 0);
+    fleet.run(300);
+    CHECK(fleet.takeMessages() <= Instances * membership::MembershipOptions{}.fanOut);
+    fleet.run(4000);
+    std::vector<size_t> all;
+    for (size_t index = 0; index < Instances; ++index) {
+        all.push_back(index);
+    }
+    CHECK(fleet.agree(all, "engine", 1, proto::READY));
+}
--- /dev/null
+++ b/tests/membership/targetdirectorytest.cpp
@@ -0,0 +1,223 @@
+#include "samphirebridge/membership/targetdirectory.h"
+#include "samphirebridge/core/errors.h"
+#include "tests/membership/simulatedfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphirebridge;
+using namespace std::chrono_literals;
+using membership::AnnouncementNews;
+using membership::TargetDirectory;
+
+namespace
+{
+
+const std::vector<core::InstanceId> Peers{core::InstanceId("b"), core::InstanceId("c")};
+
+TargetDirectory makeDirectory()
+{
+    return {core::InstanceId("a"), {}};
+}
+
+proto::MembershipUpdate updateOf(const proto::TargetRecord &record)
+{
+    proto::MembershipUpdate update;
+    update.set_from("b");
+    *update.add_targets() = record;
+    return update;
+}
+
+} // namespace
+
+TEST_CASE("an announcement is a change first, then a renewal, and stale from an earlier life")
+{
+    TargetDirectory directory = makeDirectory();
+    const core::TimePoint now;
+    CHECK(directory.announce(makeTarget("t", 2), Peers, now)->news == AnnouncementNews::Change);
+    const auto renewal = directory.announce(makeTarget("t", 2), Peers, now + 1s);
+    CHECK(renewal->news == AnnouncementNews::Renewal);
+    CHECK(renewal->effect.renewed.size() == 1);
+    CHECK(directory.announce(makeTarget("t", 1), Peers, now)->news == AnnouncementNews::Stale);
+    CHECK(directory.find("t")->incarnation() == 2);
+    CHECK(core::errorCodeOf(directory.announce(makeTarget("", 1), Peers, now).status())
+          == core::ErrorCode::InvalidAnnouncement);
+}
+
+TEST_CASE("a record that is leaving never becomes ready again within its life")
+{
+    TargetDirectory directory = makeDirectory();
+    const core::TimePoint now;
+    proto::TargetRecord leaving = makeTarget("t", 1);
+    leaving.set_state(proto::LEAVING);
+    (void)directory.announce(leaving, Peers, now);
+    (void)directory.announce(makeTarget("t", 1), Peers, now);
+    CHECK(directory.find("t")->state() == proto::LEAVING);
+    proto::TargetRecord counted = makeTarget("t", 1);
+    counted.set_revision(1'000'000);
+    directory.merge(updateOf(counted), Peers, now);
+    CHECK(directory.find("t")->state() == proto::LEAVING);
+    // Not even after it was given up and is heard again.
+    directory.tick({}, now);
+    directory.tick({}, now + 2s);
+    directory.tick({}, now + 4s);
+    directory.tick({}, now + 6s);
+    REQUIRE(directory.find("t")->state() == proto::GONE);
+    (void)directory.announce(makeTarget("t", 1), Peers, now + 7s);
+    CHECK(directory.find("t")->state() == proto::LEAVING);
+    CHECK(directory.announce(makeTarget("t", 2), Peers, now)->news == AnnouncementNews::Change);
+    CHECK(directory.find("t")->state() == proto::READY);
+}
+
+TEST_CASE("the late end of an earlier life does not touch its successor")
+{
+    TargetDirectory directory = makeDirectory();
+    const core::TimePoint now;
+    (void)directory.announce(makeTarget("t", 2), Peers, now);
+    proto::TargetRecord gone = makeTarget("t", 1);
+    gone.set_state(proto::GONE);
+    gone.set_revision(~uint64_t{0});
+    CHECK(directory.merge(updateOf(gone), Peers, now).changed.empty());
+    CHECK(directory.find("t")->state() == proto::READY);
+}
+
+TEST_CASE("the end of a life that was just heard is refuted at once")
+{
+    TargetDirectory directory = makeDirectory();
+    const core::TimePoint now;
+    (void)directory.announce(makeTarget("t", 1), Peers, now);
+    proto::TargetRecord gone = *directory.find("t");
+    gone.set_state(proto::GONE);
+    gone.set_revision(gone.revision() + 1);
+    const auto effect = directory.merge(updateOf(gone), Peers, now + 1s);
+    CHECK(directory.find("t")->state() == proto::READY);
+    CHECK(effect.outgoing.size() == Peers.size());
+    directory.merge(updateOf(gone), Peers, now + 10s);
+    gone.set_revision(directory.find("t")->revision() + 1);
+    directory.merge(updateOf(gone), Peers, now + 10s);
+    CHECK(directory.find("t")->state() == proto::GONE);
+}
+
+TEST_CASE("only watchers declare a target gone")
+{
+    std::vector<core::InstanceId> peers;
+    peers.reserve(7);
+    for (int index = 0; index < 7; ++index) {
+        peers.emplace_back("peer-" + std::to_string(index));
+    }
+    TargetDirectory directory = makeDirectory();
+    const core::TimePoint start;
+    directory.tick(peers, start);
+    for (int target = 0; target < 40; ++target) {
+        directory.merge(updateOf(makeTarget("t" + std::to_string(target), 1)), peers, start);
+    }
+    for (int second = 1; second <= 10; ++second) {
+        directory.tick(peers, start + std::chrono::seconds(second));
+    }
+    for (int target = 0; target < 40; ++target) {
+        const std::string id = "t" + std::to_string(target);
+        const auto watchers = directory.watchersOf(id, peers);
+        CHECK(watchers.size() == 3);
+        const bool watched
+            = std::find(watchers.begin(), watchers.end(), core::InstanceId("a")) != watchers.end();
+        CHECK((directory.find(id)->state() == proto::GONE) == watched);
+    }
+}
+
+TEST_CASE("an instance that was stopped gives targets time before it gives them up")
+{
+    TargetDirectory directory = makeDirectory();
+    const core::TimePoint now;
+    directory.tick({}, now);
+    (void)directory.announce(makeTarget("t", 1), {}, now);
+    directory.tick({}, now + 60s);
+    CHECK(directory.find("t")->state() == proto::READY);
+}
+
+TEST_CASE("tombstones are kept for a while and don't travel back and forth for ever")
+{
+    TargetDirectory directory = makeDirectory();
+    core::TimePoint now;
+    directory.tick({}, now);
+    (void)directory.announce(makeTarget("t", 1), {}, now);
+    for (; now < core::TimePoint(9min); now += 1s) {
+        directory.tick({}, now);
+    }
+    CHECK(directory.find("t")->state() == proto::GONE);
+    const TargetDirectory empty = makeDirectory();
+    CHECK_FALSE(directory.answer(empty.digest()).digest.has_value());
+    for (; now < core::TimePoint(11min); now += 1s) {
+        directory.tick({}, now);
+    }
+    CHECK(directory.find("t") == nullptr);
+}
+
+TEST_CASE("an empty instance is filled by anti-entropy in a bounded number of rounds")
+{
+    constexpr int Targets = 3000;
+    TargetDirectory full = makeDirectory();
+    for (int target = 0; target < Targets; ++target) {
+        (void)full.announce(makeTarget("t" + std::to_string(target), 1), {}, {});
+    }
+    TargetDirectory empty(core::InstanceId("b"), {});
+    int rounds = 0;
+    for (; full.answer(empty.digest()).digest; ++rounds) {
+        const auto wanted = empty.answer(*full.answer(empty.digest()).digest);
+        REQUIRE(wanted.digest.has_value());
+        empty.merge(*full.answer(*wanted.digest).update, {}, {});
+    }
+    CHECK(empty.records().size() == Targets);
+    CHECK(rounds <= 4);
+}
+
+TEST_CASE("a sign of life forwarded by a peer revives a target that was given up, as it was")
+{
+    for (const proto::TargetState state : {proto::READY, proto::LEAVING}) {
+        TargetDirectory directory = makeDirectory();
+        const core::TimePoint now;
+        proto::TargetRecord record = makeTarget("t", 1);
+        record.set_state(state);
+        (void)directory.announce(record, Peers, now);
+        proto::MembershipUpdate renewal = updateOf(*directory.find("t"));
+        renewal.set_heard(true);
+        proto::TargetRecord gone = *directory.find("t");
+        gone.set_state(proto::GONE);
+        gone.set_revision(gone.revision() + 1);
+        directory.merge(updateOf(gone), Peers, now + 60s);
+        REQUIRE(directory.find("t")->state() == proto::GONE);
+        directory.merge(renewal, Peers, now + 61s);
+        CHECK(directory.find("t")->state() == state);
+    }
+}
+
+TEST_CASE("of two instances that counted alike, one that heard a change beats one that gave up")
+{
+    const core::TimePoint now;
+    TargetDirectory directory = makeDirectory();
+    proto::TargetRecord gone = makeTarget("t", 1);
+    gone.set_state(proto::GONE);
+    gone.set_revision(2);
+    proto::TargetRecord ready = makeTarget("t", 1);
+    ready.set_revision(2);
+    directory.merge(updateOf(gone), Peers, now);
+    directory.merge(updateOf(ready), Peers, now);
+    CHECK(directory.find("t")->state() == proto::READY);
+    directory.merge(updateOf(gone), Peers, now);
+    CHECK(directory.find("t")->state() == proto::READY);
+}
+
+TEST_CASE("an instance out of contact with most of the fleet is slower to give up targets")
+{
+    TargetDirectory directory = makeDirectory();
+    directory.setFleetSize(8);
+    core::TimePoint now;
+    directory.tick({}, now);
+    (void)directory.announce(makeTarget("t", 1), {}, now);
+    for (; now < core::TimePoint(70s); now += 1s) {
+        directory.tick({}, now);
+    }
+    CHECK(directory.find("t")->state() == proto::READY);
+    for (; now < core::TimePoint(90s); now += 1s) {
+        directory.tick({}, now);
+    }
+    CHECK(directory.find("t")->state() == proto::GONE);
+}
