routing: Add the router: load, prefix affinity, breakers, retries, suspects, admission

Choices go to the least expected time to the first token among a few targets drawn at random and those that hold the prompt's beginning. Load is the last report plus this instance's sends since. A broken connection makes a request a suspect only until it is known whether the target crashed: a successor without a farewell is the proof, a target that answers again the refutation.

Ruled out so far: counting a target that is gone as crashed. In a partition every target of the other side is gone, and all that ran there would be refused. Expiry counts only where connections broke.

Public changes since the headers: SuspectVerdict gained PreferAlone and RefuseForNow, and LoadEstimator::onReport lost its time. Router and Dispatcher kept their calls.

--- /dev/null
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -0,0 +1,164 @@
+#include "samphirebridge/routing/candidateselector.h"
+
+#include <algorithm>
+
+namespace samphirebridge::routing
+{
+
+namespace
+{
+
+// How long a target is kept free for a suspect.
+constexpr core::Duration DrainFor = std::chrono::seconds(30);
+
+// Targets that must remain when one is set aside.
+constexpr size_t KeepServing = 2;
+
+// Occupancy above the mean that is never held against a target that holds the prefix.
+constexpr double AffinitySlack = 1.0;
+
+bool isIdle(const RoutedTarget &target)
+{
+    return target.load.ownInFlight() == 0 && target.load.occupancy() < 0.5;
+}
+
+bool isExcluded(const RoutedTarget &target, const RouteRequest &request)
+{
+    return std::any_of(request.excluded.begin(), request.excluded.end(), [&](const auto &id) {
+        return id.value == target.record.id();
+    });
+}
+
+double meanOccupancy(std::span<RoutedTarget *const> targets)
+{
+    double sum = 0;
+    for (const RoutedTarget *target : targets) {
+        sum += target->load.occupancy();
+    }
+    return sum / static_cast<double>(targets.size());
+}
+
+} // namespace
+
+CandidateSelector::CandidateSelector(const RoutingOptions &options, Draw draw)
+    : options(&options)
+    , draw(std::move(draw))
+{
+}
+
+Selection CandidateSelector::select(std::span<RoutedTarget *const> targets,
+                                    const RouteRequest &request,
+                                    Company company,
+                                    core::TimePoint now) const
+{
+    Selection selection;
+    for (const RoutedTarget *target : targets) {
+        const bool admits = target->breaker.admits(this->options->breaker, now);
+        selection.anyOpen = selection.anyOpen || admits;
+        const core::TimePoint probe = target->breaker.nextProbe();
+        if (!admits && (!selection.nextProbe || probe < *selection.nextProbe)) {
+            selection.nextProbe = probe;
+        }
+    }
+    std::vector<RoutedTarget *> usable = this->usableTargets(targets, request, company, now);
+    if (company != Company::Any) {
+        std::vector<RoutedTarget *> idle;
+        std::copy_if(usable.begin(),
+                     usable.end(),
+                     std::back_inserter(idle),
+                     [](const auto *target) { return isIdle(*target); });
+        if (!idle.empty() || company == Company::None) {
+            usable = std::move(idle);
+        }
+    }
+    if (usable.empty()) {
+        return selection;
+    }
+    // Targets that hold the beginning of the prompt come first, within the bound on their load.
+    if (!request.prefix.empty()) {
+        const double bound
+            = meanOccupancy(usable) * this->options->affinityLoadFactor + AffinitySlack;
+        for (RoutedTarget *target : usable) {
+            const bool holds = target->prefix.knownBlocks({request.prefix.data(), 1}) > 0;
+            if (holds && target->load.occupancy() > bound) {
+                selection.passedOver = true;
+            } else if (holds) {
+                this->offer(this->rate(*target, request), selection.best);
+            }
+        }
+    }
+    const size_t draws = std::min(this->options->draws, usable.size());
+    for (size_t index = 0; index < draws; ++index) {
+        const size_t other = index + this->draw() % (usable.size() - index);
+        std::swap(usable[index], usable[other]);
+        this->offer(this->rate(*usable[index], request), selection.best);
+    }
+    return selection;
+}
+
+void CandidateSelector::drainOne(std::span<RoutedTarget *const> targets, core::TimePoint now) const
+{
+    std::vector<RoutedTarget *> usable;
+    for (RoutedTarget *target : targets) {
+        if (now < target->drainUntil) {
+            return;
+        }
+        if (this->usable(*target, now)) {
+            usable.push_back(target);
+        }
+    }
+    if (usable.size() <= KeepServing) {
+        return;
+    }
+    RoutedTarget *least = *std::min_element(
+        usable.begin(), usable.end(), [](const RoutedTarget *left, const RoutedTarget *right) {
+            return left->load.occupancy() < right->load.occupancy();
+        });
+    least->drainUntil = now + DrainFor;
+}
+
+bool CandidateSelector::usable(const RoutedTarget &target, core::TimePoint now) const
+{
+    return target.record.state() == proto::READY && !target.alone
+           && target.breaker.admits(this->options->breaker, now);
+}
+
+std::vector<RoutedTarget *> CandidateSelector::usableTargets(std::span<RoutedTarget *const> targets,
+                                                             const RouteRequest &request,
+                                                             Company company,
+                                                             core::TimePoint now) const
+{
+    std::vector<RoutedTarget *> fresh;
+    std::vector<RoutedTarget *> tried;
+    fresh.reserve(targets.size());
+    for (RoutedTarget *target : targets) {
+        const bool kept = now < target->drainUntil && company != Company::None;
+        if (!kept && this->usable(*target, now)) {
+            (isExcluded(*target, request) ? tried : fresh).push_back(target);
+        }
+    }
+    return fresh.empty() ? tried : fresh;
+}
+
+Candidate CandidateSelector::rate(RoutedTarget &target, const RouteRequest &request) const
+{
+    const size_t blocks = target.prefix.knownBlocks(request.prefix);
+    const uint64_t held = blocks * this->options->prefix.blockTokens;
+    const auto cached = static_cast<uint32_t>(std::min<uint64_t>(held, request.promptTokens));
+    return {&target, cached, target.load.firstToken(request.promptTokens - cached)};
+}
+
+void CandidateSelector::offer(const Candidate &candidate, std::optional<Candidate> &best) const
+{
+    if (!best || candidate.expectedFirstToken < best->expectedFirstToken) {
+        best = candidate;
+        return;
+    }
+    // Equal promises: the emptier one.
+    const bool equal = candidate.expectedFirstToken == best->expectedFirstToken;
+    if (equal && candidate.target->load.utilisation() < best->target->load.utilisation()) {
+        best = candidate;
+    }
+}
+
+} // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -6,20 +6,17 @@
 
 #include "manifest.pb.h"
 #include "membership.pb.h"
-#include "samphirebridge/routing/breaker.h"
+#include "samphirebridge/routing/candidateselector.h"
 #include "samphirebridge/routing/fairadmission.h"
-#include "samphirebridge/routing/loadestimator.h"
-#include "samphirebridge/routing/prefixmap.h"
 #include "samphirebridge/routing/retrybudget.h"
 #include "samphirebridge/routing/routerequest.h"
 #include "samphirebridge/routing/routingoptions.h"
 #include "samphirebridge/routing/suspectlist.h"
-#include "samphirebridge/routing/targetsubset.h"
+#include "samphirebridge/routing/targetpools.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -51,7 +48,7 @@
     using Draw = std::function<uint64_t()>;
 
     Dispatcher(core::InstanceId self, RoutingOptions options, Draw draw);
-    ~Dispatcher();
+    ~Dispatcher() = default;
     Dispatcher(const Dispatcher &) = delete;
     Dispatcher &operator=(const Dispatcher &) = delete;
 
@@ -65,8 +62,8 @@
     void setPolicy(const proto::Policy &policy);
 
     // Takes a changed record from membership. A higher incarnation after one that was neither
-    // leaving nor gone, and a target that is declared gone unannounced, count as a crash; the
-    // reports that follow from it are handed out by takeCrashReports.
+    // leaving nor gone counts as a crash, and so does a target declared gone after connections to
+    // it broke; the reports that follow from it are handed out by takeCrashReports.
     void onTarget(const proto::TargetRecord &record, core::TimePoint now);
 
     // Replaces all that is known, as after a start: onTarget for each, and the others are gone.
@@ -119,14 +116,43 @@
     [[nodiscard]] size_t readyTargets() const;
 
 private:
-    struct Target;
-    struct Attempt;
-    struct Pool;
-    struct Candidate;
+    struct Attempt {
+        std::string target;
+        core::Incarnation incarnation = 0;
+        std::string fingerprint;
+        uint32_t uncachedTokens = 0;
+        core::Duration expectedWait{};
+        std::optional<core::TimePoint> sentAt;
+        std::optional<core::TimePoint> firstTokenAt;
+    };
+
+    // A ticket that ended, with its target if that still is in the life that the attempt went to.
+    struct EndedAttempt {
+        Attempt attempt;
+        RoutedTarget *target = nullptr;
+    };
+
+    [[nodiscard]] Refusal refuse(core::RefusalReason reason, core::Duration retryAfter);
+    [[nodiscard]] std::optional<Refusal> refuseSuspect(SuspectVerdict verdict);
+    [[nodiscard]] std::optional<Refusal>
+    refuseLate(const RouteRequest &request, const Candidate &best, core::TimePoint now);
+    [[nodiscard]] Choice commit(const RouteRequest &request,
+                                const Candidate &best,
+                                SuspectVerdict verdict,
+                                core::TimePoint now);
+    [[nodiscard]] RoutedTarget *currentTarget(const Attempt &attempt) const;
+    std::optional<EndedAttempt> end(Ticket ticket, core::TimePoint now);
+    void endOfLife(RoutedTarget &target, bool crashed, core::TimePoint now);
 
-    core::InstanceId self;
     RoutingOptions options;
     Draw draw;
+    TargetPools pools;
+    CandidateSelector selector;
+    RetryBudget retries;
+    SuspectList suspects;
+    FairAdmission admission;
+    absl::flat_hash_map<Ticket, Attempt> attempts;
+    Ticket lastTicket = 0;
     RoutingCounters counts;
 };
 
--- a/source/samphirebridge/routing/fairadmission.h
+++ b/source/samphirebridge/routing/fairadmission.h
@@ -55,8 +55,9 @@
 
     [[nodiscard]] double weightOf(const core::OrganisationId &organisation) const;
     [[nodiscard]] double useOf(const Use &use, core::TimePoint now) const;
-    [[nodiscard]] double shareTaken(const core::OrganisationId &organisation,
-                                    core::TimePoint now) const;
+    // The organisation's part of recent use over its part of the weights of those in use.
+    [[nodiscard]] double overShare(const core::OrganisationId &organisation,
+                                   core::TimePoint now) const;
 
     const AdmissionOptions options;
     absl::flat_hash_map<core::OrganisationId, uint32_t> weights;
--- a/source/samphirebridge/routing/loadestimator.h
+++ b/source/samphirebridge/routing/loadestimator.h
@@ -15,7 +15,7 @@
     explicit LoadEstimator(const LoadOptions &options);
 
     // Takes a report; what was sent before it is contained in it.
-    void onReport(const proto::TargetLoad &load, core::TimePoint now);
+    void onReport(const proto::TargetLoad &load);
 
     // An attempt goes out whose prompt has so many tokens that the target must read.
     void onSent(uint32_t uncachedTokens);
@@ -57,7 +57,8 @@
     int64_t sentSince = 0; // Sends minus ends since the report.
     uint32_t inFlight = 0;
     uint64_t unreadTokens = 0; // Prompt tokens sent whose first token did not come yet.
-    double promptTokensPerSecond;
+    double observedTokens; // Prompt tokens read in observedSeconds, older ones weighing less.
+    double observedSeconds;
     double serviceSeconds;
 };
 
--- /dev/null
+++ b/source/samphirebridge/routing/prefixmap.cpp
@@ -0,0 +1,77 @@
+#include "samphirebridge/routing/prefixmap.h"
+
+#include <algorithm>
+
+namespace samphirebridge::routing
+{
+
+PrefixMap::PrefixMap(const PrefixOptions &options)
+    : limit(options.blocksPerTarget)
+{
+}
+
+bool PrefixMap::onEvents(const CacheEvents &events)
+{
+    if (events.snapshot) {
+        this->clear();
+        this->gap = false;
+        this->sequence = events.sequence;
+    } else if (events.sequence <= this->sequence) {
+        return !this->gap;
+    } else if (this->gap || events.sequence != this->sequence + 1) {
+        this->clear();
+        this->gap = true;
+        return false;
+    }
+    this->sequence = events.sequence;
+    for (const BlockFingerprint block : events.removed) {
+        this->blocks.erase(block);
+    }
+    for (const BlockFingerprint block : events.stored) {
+        this->insert(block);
+    }
+    return true;
+}
+
+void PrefixMap::onSent(std::span<const BlockFingerprint> prefix)
+{
+    for (const BlockFingerprint block : prefix) {
+        this->insert(block);
+    }
+}
+
+size_t PrefixMap::knownBlocks(std::span<const BlockFingerprint> prefix) const
+{
+    const auto unknown = std::find_if(prefix.begin(), prefix.end(), [&](BlockFingerprint block) {
+        return !this->blocks.contains(block);
+    });
+    return static_cast<size_t>(unknown - prefix.begin());
+}
+
+void PrefixMap::clear()
+{
+    this->blocks.clear();
+    this->young = 0;
+}
+
+void PrefixMap::insert(BlockFingerprint block)
+{
+    uint32_t &seen = this->blocks[block];
+    if (seen != this->generation) {
+        seen = this->generation;
+        ++this->young;
+    }
+    if (this->young > this->limit / 2) {
+        this->shrink();
+    }
+}
+
+void PrefixMap::shrink()
+{
+    const uint32_t present = this->generation;
+    absl::erase_if(this->blocks, [&](const auto &item) { return item.second != present; });
+    ++this->generation;
+    this->young = 0;
+}
+
+} // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/suspectlist.h
+++ b/source/samphirebridge/routing/suspectlist.h
@@ -27,8 +27,10 @@
 
 enum class SuspectVerdict : uint8_t {
     Innocent,
+    PreferAlone, // Its connection broke, but nothing proves a crash yet.
     RunAlone,
-    Refuse, // Known to crash targets, or likely and waiting for the proof.
+    RefuseForNow, // Likely to crash targets; the proof is awaited.
+    Refuse, // Known to crash targets.
 };
 
 class SuspectList
@@ -50,8 +52,8 @@
     // That life answered something after all; breaks on it were no crash.
     void onAlive(const TargetLife &life);
 
-    // The request ran to its end; alone clears it for good.
-    void onFinished(std::string_view fingerprint, bool alone, core::TimePoint now);
+    // The request ran to its end, which clears it.
+    void onFinished(std::string_view fingerprint);
 
     // Reports of other instances.
     void onReports(std::span<const proto::CrashReport> reports, core::TimePoint now);
@@ -79,6 +81,7 @@
     };
 
     [[nodiscard]] size_t confirmedCrashes(const Suspect &suspect) const;
+    [[nodiscard]] size_t pendingBreaks(const Suspect &suspect, core::TimePoint now) const;
     void confirm(const std::string &fingerprint, const TargetLife &life, core::TimePoint now);
     void clearNeighbours(const std::string &culprit);
     void report(const std::string &fingerprint, const TargetLife &life, bool cleared);
--- a/source/samphirebridge/routing/targetsubset.h
+++ b/source/samphirebridge/routing/targetsubset.h
@@ -21,11 +21,15 @@
                  std::string_view model,
                  const SubsetOptions &options);
 
-    // A target that serves the model appeared or moved. Returns whether the subset changed.
-    bool add(const std::string &target, std::string_view dataCentre);
+    // A target that serves the model appeared or moved.
+    void add(const std::string &target, std::string_view dataCentre);
 
-    // A target is leaving, gone or no longer serves the model. Returns whether the subset changed.
-    bool remove(const std::string &target);
+    // A target is leaving, gone or no longer serves the model.
+    void remove(const std::string &target);
+
+    // Brings chosen up to date. Returns whether targets came or went since the last call, even if
+    // the same ones are chosen: a name may stand for another object by now.
+    bool refresh();
 
     // The chosen targets, ordered by id.
     [[nodiscard]] const std::vector<std::string> &chosen() const
@@ -44,11 +48,17 @@
         uint64_t weight = 0;
         bool local = false;
     };
+    struct Ranked {
+        uint64_t weight = 0;
+        const std::string *id = nullptr;
+    };
 
-    bool rebuild();
+    static void
+    takeHeaviest(std::vector<Ranked> &ranked, size_t count, std::vector<std::string> &into);
 
     const SubsetOptions *options;
     uint64_t key;
+    bool stale = false;
     absl::btree_map<std::string, Weight> weights;
     std::vector<std::string> members;
 };
--- /dev/null
+++ b/tests/routing/retrybudgettest.cpp
@@ -0,0 +1,37 @@
+#include "samphirebridge/routing/retrybudget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphirebridge;
+
+TEST_CASE("retries stay within their share of first attempts beyond the burst")
+{
+    const routing::RetryOptions options;
+    routing::RetryBudget budget(options);
+    int retries = 0;
+    for (int attempt = 0; attempt < 10'000; ++attempt) {
+        budget.onFirstAttempt();
+        retries += budget.takeRetry() ? 1 : 0;
+    }
+    CHECK(retries <= 2000 + options.burst);
+    CHECK(retries >= 2000);
+}
+
+TEST_CASE("a quiet time saves no more than the burst and a retry not sent is given back")
+{
+    const routing::RetryOptions options;
+    routing::RetryBudget budget(options);
+    for (int attempt = 0; attempt < 10'000; ++attempt) {
+        budget.onFirstAttempt();
+    }
+    CHECK(budget.available() == options.burst);
+    CHECK(budget.takeRetry());
+    CHECK(budget.available() == options.burst - 1);
+    budget.giveBack();
+    CHECK(budget.available() == options.burst);
+    budget.setSharePercent(0);
+    for (int retry = 0; retry < options.burst; ++retry) {
+        CHECK(budget.takeRetry());
+    }
+    CHECK_FALSE(budget.takeRetry());
+}
