--- /dev/null
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -0,0 +1,82 @@
+// Who the other instances are, which of them are in contact and which manifest is in force there.
+#pragma once
+
+#include "samphirebridge/core/time.h"
+#include "samphirebridge/membership/membershipoptions.h"
+#include "samphirebridge/membership/outgoing.h"
+
+#include <absl/container/btree_map.h>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace samphirebridge::membership
+{
+
+// One instance as this one sees it.
+struct InstanceView {
+    proto::InstanceRecord record;
+    // Whether a newer heartbeat arrived, directly or relayed, within contactTimeout.
+    bool inContact = false;
+};
+
+class InstanceDirectory
+{
+public:
+    // Incarnation is that of this process.
+    InstanceDirectory(core::InstanceId self,
+                      core::Incarnation incarnation,
+                      MembershipOptions options);
+
+    // Names the instances of the settings, so that the first heartbeats have somewhere to go.
+    void setKnown(std::span<const core::InstanceId> instances, core::TimePoint now);
+
+    // Notes the manifest version in force here; the next heartbeat carries it.
+    void setManifestVersion(uint64_t version);
+
+    // Notes that this instance shuts down and returns the update that tells every peer at once.
+    std::vector<Outgoing> leave();
+
+    // Returns the heartbeats that are due, also to peers out of contact, so that a healed partition
+    // is noticed. Call it at least every heartbeatEvery.
+    std::vector<Outgoing> tick(core::TimePoint now);
+
+    // Merges a peer's instance records. A lower incarnation or heartbeat is ignored.
+    void merge(const proto::MembershipUpdate &update, core::TimePoint now);
+
+    // Returns the instances in contact, without this one, leaving ones included, ordered by id.
+    [[nodiscard]] std::vector<core::InstanceId> peers(core::TimePoint now) const;
+
+    // Returns every instance heard of, this one included, ordered by id.
+    [[nodiscard]] std::vector<InstanceView> view(core::TimePoint now) const;
+
+    // Returns the instances in contact, this one included, whose manifest version is below the one
+    // given: those that an apply still waits for.
+    [[nodiscard]] std::vector<core::InstanceId> behind(uint64_t version, core::TimePoint now) const;
+
+private:
+    struct Entry {
+        proto::InstanceRecord record;
+        std::optional<core::TimePoint> heardAt;
+        core::TimePoint listedAt; // When it was named or last heard.
+        uint32_t relays = 0; // Heartbeats of ours that carried this one on.
+    };
+
+    // How much slower heartbeats are than in a fleet where everyone tells everyone.
+    [[nodiscard]] int64_t slowdown() const;
+    [[nodiscard]] bool inContact(const Entry &entry, core::TimePoint now) const;
+    [[nodiscard]] std::vector<core::InstanceId> receivers() const;
+    void relay(proto::MembershipUpdate &update);
+
+    core::InstanceId self;
+    MembershipOptions options;
+    proto::InstanceRecord own;
+    absl::btree_map<std::string, Entry> entries;
+    std::optional<core::TimePoint> lastBeat;
+    std::optional<core::TimePoint> lastAdvance;
+    uint64_t round = 0;
+};
+
+} // namespace samphirebridge::membership
