--- /dev/null
+++ b/source/samphirebridge/entry/entrynode.h
@@ -0,0 +1,79 @@
+// The control side of one entry instance: registration, manifest, escrow, claims and targets.
+#pragma once
+
+#include "samphirebridge/entry/claimkeeper.h"
+#include "samphirebridge/entry/escrowkeeper.h"
+#include "samphirebridge/entry/fleetview.h"
+#include "samphirebridge/entry/manifestkeeper.h"
+
+#include <atomic>
+
+namespace samphirebridge::entry
+{
+
+struct EntryOptions {
+    core::HolderId holder;
+    core::DataCentreId dataCentre;
+    core::Duration escrowFlushInterval = std::chrono::milliseconds(100);
+    uint64_t seed = 1;
+};
+
+// Lives on the control thread, but for ready() and the manifest's catalogue().
+class EntryNode
+{
+public:
+    EntryNode(EntryOptions options,
+              control::LedgerClient &client,
+              transport::PeerSet &peers,
+              telemetry::Counters &counters,
+              telemetry::Logger &logger);
+
+    void tick(core::TimePoint now);
+    void flush(core::TimePoint now);
+
+    // Takes what peers told about targets and instances.
+    void onEnvelope(const proto::Envelope &envelope, core::TimePoint now);
+
+    // Stops being ready and tells the peers; callers who come all the same are still served.
+    void beginDrain();
+
+    // Refuses callers from now on and returns all escrow as the requests under way end.
+    void beginShutdown();
+
+    // Tells whether the balancer should send callers here.
+    [[nodiscard]] bool ready() const;
+
+    // Tells whether callers may be served: the manifest was confirmed by the quorum, and the holder
+    // is registered.
+    [[nodiscard]] bool serving() const;
+
+    [[nodiscard]] bool stopping() const;
+
+    [[nodiscard]] ManifestKeeper &manifest();
+    [[nodiscard]] EscrowKeeper &escrow();
+    [[nodiscard]] ClaimKeeper &claims();
+    [[nodiscard]] FleetView &fleet();
+
+private:
+    void registerHolder();
+    void onManifest(const manifest::Catalogue &catalogue);
+    void updateLevels();
+
+    EntryOptions options;
+    control::LedgerClient &client;
+    telemetry::Counters &counters;
+    telemetry::Logger &logger;
+    core::SteadyClock clock;
+    FleetView fleetView;
+    EscrowKeeper escrowKeeper;
+    ClaimKeeper claimKeeper;
+    ManifestKeeper manifestKeeper;
+    core::TimePoint lastLevels;
+    bool registering = false;
+    bool registered = false;
+    std::atomic<bool> draining = false;
+    std::atomic<bool> shuttingDown = false;
+    std::atomic<bool> isServing = false;
+};
+
+} // namespace samphirebridge::entry
--- /dev/null
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -0,0 +1,101 @@
+// Hosts the escrow book: sends its batches to the ledger and lets requests wait for grants.
+#pragma once
+
+#include "samphirebridge/budget/escrowbook.h"
+#include "samphirebridge/control/ledgerclient.h"
+#include "samphirebridge/core/reasons.h"
+#include "samphirebridge/telemetry/counters.h"
+#include "samphirebridge/telemetry/logger.h"
+
+#include <functional>
+#include <list>
+#include <optional>
+
+namespace samphirebridge::entry
+{
+
+// What became of a request for tokens.
+struct ReservationAnswer {
+    std::optional<budget::ReservationId> reservation; // Empty: refused.
+    core::RefusalReason reason = core::RefusalReason::BudgetExhausted;
+    core::Duration retryAfter{};
+};
+
+using OnReservation = std::function<void(const ReservationAnswer &)>;
+
+// What a request needs of its budget.
+struct ReservationRequest {
+    core::BudgetId budget;
+    core::Tokens tokens;
+    budget::Recording recording = budget::Recording::Batch;
+    core::TimePoint deadline; // The answer comes at the latest then.
+};
+
+// Lives on the control thread.
+class EscrowKeeper
+{
+public:
+    EscrowKeeper(core::HolderId holder,
+                 budget::EscrowOptions options,
+                 control::LedgerClient &client,
+                 telemetry::Counters &counters,
+                 telemetry::Logger &logger);
+
+    // Batches are sent from now on: the holder is registered.
+    void setRegistered();
+
+    // Takes over the policy in force. An instance that the ledger did not answer for longer than
+    // outOfContactServe reserves nothing more; zero: as long as escrow lasts.
+    void setPolicy(const budget::EscrowOptions &options, core::Duration outOfContactServe);
+
+    // Answers at once, or when a grant or a settlement decided, or at the deadline.
+    void reserve(const ReservationRequest &request, core::TimePoint now, OnReservation onAnswer);
+
+    // Ends a reservation, see budget::EscrowBook.
+    void settle(budget::ReservationId reservation,
+                core::Tokens used,
+                core::TimePoint now,
+                std::optional<budget::ClaimedEnd> claimed);
+    void release(budget::ReservationId reservation, core::TimePoint now);
+    void openClaimed(budget::ReservationId reservation);
+
+    // Sends a batch if one is due and gives up on what waited too long.
+    void flush(core::TimePoint now);
+
+    // Returns all escrow; from now on nothing is reserved.
+    void beginShutdown();
+
+    // Tells whether nothing is left to report, return or settle.
+    [[nodiscard]] bool isSettled() const;
+
+    [[nodiscard]] const core::HolderId &holder() const;
+    [[nodiscard]] const budget::EscrowBook &state() const;
+
+private:
+    struct Waiter {
+        ReservationRequest request;
+        OnReservation onAnswer;
+    };
+
+    // Returns the answer, or nothing while the request has to wait.
+    std::optional<ReservationAnswer> decide(const ReservationRequest &request, core::TimePoint now);
+    [[nodiscard]] bool servesOutOfContact(core::TimePoint now) const;
+    void askWaitersAgain(core::TimePoint now);
+    void expireWaiters(core::TimePoint now);
+    void send(const proto::HolderBatch &batch);
+    void onBatchAnswer(const absl::StatusOr<proto::CommandResult> &result, core::TimePoint now);
+
+    budget::EscrowBook book;
+    control::LedgerClient &client;
+    telemetry::Counters &counters;
+    telemetry::Logger &logger;
+    core::SteadyClock clock;
+    core::Duration outOfContactServe{};
+    core::TimePoint lastContact;
+    std::list<Waiter> waiters;
+    bool registered = false;
+    bool shuttingDown = false;
+    uint64_t lastSequence = 0;
+};
+
+} // namespace samphirebridge::entry
--- /dev/null
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -0,0 +1,232 @@
+#include "samphirebridge/entry/fleetview.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace samphirebridge::entry
+{
+
+namespace
+{
+
+// The time between two searches for silent targets.
+constexpr core::Duration SweepInterval = std::chrono::milliseconds(500);
+
+// The time between two comparisons with a peer picked at random.
+constexpr core::Duration DigestInterval = std::chrono::seconds(2);
+
+constexpr core::Duration RouterTickInterval = std::chrono::seconds(1);
+
+routing::RoutingOptions routingOptions(const core::DataCentreId &dataCentre)
+{
+    routing::RoutingOptions options;
+    options.subset.dataCentre = dataCentre.value;
+    return options;
+}
+
+std::string stateName(proto::TargetState state)
+{
+    switch (state) {
+    case proto::READY:
+        return "ready";
+    case proto::LEAVING:
+        return "leaving";
+    case proto::GONE:
+        return "gone";
+    default:
+        return "unspecified";
+    }
+}
+
+} // namespace
+
+FleetView::FleetView(core::InstanceId ownId,
+                     core::Incarnation incarnation,
+                     core::DataCentreId dataCentre,
+                     transport::PeerSet &peers,
+                     telemetry::Counters &processCounters,
+                     telemetry::Logger &processLogger,
+                     uint64_t seed)
+    : self(std::move(ownId))
+    , peerSet(peers)
+    , counters(processCounters)
+    , logger(processLogger)
+    , random(seed)
+    , targetDirectory(this->self, {})
+    , instanceDirectory(this->self, incarnation, {})
+    , crashDirectory(this->self, {})
+    , targetRouter(this->self, routingOptions(dataCentre), std::mt19937_64(seed + 1))
+{
+    this->instanceDirectory.setKnown(peers.ids(), core::SteadyClock().now());
+}
+
+absl::Status FleetView::announce(const proto::TargetRecord &record, core::TimePoint now)
+{
+    auto announced
+        = this->targetDirectory.announce(record, this->instanceDirectory.peers(now), now);
+    if (!announced.ok()) {
+        return announced.status();
+    }
+    this->take(announced->effect, now);
+    return absl::OkStatus();
+}
+
+void FleetView::onUpdate(const proto::MembershipUpdate &update, core::TimePoint now)
+{
+    this->instanceDirectory.merge(update, now);
+    const std::vector<core::InstanceId> peers = this->instanceDirectory.peers(now);
+    this->take(this->targetDirectory.merge(update, peers, now), now);
+    std::vector<membership::Outgoing> outgoing;
+    const auto crashes = this->crashDirectory.merge(update, peers, now, outgoing);
+    this->targetRouter.onCrashReports(crashes, now);
+    this->send(outgoing);
+}
+
+void FleetView::onDigest(const proto::MembershipDigest &digest, core::TimePoint /*now*/)
+{
+    const membership::DigestAnswer answer = this->targetDirectory.answer(digest);
+    transport::PeerChannel *channel = this->peerSet.find(core::InstanceId(digest.from()));
+    if (channel == nullptr || (!answer.update && !answer.digest)) {
+        return;
+    }
+    proto::Envelope envelope;
+    envelope.set_from(this->self.value);
+    if (answer.update) {
+        *envelope.add_updates() = *answer.update;
+    }
+    if (answer.digest) {
+        *envelope.add_digests() = *answer.digest;
+    }
+    channel->deliver(envelope);
+}
+
+void FleetView::tick(core::TimePoint now)
+{
+    this->send(this->instanceDirectory.tick(now));
+    if (now - this->lastSweep >= SweepInterval) {
+        this->lastSweep = now;
+        this->take(this->targetDirectory.tick(this->instanceDirectory.peers(now), now), now);
+    }
+    if (now - this->lastDigest >= DigestInterval) {
+        this->lastDigest = now;
+        this->sendDigest(now);
+    }
+    if (now - this->lastRouterTick >= RouterTickInterval) {
+        this->lastRouterTick = now;
+        this->targetRouter.tick(now);
+        this->crashDirectory.tick(now);
+        this->shareCrashes(now);
+    }
+    this->counters.set(telemetry::Level::TargetsReady,
+                       static_cast<double>(this->targetRouter.readyTargets()));
+}
+
+void FleetView::onManifest(const manifest::Catalogue &catalogue, core::TimePoint now)
+{
+    std::vector<proto::TargetKind> kinds;
+    for (const proto::TargetKind *kind : catalogue.targetKinds()) {
+        kinds.push_back(*kind);
+    }
+    std::vector<proto::Organisation> organisations;
+    for (const proto::Organisation *organisation : catalogue.organisations()) {
+        organisations.push_back(*organisation);
+    }
+    proto::Policy policy;
+    policy.set_retry_share_percent(catalogue.policy().retrySharePercent);
+    this->targetRouter.setKinds(kinds);
+    this->targetRouter.setOrganisations(organisations);
+    this->targetRouter.setPolicy(policy);
+    this->instanceDirectory.setManifestVersion(catalogue.version());
+    this->send(this->instanceDirectory.tick(now));
+}
+
+void FleetView::leave()
+{
+    this->send(this->instanceDirectory.leave());
+}
+
+void FleetView::shareCrashes(core::TimePoint now)
+{
+    const std::vector<proto::CrashReport> reports = this->targetRouter.takeCrashReports();
+    if (reports.empty()) {
+        return;
+    }
+    this->send(this->crashDirectory.report(reports, this->instanceDirectory.peers(now), now));
+}
+
+uint64_t FleetView::newestVersion(core::TimePoint now) const
+{
+    uint64_t newest = 0;
+    for (const membership::InstanceView &view : this->instanceDirectory.view(now)) {
+        newest = std::max<uint64_t>(newest, view.record.manifest_version());
+    }
+    return newest;
+}
+
+FleetView::Router &FleetView::router()
+{
+    return this->targetRouter;
+}
+
+const membership::TargetDirectory &FleetView::targets() const
+{
+    return this->targetDirectory;
+}
+
+const membership::InstanceDirectory &FleetView::instances() const
+{
+    return this->instanceDirectory;
+}
+
+void FleetView::send(const std::vector<membership::Outgoing> &outgoing)
+{
+    for (const membership::Outgoing &message : outgoing) {
+        transport::PeerChannel *channel = this->peerSet.find(message.to);
+        if (channel == nullptr) {
+            continue;
+        }
+        proto::Envelope envelope;
+        envelope.set_from(this->self.value);
+        *envelope.add_updates() = message.update;
+        channel->deliver(envelope);
+    }
+}
+
+void FleetView::take(const membership::DirectoryEffect &effect, core::TimePoint now)
+{
+    for (const proto::TargetRecord &record : effect.changed) {
+        this->logger.change("target_changed",
+                            {{"target", record.id()},
+                             {"incarnation", std::to_string(record.incarnation())},
+                             {"state", stateName(record.state())}});
+        this->targetRouter.onTarget(record, now);
+    }
+    for (const proto::TargetRecord &record : effect.renewed) {
+        this->targetRouter.onLoad(record.id(), record.incarnation(), record.load(), now);
+    }
+    this->send(effect.outgoing);
+    this->shareCrashes(now);
+}
+
+void FleetView::sendDigest(core::TimePoint now)
+{
+    const std::vector<core::InstanceId> peers = this->instanceDirectory.peers(now);
+    if (peers.empty()) {
+        return;
+    }
+    std::uniform_int_distribution<size_t> pick(0, peers.size() - 1);
+    transport::PeerChannel *channel = this->peerSet.find(peers[pick(this->random)]);
+    if (channel == nullptr) {
+        return;
+    }
+    proto::Envelope envelope;
+    envelope.set_from(this->self.value);
+    *envelope.add_digests() = this->targetDirectory.digest();
+    channel->deliver(envelope);
+}
+
+} // namespace samphirebridge::entry
--- /dev/null
+++ b/source/samphirebridge/entry/fleetview.h
@@ -0,0 +1,82 @@
+// What this instance knows of the other instances and of the targets, and how it tells others.
+#pragma once
+
+#include "instance.pb.h"
+#include "samphirebridge/manifest/catalogue.h"
+#include "samphirebridge/membership/crashdirectory.h"
+#include "samphirebridge/membership/instancedirectory.h"
+#include "samphirebridge/membership/targetdirectory.h"
+#include "samphirebridge/routing/router.h"
+#include "samphirebridge/telemetry/counters.h"
+#include "samphirebridge/telemetry/logger.h"
+#include "samphirebridge/transport/peerset.h"
+
+#include <random>
+#include <span>
+#include <vector>
+
+namespace samphirebridge::entry
+{
+
+// Joins the pure directories and the router to the links between instances. Lives on the control
+// thread.
+class FleetView
+{
+public:
+    using Router = routing::Router<std::mt19937_64>;
+
+    FleetView(core::InstanceId self,
+              core::Incarnation incarnation,
+              core::DataCentreId dataCentre,
+              transport::PeerSet &peers,
+              telemetry::Counters &counters,
+              telemetry::Logger &logger,
+              uint64_t seed);
+
+    // Takes a target's announcement. InvalidAnnouncement if the record is not acceptable.
+    absl::Status announce(const proto::TargetRecord &record, core::TimePoint now);
+
+    // Takes what a peer told.
+    void onUpdate(const proto::MembershipUpdate &update, core::TimePoint now);
+    void onDigest(const proto::MembershipDigest &digest, core::TimePoint now);
+
+    // Sends heartbeats and digests, and declares silent targets gone.
+    void tick(core::TimePoint now);
+
+    // Takes over what the manifest says about kinds, organisations and retries, and tells the peers
+    // which version is in force here.
+    void onManifest(const manifest::Catalogue &catalogue, core::TimePoint now);
+
+    // Tells every peer that this instance leaves.
+    void leave();
+
+    // Passes on the crash reports that the router made.
+    void shareCrashes(core::TimePoint now);
+
+    // Returns the highest manifest version that a peer in contact has in force.
+    [[nodiscard]] uint64_t newestVersion(core::TimePoint now) const;
+
+    [[nodiscard]] Router &router();
+    [[nodiscard]] const membership::TargetDirectory &targets() const;
+    [[nodiscard]] const membership::InstanceDirectory &instances() const;
+
+private:
+    void send(const std::vector<membership::Outgoing> &outgoing);
+    void take(const membership::DirectoryEffect &effect, core::TimePoint now);
+    void sendDigest(core::TimePoint now);
+
+    core::InstanceId self;
+    transport::PeerSet &peerSet;
+    telemetry::Counters &counters;
+    telemetry::Logger &logger;
+    std::mt19937_64 random;
+    membership::TargetDirectory targetDirectory;
+    membership::InstanceDirectory instanceDirectory;
+    membership::CrashDirectory crashDirectory;
+    Router targetRouter;
+    core::TimePoint lastSweep;
+    core::TimePoint lastDigest;
+    core::TimePoint lastRouterTick;
+};
+
+} // namespace samphirebridge::entry
