--- /dev/null
+++ b/source/samphirebridge/http/exchange.cpp
@@ -0,0 +1,400 @@
+#include "samphirebridge/http/exchange.h"
+
+#include "samphirebridge/http/connector.h"
+
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <deque>
+#include <mutex>
+#include <utility>
+
+namespace samphirebridge::http
+{
+
+namespace
+{
+
+constexpr size_t MaximumQueuedBytes = size_t{256} << 10U;
+constexpr int FirstFinalStatus = 200;
+constexpr std::string_view LineEnd = "\r\n";
+
+struct SlistDeleter {
+    void operator()(curl_slist *list) const
+    {
+        ::curl_slist_free_all(list);
+    }
+};
+
+using HeaderList = std::unique_ptr<curl_slist, SlistDeleter>;
+
+void append(HeaderList &list, const std::string &line)
+{
+    curl_slist *longer = ::curl_slist_append(list.get(), line.c_str());
+    static_cast<void>(list.release());
+    list.reset(longer);
+}
+
+HeaderList headerList(const Headers &headers)
+{
+    HeaderList list;
+    append(list, "Expect:"); // Waiting for 100 Continue would only delay.
+    if (!headers.find("Content-Type")) {
+        append(list, "Content-Type:");
+    }
+    for (const Header &field : headers.fields()) {
+        const bool splits = field.name.find_first_of("\r\n:") != std::string::npos
+                            || field.value.find_first_of("\r\n") != std::string::npos;
+        if (splits || equalIgnoringCase(field.name, "Content-Length")
+            || equalIgnoringCase(field.name, "Transfer-Encoding")) {
+            continue;
+        }
+        append(list, field.value.empty() ? field.name + ";" : field.name + ": " + field.value);
+    }
+    return list;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view Space = " \t\r\n";
+    const size_t first = text.find_first_not_of(Space);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(Space) - first + 1);
+}
+
+int statusOf(std::string_view statusLine)
+{
+    const size_t space = statusLine.find(' ');
+    if (space == std::string_view::npos) {
+        return 0;
+    }
+    const std::string_view digits = statusLine.substr(space + 1);
+    int status = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    return status;
+}
+
+long millisecondsOf(core::Duration duration)
+{
+    return static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+std::string_view exchangeErrorName(ExchangeError error)
+{
+    switch (error) {
+    case ExchangeError::ConnectFailed:
+        return "connect_failed";
+    case ExchangeError::ConnectionBroken:
+        return "connection_broken";
+    case ExchangeError::Timeout:
+        return "timeout";
+    case ExchangeError::WrongLength:
+        return "wrong_length";
+    }
+    return "connection_broken";
+}
+
+struct Exchange::Implementation {
+    std::shared_ptr<Connector> connector;
+    ClientRequest request;
+    std::string origin;
+    HeaderList headerLines;
+    std::mutex channelMutex; // Against interrupt, where the channel is given away or closed.
+    Channel channel;
+    std::array<char, CURL_ERROR_SIZE> errorText{};
+    std::deque<ExchangeEvent> events;
+    size_t queuedBytes = 0;
+    ExchangeEvent head; // Under construction.
+    bool headComplete = false;
+    bool paused = false;
+    bool mayHaveLeft = false;
+    bool ended = false; // libcurl is done with it.
+    bool over = false; // The caller was told.
+    std::atomic<bool> interrupted{false};
+
+    template <typename Value>
+    void set(CURLoption option, Value value)
+    {
+        ::curl_easy_setopt(this->channel.easy.get(), option, value);
+    }
+
+    void configure();
+    void configureBody();
+    void configureCallbacks();
+    int beforeRequest();
+    void takeHeaderLine(std::string_view line);
+    size_t takeBody(std::string_view bytes);
+    void perform();
+    void takeResult(CURLcode result);
+    [[nodiscard]] ExchangeError errorOf(CURLcode result) const;
+    ExchangeEvent pop();
+    void close();
+};
+
+void Exchange::Implementation::configure()
+{
+    ::curl_easy_reset(this->channel.easy.get());
+    this->set(CURLOPT_URL, this->request.url.c_str());
+    this->set(CURLOPT_PROTOCOLS_STR, "http,https");
+    this->set(CURLOPT_PROXY, "");
+    this->set(CURLOPT_NOSIGNAL, 1L);
+    this->set(CURLOPT_TCP_NODELAY, 1L);
+    this->set(CURLOPT_PATH_AS_IS, 1L);
+    this->set(CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    this->set(CURLOPT_CONNECTTIMEOUT_MS, millisecondsOf(this->request.connectTimeout));
+    this->set(CURLOPT_TIMEOUT_MS, millisecondsOf(this->request.deadline));
+    const long isFresh = this->request.connection == ConnectionUse::Fresh ? 1 : 0;
+    this->set(CURLOPT_FRESH_CONNECT, isFresh);
+    this->set(CURLOPT_FORBID_REUSE, isFresh);
+    this->set(CURLOPT_HTTPHEADER, this->headerLines.get());
+    this->set(CURLOPT_ERRORBUFFER, this->errorText.data());
+    this->configureBody();
+    this->configureCallbacks();
+}
+
+void Exchange::Implementation::configureBody()
+{
+    const std::string &method = this->request.method;
+    const bool hasBody
+        = !this->request.body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
+    if (method == "HEAD") {
+        this->set(CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (hasBody) {
+        this->set(CURLOPT_POST, 1L);
+        const auto size = static_cast<curl_off_t>(this->request.body.size());
+        this->set(CURLOPT_POSTFIELDSIZE_LARGE, size);
+        this->set(CURLOPT_POSTFIELDS, this->request.body.c_str());
+    }
+    this->set(CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void Exchange::Implementation::configureCallbacks()
+{
+    using Prerequest = int (*)(void *, char *, char *, int, int);
+    using Take = size_t (*)(char *, size_t, size_t, void *);
+    const Prerequest prerequest = [](void *self, char *, char *, int, int) {
+        return static_cast<Implementation *>(self)->beforeRequest();
+    };
+    const Take takeHeader = [](char *bytes, size_t size, size_t count, void *self) {
+        static_cast<Implementation *>(self)->takeHeaderLine({bytes, size * count});
+        return size * count;
+    };
+    const Take takeData = [](char *bytes, size_t size, size_t count, void *self) {
+        return static_cast<Implementation *>(self)->takeBody({bytes, size * count});
+    };
+    this->set(CURLOPT_PREREQFUNCTION, prerequest);
+    this->set(CURLOPT_PREREQDATA, this);
+    this->set(CURLOPT_HEADERFUNCTION, takeHeader);
+    this->set(CURLOPT_HEADERDATA, this);
+    this->set(CURLOPT_WRITEFUNCTION, takeData);
+    this->set(CURLOPT_WRITEDATA, this);
+}
+
+// libcurl calls this when it has a connection and before it sends anything, also before it sends a
+// request again because a reused connection was found dead.
+int Exchange::Implementation::beforeRequest()
+{
+    if (this->mayHaveLeft && this->request.connection == ConnectionUse::Fresh) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    this->mayHaveLeft = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+void Exchange::Implementation::takeHeaderLine(std::string_view line)
+{
+    if (this->headComplete) {
+        return; // A trailer.
+    }
+    if (line == LineEnd) {
+        this->headComplete = this->head.status >= FirstFinalStatus;
+        if (this->headComplete) {
+            this->head.kind = ExchangeEventKind::Headers;
+            this->events.push_back(std::move(this->head));
+        }
+        return;
+    }
+    if (line.starts_with("HTTP/")) {
+        this->head = ExchangeEvent{};
+        this->head.status = statusOf(line);
+        return;
+    }
+    const size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        this->head.headers.add(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+    }
+}
+
+size_t Exchange::Implementation::takeBody(std::string_view bytes)
+{
+    if (this->queuedBytes >= MaximumQueuedBytes) {
+        this->paused = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    if (this->events.empty() || this->events.back().kind != ExchangeEventKind::Data) {
+        this->events.emplace_back();
+        this->events.back().kind = ExchangeEventKind::Data;
+    }
+    this->events.back().bytes.append(bytes);
+    this->queuedBytes += bytes.size();
+    return bytes.size();
+}
+
+void Exchange::Implementation::perform()
+{
+    if (this->paused) {
+        this->paused = false;
+        ::curl_easy_pause(this->channel.easy.get(), CURLPAUSE_CONT);
+    }
+    int running = 0;
+    ::curl_multi_perform(this->channel.multi.get(), &running);
+    int waiting = 0;
+    while (const CURLMsg *message = ::curl_multi_info_read(this->channel.multi.get(), &waiting)) {
+        if (message->msg == CURLMSG_DONE) {
+            this->takeResult(message->data.result);
+            return;
+        }
+    }
+}
+
+ExchangeError Exchange::Implementation::errorOf(CURLcode result) const
+{
+    if (!this->mayHaveLeft) {
+        return ExchangeError::ConnectFailed;
+    }
+    if (result == CURLE_OPERATION_TIMEDOUT) {
+        return ExchangeError::Timeout;
+    }
+    return result == CURLE_PARTIAL_FILE ? ExchangeError::WrongLength
+                                        : ExchangeError::ConnectionBroken;
+}
+
+void Exchange::Implementation::takeResult(CURLcode result)
+{
+    this->ended = true;
+    ExchangeEvent last;
+    last.kind = result == CURLE_OK && this->headComplete ? ExchangeEventKind::End
+                                                         : ExchangeEventKind::Error;
+    if (last.kind == ExchangeEventKind::Error) {
+        last.error = this->errorOf(result);
+        last.message
+            = this->errorText[0] == '\0' ? ::curl_easy_strerror(result) : this->errorText.data();
+    }
+    const bool isReusable
+        = last.kind == ExchangeEventKind::End && this->request.connection == ConnectionUse::Pooled;
+    this->events.push_back(std::move(last));
+    ::curl_multi_remove_handle(this->channel.multi.get(), this->channel.easy.get());
+    if (isReusable) {
+        ::curl_easy_reset(this->channel.easy.get()); // Forgets the pointers into this exchange.
+        std::unique_lock lock(this->channelMutex);
+        Channel kept = std::exchange(this->channel, Channel{});
+        lock.unlock();
+        this->connector->keep(this->origin, std::move(kept));
+    }
+}
+
+ExchangeEvent Exchange::Implementation::pop()
+{
+    ExchangeEvent event = std::move(this->events.front());
+    this->events.pop_front();
+    this->queuedBytes -= event.bytes.size();
+    this->over = event.kind == ExchangeEventKind::End || event.kind == ExchangeEventKind::Error;
+    return event;
+}
+
+void Exchange::Implementation::close()
+{
+    if (this->channel.multi != nullptr && this->channel.easy != nullptr && !this->ended) {
+        ::curl_multi_remove_handle(this->channel.multi.get(), this->channel.easy.get());
+    }
+    this->ended = true;
+    const std::lock_guard lock(this->channelMutex);
+    this->channel.easy.reset();
+    this->channel.multi.reset(); // Closes the connection.
+}
+
+Exchange::Exchange(std::shared_ptr<Connector> connector, const ClientRequest &request)
+    : implementation(std::make_unique<Implementation>())
+{
+    Implementation &self = *this->implementation;
+    self.connector = std::move(connector);
+    self.request = request;
+    self.origin = originOf(request.url);
+    self.headerLines = headerList(request.headers);
+    self.channel = self.connector->take(self.origin);
+    self.configure();
+    ::curl_multi_add_handle(self.channel.multi.get(), self.channel.easy.get());
+}
+
+Exchange::~Exchange()
+{
+    if (this->implementation != nullptr) {
+        this->implementation->close();
+    }
+}
+
+Exchange::Exchange(Exchange &&other) noexcept = default;
+
+Exchange &Exchange::operator=(Exchange &&other) noexcept
+{
+    std::swap(this->implementation, other.implementation);
+    return *this;
+}
+
+ExchangeEvent Exchange::next(core::Duration timeout)
+{
+    Implementation &self = *this->implementation;
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    while (!self.over) {
+        if (self.events.empty() && !self.ended) {
+            self.perform();
+        }
+        if (!self.events.empty()) {
+            return self.pop();
+        }
+        if (self.interrupted.exchange(false) || self.ended) {
+            break;
+        }
+        const auto left = until - std::chrono::steady_clock::now();
+        if (left <= left.zero()) {
+            break;
+        }
+        const long wait = millisecondsOf(std::chrono::ceil<core::Duration>(left));
+        ::curl_multi_poll(self.channel.multi.get(), nullptr, 0, static_cast<int>(wait), nullptr);
+    }
+    return {};
+}
+
+bool Exchange::bytesMayHaveLeft() const
+{
+    return this->implementation->mayHaveLeft;
+}
+
+void Exchange::cancel()
+{
+    this->implementation->over = true;
+    this->implementation->close();
+}
+
+void Exchange::interrupt()
+{
+    this->implementation->interrupted = true;
+    const std::lock_guard lock(this->implementation->channelMutex);
+    CURLM *multi = this->implementation->channel.multi.get();
+    if (multi != nullptr) {
+        ::curl_multi_wakeup(multi);
+    }
+}
+
+bool Exchange::over() const
+{
+    return this->implementation->over;
+}
+
+} // namespace samphirebridge::http
--- /dev/null
+++ b/tests/http/clienttest.cpp
@@ -0,0 +1,220 @@
+#include "samphirebridge/http/client.h"
+
+#include "samphirebridge/core/errors.h"
+#include "tests/http/peer.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace samphirebridge;
+using namespace samphirebridge::http;
+
+namespace
+{
+
+constexpr auto Long = std::chrono::seconds(30);
+constexpr auto Short = std::chrono::milliseconds(30);
+constexpr std::string_view ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view RequestEnd = "\r\n\r\nbody";
+
+ClientRequest post(const Listener &listener, ConnectionUse use = ConnectionUse::Fresh)
+{
+    ClientRequest request;
+    request.method = "POST";
+    request.url = listener.url() + "/v1/payments";
+    request.body = "body";
+    request.connection = use;
+    return request;
+}
+
+// Lets the exchange send its request and returns the target's end of the connection.
+Peer acceptRequest(Exchange &exchange, const Listener &listener)
+{
+    while (!exchange.bytesMayHaveLeft()) {
+        exchange.next(Short);
+    }
+    exchange.next(Short);
+    Peer peer = listener.accept();
+    CHECK(peer.readUntil(RequestEnd).starts_with("POST /v1/payments HTTP/1.1\r\n"));
+    return peer;
+}
+
+ExchangeEvent nextEvent(Exchange &exchange)
+{
+    return exchange.next(Long);
+}
+
+} // namespace
+
+TEST_CASE("the first chunk is forwarded while the answer is still open")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    const Peer target = acceptRequest(exchange, listener);
+    target.write(ChunkedHead);
+    target.write("5\r\nfirst\r\n");
+    const ExchangeEvent head = nextEvent(exchange);
+    CHECK(head.kind == ExchangeEventKind::Headers);
+    CHECK(head.status == 200);
+    CHECK(nextEvent(exchange).bytes == "first");
+    CHECK(exchange.next(Short).kind == ExchangeEventKind::Nothing);
+    target.write("4\r\nlast\r\n0\r\n\r\n");
+    CHECK(nextEvent(exchange).bytes == "last");
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::End);
+    CHECK(exchange.over());
+}
+
+TEST_CASE("a stalled answer is told as nothing and the exchange goes on")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    const Peer target = acceptRequest(exchange, listener);
+    CHECK(exchange.next(Short).kind == ExchangeEventKind::Nothing);
+    CHECK_FALSE(exchange.over());
+    target.write("HTTP/1.1 204 No Content\r\n\r\n");
+    CHECK(nextEvent(exchange).status == 204);
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::End);
+}
+
+TEST_CASE("the deadline of a stalled answer is a timeout")
+{
+    const Listener listener;
+    Client client;
+    ClientRequest request = post(listener);
+    request.deadline = std::chrono::milliseconds(200);
+    Exchange exchange = client.start(request);
+    const Peer target = acceptRequest(exchange, listener);
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::Timeout);
+    CHECK(exchange.bytesMayHaveLeft());
+}
+
+TEST_CASE("cancelling closes the connection")
+{
+    const Listener listener;
+    Client client;
+    const ConnectionUse use = GENERATE(ConnectionUse::Fresh, ConnectionUse::Pooled);
+    Exchange exchange = client.start(post(listener, use));
+    const Peer target = acceptRequest(exchange, listener);
+    target.write(ChunkedHead);
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::Headers);
+    exchange.cancel();
+    CHECK(target.readToEnd().empty()); // Returns only once the connection is closed.
+    CHECK(exchange.next(Long).kind == ExchangeEventKind::Nothing);
+}
+
+TEST_CASE("an interrupt ends a wait")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    const Peer target = acceptRequest(exchange, listener);
+    std::thread interrupter([&exchange] { exchange.interrupt(); });
+    CHECK(exchange.next(Long).kind == ExchangeEventKind::Nothing);
+    interrupter.join();
+    CHECK_FALSE(exchange.over());
+}
+
+TEST_CASE("a refused connection is told as one that no byte can have left on")
+{
+    ClientRequest request;
+    {
+        const Listener closedSoon;
+        request = post(closedSoon, GENERATE(ConnectionUse::Fresh, ConnectionUse::Pooled));
+    }
+    Client client;
+    Exchange exchange = client.start(request);
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::ConnectFailed);
+    CHECK_FALSE(exchange.bytesMayHaveLeft());
+    const auto answer = client.fetch(request, Long);
+    CHECK(core::errorCodeOf(answer.status()) == core::ErrorCode::Unreachable);
+}
+
+TEST_CASE("a connection that breaks before the answer may have carried the request")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.close(GENERATE(true, false));
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::ConnectionBroken);
+    CHECK(exchange.bytesMayHaveLeft());
+}
+
+TEST_CASE("a missing terminator and a short body are told as a wrong length")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    const std::string answer = GENERATE(as<std::string>{},
+                                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        "3\r\nabc\r\n",
+                                        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+    target.write(answer);
+    target.close();
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::Headers);
+    CHECK(nextEvent(exchange).bytes == "abc");
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::WrongLength);
+}
+
+TEST_CASE("a pooled connection is reused and a fresh one never is")
+{
+    const Listener listener;
+    Client client;
+    constexpr std::string_view Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    Exchange first = client.start(post(listener, ConnectionUse::Pooled));
+    const Peer target = acceptRequest(first, listener);
+    target.write(Answer);
+    while (!first.over()) {
+        nextEvent(first);
+    }
+    Exchange second = client.start(post(listener, ConnectionUse::Pooled));
+    second.next(Short);
+    CHECK_FALSE(target.readUntil(RequestEnd).empty()); // On the first one's connection.
+    target.write(Answer);
+    while (!second.over()) {
+        nextEvent(second);
+    }
+    Exchange third = client.start(post(listener));
+    const Peer other = acceptRequest(third, listener); // Accepts a new connection.
+    CHECK(third.bytesMayHaveLeft());
+}
+
+TEST_CASE("a request on a fresh connection is sent once although its connection dies")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.close(true);
+    CHECK(nextEvent(exchange).error == ExchangeError::ConnectionBroken);
+    Exchange probe = client.start(post(listener));
+    const Peer next = acceptRequest(probe, listener); // The first to come after the broken one.
+    next.write("HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+    CHECK(nextEvent(probe).status == 201);
+}
+
+TEST_CASE("an answer larger than accepted is a typed error")
+{
+    const Listener listener;
+    Client client;
+    std::thread target([&listener] {
+        const Peer peer = listener.accept();
+        static_cast<void>(peer.readUntil(RequestEnd));
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123456789");
+    });
+    const auto answer = client.fetch(post(listener), Long, 8);
+    target.join();
+    CHECK(core::errorCodeOf(answer.status()) == core::ErrorCode::TooLarge);
+}
