gateway, daemon: Wire the thin whole path

Callers', targets' and operators' interfaces over CivetWeb, the daemon with its ordered shutdown, and a thin request machine: one attempt, the answer passed through, one settlement from the engine's usage.

--- /dev/null
+++ b/source/samphirebridge/daemon/processhost.h
@@ -0,0 +1,60 @@
+// What the control thread of a daemon drives: the voter, if the instance is one, and the entry
+// side.
+#pragma once
+
+#include "samphirebridge/control/controlnode.h"
+#include "samphirebridge/daemon/exitcode.h"
+#include "samphirebridge/entry/entrynode.h"
+#include "samphirebridge/storage/filestorage.h"
+#include "samphirebridge/telemetry/logger.h"
+
+#include <cstdlib>
+#include <string>
+
+namespace samphirebridge::daemon
+{
+
+using Voter = control::ControlNode<storage::FileStorage>;
+
+// Satisfies runtime::ControlHost.
+class ProcessHost
+{
+public:
+    // Voter may be null.
+    ProcessHost(Voter *processVoter, entry::EntryNode &entryNode, telemetry::Logger &processLogger)
+        : voter(processVoter)
+        , node(entryNode)
+        , logger(processLogger)
+    {
+    }
+
+    void tick(core::TimePoint now)
+    {
+        if (this->voter != nullptr) {
+            this->voter->tick(now);
+        }
+        this->node.tick(now);
+    }
+
+    void flush(core::TimePoint now)
+    {
+        this->node.flush(now);
+        if (this->voter == nullptr) {
+            return;
+        }
+        const absl::Status flushed = this->voter->flush(now);
+        if (!flushed.ok()) {
+            // After a failed write nobody knows what the disk holds: no further answer may leave.
+            this->logger.change("storage_failed",
+                                {{"error", std::string(core::messageOf(flushed))}});
+            std::_Exit(static_cast<int>(ExitCode::StorageFailed));
+        }
+    }
+
+private:
+    Voter *voter;
+    entry::EntryNode &node;
+    telemetry::Logger &logger;
+};
+
+} // namespace samphirebridge::daemon
--- /dev/null
+++ b/source/samphirebridge/gateway/jsonanswer.h
@@ -0,0 +1,31 @@
+// Answers in JSON for operators and targets.
+#pragma once
+
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/http/responsewriter.h"
+
+#include <absl/status/status.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace samphirebridge::gateway
+{
+
+// Sends a JSON document with status 200.
+void sendJson(http::ResponseWriter &writer, const nlohmann::json &document);
+
+// Sends a problem document; the HTTP status follows from the error's code. Members of `extra` are
+// added to the document.
+void sendError(http::ResponseWriter &writer,
+               core::ErrorCode code,
+               std::string_view detail,
+               const nlohmann::json &extra = nlohmann::json::object());
+
+void sendError(http::ResponseWriter &writer, const absl::Status &status);
+
+// Parses an object. Nothing if the text is not a JSON object.
+std::optional<nlohmann::json> parseObject(std::string_view text);
+
+} // namespace samphirebridge::gateway
--- /dev/null
+++ b/source/samphirebridge/gateway/operatorjson.cpp
@@ -0,0 +1,79 @@
+#include "samphirebridge/gateway/operatorjson.h"
+
+namespace samphirebridge::gateway
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+template <typename Names>
+json list(const Names &names)
+{
+    json result = json::array();
+    for (const auto &name : names) {
+        result.push_back(name);
+    }
+    return result;
+}
+
+json targetsJson(std::span<const proto::TargetRecord> targets)
+{
+    json result = json::array();
+    for (const proto::TargetRecord &target : targets) {
+        result.push_back({{"id", target.id()},
+                          {"incarnation", target.incarnation()},
+                          {"kind", target.kind()},
+                          {"address", target.address()},
+                          {"state", target.state() == proto::READY ? "ready" : "leaving"},
+                          {"models", list(target.models())}});
+    }
+    return result;
+}
+
+} // namespace
+
+json budgetJson(const proto::BudgetState &budget)
+{
+    return {{"budget", budget.budget()},
+            {"purchased_tokens", budget.purchased_tokens()},
+            {"billed_tokens", budget.billed_tokens()},
+            {"escrow_tokens", budget.escrow_tokens()},
+            {"quarantined_tokens", budget.quarantined_tokens()},
+            {"pool_tokens", budget.pool_tokens()}};
+}
+
+json instancesJson(std::span<const membership::InstanceView> instances)
+{
+    json result = json::array();
+    for (const membership::InstanceView &view : instances) {
+        result.push_back({{"id", view.record.id()},
+                          {"incarnation", view.record.incarnation()},
+                          {"manifest_version", view.record.manifest_version()},
+                          {"leaving", view.record.leaving()},
+                          {"live", view.inContact}});
+    }
+    return result;
+}
+
+json statusJson(const proto::ReadStatusReply &status,
+                std::span<const membership::InstanceView> instances,
+                std::span<const proto::TargetRecord> targets)
+{
+    json claims = json::array();
+    for (const proto::RequestKey &key : status.unresolved_claims()) {
+        claims.push_back({{"organisation", key.organisation()}, {"key", key.key()}});
+    }
+    return {{"leader", status.leader_instance()},
+            {"term", status.term()},
+            {"commit_index", status.commit_index()},
+            {"manifest_version", status.manifest_version()},
+            {"voters", list(status.configuration().voters())},
+            {"learners", list(status.configuration().learners())},
+            {"instances", instancesJson(instances)},
+            {"targets", targetsJson(targets)},
+            {"claims_in_doubt", claims}};
+}
+
+} // namespace samphirebridge::gateway
--- /dev/null
+++ b/source/samphirebridge/gateway/operatorservice.cpp
@@ -0,0 +1,492 @@
+#include "samphirebridge/gateway/operatorservice.h"
+
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/gateway/await.h"
+#include "samphirebridge/gateway/jsonanswer.h"
+#include "samphirebridge/gateway/operatorjson.h"
+#include "samphirebridge/manifest/manifestdelta.h"
+#include "samphirebridge/manifest/manifestfile.h"
+#include "samphirebridge/storage/memberidentity.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace samphirebridge::gateway
+{
+
+namespace
+{
+
+// The time that an operator's command or read may take.
+constexpr core::Duration OperatorTimeout = std::chrono::seconds(5);
+
+// How long an apply waits for the instances in contact to put the version in force.
+constexpr core::Duration InForceTimeout = std::chrono::seconds(4);
+constexpr core::Duration InForcePoll = std::chrono::milliseconds(20);
+
+std::vector<std::string> partsOf(const std::string &path)
+{
+    return absl::StrSplit(path, '/', absl::SkipEmpty());
+}
+
+// Returns the value of a parameter of the query, or nothing.
+std::optional<std::string> parameter(const http::Request &request, std::string_view name)
+{
+    const std::vector<std::string> pairs = absl::StrSplit(request.query, '&', absl::SkipEmpty());
+    for (const std::string &pair : pairs) {
+        const size_t equals = pair.find('=');
+        if (equals != std::string::npos && pair.substr(0, equals) == name) {
+            return pair.substr(equals + 1);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<int64_t> numberMember(const nlohmann::json &object, const char *member)
+{
+    const auto found = object.find(member);
+    if (found == object.end() || !found->is_number_integer()) {
+        return std::nullopt;
+    }
+    return found->get<int64_t>();
+}
+
+std::optional<std::string> textMember(const nlohmann::json &object, const char *member)
+{
+    const auto found = object.find(member);
+    if (found == object.end() || !found->is_string() || found->get<std::string>().empty()) {
+        return std::nullopt;
+    }
+    return found->get<std::string>();
+}
+
+bool matches(const std::vector<std::string_view> &pattern, const std::vector<std::string> &parts)
+{
+    return std::equal(pattern.begin(),
+                      pattern.end(),
+                      parts.begin(),
+                      parts.end(),
+                      [](std::string_view expected, const std::string &part) {
+                          return expected == "*" || expected == part;
+                      });
+}
+
+void sendMissing(http::ResponseWriter &writer, std::string_view accepted)
+{
+    sendError(writer,
+              core::ErrorCode::InvalidRequest,
+              fmt::format("the body lacks a member; accepted is {}", accepted));
+}
+
+} // namespace
+
+OperatorService::OperatorService(entry::EntryNode &entryNode,
+                                 control::LedgerClient &ledgerClient,
+                                 transport::PeerSet &peerSet,
+                                 runtime::TaskQueue &taskQueue,
+                                 std::vector<std::string> digests,
+                                 LocalChangeVoters changeVotersHere)
+    : node(entryNode)
+    , client(ledgerClient)
+    , peers(peerSet)
+    , queue(taskQueue)
+    , tokenDigests(std::move(digests))
+    , localChangeVoters(std::move(changeVotersHere))
+{
+}
+
+const std::vector<OperatorService::Endpoint> &OperatorService::endpoints()
+{
+    using Service = OperatorService;
+    static const std::vector<Endpoint> All{
+        {"GET", {"v1", "manifest"}, &Service::getManifest},
+        {"PUT", {"v1", "manifest"}, &Service::putManifest},
+        {"GET", {"v1", "status"}, &Service::getStatus},
+        {"GET", {"v1", "budgets"}, &Service::getBudgets},
+        {"GET", {"v1", "budgets", "*"}, &Service::getBudget},
+        {"POST", {"v1", "budgets", "*", "top-up"}, &Service::topUp},
+        {"POST", {"v1", "budgets", "*", "release"}, &Service::releaseQuarantine},
+        {"POST", {"v1", "claims", "resolve"}, &Service::resolveClaim},
+        {"GET", {"v1", "instances"}, &Service::getInstances},
+        {"POST", {"v1", "instances", "*", "add"}, &Service::addInstance},
+        {"POST", {"v1", "instances", "*", "remove"}, &Service::removeInstance},
+        {"POST", {"v1", "instances", "*", "retire"}, &Service::retireInstance},
+    };
+    return All;
+}
+
+bool OperatorService::serve(const http::Request &request, http::ResponseWriter &writer)
+{
+    const std::vector<std::string> parts = partsOf(request.path);
+    for (const Endpoint &endpoint : endpoints()) {
+        if (endpoint.method != request.method || !matches(endpoint.parts, parts)) {
+            continue;
+        }
+        if (!this->authorised(request)) {
+            sendError(
+                writer, core::ErrorCode::Unauthenticated, "the bearer token is not an operator's");
+            return true;
+        }
+        (this->*endpoint.serve)(request, writer);
+        return true;
+    }
+    return false;
+}
+
+bool OperatorService::authorised(const http::Request &request) const
+{
+    const std::string digest = core::sha256Of(http::bearerToken(request));
+    return std::any_of(
+        this->tokenDigests.begin(), this->tokenDigests.end(), [&](const std::string &accepted) {
+            return core::equalDigests(accepted, digest);
+        });
+}
+
+void OperatorService::getManifest(const http::Request & /*request*/, http::ResponseWriter &writer)
+{
+    const auto catalogue = this->node.manifest().catalogue();
+    writer.send(200,
+                {{"Content-Type", "application/yaml"},
+                 {"Samphirebridge-Manifest-Version", std::to_string(catalogue->version())}},
+                manifest::renderManifest(catalogue->manifest()));
+}
+
+void OperatorService::putManifest(const http::Request &request, http::ResponseWriter &writer)
+{
+    const auto expected = parameter(request, "expected_version");
+    const auto changeId = parameter(request, "change_id");
+    uint64_t expectedVersion = 0;
+    if (!expected || !absl::SimpleAtoi(*expected, &expectedVersion) || !changeId
+        || !core::checkName(*changeId).ok()) {
+        sendError(writer,
+                  core::ErrorCode::InvalidRequest,
+                  "accepted are the parameters expected_version, a number, and change_id, a name");
+        return;
+    }
+    const auto parsed = manifest::parseManifest(request.body, "manifest");
+    if (!parsed.ok()) {
+        sendError(writer, parsed.status());
+        return;
+    }
+    const auto catalogue = this->node.manifest().catalogue();
+    proto::Command command;
+    proto::ApplyManifest *apply = command.mutable_apply_manifest();
+    apply->set_expected_version(expectedVersion);
+    apply->set_change_id(*changeId);
+    apply->set_content_digest(core::sha256Of(manifest::renderManifest(*parsed)));
+    if (catalogue->version() == expectedVersion) {
+        *apply->mutable_delta() = manifest::diffManifests(catalogue->manifest(), *parsed);
+    }
+    apply->mutable_delta()->set_from_version(expectedVersion);
+    apply->mutable_delta()->set_to_version(expectedVersion + 1);
+    if (catalogue->version() < expectedVersion) {
+        sendError(writer,
+                  core::ErrorCode::VersionConflict,
+                  "the expected version is not known on this instance yet",
+                  {{"current_version", catalogue->version()}});
+        return;
+    }
+    const auto result = this->submit(command);
+    if (!result.ok()) {
+        sendError(writer, result.status());
+        return;
+    }
+    if (result->error_code() != 0) {
+        sendError(writer,
+                  static_cast<core::ErrorCode>(result->error_code()),
+                  result->error_message(),
+                  {{"current_version", result->current_version()}});
+        return;
+    }
+    this->answerApply(writer, result->apply_manifest());
+}
+
+void OperatorService::answerApply(http::ResponseWriter &writer,
+                                  const proto::ApplyManifestResult &result)
+{
+    this->waitInForce(result.version());
+    nlohmann::json inForce = nlohmann::json::array();
+    nlohmann::json notConfirmed = nlohmann::json::array();
+    for (const membership::InstanceView &view : this->instanceViews()) {
+        const bool confirmed = view.record.manifest_version() >= result.version();
+        (confirmed ? inForce : notConfirmed).push_back(view.record.id());
+    }
+    sendJson(writer,
+             {{"version", result.version()},
+              {"resend", result.resend()},
+              {"in_force_on", inForce},
+              {"not_confirmed_by", notConfirmed}});
+}
+
+void OperatorService::getStatus(const http::Request & /*request*/, http::ResponseWriter &writer)
+{
+    const auto status = this->readStatus();
+    if (!status.ok()) {
+        sendError(writer, status.status());
+        return;
+    }
+    const auto targets
+        = this->queue.call([this] { return this->node.fleet().targets().records(); });
+    sendJson(writer, statusJson(*status, this->instanceViews(), targets));
+}
+
+void OperatorService::getBudgets(const http::Request & /*request*/, http::ResponseWriter &writer)
+{
+    this->sendBudgets(writer, {});
+}
+
+void OperatorService::getBudget(const http::Request &request, http::ResponseWriter &writer)
+{
+    this->sendBudgets(writer, {partsOf(request.path)[2]});
+}
+
+void OperatorService::sendBudgets(http::ResponseWriter &writer, const std::vector<std::string> &ids)
+{
+    proto::ReadBudgetsRequest request;
+    for (const std::string &id : ids) {
+        request.add_budgets(id);
+    }
+    const auto reply = await<absl::StatusOr<proto::ReadBudgetsReply>>(
+        this->queue, [this, request](auto onReply) {
+            this->client.readBudgets(request, OperatorTimeout, std::move(onReply));
+        });
+    if (!reply.ok()) {
+        sendError(writer, reply.status());
+        return;
+    }
+    if (!ids.empty() && reply->budgets_size() == 0) {
+        sendError(writer,
+                  core::ErrorCode::UnknownBudget,
+                  fmt::format("found the budget \"{}\", which the manifest does not declare",
+                              ids.front()));
+        return;
+    }
+    nlohmann::json budgets = nlohmann::json::array();
+    for (const proto::BudgetState &budget : reply->budgets()) {
+        budgets.push_back(budgetJson(budget));
+    }
+    sendJson(writer, {{"budgets", budgets}});
+}
+
+void OperatorService::topUp(const http::Request &request, http::ResponseWriter &writer)
+{
+    const auto body = parseObject(request.body);
+    const auto tokens = body ? numberMember(*body, "tokens") : std::nullopt;
+    const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
+    if (!tokens || !changeId) {
+        sendMissing(writer, R"({"tokens": NUMBER, "change_id": NAME})");
+        return;
+    }
+    proto::Command command;
+    command.mutable_top_up()->set_budget(partsOf(request.path)[2]);
+    command.mutable_top_up()->set_tokens(*tokens);
+    command.mutable_top_up()->set_change_id(*changeId);
+    this->answerBudget(writer, this->submit(command));
+}
+
+void OperatorService::releaseQuarantine(const http::Request &request, http::ResponseWriter &writer)
+{
+    const auto body = parseObject(request.body);
+    const auto billed = body ? numberMember(*body, "billed_tokens") : std::nullopt;
+    const auto returned = body ? numberMember(*body, "returned_tokens") : std::nullopt;
+    const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
+    if (!billed || !returned || !changeId) {
+        sendMissing(writer,
+                    R"({"billed_tokens": NUMBER, "returned_tokens": NUMBER, "change_id": NAME})");
+        return;
+    }
+    proto::Command command;
+    proto::ReleaseQuarantine *release = command.mutable_release_quarantine();
+    release->set_budget(partsOf(request.path)[2]);
+    release->set_billed_tokens(*billed);
+    release->set_returned_tokens(*returned);
+    release->set_change_id(*changeId);
+    this->answerBudget(writer, this->submit(command));
+}
+
+void OperatorService::resolveClaim(const http::Request &request, http::ResponseWriter &writer)
+{
+    const auto body = parseObject(request.body);
+    const auto organisation = body ? textMember(*body, "organisation") : std::nullopt;
+    const auto key = body ? textMember(*body, "key") : std::nullopt;
+    const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
+    const bool ranGiven = body && body->contains("ran") && body->at("ran").is_boolean();
+    if (!organisation || !key || !changeId || !ranGiven) {
+        sendMissing(writer,
+                    R"({"organisation": NAME, "key": TEXT, "ran": BOOLEAN, "change_id": NAME})");
+        return;
+    }
+    proto::Command command;
+    proto::ResolveClaim *resolve = command.mutable_resolve_claim();
+    resolve->mutable_key()->set_organisation(*organisation);
+    resolve->mutable_key()->set_key(*key);
+    resolve->set_ran(body->at("ran").get<bool>());
+    resolve->set_change_id(*changeId);
+    this->answerBudget(writer, this->submit(command));
+}
+
+void OperatorService::answerBudget(http::ResponseWriter &writer,
+                                   const absl::StatusOr<proto::CommandResult> &result)
+{
+    if (!result.ok()) {
+        sendError(writer, result.status());
+        return;
+    }
+    if (result->error_code() != 0) {
+        sendError(
+            writer, static_cast<core::ErrorCode>(result->error_code()), result->error_message());
+        return;
+    }
+    sendJson(writer, budgetJson(result->budget()));
+}
+
+void OperatorService::getInstances(const http::Request & /*request*/, http::ResponseWriter &writer)
+{
+    sendJson(writer, {{"instances", instancesJson(this->instanceViews())}});
+}
+
+void OperatorService::addInstance(const http::Request &request, http::ResponseWriter &writer)
+{
+    constexpr uint64_t FirstGeneration = 0;
+    const std::string member = storage::memberName(partsOf(request.path)[2], FirstGeneration);
+    this->changeVoters(writer, proto::ChangeVotersRequest::ADD_LEARNER, member);
+}
+
+void OperatorService::removeInstance(const http::Request &request, http::ResponseWriter &writer)
+{
+    const std::string instance = partsOf(request.path)[2];
+    const auto status = this->readStatus();
+    if (!status.ok()) {
+        sendError(writer, status.status());
+        return;
+    }
+    std::vector<std::string> members(status->configuration().voters().begin(),
+                                     status->configuration().voters().end());
+    members.insert(members.end(),
+                   status->configuration().learners().begin(),
+                   status->configuration().learners().end());
+    for (const std::string &member : members) {
+        if (storage::instanceOf(member) == instance) {
+            this->changeVoters(writer, proto::ChangeVotersRequest::REMOVE, member);
+            return;
+        }
+    }
+    sendError(writer,
+              core::ErrorCode::UnknownMember,
+              fmt::format("\"{}\" is neither a voter nor a learner", instance));
+}
+
+void OperatorService::retireInstance(const http::Request &request, http::ResponseWriter &writer)
+{
+    const auto body = parseObject(request.body);
+    const auto incarnation = body ? numberMember(*body, "incarnation") : std::nullopt;
+    const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
+    if (!incarnation || !changeId) {
+        sendMissing(writer, R"({"incarnation": NUMBER, "change_id": NAME})");
+        return;
+    }
+    proto::Command command;
+    proto::RetireHolder *retire = command.mutable_retire_holder();
+    retire->mutable_holder()->set_instance(partsOf(request.path)[2]);
+    retire->mutable_holder()->set_incarnation(static_cast<uint64_t>(*incarnation));
+    retire->set_change_id(*changeId);
+    const auto result = this->submit(command);
+    if (!result.ok()) {
+        sendError(writer, result.status());
+        return;
+    }
+    if (result->error_code() != 0) {
+        sendError(
+            writer, static_cast<core::ErrorCode>(result->error_code()), result->error_message());
+        return;
+    }
+    sendJson(writer, {{"retired", true}});
+}
+
+absl::StatusOr<proto::CommandResult> OperatorService::submit(const proto::Command &command)
+{
+    return await<absl::StatusOr<proto::CommandResult>>(this->queue, [this, command](auto onResult) {
+        this->client.submit(command, OperatorTimeout, std::move(onResult));
+    });
+}
+
+absl::StatusOr<proto::ReadStatusReply> OperatorService::readStatus()
+{
+    return await<absl::StatusOr<proto::ReadStatusReply>>(this->queue, [this](auto onReply) {
+        this->client.readStatus(OperatorTimeout, std::move(onReply));
+    });
+}
+
+void OperatorService::changeVoters(http::ResponseWriter &writer,
+                                   proto::ChangeVotersRequest::Change change,
+                                   const std::string &member)
+{
+    proto::ChangeVotersRequest request;
+    request.set_change(change);
+    request.set_member(member);
+    const auto status = this->readStatus();
+    if (!status.ok()) {
+        sendError(writer, status.status());
+        return;
+    }
+    const auto reply = this->changeVotersAt(core::InstanceId(status->leader_instance()), request);
+    if (!reply.ok()) {
+        sendError(writer, reply.status());
+        return;
+    }
+    if (reply->error_code() != 0) {
+        sendError(
+            writer, static_cast<core::ErrorCode>(reply->error_code()), reply->error_message());
+        return;
+    }
+    sendJson(writer, {{"member", member}, {"accepted", true}});
+}
+
+absl::StatusOr<proto::ChangeVotersReply>
+OperatorService::changeVotersAt(const core::InstanceId &leader,
+                                const proto::ChangeVotersRequest &request)
+{
+    using Reply = absl::StatusOr<proto::ChangeVotersReply>;
+    if (transport::PeerChannel *channel = this->peers.find(leader)) {
+        return await<Reply>(this->queue, [channel, request](auto onReply) {
+            channel->changeVoters(request, OperatorTimeout, std::move(onReply));
+        });
+    }
+    if (!this->localChangeVoters) {
+        return core::makeError(core::ErrorCode::NotLeader, "no leader is known");
+    }
+    return await<Reply>(this->queue, [this, request](auto onReply) {
+        this->localChangeVoters(request, std::move(onReply));
+    });
+}
+
+void OperatorService::waitInForce(uint64_t version)
+{
+    const core::TimePoint deadline = this->clock.now() + InForceTimeout;
+    while (true) {
+        const auto behind = this->queue.call([this, version] {
+            this->node.manifest().onVersionSeen(version);
+            return this->node.fleet().instances().behind(version, this->clock.now());
+        });
+        if (behind.empty() || this->clock.now() >= deadline) {
+            return;
+        }
+        std::this_thread::sleep_for(InForcePoll);
+    }
+}
+
+std::vector<membership::InstanceView> OperatorService::instanceViews()
+{
+    return this->queue.call(
+        [this] { return this->node.fleet().instances().view(this->clock.now()); });
+}
+
+} // namespace samphirebridge::gateway
--- /dev/null
+++ b/source/samphirebridge/gateway/requestplan.cpp
@@ -0,0 +1,213 @@
+#include "samphirebridge/gateway/requestplan.h"
+
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/errors.h"
+
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace samphirebridge::gateway
+{
+
+namespace
+{
+
+constexpr std::string_view ChatPath = "/v1/chat/completions";
+
+// The longest Idempotency-Key, in bytes.
+constexpr size_t MaximumKeyLength = 128;
+
+// Callers' priorities lie between these; lower runs first.
+constexpr int64_t LowestPriority = 9;
+constexpr int64_t HighestPriority = -9;
+
+// Headers of the caller that a plain service gets as well.
+constexpr std::array<std::string_view, 4> PassedHeaders{
+    "Content-Type", "Accept", "Accept-Language", "Idempotency-Key"};
+
+// Who calls, as the manifest knows it.
+struct Caller {
+    const proto::CallerKey *key = nullptr;
+    const proto::Organisation *organisation = nullptr;
+};
+
+std::optional<Caller> authenticate(const http::Request &request,
+                                   const manifest::Catalogue &catalogue)
+{
+    const std::string_view token = http::bearerToken(request);
+    if (token.empty()) {
+        return std::nullopt;
+    }
+    const proto::CallerKey *key = catalogue.callerKeyByDigest(core::sha256Of(token));
+    if (key == nullptr) {
+        return std::nullopt;
+    }
+    return Caller{key, catalogue.organisation(key->organisation())};
+}
+
+std::optional<int64_t> numberHeader(const http::Request &request, std::string_view name)
+{
+    const auto value = request.headers.find(name);
+    int64_t number = 0;
+    if (!value || !absl::SimpleAtoi(absl::string_view(value->data(), value->size()), &number)) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::string pathWithQuery(const http::Request &request)
+{
+    std::string path = http::encodePath(request.path);
+    if (!request.query.empty()) {
+        path += '?' + request.query;
+    }
+    return path;
+}
+
+// Fills in what chat and plain requests share.
+RequestPlan commonPlan(const http::Request &request,
+                       const Caller &caller,
+                       const proto::Service &service,
+                       std::string_view generatedKey,
+                       core::TimePoint now)
+{
+    RequestPlan plan;
+    plan.organisation = core::OrganisationId(caller.organisation->id());
+    plan.budget = core::BudgetId(caller.key->budget());
+    plan.service = core::ServiceId(service.id());
+    plan.fingerprint
+        = core::fingerprintOf({request.method, request.path, request.query, request.body});
+    plan.keyRetentionSeconds = service.key_retention_s();
+
+    requests::RequestSpecification &specification = plan.specification;
+    const auto ownKey = request.headers.find("Idempotency-Key");
+    plan.claimed = ownKey.has_value();
+    specification.requestKey = std::string(ownKey.value_or(generatedKey));
+    specification.attemptPrefix = std::string(generatedKey);
+    specification.method = request.method;
+    specification.path = pathWithQuery(request);
+    specification.stallTimeout = std::chrono::milliseconds(service.stall_timeout_ms());
+    core::Duration life = std::chrono::milliseconds(service.deadline_ms());
+    if (const auto asked = numberHeader(request, "Samphirebridge-Deadline-Ms")) {
+        constexpr int64_t ShortestLifeMs = 1;
+        const int64_t lifeMs = std::max(*asked, ShortestLifeMs);
+        life = std::min<core::Duration>(
+            life, std::chrono::milliseconds(std::min<int64_t>(lifeMs, service.deadline_ms())));
+    }
+    specification.deadline = now + life;
+    if (const auto priority = numberHeader(request, "Samphirebridge-Priority")) {
+        specification.priority = std::clamp(*priority, HighestPriority, LowestPriority);
+    }
+    return plan;
+}
+
+PlanResult planChat(const http::Request &request,
+                    const Caller &caller,
+                    const manifest::Catalogue &catalogue,
+                    std::string_view generatedKey,
+                    core::TimePoint now)
+{
+    // The bound of the output depends on the service, which the model in the body leads to.
+    const auto named
+        = requests::ChatRequest::parse(request.body, std::numeric_limits<int32_t>::max());
+    if (!named.ok()) {
+        return PlanRefusal{core::RefusalReason::InvalidRequest,
+                           std::string(core::messageOf(named.status()))};
+    }
+    const proto::Model *model = catalogue.model(named->model().value);
+    const proto::Service *service
+        = model == nullptr ? nullptr : catalogue.service(model->service());
+    if (service == nullptr) {
+        return PlanRefusal{core::RefusalReason::UnknownModel,
+                           "found a model that the manifest does not declare"};
+    }
+    if (!manifest::Catalogue::mayCall(*caller.organisation, service->id())
+        || !manifest::Catalogue::mayName(*caller.organisation, model->id())) {
+        return PlanRefusal{core::RefusalReason::Forbidden,
+                           "the organisation may not use this model"};
+    }
+    auto chat = requests::ChatRequest::parse(request.body, service->max_output_tokens());
+    if (!chat.ok()) {
+        return PlanRefusal{core::RefusalReason::InvalidRequest,
+                           std::string(core::messageOf(chat.status()))};
+    }
+    RequestPlan plan = commonPlan(request, caller, *service, generatedKey, now);
+    plan.model = core::ModelId(model->id());
+    plan.specification.repeat = proto::REPEATABLE;
+    plan.specification.reservation = chat->upperBound();
+    plan.specification.chat = std::move(*chat);
+    return plan;
+}
+
+PlanResult planPlain(const http::Request &request,
+                     const Caller &caller,
+                     const manifest::Catalogue &catalogue,
+                     std::string_view generatedKey,
+                     core::TimePoint now)
+{
+    const auto match = catalogue.match(request.method, request.path);
+    if (!match) {
+        return PlanRefusal{core::RefusalReason::UnknownService,
+                           "no route of the manifest covers this method and path"};
+    }
+    if (!manifest::Catalogue::mayCall(*caller.organisation, match->service->id())) {
+        return PlanRefusal{core::RefusalReason::Forbidden,
+                           "the organisation may not call this service"};
+    }
+    RequestPlan plan = commonPlan(request, caller, *match->service, generatedKey, now);
+    requests::RequestSpecification &specification = plan.specification;
+    specification.repeat = match->route->repeat();
+    specification.body = request.body;
+    specification.price = core::Tokens{match->service->price_tokens()};
+    specification.reservation = specification.price;
+    for (const std::string_view name : PassedHeaders) {
+        if (const auto value = request.headers.find(name)) {
+            specification.headers.push_back({std::string(name), std::string(*value)});
+        }
+    }
+    if (!request.headers.find("Idempotency-Key")) {
+        specification.headers.push_back({"Idempotency-Key", specification.requestKey});
+    }
+    // The claim is the durable mark of dispatch that makes "at most once" hold.
+    plan.claimed = plan.claimed || specification.repeat == proto::NEVER;
+    return plan;
+}
+
+bool acceptableKey(std::string_view key)
+{
+    const bool printable = std::all_of(key.begin(), key.end(), [](char character) {
+        return character >= ' ' && character <= '~';
+    });
+    return !key.empty() && key.size() <= MaximumKeyLength && printable;
+}
+
+} // namespace
+
+PlanResult planRequest(const http::Request &request,
+                       const manifest::Catalogue &catalogue,
+                       std::string_view generatedKey,
+                       core::TimePoint now)
+{
+    const auto caller = authenticate(request, catalogue);
+    if (!caller || caller->organisation == nullptr) {
+        return PlanRefusal{core::RefusalReason::Unauthenticated,
+                           "the bearer token is not a caller key of the manifest"};
+    }
+    const auto key = request.headers.find("Idempotency-Key");
+    if (key && !acceptableKey(*key)) {
+        return PlanRefusal{core::RefusalReason::InvalidRequest,
+                           "Idempotency-Key: accepted are 1 to 128 printable ASCII characters"};
+    }
+    if (request.method == "POST" && request.path == ChatPath) {
+        return planChat(request, *caller, catalogue, generatedKey, now);
+    }
+    return planPlain(request, *caller, catalogue, generatedKey, now);
+}
+
+} // namespace samphirebridge::gateway
