utilities: Add the stand-in engine and the stand-in payment service

The fleet's end-to-end runs need targets whose every token and run can be checked. Runs are appended to a file by one write each, so that they can be counted after a kill. For the wrong Content-Length the response writer streams under a given one.

--- a/source/samphirebridge/http/responsewriter.cpp
+++ b/source/samphirebridge/http/responsewriter.cpp
@@ -122,7 +122,9 @@
     }
     this->state = State::Streaming;
     std::string head = headOf(status, headers);
-    head += "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
+    this->chunked = !headers.find("Content-Length");
+    head += this->chunked ? "Transfer-Encoding: chunked\r\n" : "";
+    head += "Connection: close\r\n\r\n";
     return this->writeAll(head);
 }
 
@@ -134,6 +136,9 @@
     if (part.empty()) {
         return !this->failed;
     }
+    if (!this->chunked) {
+        return this->writeAll(part);
+    }
     return this->writeAll(fmt::format("{:x}\r\n{}\r\n", part.size(), part));
 }
 
@@ -143,7 +148,7 @@
         return false;
     }
     this->state = State::Finished;
-    return this->writeAll("0\r\n\r\n");
+    return this->writeAll(this->chunked ? "0\r\n\r\n" : "");
 }
 
 bool ResponseWriter::callerGone()
--- a/source/samphirebridge/http/responsewriter.h
+++ b/source/samphirebridge/http/responsewriter.h
@@ -26,7 +26,8 @@
     // Sends a complete response; sets Content-Length. False: the caller is gone or too slow.
     bool send(int status, const Headers &headers, std::string_view body);
 
-    // Sends the response's head; the body follows by write. False as for send.
+    // Sends the response's head; the body follows by write, in chunks unless the headers hold a
+    // Content-Length. False as for send.
     bool begin(int status, const Headers &headers);
 
     // Sends one part of a stream at once. An empty part is left out. False as for send.
@@ -66,6 +67,7 @@
     int descriptor = -1;
     bool searched = false;
     State state = State::Untouched;
+    bool chunked = true;
     bool failed = false;
     uint64_t bytes = 0;
 };
--- /dev/null
+++ b/utilities/standins/main.cpp
@@ -0,0 +1,166 @@
+// The stand-in targets as a program.
+#include "utilities/standins/announcer.h"
+#include "utilities/standins/engine.h"
+#include "utilities/standins/payments.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <docopt/docopt.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+
+using namespace samphirebridge;
+using namespace samphirebridge::standins;
+
+namespace
+{
+
+using Arguments = std::map<std::string, docopt::value>;
+
+constexpr std::string_view Usage = R"(Stand-in targets for samphirebridge.
+
+Usage:
+  samphire-standin engine [--announce-to=URL]... [options]
+  samphire-standin payments [--announce-to=URL]... [options]
+
+Options:
+  --announce-to=URL      Instance or balancer, http://host:port; may be repeated.
+  --id=ID                Name of the target; default: engine-1 or payments-1.
+  --listen=ADDRESS       Address to listen on [default: 127.0.0.1].
+  --port=PORT            Port; 0: any, told on standard output [default: 0].
+  --advertise=ADDRESS    Address to announce, host:port; default: where it listens.
+  --kind=KIND            Announced kind; default: engine or payments.
+  --token=TOKEN          Announce token of the kind [default: announce-token].
+  --data-centre=ID       Announced data centre [default: dc-1].
+  --model=ID             Announced model of an engine [default: letters].
+  --incarnation=N        Incarnation; default: milliseconds since 1970.
+  --threads=N            Connections served at once [default: 128].
+  --run-log=PATH         Append each run to this file.
+  --capacity=N           Requests that an engine runs at once [default: 16].
+  --token-delay-us=N     Delay of each token [default: 1000].
+  --prefill-delay-us=N   Delay of each prompt token that is not cached [default: 0].
+  --answer-tokens=N      Length of an answer that max_tokens does not cut [default: 32].
+  --ignore-fencing       The engine takes orders with any fencing number.
+  --deduplicates         The payment service recognises a repeated key.
+  --delay-ms=N           Delay of each payment [default: 0].
+  -h --help              Show this text.
+)";
+
+std::string textOf(const Arguments &arguments, const std::string &name, const std::string &other)
+{
+    const docopt::value &value = arguments.at(name);
+    return value.isString() ? value.asString() : other;
+}
+
+int64_t numberOf(const Arguments &arguments, const std::string &name)
+{
+    return std::stoll(arguments.at(name).asString());
+}
+
+uint64_t incarnationOf(const Arguments &arguments)
+{
+    if (arguments.at("--incarnation")) {
+        return std::stoull(arguments.at("--incarnation").asString());
+    }
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+EngineSettings engineSettings(const Arguments &arguments)
+{
+    EngineSettings settings;
+    settings.id = textOf(arguments, "--id", settings.id);
+    settings.model = textOf(arguments, "--model", settings.model);
+    settings.capacity = numberOf(arguments, "--capacity");
+    settings.tokenDelay = std::chrono::microseconds(numberOf(arguments, "--token-delay-us"));
+    settings.prefillDelay = std::chrono::microseconds(numberOf(arguments, "--prefill-delay-us"));
+    settings.answerTokens = numberOf(arguments, "--answer-tokens");
+    settings.checksFencing = !arguments.at("--ignore-fencing").asBool();
+    settings.runLog = textOf(arguments, "--run-log", "");
+    return settings;
+}
+
+PaymentsSettings paymentsSettings(const Arguments &arguments)
+{
+    PaymentsSettings settings;
+    settings.id = textOf(arguments, "--id", settings.id);
+    settings.deduplicates = arguments.at("--deduplicates").asBool();
+    settings.delay = std::chrono::milliseconds(numberOf(arguments, "--delay-ms"));
+    settings.runLog = textOf(arguments, "--run-log", "");
+    return settings;
+}
+
+AnnouncerSettings announcerSettings(const Arguments &arguments, uint16_t port)
+{
+    const bool isEngine = arguments.at("engine").asBool();
+    const std::string kind = isEngine ? "engine" : "payments";
+    const std::string address = arguments.at("--listen").asString() + ":" + std::to_string(port);
+    AnnouncerSettings settings;
+    settings.announceTo = arguments.at("--announce-to").asStringList();
+    settings.token = arguments.at("--token").asString();
+    nlohmann::json &announcement = settings.announcement;
+    announcement["id"] = textOf(arguments, "--id", kind + "-1");
+    announcement["incarnation"] = incarnationOf(arguments);
+    announcement["address"] = textOf(arguments, "--advertise", address);
+    announcement["kind"] = textOf(arguments, "--kind", kind);
+    announcement["data_centre"] = arguments.at("--data-centre").asString();
+    announcement["models"] = nlohmann::json::array();
+    if (isEngine) {
+        announcement["models"].push_back(arguments.at("--model").asString());
+    }
+    announcement["checks_fencing"] = isEngine && !arguments.at("--ignore-fencing").asBool();
+    return settings;
+}
+
+// Serves until SIGTERM or SIGINT, then announces `leaving`, finishes its work and returns.
+template <typename Target>
+int serve(Target &target, const Arguments &arguments, const sigset_t &signals)
+{
+    http::ServerSettings settings;
+    settings.address = arguments.at("--listen").asString();
+    settings.port = static_cast<uint16_t>(numberOf(arguments, "--port"));
+    settings.threads = static_cast<uint32_t>(numberOf(arguments, "--threads"));
+    const auto server = http::Server::start(
+        settings, [&target](const http::Request &request, http::ResponseWriter &writer) {
+            target.serve(request, writer);
+        });
+    if (!server.ok()) {
+        std::cerr << core::messageOf(server.status()) << '\n';
+        return EXIT_FAILURE;
+    }
+    std::cout << (*server)->port() << std::endl;
+    Announcer announcer(announcerSettings(arguments, (*server)->port()),
+                        [&target] { return target.load(); });
+    int signal = 0;
+    ::sigwait(&signals, &signal);
+    announcer.leave();
+    (*server)->stop();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int count, char **texts)
+{
+    // Blocked before any thread starts, so that only sigwait sees them.
+    sigset_t signals;
+    ::sigemptyset(&signals);
+    ::sigaddset(&signals, SIGTERM);
+    ::sigaddset(&signals, SIGINT);
+    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const Arguments arguments
+        = docopt::docopt(std::string(Usage), {texts + 1, texts + count}, true);
+    if (arguments.at("engine").asBool()) {
+        Engine engine(engineSettings(arguments));
+        return serve(engine, arguments, signals);
+    }
+    Payments payments(paymentsSettings(arguments));
+    return serve(payments, arguments, signals);
+}
--- /dev/null
+++ b/utilities/standins/runlog.cpp
@@ -0,0 +1,44 @@
+#include "utilities/standins/runlog.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace samphirebridge::standins
+{
+
+RunLog::RunLog(const std::string &path)
+{
+    if (path.empty()) {
+        return;
+    }
+    constexpr mode_t Mode = 0644;
+    this->descriptor = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, Mode);
+    if (this->descriptor < 0) {
+        std::perror(path.c_str());
+        std::_Exit(EXIT_FAILURE);
+    }
+}
+
+RunLog::~RunLog()
+{
+    if (this->descriptor >= 0) {
+        ::close(this->descriptor);
+    }
+}
+
+void RunLog::write(const nlohmann::json &entry) const
+{
+    if (this->descriptor < 0) {
+        return;
+    }
+    const std::string line
+        = entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    if (::write(this->descriptor, line.data(), line.size()) < 0) {
+        std::perror("run log");
+    }
+}
+
+} // namespace samphirebridge::standins
--- /dev/null
+++ b/utilities/standins/slots.cpp
@@ -0,0 +1,30 @@
+#include "utilities/standins/slots.h"
+
+namespace samphirebridge::standins
+{
+
+Slots::Slots(int64_t capacity)
+    : capacity(capacity)
+{
+}
+
+void Slots::giveBack()
+{
+    const std::lock_guard lock(this->mutex);
+    --this->busy;
+    this->changed.notify_all();
+}
+
+int64_t Slots::running() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->busy;
+}
+
+int64_t Slots::queued() const
+{
+    const std::lock_guard lock(this->mutex);
+    return static_cast<int64_t>(this->waiting.size());
+}
+
+} // namespace samphirebridge::standins
