samphirectl: Add the operators' command

The problem's code decides the exit code; without a known one the HTTP status does, and an unexpected status to a change counts as outcome unknown.

--- /dev/null
+++ b/source/samphirebridge/samphirectl/answer.cpp
@@ -0,0 +1,89 @@
+#include "samphirebridge/samphirectl/answer.h"
+
+#include "samphirebridge/samphirectl/exitcode.h"
+
+#include <fmt/format.h>
+
+#include <string>
+
+namespace samphirebridge::samphirectl
+{
+
+namespace
+{
+
+constexpr long StatusOk = 200;
+
+using core::ErrorCode;
+
+// An answer with an unexpected status, from whoever gave it, proves nothing about a change.
+ErrorCode codeOfStatus(long status, RequestKind kind)
+{
+    switch (status) {
+    case 400:
+    case 413:
+    case 422:
+        return ErrorCode::InvalidRequest;
+    case 401:
+        return ErrorCode::Unauthenticated;
+    case 403:
+        return ErrorCode::Forbidden;
+    case 404:
+        return ErrorCode::NotFound;
+    default:
+        return kind == RequestKind::Change ? ErrorCode::OutcomeUnknown : ErrorCode::Internal;
+    }
+}
+
+std::string textOf(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+std::string messageOfProblem(const nlohmann::json &problem, long status)
+{
+    std::string message = textOf(problem, "detail");
+    if (message.empty()) {
+        message = textOf(problem, "title");
+    }
+    if (message.empty()) {
+        message = "found no explanation in the answer";
+    }
+    const auto version = problem.find("current_version");
+    if (version != problem.end() && version->is_number_unsigned()) {
+        message += fmt::format("; current version: {}", version->get<uint64_t>());
+    }
+    return fmt::format("HTTP {}: {}", status, message);
+}
+
+} // namespace
+
+absl::Status errorOfAnswer(const OperatorAnswer &answer, RequestKind kind)
+{
+    nlohmann::json problem = nlohmann::json::parse(answer.body, nullptr, false);
+    if (!problem.is_object()) {
+        problem = nlohmann::json::object();
+    }
+    const ErrorCode named = errorCodeNamed(textOf(problem, "code"));
+    const ErrorCode code = named == ErrorCode::None ? codeOfStatus(answer.status, kind) : named;
+    return core::makeError(code, messageOfProblem(problem, answer.status));
+}
+
+absl::StatusOr<nlohmann::json> readAnswer(const OperatorAnswer &answer, RequestKind kind)
+{
+    if (answer.status != StatusOk) {
+        return errorOfAnswer(answer, kind);
+    }
+    nlohmann::json object = nlohmann::json::parse(answer.body, nullptr, false);
+    if (!object.is_object()) {
+        const ErrorCode code
+            = kind == RequestKind::Change ? ErrorCode::OutcomeUnknown : ErrorCode::Internal;
+        return core::makeError(code,
+                               "found an answer that is no JSON object; accepted: that of an entry "
+                               "instance of samphirebridge");
+    }
+    return object;
+}
+
+} // namespace samphirebridge::samphirectl
--- /dev/null
+++ b/source/samphirebridge/samphirectl/texts.cpp
@@ -0,0 +1,189 @@
+#include "samphirebridge/samphirectl/texts.h"
+
+#include "samphirebridge/manifest/manifestdelta.h"
+#include "samphirebridge/samphirectl/report.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace samphirebridge::samphirectl
+{
+
+namespace
+{
+
+constexpr auto BudgetColumns = std::to_array<std::string_view>({
+    "budget",
+    "purchased_tokens",
+    "billed_tokens",
+    "escrow_tokens",
+    "quarantined_tokens",
+    "pool_tokens",
+});
+constexpr auto InstanceColumns = std::to_array<std::string_view>({
+    "id",
+    "incarnation",
+    "manifest_version",
+    "leaving",
+    "live",
+});
+
+std::string cellOf(const nlohmann::json &object, std::string_view key)
+{
+    if (!object.is_object()) {
+        return "-";
+    }
+    const auto found = object.find(std::string(key));
+    if (found == object.end() || found->is_null()) {
+        return "-";
+    }
+    return found->is_string() ? found->get<std::string>() : toLine(*found);
+}
+
+nlohmann::json listOf(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_array() ? *found : nlohmann::json::array();
+}
+
+// Returns a table with a heading; each column is as wide as its widest cell.
+std::string tableOf(const nlohmann::json &rows, std::span<const std::string_view> columns)
+{
+    std::vector<std::vector<std::string>> lines;
+    lines.emplace_back(columns.begin(), columns.end());
+    for (const nlohmann::json &row : rows) {
+        std::vector<std::string> &line = lines.emplace_back();
+        for (const std::string_view column : columns) {
+            line.push_back(cellOf(row, column));
+        }
+    }
+    std::string text;
+    for (const std::vector<std::string> &line : lines) {
+        std::string rendered;
+        for (size_t column = 0; column < columns.size(); ++column) {
+            size_t width = 0;
+            for (const std::vector<std::string> &other : lines) {
+                width = std::max(width, other[column].size());
+            }
+            rendered += fmt::format("{:<{}}  ", line[column], width);
+        }
+        rendered.erase(rendered.find_last_not_of(' ') + 1);
+        text += rendered + '\n';
+    }
+    return text;
+}
+
+std::string joinItems(const nlohmann::json &items)
+{
+    std::string joined;
+    for (const nlohmann::json &item : items) {
+        joined += joined.empty() ? "" : ", ";
+        joined += item.is_string() ? item.get<std::string>() : toLine(item);
+    }
+    return joined.empty() ? "none" : joined;
+}
+
+nlohmann::json nameObject(const manifest::EntityName &name)
+{
+    return {{"kind", manifest::kindName(name.kind)}, {"id", name.id}};
+}
+
+void addDiffLines(std::string &text, std::string_view mark, const nlohmann::json &names)
+{
+    for (const nlohmann::json &name : names) {
+        text += fmt::format("{} {} {}\n", mark, cellOf(name, "kind"), cellOf(name, "id"));
+    }
+}
+
+} // namespace
+
+std::string applyText(const nlohmann::json &result)
+{
+    const bool resend = result.value("resend", nlohmann::json(false)) == true;
+    return fmt::format("version {}{}\nin force on: {}\nnot confirmed by: {}\n",
+                       cellOf(result, "version"),
+                       resend ? " (accepted before)" : "",
+                       joinItems(listOf(result, "in_force_on")),
+                       joinItems(listOf(result, "not_confirmed_by")));
+}
+
+std::string statusText(const nlohmann::json &result)
+{
+    std::string text = fmt::format("leader: {}, term {}, commit index {}, manifest version {}\n",
+                                   cellOf(result, "leader"),
+                                   cellOf(result, "term"),
+                                   cellOf(result, "commit_index"),
+                                   cellOf(result, "manifest_version"));
+    text += fmt::format("voters: {}\n", joinItems(listOf(result, "voters")));
+    text += fmt::format("learners: {}\n", joinItems(listOf(result, "learners")));
+    text += fmt::format("instances: {}\n", joinItems(listOf(result, "instances")));
+    text += fmt::format("targets: {}\n", joinItems(listOf(result, "targets")));
+    text += fmt::format("claims in doubt: {}\n", joinItems(listOf(result, "claims_in_doubt")));
+    return text;
+}
+
+std::string budgetsText(const nlohmann::json &result)
+{
+    return tableOf(listOf(result, "budgets"), BudgetColumns);
+}
+
+std::string budgetText(const nlohmann::json &result)
+{
+    return tableOf(nlohmann::json::array({result}), BudgetColumns);
+}
+
+std::string claimsText(const nlohmann::json &result)
+{
+    std::string text;
+    for (const nlohmann::json &claim : listOf(result, "claims_in_doubt")) {
+        text += (claim.is_string() ? claim.get<std::string>() : toLine(claim)) + '\n';
+    }
+    return text.empty() ? "no claims in doubt\n" : text;
+}
+
+std::string instancesText(const nlohmann::json &result)
+{
+    return tableOf(listOf(result, "instances"), InstanceColumns);
+}
+
+std::string doneText(const nlohmann::json & /*result*/)
+{
+    return "done\n";
+}
+
+nlohmann::json diffObject(const proto::Manifest &current, const proto::ManifestDelta &delta)
+{
+    nlohmann::json result = {{"current_version", current.version()},
+                             {"added", nlohmann::json::array()},
+                             {"changed", nlohmann::json::array()},
+                             {"removed", nlohmann::json::array()}};
+    for (const proto::Entity &entity : delta.upserts()) {
+        const manifest::EntityName name = manifest::nameOf(entity);
+        const bool known = std::any_of(current.entities().begin(),
+                                       current.entities().end(),
+                                       [&name](const proto::Entity &candidate) {
+                                           return manifest::nameOf(candidate) == name;
+                                       });
+        result[known ? "changed" : "added"].push_back(nameObject(name));
+    }
+    for (const proto::EntityKey &key : delta.removals()) {
+        result["removed"].push_back(nameObject({key.kind(), key.id()}));
+    }
+    return result;
+}
+
+std::string diffText(const nlohmann::json &result)
+{
+    std::string text = fmt::format("against version {}\n", cellOf(result, "current_version"));
+    addDiffLines(text, "+", listOf(result, "added"));
+    addDiffLines(text, "~", listOf(result, "changed"));
+    addDiffLines(text, "-", listOf(result, "removed"));
+    return text;
+}
+
+} // namespace samphirebridge::samphirectl
