--- /dev/null
+++ b/tests/samphirectl/stubserver.h
@@ -0,0 +1,42 @@
+// An HTTP server on loopback that answers every request the same way and remembers what it got.
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+class StubServer
+{
+public:
+    // Answers with the given bytes; empty ones mean that it closes the connection without an
+    // answer.
+    explicit StubServer(std::string answer);
+    ~StubServer();
+
+    StubServer(const StubServer &) = delete;
+    StubServer &operator=(const StubServer &) = delete;
+
+    [[nodiscard]] std::string endpoint() const;
+
+    // Returns the requests so far, each with its headers and its body.
+    [[nodiscard]] std::vector<std::string> requests();
+
+private:
+    void serve();
+
+    std::string answer;
+    int listener = -1;
+    uint16_t port = 0;
+    std::mutex mutex;
+    std::vector<std::string> received;
+    std::thread thread;
+};
+
+// Returns an answer with the given status and JSON body.
+std::string jsonAnswer(int status, std::string_view body);
+
+// Returns an endpoint on loopback where nobody listens.
+std::string closedEndpoint();
