--- a/source/samphirebridge/requests/requestmachine.cpp
+++ b/source/samphirebridge/requests/requestmachine.cpp
@@ -59,13 +59,16 @@
     } else if (const auto *bytes = std::get_if<BytesArrived>(&event)) {
         this->buffer += bytes->bytes;
     } else if (std::holds_alternative<AnswerEnded>(event)) {
-        const core::Tokens used = this->specification.chat
-            ? core::Tokens{usageIn(this->buffer).value_or(this->specification.reservation.count)}
-            : this->specification.price;
-        this->actions.push_back(Settle{this->bounded(used),
-                                       core::Outcome::Ran,
-                                       true,
-                                       StoredAnswer{this->status, this->contentType, this->buffer}});
+        const core::Tokens used
+            = this->specification.chat
+                  ? core::Tokens{usageIn(this->buffer)
+                                     .value_or(this->specification.reservation.count)}
+                  : this->specification.price;
+        this->actions.push_back(
+            Settle{this->bounded(used),
+                   core::Outcome::Ran,
+                   true,
+                   StoredAnswer{this->status, this->contentType, this->buffer}});
         this->actions.push_back(SendWhole{this->status, this->contentType, this->buffer});
         this->finish();
     } else if (const auto *failed = std::get_if<AttemptFailed>(&event)) {
@@ -112,8 +115,8 @@
     attemptStart.headers = this->specification.headers;
     attemptStart.headers.push_back({"Samphirebridge-Attempt", attemptStart.attempt});
     attemptStart.body = this->specification.chat
-        ? this->specification.chat->render({}, 0, this->specification.priority)
-        : this->specification.body;
+                            ? this->specification.chat->render({}, 0, this->specification.priority)
+                            : this->specification.body;
     return attemptStart;
 }
 
--- /dev/null
+++ b/tests/support/fleet.cpp
@@ -0,0 +1,399 @@
+#include "tests/support/fleet.h"
+
+#include "samphirebridge/core/digest.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <sstream>
+#include <thread>
+
+namespace samphirebridge::testing
+{
+
+namespace
+{
+
+// A condition that does not hold for this long counts as never; no verdict depends on less.
+constexpr std::chrono::seconds NeverAfter{120};
+constexpr std::chrono::milliseconds PollInterval{20};
+constexpr std::chrono::seconds CallTimeout{60};
+
+// Offsets inside the fleet's hundred ports.
+constexpr int RpcOffset = 10;
+constexpr int RelayOffset = 20;
+constexpr int MaximumRelayed = 5;
+
+std::string hexDigest(std::string_view secret)
+{
+    return core::toHex(core::sha256Of(secret));
+}
+
+} // namespace
+
+Fleet::Fleet(FleetOptions fleetOptions)
+    : options(fleetOptions)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    if (!this->options.relays) {
+        return;
+    }
+    for (int from = 0; from < this->options.instances; ++from) {
+        for (int to = 0; to < this->options.instances; ++to) {
+            if (from != to) {
+                this->relays[{from, to}]
+                    = std::make_unique<Relay>(this->relayPort(from, to), this->rpcPort(to));
+            }
+        }
+    }
+}
+
+void Fleet::start()
+{
+    for (int index = 0; index < this->options.instances; ++index) {
+        std::filesystem::create_directories(this->dataFolder(index));
+        this->writeSettings(index);
+        if (index < this->options.control) {
+            const ProgramResult result
+                = runProgram(SAMPHIREBRIDGED_PATH,
+                             {fmt::format("--settings={}/i{}.yaml", this->folder().string(), index),
+                              "--initialise"},
+                             this->folder());
+            INFO(result.output);
+            REQUIRE(result.exitCode == 0);
+        }
+    }
+    for (int index = 0; index < this->options.instances; ++index) {
+        this->startInstance(index);
+    }
+}
+
+void Fleet::startInstance(int index)
+{
+    const std::string base = fmt::format("{}/i{}", this->folder().string(), index);
+    this->instances.erase(index);
+    this->instances.emplace(
+        index, ChildProcess(SAMPHIREBRIDGED_PATH, {"--settings=" + base + ".yaml"}, base + ".log"));
+}
+
+ChildProcess &Fleet::instance(int index)
+{
+    return this->instances.at(index);
+}
+
+void Fleet::loseDisk(int index)
+{
+    std::filesystem::remove_all(this->dataFolder(index));
+    std::filesystem::create_directories(this->dataFolder(index));
+}
+
+void Fleet::isolate(int index)
+{
+    this->setIsolated(index, true);
+}
+
+void Fleet::rejoin(int index)
+{
+    this->setIsolated(index, false);
+}
+
+void Fleet::setIsolated(int index, bool isolated)
+{
+    for (auto &[link, relay] : this->relays) {
+        if (link.first != index && link.second != index) {
+            continue;
+        }
+        if (isolated) {
+            relay->silence();
+        } else {
+            relay->heal();
+        }
+    }
+}
+
+void Fleet::cutLink(int first, int second)
+{
+    this->relays.at({first, second})->silence();
+    this->relays.at({second, first})->silence();
+}
+
+void Fleet::waitReady(int index)
+{
+    waitFor(fmt::format("instance {} is ready", index), [this, index] {
+        const auto answer = this->call(index, "GET", "/health/ready", "");
+        return answer.ok() && answer->status == 200;
+    });
+}
+
+ChildProcess &Fleet::startEngine(const std::string &name,
+                                 int port,
+                                 const std::vector<int> &announceTo,
+                                 const std::vector<std::string> &arguments)
+{
+    return this->startStandin("engine", name, port, EngineToken, announceTo, arguments);
+}
+
+ChildProcess &Fleet::startPayments(const std::string &name,
+                                   int port,
+                                   const std::vector<int> &announceTo,
+                                   const std::vector<std::string> &arguments)
+{
+    return this->startStandin("payments", name, port, PaymentsToken, announceTo, arguments);
+}
+
+ChildProcess &Fleet::startStandin(const std::string &mode,
+                                  const std::string &name,
+                                  int port,
+                                  const std::string &token,
+                                  const std::vector<int> &announceTo,
+                                  const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> words{mode,
+                                   fmt::format("--id={}", name),
+                                   fmt::format("--port={}", port),
+                                   fmt::format("--token={}", token)};
+    for (const int index : announceTo) {
+        words.push_back(fmt::format("--announce-to={}", this->httpUrl(index)));
+    }
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    const std::string log = fmt::format("{}/{}.log", this->folder().string(), name);
+    this->standins.erase(name);
+    return this->standins.emplace(name, ChildProcess(STANDIN_PATH, words, log)).first->second;
+}
+
+void Fleet::waitTargets(int index, int count)
+{
+    waitFor(fmt::format("instance {} knows {} targets", index, count), [this, index, count] {
+        return this->metric(index, "samphirebridge_targets_ready") == count;
+    });
+}
+
+std::string Fleet::standinUrl(int port) const
+{
+    return fmt::format("http://127.0.0.1:{}", port);
+}
+
+absl::StatusOr<http::Answer> Fleet::call(int index,
+                                         const std::string &method,
+                                         const std::string &path,
+                                         const std::string &token,
+                                         const std::string &body,
+                                         const http::Headers &headers)
+{
+    http::ClientRequest request;
+    request.method = method;
+    request.url = this->httpUrl(index) + path;
+    request.headers = headers;
+    if (!token.empty()) {
+        request.headers.set("Authorization", "Bearer " + token);
+    }
+    request.body = body;
+    return this->httpClient.fetch(request, CallTimeout);
+}
+
+nlohmann::json Fleet::callJson(int index,
+                               const std::string &method,
+                               const std::string &path,
+                               const std::string &token,
+                               const std::string &body)
+{
+    const auto answer = this->call(index, method, path, token, body);
+    REQUIRE(answer.ok());
+    INFO(answer->body);
+    return nlohmann::json::parse(answer->body);
+}
+
+std::string Fleet::httpUrl(int index) const
+{
+    return fmt::format("http://127.0.0.1:{}", this->httpPort(index));
+}
+
+ProgramResult Fleet::control(int index, std::vector<std::string> arguments)
+{
+    const std::filesystem::path tokenFile = this->folder() / "operator-token";
+    writeFile(tokenFile, OperatorToken);
+    arguments.push_back("--token-file=" + tokenFile.string());
+    arguments.push_back("--endpoint=" + this->httpUrl(index));
+    return runProgram(SAMPHIRECTL_PATH, arguments, this->folder());
+}
+
+void Fleet::apply(int index, const std::string &manifest, int expectedVersion)
+{
+    const std::filesystem::path file = this->folder() / "manifest.yaml";
+    writeFile(file, manifest);
+    const ProgramResult result
+        = this->control(index,
+                        {"apply",
+                         file.string(),
+                         fmt::format("--expect-version={}", expectedVersion),
+                         fmt::format("--change-id=change-{}", expectedVersion + 1)});
+    INFO(result.output);
+    REQUIRE(result.exitCode == 0);
+}
+
+double Fleet::metric(int index, const std::string &name)
+{
+    const auto answer = this->call(index, "GET", "/metrics", "");
+    if (!answer.ok()) {
+        return -1;
+    }
+    std::istringstream lines(answer->body);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind(name + " ", 0) == 0) {
+            return std::stod(line.substr(name.size() + 1));
+        }
+    }
+    return -1;
+}
+
+nlohmann::json Fleet::budget(int index, const std::string &id)
+{
+    nlohmann::json found;
+    waitFor("the quorum confirms a read of budget " + id, [&] {
+        const auto answer = this->call(index, "GET", "/v1/budgets/" + id, OperatorToken);
+        if (!answer.ok() || answer->status != 200) {
+            return false;
+        }
+        found = nlohmann::json::parse(answer->body).at("budgets").at(0);
+        return true;
+    });
+    return found;
+}
+
+void Fleet::waitFor(const std::string &what, const std::function<bool()> &condition)
+{
+    const auto giveUp = std::chrono::steady_clock::now() + NeverAfter;
+    while (!condition()) {
+        INFO("waiting until " << what);
+        REQUIRE(std::chrono::steady_clock::now() < giveUp);
+        std::this_thread::sleep_for(PollInterval);
+    }
+}
+
+std::string Fleet::leader(int index)
+{
+    std::string name;
+    waitFor("a leader is known", [&] {
+        const auto answer = this->call(index, "GET", "/v1/status", OperatorToken);
+        if (!answer.ok() || answer->status != 200) {
+            return false;
+        }
+        name = nlohmann::json::parse(answer->body).at("leader");
+        return !name.empty();
+    });
+    return name;
+}
+
+const std::filesystem::path &Fleet::folder() const
+{
+    return this->temporary.path();
+}
+
+http::Client &Fleet::client()
+{
+    return this->httpClient;
+}
+
+uint16_t Fleet::httpPort(int index) const
+{
+    return this->options.basePort + index;
+}
+
+uint16_t Fleet::rpcPort(int index) const
+{
+    return this->options.basePort + RpcOffset + index;
+}
+
+uint16_t Fleet::relayPort(int from, int to) const
+{
+    return this->options.basePort + RelayOffset + from * MaximumRelayed + to;
+}
+
+std::filesystem::path Fleet::dataFolder(int index) const
+{
+    return this->folder() / fmt::format("data{}", index);
+}
+
+void Fleet::writeSettings(int index) const
+{
+    const auto roles = [this](int other) {
+        return other < this->options.control ? "[entry, control]" : "[entry]";
+    };
+    std::string text = fmt::format("instance: i{}\n"
+                                   "data_centre: dc{}\n"
+                                   "roles: {}\n"
+                                   "http: {{listen: \"127.0.0.1:{}\", threads: 64}}\n"
+                                   "rpc: {{listen: \"127.0.0.1:{}\"}}\n"
+                                   "operator_token_sha256: [{}]\n"
+                                   "shutdown_grace_ms: {}\n"
+                                   "consensus: {{heartbeat_ms: 50, election_timeout_ms: 400}}\n",
+                                   index,
+                                   index,
+                                   roles(index),
+                                   this->httpPort(index),
+                                   this->rpcPort(index),
+                                   hexDigest(OperatorToken),
+                                   this->options.shutdownGraceMs);
+    if (index < this->options.control) {
+        text += fmt::format("data_folder: {}\n", this->dataFolder(index).string());
+    }
+    text += "peers:\n";
+    for (int other = 0; other < this->options.instances; ++other) {
+        const bool relayed = this->options.relays && other != index;
+        text += fmt::format("  - {{id: i{}, rpc: \"127.0.0.1:{}\", http: \"127.0.0.1:{}\", "
+                            "data_centre: dc{}, roles: {}}}\n",
+                            other,
+                            relayed ? this->relayPort(index, other) : this->rpcPort(other),
+                            this->httpPort(other),
+                            other,
+                            roles(other));
+    }
+    writeFile(this->folder() / fmt::format("i{}.yaml", index), text);
+}
+
+std::string testManifest(int64_t tokensA, int64_t tokensB)
+{
+    return fmt::format(R"(organisations:
+  - {{id: a, services: [chat, payments], models: [letters]}}
+  - {{id: b, services: [chat], models: [letters]}}
+budgets:
+  - {{id: budget-a, organisation: a, tokens: {}}}
+  - {{id: budget-b, organisation: b, tokens: {}}}
+caller_keys:
+  - {{id: key-a, organisation: a, budget: budget-a, sha256: {}}}
+  - {{id: key-b, organisation: b, budget: budget-b, sha256: {}}}
+services:
+  - {{id: chat, kind: chat, max_output_tokens: 512, stall_timeout_ms: 2000, deadline_ms: 60000}}
+  - id: payments
+    kind: plain
+    price_tokens: 100
+    deadline_ms: 30000
+    routes:
+      - {{method: POST, path_prefix: /v1/payments, repeat: never}}
+      - {{method: GET, path_prefix: /v1/payments, repeat: repeatable}}
+models:
+  - {{id: letters, service: chat}}
+target_kinds:
+  - {{id: engine, service: chat, announce_sha256: {}, checks_fencing: true}}
+  - {{id: payments, service: payments, announce_sha256: {}, checks_fencing: false}}
+)",
+                       tokensA,
+                       tokensB,
+                       hexDigest(CallerKeyA),
+                       hexDigest(CallerKeyB),
+                       hexDigest(EngineToken),
+                       hexDigest(PaymentsToken));
+}
+
+std::string chatBody(const std::string &prompt, int maximumTokens, bool stream)
+{
+    const nlohmann::json body{{"model", "letters"},
+                              {"max_tokens", maximumTokens},
+                              {"stream", stream},
+                              {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    return body.dump();
+}
+
+} // namespace samphirebridge::testing
--- /dev/null
+++ b/tests/support/fleet.h
@@ -0,0 +1,138 @@
+// A small fleet of real processes on loopback.
+#pragma once
+
+#include "samphirebridge/http/client.h"
+#include "tests/support/childprocess.h"
+#include "tests/support/relay.h"
+#include "tests/support/temporaryfolder.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace samphirebridge::testing
+{
+
+struct FleetOptions {
+    uint16_t basePort = 0; // The fleet uses the hundred ports from here on.
+    int instances = 3;
+    int control = 3; // How many of them vote.
+    bool relays = false; // Put a relay into every link between two instances.
+    int shutdownGraceMs = 20'000;
+};
+
+// The secrets of the test manifests.
+inline constexpr const char *CallerKeyA = "demo-key-a";
+inline constexpr const char *CallerKeyB = "demo-key-b";
+inline constexpr const char *OperatorToken = "demo-operator";
+inline constexpr const char *EngineToken = "demo-engine";
+inline constexpr const char *PaymentsToken = "demo-payments";
+
+// Instances are numbered from 0 and named i0, i1, ... They are killed when the object goes.
+class Fleet
+{
+public:
+    explicit Fleet(FleetOptions options);
+
+    // Writes the voters' folders and starts every instance.
+    void start();
+
+    // Starts one instance on its folder as it is.
+    void startInstance(int index);
+    ChildProcess &instance(int index);
+
+    // Removes the instance's data folder and makes an empty one.
+    void loseDisk(int index);
+
+    // Cuts the instance off from all others, silently, or joins it again. Needs relays.
+    void isolate(int index);
+    void rejoin(int index);
+    // Cuts or heals the link between two instances alone.
+    void cutLink(int first, int second);
+
+    // Waits until the instance serves callers.
+    void waitReady(int index);
+
+    // Starts a stand-in target that announces itself to the given instance.
+    ChildProcess &startEngine(const std::string &name,
+                              int port,
+                              const std::vector<int> &announceTo,
+                              const std::vector<std::string> &arguments = {});
+    ChildProcess &startPayments(const std::string &name,
+                                int port,
+                                const std::vector<int> &announceTo,
+                                const std::vector<std::string> &arguments = {});
+    // Waits until the instance knows so many ready targets.
+    void waitTargets(int index, int count);
+    [[nodiscard]] std::string standinUrl(int port) const;
+
+    // Sends one request to an instance and returns the whole answer.
+    absl::StatusOr<http::Answer> call(int index,
+                                      const std::string &method,
+                                      const std::string &path,
+                                      const std::string &token,
+                                      const std::string &body = "",
+                                      const http::Headers &headers = {});
+    // As call, for an answer that must come and be JSON.
+    nlohmann::json callJson(int index,
+                            const std::string &method,
+                            const std::string &path,
+                            const std::string &token,
+                            const std::string &body = "");
+    [[nodiscard]] std::string httpUrl(int index) const;
+
+    // Runs samphirectl against an instance.
+    ProgramResult control(int index, std::vector<std::string> arguments);
+
+    // Applies a manifest through an instance and fails the test if that is refused.
+    void apply(int index, const std::string &manifest, int expectedVersion);
+
+    // Returns a counter's or gauge's value at an instance.
+    double metric(int index, const std::string &name);
+
+    // Returns one budget's state as the quorum has it.
+    nlohmann::json budget(int index, const std::string &id);
+
+    // Waits until the condition holds; fails the test when it does not for a long time.
+    static void waitFor(const std::string &what, const std::function<bool()> &condition);
+
+    [[nodiscard]] std::string leader(int index);
+    [[nodiscard]] const std::filesystem::path &folder() const;
+    http::Client &client();
+
+private:
+    [[nodiscard]] uint16_t httpPort(int index) const;
+    [[nodiscard]] uint16_t rpcPort(int index) const;
+    [[nodiscard]] uint16_t relayPort(int from, int to) const;
+    [[nodiscard]] std::filesystem::path dataFolder(int index) const;
+    void writeSettings(int index) const;
+    void setIsolated(int index, bool isolated);
+    ChildProcess &startStandin(const std::string &mode,
+                               const std::string &name,
+                               int port,
+                               const std::string &token,
+                               const std::vector<int> &announceTo,
+                               const std::vector<std::string> &arguments);
+
+    FleetOptions options;
+    TemporaryFolder temporary;
+    http::Client httpClient;
+    std::map<std::pair<int, int>, std::unique_ptr<Relay>> relays;
+    std::map<std::string, ChildProcess> standins;
+    std::map<int, ChildProcess> instances;
+};
+
+// A manifest with two organisations, the chat service "chat" with the model "letters" and the plain
+// service "payments".
+std::string testManifest(int64_t tokensA, int64_t tokensB = 1'000'000);
+
+// A chat body for the model "letters".
+std::string chatBody(const std::string &prompt, int maximumTokens, bool stream = false);
+
+} // namespace samphirebridge::testing
