--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -37,7 +37,7 @@
                                 core::TimePoint now,
                                 std::optional<ClaimedEnd> claimed)
 {
-    return this->state->settle(reservation, used.count, now, claimed);
+    return this->state->settle(reservation, used.count, now, std::move(claimed));
 }
 
 absl::Status EscrowBook::release(ReservationId reservation, core::TimePoint now)
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -70,7 +70,7 @@
 absl::Status EscrowState::settle(ReservationId reservation,
                                  int64_t used,
                                  core::TimePoint /*now*/,
-                                 const std::optional<ClaimedEnd> &claimed)
+                                 std::optional<ClaimedEnd> claimed)
 {
     const auto found = this->reservations.find(reservation);
     if (found == this->reservations.end()) {
@@ -90,7 +90,7 @@
     }
     ++this->counters.settled;
     this->counters.usedTokens += used;
-    this->finish(reservation, used, claimed);
+    this->finish(reservation, used, std::move(claimed));
     return absl::OkStatus();
 }
 
@@ -226,9 +226,7 @@
                                        this->lastReservation));
 }
 
-void EscrowState::finish(ReservationId reservation,
-                         int64_t used,
-                         const std::optional<ClaimedEnd> &claimed)
+void EscrowState::finish(ReservationId reservation, int64_t used, std::optional<ClaimedEnd> claimed)
 {
     const auto found = this->reservations.find(reservation);
     const Reservation ended = std::move(found->second);
@@ -257,7 +255,7 @@
     if (claimed) {
         settlement.message.mutable_key()->set_organisation(claimed->key.organisation.value);
         settlement.message.mutable_key()->set_key(claimed->key.key);
-        *settlement.message.mutable_answer() = claimed->answer;
+        *settlement.message.mutable_answer() = std::move(claimed->answer);
     }
     this->settlements.push_back(std::move(settlement));
 }
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -69,7 +69,7 @@
     absl::Status settle(ReservationId reservation,
                         int64_t used,
                         core::TimePoint now,
-                        const std::optional<ClaimedEnd> &claimed);
+                        std::optional<ClaimedEnd> claimed);
     absl::Status release(ReservationId reservation, core::TimePoint now);
 
     std::optional<proto::HolderBatch> nextBatch(core::TimePoint now);
@@ -98,7 +98,7 @@
     Decision wait(WaitCause cause);
     Decision refuse(DecisionKind kind);
     absl::Status unknown(ReservationId reservation) const;
-    void finish(ReservationId reservation, int64_t used, const std::optional<ClaimedEnd> &claimed);
+    void finish(ReservationId reservation, int64_t used, std::optional<ClaimedEnd> claimed);
     void releaseForgotten(core::TimePoint now);
 
     [[nodiscard]] bool hasBusiness(core::TimePoint now) const;
--- a/source/samphirebridge/ledger/budgetbook.cpp
+++ b/source/samphirebridge/ledger/budgetbook.cpp
@@ -218,7 +218,7 @@
 absl::Status BudgetBook::checkAll() const
 {
     for (const BudgetRecord &record : this->records) {
-        if (const absl::Status status = checkSums(record); !status.ok()) {
+        if (absl::Status status = checkSums(record); !status.ok()) {
             return status;
         }
     }
--- a/tests/budget/fleetsimulation.cpp
+++ b/tests/budget/fleetsimulation.cpp
@@ -134,7 +134,7 @@
 proto::CommandResult FleetSimulation::apply(proto::Command command)
 {
     command.set_proposed_at_ms(this->nowMs - this->random(50));
-    const proto::CommandResult result = this->ledger.apply(command);
+    proto::CommandResult result = this->ledger.apply(command);
     if (result.SerializeAsString() != this->replica.apply(command).SerializeAsString()) {
         this->fail("two replicas gave different results");
     }
@@ -242,7 +242,7 @@
 // Sends a command that may be lost, repeated or delayed, and so may its answer.
 void FleetSimulation::send(int node,
                            const proto::Command &command,
-                           std::function<void(const proto::CommandResult &)> onResult)
+                           const std::function<void(const proto::CommandResult &)> &onResult)
 {
     const bool faults = this->options.faults;
     const int copies = faults && this->chance(10) ? 2 : 1;
@@ -392,7 +392,7 @@
         request.repeatable = this->chance(50);
     }
     this->attempt(node, request);
-    this->at(this->nowMs + 1 + this->random(2 * this->options.arrivalMs),
+    this->at(this->nowMs + 1 + this->random(2 * static_cast<uint64_t>(this->options.arrivalMs)),
              [this, node] { this->arrive(node); });
 }
 
@@ -409,6 +409,7 @@
         request.key.empty() ? budget::Recording::Batch : budget::Recording::Claim);
     switch (decision.kind) {
     case budget::DecisionKind::Reserved:
+        ++this->sums.of(this->remainingPercent(request.budget)).served;
         state.open.emplace(decision.reservation, request);
         this->truth[request.budget].openBounds += request.bound;
         if (request.key.empty()) {
@@ -423,13 +424,15 @@
             return;
         }
         ++this->sums.expired;
-        this->sums.expiredCovered += this->covered(request) ? 1 : 0;
+        this->noteRefusal(request);
         return;
     case budget::DecisionKind::Exhausted:
-        ++(this->covered(request) ? this->sums.refusedCovered : this->sums.refusedShort);
+        ++this->sums.exhausted;
+        this->noteRefusal(request);
         return;
     case budget::DecisionKind::Unconfirmed:
         ++this->sums.unconfirmed;
+        this->noteRefusal(request);
         return;
     }
 }
@@ -551,6 +554,7 @@
     if (request.used > 0) {
         this->mustBeBilled.emplace(state.id, reservation);
     }
+    this->truth[request.budget].ended += request.used;
     this->closeReservation(node, reservation);
 }
 
@@ -561,10 +565,24 @@
     this->nodes[node].open.erase(found);
 }
 
-bool FleetSimulation::covered(const Request &request) const
+int64_t FleetSimulation::remaining(int budget) const
 {
-    const Truth &expected = this->truth[request.budget];
-    return expected.purchased - expected.consumed - expected.openBounds >= request.bound;
+    const Truth &expected = this->truth[budget];
+    return expected.purchased - expected.ended - expected.openBounds;
+}
+
+double FleetSimulation::remainingPercent(int budget) const
+{
+    constexpr double Whole = 100;
+    return Whole * static_cast<double>(this->remaining(budget))
+           / static_cast<double>(this->truth[budget].purchased);
+}
+
+void FleetSimulation::noteRefusal(const Request &request)
+{
+    if (this->remaining(request.budget) >= request.bound) {
+        ++this->sums.of(this->remainingPercent(request.budget)).refused;
+    }
 }
 
 // An operator's top-up, sent twice.
@@ -643,6 +661,7 @@
     this->restartLedger();
     for (const proto::BudgetState &state : this->ledger.budgets()) {
         this->sums.purchased += state.purchased_tokens();
+        this->sums.billed += state.billed_tokens();
         const bool whole
             = state.escrow_tokens() == 0 && state.quarantined_tokens() == 0
               && state.pool_tokens() == state.purchased_tokens() - state.billed_tokens();
--- a/tests/budget/fleetsimulation.h
+++ b/tests/budget/fleetsimulation.h
@@ -33,18 +33,31 @@
     int keyedPercent = 30;
 };
 
+// Requests that the budget covered when they were decided on.
+struct Covered {
+    int64_t served = 0;
+    int64_t refused = 0;
+};
+
 struct FleetTotals {
-    int64_t refusedCovered = 0; // Refused as exhausted though the budget covered the request.
-    int64_t refusedShort = 0; // Refused as exhausted, rightly.
+    Covered above; // While more than the last part of the budget remained.
+    Covered last; // In the last part.
+    int64_t exhausted = 0;
     int64_t unconfirmed = 0;
     int64_t expired = 0; // Waited until the deadline.
-    int64_t expiredCovered = 0; // Of them, those that the budget covered.
     int64_t dispatched = 0;
     int64_t kills = 0;
     int64_t takeovers = 0;
     int64_t lateSettlements = 0;
     int64_t consumed = 0;
+    int64_t billed = 0;
     int64_t purchased = 0;
+
+    Covered &of(double remainingPercent)
+    {
+        constexpr double LastPercent = 2;
+        return remainingPercent > LastPercent ? this->above : this->last;
+    }
 };
 
 class FleetSimulation
@@ -80,6 +93,7 @@
     struct Truth {
         int64_t consumed = 0; // By the fake targets, each keyed request once.
         int64_t billed = 0; // By settlements that reached the ledger, and by the operator.
+        int64_t ended = 0; // Used by requests that ended at a node that lived.
         int64_t openBounds = 0; // Of reservations that are open at nodes that live.
         int64_t purchased = 0;
     };
@@ -99,7 +113,7 @@
     void restartLedger();
     void send(int node,
               const proto::Command &command,
-              std::function<void(const proto::CommandResult &)> onResult);
+              const std::function<void(const proto::CommandResult &)> &onResult);
 
     void start(int node);
     void registerNode(int node);
@@ -117,7 +131,9 @@
     void dispatch(int node, budget::ReservationId reservation, const Request &request);
     void end(int node, core::Incarnation life, budget::ReservationId reservation);
     void closeReservation(int node, budget::ReservationId reservation);
-    bool covered(const Request &request) const;
+    int64_t remaining(int budget) const;
+    double remainingPercent(int budget) const;
+    void noteRefusal(const Request &request);
     void topUp();
     void drain();
     void decide();
--- a/tests/budget/fleetsimulationtest.cpp
+++ b/tests/budget/fleetsimulationtest.cpp
@@ -9,7 +9,9 @@
     FleetTotals totals;
     for (uint64_t seed = 1; seed <= 200; ++seed) {
         FleetSimulation simulation({.seed = seed});
-        REQUIRE(simulation.run() == "");
+        const std::string failure = simulation.run();
+        INFO(failure);
+        REQUIRE(failure.empty());
         totals.kills += simulation.totals().kills;
         totals.takeovers += simulation.totals().takeovers;
         totals.lateSettlements += simulation.totals().lateSettlements;
--- a/tests/ledger/testledger.cpp
+++ b/tests/ledger/testledger.cpp
@@ -26,7 +26,7 @@
 proto::CommandResult TestLedger::apply(proto::Command command)
 {
     command.set_proposed_at_ms(this->nowMs);
-    const proto::CommandResult result = this->ledger.apply(command);
+    proto::CommandResult result = this->ledger.apply(command);
     const absl::Status status = this->ledger.checkInvariant();
     INFO(core::messageOf(status));
     REQUIRE(status.ok());
@@ -53,7 +53,7 @@
 proto::CommandResult TestLedger::send(proto::HolderBatch &batch)
 {
     const uint64_t sequence = batch.sequence() + 1;
-    const proto::CommandResult result = this->sendAs(batch, sequence);
+    proto::CommandResult result = this->sendAs(batch, sequence);
     const proto::Holder holder = batch.holder();
     batch.Clear();
     *batch.mutable_holder() = holder;
