ledger, budget: Serve the smallest lack first near the end of a budget

Requests that a budget covered were refused while tokens wandered between holders that all lacked some: the lowest id went first, so a request of 39 tokens waited to its deadline with 1,912 in the pool, held back for larger ones.

--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -12,6 +12,9 @@
 // interval, a round trip to the quorum and a lost batch.
 constexpr double RefillSeconds = 2;
 
+// Answers further apart than this many flush intervals don't belong together.
+constexpr int MostGaps = 5;
+
 double secondsOf(core::Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -88,11 +91,19 @@
     return this->urgent;
 }
 
-void BudgetAccount::takeGrant(const proto::EscrowGrant &grant, core::TimePoint now)
+void BudgetAccount::takeGrant(const proto::EscrowGrant &grant,
+                              core::TimePoint now,
+                              const EscrowOptions &options)
 {
     this->free += grant.granted_tokens();
-    this->beforeLast = this->last;
-    this->last = LedgerView{grant.pool_tokens(), grant.recallable_tokens(), now};
+    // After a silence what was told before it is of no use any more.
+    if (!this->views.empty() && now - this->views.back().at > MostGaps * options.flushInterval) {
+        this->views.clear();
+    }
+    this->views.push_back({grant.pool_tokens() + grant.recallable_tokens(), now});
+    while (this->views.size() > 1 && now - this->views[1].at >= options.settlingTime) {
+        this->views.pop_front();
+    }
 }
 
 void BudgetAccount::takeRecall(int64_t tokens)
@@ -107,18 +118,23 @@
 
 bool BudgetAccount::hasFreshView(core::TimePoint now, const EscrowOptions &options) const
 {
-    return this->last && now - this->last->at <= options.flushInterval;
+    return !this->views.empty() && now - this->views.back().at <= options.flushInterval;
 }
 
 int64_t BudgetAccount::reach() const
 {
-    int64_t reach = this->last->pool + this->last->recallable;
-    if (this->beforeLast) {
-        reach = std::max(reach, this->beforeLast->pool + this->beforeLast->recallable);
+    int64_t reach = 0;
+    for (const LedgerView &view : this->views) {
+        reach = std::max(reach, view.reach);
     }
     return this->free + reach;
 }
 
+bool BudgetAccount::hasSettledView(core::TimePoint now, const EscrowOptions &options) const
+{
+    return !this->views.empty() && now - this->views.front().at >= options.settlingTime;
+}
+
 int64_t BudgetAccount::expectedRest() const
 {
     const double rest = static_cast<double>(this->reserved) * (1 - this->demand.usedShare());
--- a/source/samphirebridge/budget/budgetaccount.h
+++ b/source/samphirebridge/budget/budgetaccount.h
@@ -10,17 +10,16 @@
 
 #include <ledger.pb.h>
 
-#include <array>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace samphirebridge::budget
 {
 
-// What the ledger told of a budget in its last answers.
+// What an answer of the ledger told of a budget.
 struct LedgerView {
-    int64_t pool = 0;
-    int64_t recallable = 0;
+    int64_t reach = 0; // Tokens in the pool and free at other holders.
     core::TimePoint at;
 };
 
@@ -48,7 +47,8 @@
     void setUrgent();
     [[nodiscard]] bool isUrgent() const;
 
-    void takeGrant(const proto::EscrowGrant &grant, core::TimePoint now);
+    void
+    takeGrant(const proto::EscrowGrant &grant, core::TimePoint now, const EscrowOptions &options);
     void takeRecall(int64_t tokens);
 
     // The holder is over: nothing free is its own any more.
@@ -57,9 +57,14 @@
     // Tells whether the ledger's last answer is recent enough to decide on.
     [[nodiscard]] bool hasFreshView(core::TimePoint now, const EscrowOptions &options) const;
 
-    // Returns the most that a request here can hope for, as the last two answers have it.
+    // Returns the most that a request here can hope for, as the answers of the last settling time
+    // have it.
     [[nodiscard]] int64_t reach() const;
 
+    // Tells whether the answers span a settling time: what other holders had settled but not
+    // reported before it has become visible since.
+    [[nodiscard]] bool hasSettledView(core::TimePoint now, const EscrowOptions &options) const;
+
     // Returns what this holder's own open requests are expected to leave unused.
     [[nodiscard]] int64_t expectedRest() const;
 
@@ -97,8 +102,7 @@
     int64_t smallestWaiting = 0;
     bool urgent = false;
     Demand demand;
-    std::optional<LedgerView> last;
-    std::optional<LedgerView> beforeLast;
+    std::deque<LedgerView> views; // Oldest first.
     core::TimePoint usedAt;
     core::TimePoint wantedAt; // When demand alone last asked for escrow.
     bool everWanted = false;
--- a/source/samphirebridge/budget/escrowbatches.cpp
+++ b/source/samphirebridge/budget/escrowbatches.cpp
@@ -205,7 +205,7 @@
 void EscrowState::takeGrants(const proto::HolderBatchResult &result, core::TimePoint now)
 {
     for (const proto::EscrowGrant &grant : result.grants()) {
-        this->accounts[core::BudgetId(grant.budget())].takeGrant(grant, now);
+        this->accounts[core::BudgetId(grant.budget())].takeGrant(grant, now, this->options);
         this->counters.grantedTokens += grant.granted_tokens();
     }
     for (const proto::EscrowRecall &recall : result.recalls()) {
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -36,6 +36,9 @@
     // Without a batch's result for this long after it was first handed out, the ledger is out of
     // contact.
     core::Duration contactTimeout = std::chrono::seconds(2);
+    // How long the ledger's answers must have been too small for a request before it is refused as
+    // exhausted: what others have settled in the meantime is reported by then.
+    core::Duration settlingTime = std::chrono::milliseconds(300);
     // What a refused caller is told to wait at least.
     core::Duration retryAfter = std::chrono::seconds(5);
 };
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -198,7 +198,8 @@
         account.addWaiter(tokens, now);
         return this->wait(WaitCause::Grant);
     }
-    if (tokens <= account.reach() + account.expectedRest()) {
+    if (tokens <= account.reach() + account.expectedRest()
+        || !account.hasSettledView(now, this->options)) {
         account.addWaiter(tokens, now);
         return this->wait(WaitCause::Settlement);
     }
--- a/source/samphirebridge/ledger/escrowgrants.cpp
+++ b/source/samphirebridge/ledger/escrowgrants.cpp
@@ -10,26 +10,47 @@
 namespace
 {
 
-// What other holders lack, split by whether they go before the asking one.
-struct Claims {
-    int64_t before = 0;
+// What other holders lack.
+struct Lacks {
+    int64_t before = 0; // The smallest requests of those that go before the asking one.
     int64_t all = 0;
 };
 
-Claims shortagesOfOthers(const LedgerState &state, BudgetIndex budget, HolderIndex holder)
+// What the smallest of the request's waiting ones needs.
+int64_t smallestOf(const proto::EscrowRequest &request)
 {
-    Claims claims;
-    const core::HolderId &asking = state.holders.at(holder).id;
+    const int64_t minimum = std::max<int64_t>(request.minimum_tokens(), 0);
+    return request.smallest_tokens() > 0 ? std::min(request.smallest_tokens(), minimum) : minimum;
+}
+
+// Tells whether the holder with the shortage goes before one whose smallest request lacks `tokens`.
+bool goesBefore(const LedgerState &state,
+                const Shortage &shortage,
+                HolderIndex asking,
+                int64_t tokens)
+{
+    if (shortage.smallest != tokens) {
+        return shortage.smallest < tokens;
+    }
+    return state.holders.at(shortage.holder).id < state.holders.at(asking).id;
+}
+
+Lacks lacksOfOthers(const LedgerState &state,
+                    BudgetIndex budget,
+                    HolderIndex holder,
+                    int64_t smallest)
+{
+    Lacks lacks;
     for (const Shortage &shortage : state.shortages.of(budget, state.timeMs)) {
         if (shortage.holder == holder) {
             continue;
         }
-        claims.all += shortage.tokens;
-        if (state.holders.at(shortage.holder).id < asking) {
-            claims.before += shortage.tokens;
+        lacks.all += shortage.tokens;
+        if (goesBefore(state, shortage, holder, smallest)) {
+            lacks.before += shortage.smallest;
         }
     }
-    return claims;
+    return lacks;
 }
 
 int64_t sharers(const BudgetRecord &record, HolderIndex holder)
@@ -57,40 +78,40 @@
                          const proto::EscrowRequest &request)
 {
     const int64_t minimum = std::max<int64_t>(request.minimum_tokens(), 0);
-    const int64_t smallest = request.smallest_tokens() > 0 ? request.smallest_tokens() : minimum;
     const int64_t reach = record.pool() + recallable(record, holder);
-    return smallest <= reach ? std::min(minimum, reach) : 0;
+    return smallestOf(request) <= reach ? std::min(minimum, reach) : 0;
 }
 
 int64_t grantFor(const LedgerState &state,
                  BudgetIndex budget,
                  HolderIndex holder,
-                 int64_t wantedTokens,
+                 const proto::EscrowRequest &request,
                  int64_t minimum)
 {
     const BudgetRecord &record = state.budgets.at(budget);
-    const Claims claims = shortagesOfOthers(state, budget, holder);
-    const int64_t wanted = std::max(wantedTokens, minimum);
-    const int64_t first = std::clamp<int64_t>(record.pool() - claims.before, 0, minimum);
+    const int64_t smallest = std::min(smallestOf(request), minimum);
+    const Lacks lacks = lacksOfOthers(state, budget, holder, smallest);
+    const int64_t first = std::clamp<int64_t>(record.pool() - lacks.before, 0, smallest);
+    const int64_t left = std::max<int64_t>(record.pool() - first - lacks.all, 0);
+    const int64_t needed = first + std::min(minimum - first, left);
     // One share more than holders keeps something for one that comes new.
-    const int64_t rest = record.pool() - first - claims.all;
-    const int64_t share = std::max<int64_t>(rest, 0) / (sharers(record, holder) + 1);
-    return first + std::min(wanted - first, share);
+    const int64_t share = (left - (needed - first)) / (sharers(record, holder) + 1);
+    return needed + std::min(std::max<int64_t>(request.wanted_tokens() - needed, 0), share);
 }
 
 // Returns the holders that may be asked to return escrow, those with most of it first.
 std::vector<Share> sources(const LedgerState &state, BudgetIndex budget, HolderIndex holder)
 {
-    const core::HolderId &asking = state.holders.at(holder).id;
     const std::vector<Shortage> shortages = state.shortages.of(budget, state.timeMs);
+    const auto own = std::ranges::find(shortages, holder, &Shortage::holder);
+    const int64_t lacking = own == shortages.end() ? 0 : own->smallest;
     std::vector<Share> found;
     for (const Share &share : state.budgets.at(budget).shares) {
         if (share.over || share.holder == holder || share.free() <= 0) {
             continue;
         }
-        const bool lacks
-            = std::ranges::find(shortages, share.holder, &Shortage::holder) != shortages.end();
-        if (lacks && state.holders.at(share.holder).id < asking) {
+        const auto other = std::ranges::find(shortages, share.holder, &Shortage::holder);
+        if (other != shortages.end() && goesBefore(state, *other, holder, lacking)) {
             continue;
         }
         found.push_back(share);
@@ -149,7 +170,7 @@
 void ShortageBook::clear(HolderIndex holder)
 {
     for (const BudgetIndex budget : this->budgets()) {
-        this->set(budget, {holder, 0, 0});
+        this->set(budget, {.holder = holder});
     }
 }
 
@@ -188,10 +209,11 @@
         return grant;
     }
     const int64_t minimum = reachableMinimum(state.budgets.at(budget), holder, request);
-    const int64_t granted = grantFor(state, budget, holder, request.wanted_tokens(), minimum);
+    const int64_t granted = grantFor(state, budget, holder, request, minimum);
     state.budgets.grant(budget, holder, granted);
     const int64_t missing = std::max<int64_t>(minimum - granted, 0);
-    state.shortages.set(budget, {holder, missing, state.timeMs});
+    const int64_t smallest = std::clamp<int64_t>(smallestOf(request) - granted, 0, missing);
+    state.shortages.set(budget, {holder, missing, smallest, state.timeMs});
     if (missing > 0) {
         recall(state, budget, holder);
     }
--- a/source/samphirebridge/ledger/escrowgrants.h
+++ b/source/samphirebridge/ledger/escrowgrants.h
@@ -3,7 +3,8 @@
 // While the pool is large a holder gets what its demand asks for. Near the end what waiting
 // requests need comes first, further demand gets a share of the rest, and holders with free escrow
 // are asked to return what a waiting request elsewhere lacks. Of two holders that both lack
-// something, the one with the lower id goes first, so that they do not swap their escrow for ever.
+// something, the one with the smaller lack goes first, so that they do not swap their escrow for
+// ever and that as many requests as possible are served by what is left.
 #pragma once
 
 #include "samphirebridge/ledger/budgetbook.h"
@@ -27,6 +28,7 @@
 struct Shortage {
     HolderIndex holder = NoIndex;
     int64_t tokens = 0;
+    int64_t smallest = 0; // What the smallest of them lacked.
     uint64_t atMs = 0;
 };
 
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -155,6 +155,7 @@
             message->set_budget(state.budgets.at(budget).id);
             *message->mutable_holder() = protoOf(state.holders.at(shortage.holder).id);
             message->set_tokens(shortage.tokens);
+            message->set_smallest_tokens(shortage.smallest);
             message->set_at_ms(shortage.atMs);
         }
     }
@@ -319,8 +320,9 @@
             if (holder == NoIndex) {
                 return this->unknown("holder", message.holder().instance());
             }
-            this->state.shortages.set(this->state.budgets.intern(message.budget()),
-                                      {holder, message.tokens(), message.at_ms()});
+            this->state.shortages.set(
+                this->state.budgets.intern(message.budget()),
+                {holder, message.tokens(), message.smallest_tokens(), message.at_ms()});
         }
         return absl::OkStatus();
     }
--- a/utilities/bench/ledgerbench.cpp
+++ b/utilities/bench/ledgerbench.cpp
@@ -247,7 +247,17 @@
 
 void measureRefusals()
 {
-    for (const int64_t declared : {400'000, 4'000'000}) {
+    struct Load {
+        int64_t declared;
+        int arrivalMs;
+        int runMs;
+    };
+    const std::vector<Load> loads{{400'000, 40, 20'000},
+                                  {4'000'000, 40, 60'000},
+                                  {400'000, 800, 120'000},
+                                  {4'000'000, 800, 600'000}};
+    for (const Load &load : loads) {
+        const int64_t declared = load.declared;
         tests::FleetTotals sums;
         for (uint64_t seed = 1; seed <= 20; ++seed) {
             tests::FleetOptions options;
@@ -257,8 +267,8 @@
             options.declaredTokens = declared;
             options.exposureTokens = 100'000;
             options.maximumBound = 4'000;
-            options.arrivalMs = 40;
-            options.runMs = declared == 400'000 ? 20'000 : 60'000;
+            options.arrivalMs = load.arrivalMs;
+            options.runMs = load.runMs;
             options.faults = false;
             options.keyedPercent = 0;
             tests::FleetSimulation simulation(options);
