ledger: Quarantine by the exposure that a holder knew

A policy below the default exposure of 100,000 tokens had no effect on the quarantine, found by a mutation that ignored the limit in the book and that no test noticed. Each holder now carries the highest exposure in force since it registered.

--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -170,7 +170,7 @@
         return refusal(live.status());
     }
     const HolderIndex previous = state.holders.liveOf(id.instance);
-    state.holders.add(id);
+    state.holders.at(state.holders.add(id)).exposure = exposureInForce(state);
     if (previous != NoIndex) {
         endHolder(state, previous);
     }
--- a/source/samphirebridge/ledger/holderbook.h
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -34,6 +34,9 @@
     bool over = false;
     uint32_t claims = 0; // Claims that name the holder.
     uint64_t lastSequence = 0;
+    // The highest exposure that was in force since it registered: it may not have heard of a lower
+    // one yet.
+    int64_t exposure = 0;
     std::string lastResult; // The serialised HolderBatchResult of the last sequence.
     absl::flat_hash_map<uint64_t, OpenItem> open;
     absl::flat_hash_map<BudgetIndex, int64_t> recalls;
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -68,6 +68,12 @@
                            fmt::format("{} is not registered", describe(id)));
 }
 
+int64_t exposureInForce(const LedgerState &state)
+{
+    const int64_t stated = state.manifest.find(proto::POLICY, "policy").policy().exposure_tokens();
+    return stated > 0 ? stated : DefaultExposureTokens;
+}
+
 void endHolder(LedgerState &state, HolderIndex holder)
 {
     HolderRecord &record = state.holders.at(holder);
@@ -75,7 +81,7 @@
     record.recalls.clear();
     state.shortages.clear(holder);
     for (const BudgetIndex budget : state.budgets.budgetsOf(holder)) {
-        state.budgets.end(budget, holder, state.highestExposure);
+        state.budgets.end(budget, holder, record.exposure);
     }
     forgetIfDone(state, holder);
 }
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -29,8 +29,6 @@
     ManifestStore manifest;
     ShortageBook shortages;
     uint64_t lastOrderNumber = 0;
-    // The highest exposure that any policy stated: a holder may not have heard of a lower one yet.
-    int64_t highestExposure = DefaultExposureTokens;
 };
 
 // Builds a result that carries an error and nothing else.
@@ -45,6 +43,9 @@
 // Looks a holder up for a command that only a live one may send. UnknownHolder, HolderRetired.
 absl::StatusOr<HolderIndex> liveHolder(const LedgerState &state, const proto::Holder &holder);
 
+// Returns the exposure that the manifest in force states.
+int64_t exposureInForce(const LedgerState &state);
+
 // Ends a holder: quarantines what is open and what may have been opened without a record, and
 // returns the rest to the pools.
 void endHolder(LedgerState &state, HolderIndex holder);
--- a/source/samphirebridge/ledger/operatorcommands.cpp
+++ b/source/samphirebridge/ledger/operatorcommands.cpp
@@ -330,16 +330,16 @@
         if (entity.has_budget()) {
             state.budgets.declare(entity.budget().id(), entity.budget().tokens());
         }
-        if (entity.has_policy()) {
-            state.highestExposure
-                = std::max(state.highestExposure, entity.policy().exposure_tokens());
-        }
     }
     for (const proto::EntityKey &key : command.delta().removals()) {
         if (key.kind() == proto::BUDGET) {
             state.budgets.remove(key.id());
         }
     }
+    for (const HolderIndex holder : state.holders.ordered()) {
+        int64_t &exposure = state.holders.at(holder).exposure;
+        exposure = std::max(exposure, exposureInForce(state));
+    }
     proto::CommandResult result;
     result.mutable_apply_manifest()->set_version(state.manifest.version());
     return result;
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -96,6 +96,7 @@
         *message->mutable_holder() = protoOf(record.id);
         message->set_retired(record.over);
         message->set_last_sequence(record.lastSequence);
+        message->set_exposure_tokens(record.exposure);
         if (!record.lastResult.empty()) {
             message->mutable_last_result()->ParseFromString(record.lastResult);
         }
@@ -183,8 +184,6 @@
             {this->snapshot.recent_deltas().begin(), this->snapshot.recent_deltas().end()});
         this->state.timeMs = this->snapshot.time_ms();
         this->state.lastOrderNumber = this->snapshot.last_order_number();
-        this->state.highestExposure
-            = std::max(DefaultExposureTokens, this->snapshot.highest_exposure_tokens());
         status.Update(this->readHolders());
         if (status.ok()) {
             status = this->readBudgets();
@@ -228,6 +227,7 @@
             HolderRecord &record = this->state.holders.at(this->state.holders.add(id));
             record.over = message.retired();
             record.lastSequence = message.last_sequence();
+            record.exposure = message.exposure_tokens();
             if (message.has_last_result()) {
                 record.lastResult = message.last_result().SerializeAsString();
             }
@@ -395,7 +395,6 @@
     writeChanges(state, snapshot);
     writeShortages(state, snapshot);
     snapshot.set_last_order_number(state.lastOrderNumber);
-    snapshot.set_highest_exposure_tokens(state.highestExposure);
     return snapshot;
 }
 
--- a/tests/budget/fleetsimulationtest.cpp
+++ b/tests/budget/fleetsimulationtest.cpp
@@ -23,3 +23,33 @@
     CHECK(totals.lateSettlements > 10);
     CHECK(totals.dispatched > 10'000);
 }
+
+TEST_CASE("in contact, hardly a request is refused that its budget covers")
+{
+    Covered above;
+    Covered last;
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        FleetSimulation simulation({.seed = seed,
+                                    .nodes = 8,
+                                    .budgets = 1,
+                                    .declaredTokens = 400'000,
+                                    .exposureTokens = 100'000,
+                                    .maximumBound = 2'000,
+                                    .runMs = 80'000,
+                                    .arrivalMs = 400,
+                                    .faults = false,
+                                    .keyedPercent = 0});
+        const std::string failure = simulation.run();
+        INFO(failure);
+        REQUIRE(failure.empty());
+        const FleetTotals &totals = simulation.totals();
+        above.served += totals.above.served;
+        above.refused += totals.above.refused;
+        last.served += totals.last.served;
+        last.refused += totals.last.refused;
+        CHECK(totals.unconfirmed == 0);
+        CHECK(totals.billed * 1'000 > totals.purchased * 995);
+    }
+    CHECK(above.refused * 1'000 <= above.served);
+    CHECK(last.refused * 10 <= last.served);
+}
--- a/tests/ledger/claimstest.cpp
+++ b/tests/ledger/claimstest.cpp
@@ -135,7 +135,7 @@
     ledger.nowMs += 59'999;
     CHECK(verdictOf(ledger.claim("b", 1, 1, "key", 100)) == proto::FINISHED);
     ledger.nowMs += 1;
-    CHECK(verdictOf(ledger.claim("b", 1, 1, "key", 100)) == proto::CLAIMED);
+    ledger.topUp("letters", 1, "later");
     ledger.nowMs -= 30'000; // A proposer whose clock is behind.
-    CHECK(verdictOf(ledger.claim("a", 1, 2, "key", 100)) == proto::RUNNING);
+    CHECK(verdictOf(ledger.claim("b", 1, 1, "key", 100)) == proto::CLAIMED);
 }
--- a/tests/ledger/holderstest.cpp
+++ b/tests/ledger/holderstest.cpp
@@ -25,7 +25,7 @@
     proto::Command command;
     proto::ApplyManifest *manifest = command.mutable_apply_manifest();
     manifest->set_expected_version(ledger.ledger.manifestVersion());
-    manifest->set_change_id("exposure");
+    manifest->set_change_id("exposure-" + std::to_string(tokens));
     proto::Policy *policy = manifest->mutable_delta()->add_upserts()->mutable_policy();
     policy->set_id("policy");
     policy->set_exposure_tokens(tokens);
@@ -49,12 +49,28 @@
 TEST_CASE("the end of a holder quarantines its openings and the exposure, and frees the rest")
 {
     TestLedger ledger;
-    setExposure(ledger, 200'000);
+    setExposure(ledger, 150);
     holderWithOpening(ledger);
     ledger.registerHolder("a", 2);
-    CHECK(ledger.budget().quarantined_tokens() == 500);
+    CHECK(ledger.budget().quarantined_tokens() == 250);
     CHECK(ledger.budget().escrow_tokens() == 0);
-    CHECK(ledger.budget().pool_tokens() == 500);
+    CHECK(ledger.budget().pool_tokens() == 750);
+}
+
+TEST_CASE("a lower exposure holds only for holders that registered under it")
+{
+    TestLedger ledger;
+    setExposure(ledger, 150);
+    holderWithOpening(ledger);
+    setExposure(ledger, 20);
+    ledger.retire("a", 1, "retire");
+    CHECK(ledger.budget().quarantined_tokens() == 250);
+    ledger.registerHolder("b", 1);
+    proto::HolderBatch b = batchOf("b", 1);
+    addRequest(b, 300, 300);
+    ledger.send(b);
+    ledger.retire("b", 1, "retire b");
+    CHECK(ledger.budget().quarantined_tokens() == 270);
 }
 
 TEST_CASE("late settlements are billed once, the rest of a recorded opening returns to the pool")
