--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -96,6 +96,7 @@
         *message->mutable_holder() = protoOf(record.id);
         message->set_retired(record.over);
         message->set_last_sequence(record.lastSequence);
+        message->set_exposure_tokens(record.exposure);
         if (!record.lastResult.empty()) {
             message->mutable_last_result()->ParseFromString(record.lastResult);
         }
@@ -155,6 +156,7 @@
             message->set_budget(state.budgets.at(budget).id);
             *message->mutable_holder() = protoOf(state.holders.at(shortage.holder).id);
             message->set_tokens(shortage.tokens);
+            message->set_smallest_tokens(shortage.smallest);
             message->set_at_ms(shortage.atMs);
         }
     }
@@ -182,8 +184,6 @@
             {this->snapshot.recent_deltas().begin(), this->snapshot.recent_deltas().end()});
         this->state.timeMs = this->snapshot.time_ms();
         this->state.lastOrderNumber = this->snapshot.last_order_number();
-        this->state.highestExposure
-            = std::max(DefaultExposureTokens, this->snapshot.highest_exposure_tokens());
         status.Update(this->readHolders());
         if (status.ok()) {
             status = this->readBudgets();
@@ -227,6 +227,7 @@
             HolderRecord &record = this->state.holders.at(this->state.holders.add(id));
             record.over = message.retired();
             record.lastSequence = message.last_sequence();
+            record.exposure = message.exposure_tokens();
             if (message.has_last_result()) {
                 record.lastResult = message.last_result().SerializeAsString();
             }
@@ -319,8 +320,9 @@
             if (holder == NoIndex) {
                 return this->unknown("holder", message.holder().instance());
             }
-            this->state.shortages.set(this->state.budgets.intern(message.budget()),
-                                      {holder, message.tokens(), message.at_ms()});
+            this->state.shortages.set(
+                this->state.budgets.intern(message.budget()),
+                {holder, message.tokens(), message.smallest_tokens(), message.at_ms()});
         }
         return absl::OkStatus();
     }
@@ -393,7 +395,6 @@
     writeChanges(state, snapshot);
     writeShortages(state, snapshot);
     snapshot.set_last_order_number(state.lastOrderNumber);
-    snapshot.set_highest_exposure_tokens(state.highestExposure);
     return snapshot;
 }
 
--- a/tests/budget/fleetsimulation.cpp
+++ b/tests/budget/fleetsimulation.cpp
@@ -63,7 +63,7 @@
     while (this->options.faults && this->nowMs < endMs && this->failure.empty()) {
         this->advance(this->nowMs + 200 + this->random(600));
         const int node = static_cast<int>(this->random(this->options.nodes));
-        switch (this->random(6)) {
+        switch (this->random(7)) {
         case 0:
             this->kill(node);
             break;
@@ -76,6 +76,9 @@
         case 3:
             this->restartLedger();
             break;
+        case 4:
+            this->retireLive(node);
+            break;
         default:
             std::ranges::for_each(this->nodes, [](Node &each) { each.partitioned = false; });
             break;
@@ -134,7 +137,7 @@
 proto::CommandResult FleetSimulation::apply(proto::Command command)
 {
     command.set_proposed_at_ms(this->nowMs - this->random(50));
-    const proto::CommandResult result = this->ledger.apply(command);
+    proto::CommandResult result = this->ledger.apply(command);
     if (result.SerializeAsString() != this->replica.apply(command).SerializeAsString()) {
         this->fail("two replicas gave different results");
     }
@@ -242,7 +245,7 @@
 // Sends a command that may be lost, repeated or delayed, and so may its answer.
 void FleetSimulation::send(int node,
                            const proto::Command &command,
-                           std::function<void(const proto::CommandResult &)> onResult)
+                           const std::function<void(const proto::CommandResult &)> &onResult)
 {
     const bool faults = this->options.faults;
     const int copies = faults && this->chance(10) ? 2 : 1;
@@ -319,14 +322,8 @@
         this->closeReservation(node, state.open.begin()->first);
     }
     state.waiting.clear();
-    const bool retired = this->chance(30);
-    if (retired) {
-        proto::Command command;
-        command.mutable_retire_holder()->mutable_holder()->set_instance(state.id.instance.value);
-        command.mutable_retire_holder()->mutable_holder()->set_incarnation(state.id.incarnation);
-        command.mutable_retire_holder()->set_change_id(fmt::format("change-{}", ++this->changes));
-        this->apply(command);
-        this->apply(command);
+    if (this->chance(30)) {
+        this->retire(state.id);
     }
     this->start(node);
     for (Request &request : again) {
@@ -337,6 +334,24 @@
     }
 }
 
+void FleetSimulation::retire(const core::HolderId &holder)
+{
+    proto::Command command;
+    command.mutable_retire_holder()->mutable_holder()->set_instance(holder.instance.value);
+    command.mutable_retire_holder()->mutable_holder()->set_incarnation(holder.incarnation);
+    command.mutable_retire_holder()->set_change_id(fmt::format("change-{}", ++this->changes));
+    this->apply(command);
+    this->apply(command);
+}
+
+// An operator declares a process over that still serves, and does not know it yet.
+void FleetSimulation::retireLive(int node)
+{
+    if (this->nodes[node].registered) {
+        this->retire(this->nodes[node].id);
+    }
+}
+
 void FleetSimulation::tick(int node)
 {
     Node &state = this->nodes[node];
@@ -363,7 +378,12 @@
         *answered = true;
         const absl::Status status = this->nodes[node].book->onBatchResult(result, this->now());
         if (core::errorCodeOf(status) == core::ErrorCode::HolderRetired) {
-            return;
+            // The process ends what is open, reports it late, and gives way to a new one.
+            this->at(this->nowMs + this->random(2'000), [this, node, id] {
+                if (this->nodes[node].id == id) {
+                    this->kill(node);
+                }
+            });
         }
         this->reask(node);
     });
@@ -392,7 +412,7 @@
         request.repeatable = this->chance(50);
     }
     this->attempt(node, request);
-    this->at(this->nowMs + 1 + this->random(2 * this->options.arrivalMs),
+    this->at(this->nowMs + 1 + this->random(2 * static_cast<uint64_t>(this->options.arrivalMs)),
              [this, node] { this->arrive(node); });
 }
 
@@ -409,6 +429,7 @@
         request.key.empty() ? budget::Recording::Batch : budget::Recording::Claim);
     switch (decision.kind) {
     case budget::DecisionKind::Reserved:
+        ++this->sums.of(this->remainingPercent(request.budget)).served;
         state.open.emplace(decision.reservation, request);
         this->truth[request.budget].openBounds += request.bound;
         if (request.key.empty()) {
@@ -423,13 +444,15 @@
             return;
         }
         ++this->sums.expired;
-        this->sums.expiredCovered += this->covered(request) ? 1 : 0;
+        this->noteRefusal(request);
         return;
     case budget::DecisionKind::Exhausted:
-        ++(this->covered(request) ? this->sums.refusedCovered : this->sums.refusedShort);
+        ++this->sums.exhausted;
+        this->noteRefusal(request);
         return;
     case budget::DecisionKind::Unconfirmed:
         ++this->sums.unconfirmed;
+        this->noteRefusal(request);
         return;
     }
 }
@@ -551,6 +574,7 @@
     if (request.used > 0) {
         this->mustBeBilled.emplace(state.id, reservation);
     }
+    this->truth[request.budget].ended += request.used;
     this->closeReservation(node, reservation);
 }
 
@@ -561,10 +585,24 @@
     this->nodes[node].open.erase(found);
 }
 
-bool FleetSimulation::covered(const Request &request) const
+int64_t FleetSimulation::remaining(int budget) const
 {
-    const Truth &expected = this->truth[request.budget];
-    return expected.purchased - expected.consumed - expected.openBounds >= request.bound;
+    const Truth &expected = this->truth[budget];
+    return expected.purchased - expected.ended - expected.openBounds;
+}
+
+double FleetSimulation::remainingPercent(int budget) const
+{
+    constexpr double Whole = 100;
+    return Whole * static_cast<double>(this->remaining(budget))
+           / static_cast<double>(this->truth[budget].purchased);
+}
+
+void FleetSimulation::noteRefusal(const Request &request)
+{
+    if (this->remaining(request.budget) >= request.bound) {
+        ++this->sums.of(this->remainingPercent(request.budget)).refused;
+    }
 }
 
 // An operator's top-up, sent twice.
@@ -643,6 +681,7 @@
     this->restartLedger();
     for (const proto::BudgetState &state : this->ledger.budgets()) {
         this->sums.purchased += state.purchased_tokens();
+        this->sums.billed += state.billed_tokens();
         const bool whole
             = state.escrow_tokens() == 0 && state.quarantined_tokens() == 0
               && state.pool_tokens() == state.purchased_tokens() - state.billed_tokens();
