samphirectl: Keep tables and diffs linear in the manifest's size

The widths of a table's columns were computed again for each line and each upsert of a diff was looked for among all entities: with 55,000 budgets, billions of steps. A reference problem no longer looks for its line once the problems are full. An answer of any status from 200 to 299 is a success, since the interface does not say which one a change of the voters gives, and one budget's state is shown whether it comes alone or in a list.

--- a/source/samphirebridge/manifest/references.cpp
+++ b/source/samphirebridge/manifest/references.cpp
@@ -47,6 +47,9 @@
              std::string_view found,
              std::string_view accepted)
     {
+        if (this->problems.full()) {
+            return; // Finding the line takes time that grows with the declaration.
+        }
         const Place item{.parent = &this->section, .index = declared.index};
         const Place place{.parent = &item, .key = key};
         this->problems.add(lineOf(*declared.node, key), place, found, accepted);
--- a/source/samphirebridge/samphirectl/answer.cpp
+++ b/source/samphirebridge/samphirectl/answer.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr long StatusOk = 200;
+constexpr long StatusNoContent = 204;
 
 using core::ErrorCode;
 
@@ -72,9 +72,12 @@
 
 absl::StatusOr<nlohmann::json> readAnswer(const OperatorAnswer &answer, RequestKind kind)
 {
-    if (answer.status != StatusOk) {
+    if (answer.status < 200 || answer.status >= 300) {
         return errorOfAnswer(answer, kind);
     }
+    if (answer.status == StatusNoContent) {
+        return nlohmann::json::object();
+    }
     nlohmann::json object = nlohmann::json::parse(answer.body, nullptr, false);
     if (!object.is_object()) {
         const ErrorCode code
--- a/source/samphirebridge/samphirectl/texts.cpp
+++ b/source/samphirebridge/samphirectl/texts.cpp
@@ -62,15 +62,17 @@
             line.push_back(cellOf(row, column));
         }
     }
+    std::vector<size_t> widths(columns.size(), 0);
+    for (const std::vector<std::string> &line : lines) {
+        for (size_t column = 0; column < columns.size(); ++column) {
+            widths[column] = std::max(widths[column], line[column].size());
+        }
+    }
     std::string text;
     for (const std::vector<std::string> &line : lines) {
         std::string rendered;
         for (size_t column = 0; column < columns.size(); ++column) {
-            size_t width = 0;
-            for (const std::vector<std::string> &other : lines) {
-                width = std::max(width, other[column].size());
-            }
-            rendered += fmt::format("{:<{}}  ", line[column], width);
+            rendered += fmt::format("{:<{}}  ", line[column], widths[column]);
         }
         rendered.erase(rendered.find_last_not_of(' ') + 1);
         text += rendered + '\n';
@@ -134,6 +136,9 @@
 
 std::string budgetText(const nlohmann::json &result)
 {
+    if (result.contains("budgets")) {
+        return budgetsText(result);
+    }
     return tableOf(nlohmann::json::array({result}), BudgetColumns);
 }
 
@@ -162,13 +167,14 @@
                              {"added", nlohmann::json::array()},
                              {"changed", nlohmann::json::array()},
                              {"removed", nlohmann::json::array()}};
+    std::vector<manifest::EntityName> names;
+    for (const proto::Entity &entity : current.entities()) {
+        names.push_back(manifest::nameOf(entity));
+    }
+    std::sort(names.begin(), names.end());
     for (const proto::Entity &entity : delta.upserts()) {
         const manifest::EntityName name = manifest::nameOf(entity);
-        const bool known = std::any_of(current.entities().begin(),
-                                       current.entities().end(),
-                                       [&name](const proto::Entity &candidate) {
-                                           return manifest::nameOf(candidate) == name;
-                                       });
+        const bool known = std::binary_search(names.begin(), names.end(), name);
         result[known ? "changed" : "added"].push_back(nameObject(name));
     }
     for (const proto::EntityKey &key : delta.removals()) {
--- a/source/samphirebridge/samphirectl/texts.h
+++ b/source/samphirebridge/samphirectl/texts.h
@@ -13,6 +13,7 @@
 std::string applyText(const nlohmann::json &result);
 std::string statusText(const nlohmann::json &result);
 std::string budgetsText(const nlohmann::json &result);
+// The state of one budget, alone or in a list of one.
 std::string budgetText(const nlohmann::json &result);
 std::string claimsText(const nlohmann::json &result);
 std::string instancesText(const nlohmann::json &result);
--- a/source/samphirebridge/settings/document.cpp
+++ b/source/samphirebridge/settings/document.cpp
@@ -297,7 +297,7 @@
                            std::string_view found,
                            std::string_view accepted)
 {
-    if (this->problems.size() > MaximumProblems) {
+    if (this->full()) {
         return;
     }
     this->append(Problem{.code = this->code,
@@ -328,7 +328,7 @@
         problem.found = fmt::format("more than {} problems", MaximumProblems);
         problem.accepted = "none";
     }
-    if (this->problems.size() <= MaximumProblems) {
+    if (!this->full()) {
         this->problems.push_back(std::move(problem));
     }
 }
@@ -338,6 +338,11 @@
     return this->problems.empty();
 }
 
+bool ProblemCollector::full() const
+{
+    return this->problems.size() > MaximumProblems;
+}
+
 std::vector<Problem> ProblemCollector::take()
 {
     return std::move(this->problems);
--- a/source/samphirebridge/settings/document.h
+++ b/source/samphirebridge/settings/document.h
@@ -63,6 +63,10 @@
     addToFile(core::ErrorCode code, int line, std::string_view found, std::string_view accepted);
 
     [[nodiscard]] bool empty() const;
+
+    // Whether further problems are dropped, so that nobody needs to look for them.
+    [[nodiscard]] bool full() const;
+
     [[nodiscard]] std::vector<Problem> take();
 
 private:
