--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -29,6 +29,19 @@
     });
 }
 
+FleetLoad meanLoad(std::span<RoutedTarget *const> targets)
+{
+    FleetLoad mean;
+    for (const RoutedTarget *target : targets) {
+        mean.foreignUtilisation += target->load.foreignUtilisation();
+        mean.outputTokens += target->load.outputTokens();
+    }
+    const auto count = static_cast<double>(std::max<size_t>(1, targets.size()));
+    mean.foreignUtilisation /= count;
+    mean.outputTokens /= count;
+    return mean;
+}
+
 double meanOccupancy(std::span<RoutedTarget *const> targets)
 {
     double sum = 0;
@@ -52,8 +65,10 @@
                                     core::TimePoint now) const
 {
     Selection selection;
-    for (const RoutedTarget *target : targets) {
+    const FleetLoad fleet = meanLoad(targets);
+    for (RoutedTarget *target : targets) {
         const bool admits = target->breaker.admits(this->options->breaker, now);
+        target->load.age(fleet, now);
         selection.anyOpen = selection.anyOpen || admits;
         const core::TimePoint probe = target->breaker.nextProbe();
         if (!admits && (!selection.nextProbe || probe < *selection.nextProbe)) {
@@ -83,7 +98,7 @@
             if (holds && target->load.occupancy() > bound) {
                 selection.passedOver = true;
             } else if (holds) {
-                this->offer(this->rate(*target, request), selection.best);
+                CandidateSelector::offer(this->rate(*target, request), selection.best);
             }
         }
     }
@@ -91,7 +106,7 @@
     for (size_t index = 0; index < draws; ++index) {
         const size_t other = index + this->draw() % (usable.size() - index);
         std::swap(usable[index], usable[other]);
-        this->offer(this->rate(*usable[index], request), selection.best);
+        CandidateSelector::offer(this->rate(*usable[index], request), selection.best);
     }
     return selection;
 }
@@ -145,18 +160,13 @@
     const size_t blocks = target.prefix.knownBlocks(request.prefix);
     const uint64_t held = blocks * this->options->prefix.blockTokens;
     const auto cached = static_cast<uint32_t>(std::min<uint64_t>(held, request.promptTokens));
-    return {&target, cached, target.load.firstToken(request.promptTokens - cached)};
+    const uint32_t toRead = request.promptTokens - cached;
+    return {&target, cached, target.load.firstToken(toRead), target.load.cost(toRead)};
 }
 
-void CandidateSelector::offer(const Candidate &candidate, std::optional<Candidate> &best) const
+void CandidateSelector::offer(const Candidate &candidate, std::optional<Candidate> &best)
 {
-    if (!best || candidate.expectedFirstToken < best->expectedFirstToken) {
-        best = candidate;
-        return;
-    }
-    // Equal promises: the emptier one.
-    const bool equal = candidate.expectedFirstToken == best->expectedFirstToken;
-    if (equal && candidate.target->load.utilisation() < best->target->load.utilisation()) {
+    if (!best || candidate.cost < best->cost) {
         best = candidate;
     }
 }
--- a/source/samphirebridge/routing/candidateselector.h
+++ b/source/samphirebridge/routing/candidateselector.h
@@ -19,6 +19,7 @@
     RoutedTarget *target = nullptr;
     uint32_t cachedTokens = 0;
     core::Duration expectedFirstToken{};
+    double cost = 0; // What targets are compared by.
 };
 
 // How free the target must be.
@@ -61,7 +62,7 @@
                                                             Company company,
                                                             core::TimePoint now) const;
     [[nodiscard]] Candidate rate(RoutedTarget &target, const RouteRequest &request) const;
-    void offer(const Candidate &candidate, std::optional<Candidate> &best) const;
+    static void offer(const Candidate &candidate, std::optional<Candidate> &best);
 
     const RoutingOptions *options;
     Draw draw;
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -91,7 +91,7 @@
         target.alone.reset();
         target.broke = false;
     }
-    target.load.onReport(record.load());
+    target.load.onReport(record.load(), now);
 }
 
 void Dispatcher::updateTargets(std::span<const proto::TargetRecord> records, core::TimePoint now)
@@ -117,11 +117,11 @@
 void Dispatcher::onLoad(std::string_view target,
                         core::Incarnation incarnation,
                         const proto::TargetLoad &load,
-                        core::TimePoint /*now*/)
+                        core::TimePoint now)
 {
     RoutedTarget *known = this->pools.find(target);
     if (known != nullptr && known->record.incarnation() == incarnation) {
-        known->load.onReport(load);
+        known->load.onReport(load, now);
     }
 }
 
@@ -196,23 +196,26 @@
     }
 }
 
-void Dispatcher::onFinished(Ticket ticket,
-                            const FinishedAttempt & /*finished*/,
-                            core::TimePoint now)
+void Dispatcher::onFinished(Ticket ticket, const FinishedAttempt &finished, core::TimePoint now)
 {
-    const auto ended = this->end(ticket, now);
+    const auto ended = this->end(ticket);
     if (!ended) {
         return;
     }
     if (ended->target != nullptr) {
         ended->target->breaker.onSuccess();
+        const auto since
+            = ended->attempt.firstTokenAt ? ended->attempt.firstTokenAt : ended->attempt.sentAt;
+        if (since) {
+            ended->target->load.onServed(finished.outputTokens, now - *since);
+        }
     }
     this->suspects.onFinished(ended->attempt.fingerprint);
 }
 
 void Dispatcher::onFailed(Ticket ticket, core::RetryReason reason, core::TimePoint now)
 {
-    const auto ended = this->end(ticket, now);
+    const auto ended = this->end(ticket);
     if (!ended) {
         return;
     }
@@ -229,9 +232,9 @@
     }
 }
 
-void Dispatcher::onCancelled(Ticket ticket, core::TimePoint now)
+void Dispatcher::onCancelled(Ticket ticket, core::TimePoint /*now*/)
 {
-    const auto ended = this->end(ticket, now);
+    const auto ended = this->end(ticket);
     if (ended && ended->target != nullptr) {
         ended->target->breaker.onNoVerdict();
     }
@@ -373,7 +376,7 @@
     return same ? target : nullptr;
 }
 
-std::optional<Dispatcher::EndedAttempt> Dispatcher::end(Ticket ticket, core::TimePoint now)
+std::optional<Dispatcher::EndedAttempt> Dispatcher::end(Ticket ticket)
 {
     auto node = this->attempts.extract(ticket);
     if (node.empty()) {
@@ -385,8 +388,7 @@
         return ended;
     }
     const Attempt &attempt = ended.attempt;
-    const auto served = attempt.firstTokenAt ? now - *attempt.firstTokenAt : core::Duration();
-    ended.target->load.onEnd(served, attempt.firstTokenAt ? 0 : attempt.uncachedTokens);
+    ended.target->load.onEnd(attempt.firstTokenAt ? 0 : attempt.uncachedTokens);
     ended.target->attempts.erase(ticket);
     if (ended.target->alone == ticket) {
         ended.target->alone.reset();
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -141,7 +141,7 @@
                                 SuspectVerdict verdict,
                                 core::TimePoint now);
     [[nodiscard]] RoutedTarget *currentTarget(const Attempt &attempt) const;
-    std::optional<EndedAttempt> end(Ticket ticket, core::TimePoint now);
+    std::optional<EndedAttempt> end(Ticket ticket);
     void endOfLife(RoutedTarget &target, bool crashed, core::TimePoint now);
 
     RoutingOptions options;
--- a/source/samphirebridge/routing/loadestimator.cpp
+++ b/source/samphirebridge/routing/loadestimator.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/routing/loadestimator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace samphirebridge::routing
 {
@@ -11,6 +12,13 @@
 // Observations below this length say nothing about a rate.
 constexpr core::Duration ShortestObservation = std::chrono::microseconds(100);
 
+// A first token later than this multiple of its expected time waited for something else.
+constexpr double LongestSurprise = 3.0;
+constexpr double LeastReadSeconds = 0.01;
+
+// No place becomes free faster than this, in seconds.
+constexpr double ShortestService = 0.001;
+
 double secondsOf(core::Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -29,20 +37,32 @@
     : options(&options)
     , observedTokens(options.promptTokensPerSecond)
     , observedSeconds(1.0)
-    , serviceSeconds(secondsOf(options.serviceTime))
+    , ownOutputTokens(options.outputTokens)
+    , fleetOutputTokens(options.outputTokens)
+    , servedTokens(options.outputTokens)
+    , servedSeconds(options.outputTokens * secondsOf(options.tokenTime))
 {
 }
 
-void LoadEstimator::onReport(const proto::TargetLoad &load)
+void LoadEstimator::onReport(const proto::TargetLoad &load, core::TimePoint now)
 {
+    const double total = static_cast<double>(load.running()) + load.queued();
     this->reportedCapacity = load.capacity();
-    this->reportedTotal = static_cast<double>(load.running()) + load.queued();
-    this->sentSince = 0;
+    this->foreign = std::max(0.0, total - this->inFlight);
+    this->agedAt = now;
+}
+
+void LoadEstimator::age(const FleetLoad &fleet, core::TimePoint now)
+{
+    const double part = secondsOf(now - this->agedAt) / secondsOf(this->options->believeReport);
+    const double expected = fleet.foreignUtilisation * this->capacity();
+    this->foreign += std::clamp(part, 0.0, 1.0) * (expected - this->foreign);
+    this->agedAt = now;
+    this->fleetOutputTokens = fleet.outputTokens;
 }
 
 void LoadEstimator::onSent(uint32_t uncachedTokens)
 {
-    ++this->sentSince;
     ++this->inFlight;
     this->unreadTokens += uncachedTokens;
 }
@@ -55,21 +75,28 @@
     if (expectedWait > core::Duration::zero() || took < ShortestObservation) {
         return;
     }
-    // A ratio of sums: short prompts, whose time is mostly overhead, weigh little.
+    // A ratio of sums: short prompts, whose time is mostly overhead, weigh little. What took far
+    // longer than expected waited for a place, and says little about reading.
+    const double longest
+        = LongestSurprise * std::max(LeastReadSeconds, this->readSeconds(uncachedTokens));
     const double keep = 1.0 - this->options->learningRate;
     this->observedTokens = this->observedTokens * keep + uncachedTokens;
-    this->observedSeconds = this->observedSeconds * keep + secondsOf(took);
+    this->observedSeconds = this->observedSeconds * keep + std::min(longest, secondsOf(took));
 }
 
-void LoadEstimator::onEnd(core::Duration served, uint32_t unread)
+void LoadEstimator::onEnd(uint32_t unread)
 {
-    --this->sentSince;
     this->inFlight -= std::min(this->inFlight, 1U);
     this->unreadTokens -= std::min<uint64_t>(this->unreadTokens, unread);
-    if (served > core::Duration::zero()) {
-        const double rate = this->options->learningRate;
-        this->serviceSeconds += rate * (secondsOf(served) - this->serviceSeconds);
-    }
+}
+
+void LoadEstimator::onServed(uint32_t outputTokens, core::Duration served)
+{
+    const double tokens = std::max(1U, outputTokens);
+    const double rate = this->options->learningRate;
+    this->ownOutputTokens += rate * (tokens - this->ownOutputTokens);
+    this->servedTokens = this->servedTokens * (1.0 - rate) + tokens;
+    this->servedSeconds = this->servedSeconds * (1.0 - rate) + secondsOf(served);
 }
 
 core::Duration LoadEstimator::wait() const
@@ -83,26 +110,35 @@
 
 core::Duration LoadEstimator::firstToken(uint32_t uncachedTokens) const
 {
-    const double toRead = static_cast<double>(this->unreadTokens) + uncachedTokens;
-    const double rate = std::max(1.0, this->observedTokens) / this->observedSeconds;
-    return this->wait() + durationOf(toRead / rate);
+    return this->wait() + durationOf(this->readSeconds(uncachedTokens));
 }
 
-double LoadEstimator::utilisation() const
+double LoadEstimator::cost(uint32_t uncachedTokens) const
 {
-    return this->occupancy() / this->capacity();
+    const double ahead = this->occupancy() + 1.0 - this->capacity();
+    const double scale = std::max(0.1, this->options->doubt * this->capacity());
+    // A smooth maximum of 0 and ahead.
+    const double expected
+        = std::max(0.0, ahead) + scale * std::log1p(std::exp(-std::abs(ahead) / scale));
+    return expected / this->departuresPerSecond() + this->readSeconds(uncachedTokens);
 }
 
 double LoadEstimator::occupancy() const
 {
-    const double own = this->inFlight;
-    return std::max(own, this->reportedTotal + static_cast<double>(this->sentSince));
+    return this->foreign + this->inFlight;
 }
 
 double LoadEstimator::departuresPerSecond() const
 {
-    constexpr double ShortestService = 0.001;
-    return this->capacity() / std::max(ShortestService, this->serviceSeconds);
+    const double service = this->fleetOutputTokens * this->servedSeconds / this->servedTokens;
+    return this->capacity() / std::max(ShortestService, service);
+}
+
+double LoadEstimator::readSeconds(uint32_t uncachedTokens) const
+{
+    const double toRead = static_cast<double>(this->unreadTokens) + uncachedTokens;
+    const double rate = std::max(1.0, this->observedTokens) / this->observedSeconds;
+    return toRead / rate;
 }
 
 double LoadEstimator::capacity() const
--- a/source/samphirebridge/routing/loadestimator.h
+++ b/source/samphirebridge/routing/loadestimator.h
@@ -9,13 +9,35 @@
 namespace samphirebridge::routing
 {
 
+// What the targets of one model have in common.
+struct FleetLoad {
+    double foreignUtilisation = 0; // Other instances' requests for each place, on average.
+    double outputTokens = 0; // Of one answer, on average.
+};
+
 class LoadEstimator
 {
 public:
     explicit LoadEstimator(const LoadOptions &options);
 
-    // Takes a report; what was sent before it is contained in it.
-    void onReport(const proto::TargetLoad &load);
+    // Takes a report; what this instance has under way is contained in it.
+    void onReport(const proto::TargetLoad &load, core::TimePoint now);
+
+    // Lets what is believed of other instances' requests drift towards that of all targets by as
+    // much as the report has aged since the last call, and takes over the length of answers.
+    void age(const FleetLoad &fleet, core::TimePoint now);
+
+    // The running mean of the answers' tokens here.
+    [[nodiscard]] double outputTokens() const
+    {
+        return this->ownOutputTokens;
+    }
+
+    // What other instances are believed to run there, in requests for each place.
+    [[nodiscard]] double foreignUtilisation() const
+    {
+        return this->foreign / this->capacity();
+    }
 
     // An attempt goes out whose prompt has so many tokens that the target must read.
     void onSent(uint32_t uncachedTokens);
@@ -23,9 +45,11 @@
     // Its first token came after so long, when so much of a wait was expected for a place.
     void onFirstToken(uint32_t uncachedTokens, core::Duration took, core::Duration expectedWait);
 
-    // It ended. Served is the time that it held its place, zero if it told nothing. Unread is the
-    // part of its prompt that no first token was seen for.
-    void onEnd(core::Duration served, uint32_t unreadTokens);
+    // It ended. Unread is the part of its prompt that no first token was seen for.
+    void onEnd(uint32_t unreadTokens);
+
+    // Its answer was whole, and held its place for so long after the first token.
+    void onServed(uint32_t outputTokens, core::Duration served);
 
     // The expected wait for a place.
     [[nodiscard]] core::Duration wait() const;
@@ -33,8 +57,9 @@
     // The expected time to the first token of a prompt with so many tokens to read.
     [[nodiscard]] core::Duration firstToken(uint32_t uncachedTokens) const;
 
-    // Requests on the target, as estimated, for each place that it has.
-    [[nodiscard]] double utilisation() const;
+    // The same as a cost to compare targets by: it rises already before the target is full, since
+    // the estimate is unsure. Seconds.
+    [[nodiscard]] double cost(uint32_t uncachedTokens) const;
 
     // Attempts of this instance under way there.
     [[nodiscard]] uint32_t ownInFlight() const
@@ -50,16 +75,20 @@
 
 private:
     [[nodiscard]] double capacity() const;
+    [[nodiscard]] double readSeconds(uint32_t uncachedTokens) const;
 
     const LoadOptions *options;
     uint32_t reportedCapacity = 0;
-    double reportedTotal = 0;
-    int64_t sentSince = 0; // Sends minus ends since the report.
+    double foreign = 0; // Requests of other instances.
+    core::TimePoint agedAt;
     uint32_t inFlight = 0;
     uint64_t unreadTokens = 0; // Prompt tokens sent whose first token did not come yet.
     double observedTokens; // Prompt tokens read in observedSeconds, older ones weighing less.
     double observedSeconds;
-    double serviceSeconds;
+    double ownOutputTokens;
+    double fleetOutputTokens; // What the targets differ in is their speed, not what they are asked.
+    double servedTokens; // Tokens generated in servedSeconds, older ones weighing less.
+    double servedSeconds;
 };
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/routingoptions.h
+++ b/source/samphirebridge/routing/routingoptions.h
@@ -13,10 +13,18 @@
 struct LoadOptions {
     // Assumed until the target was observed: tokens of prompt that a target reads per second.
     double promptTokensPerSecond = 8000.0;
-    // Assumed until the target was observed: the time that one request occupies its place.
-    core::Duration serviceTime = std::chrono::seconds(10);
+    // Assumed until the target was observed: tokens of one answer, and the time that each takes.
+    // For a plain service an answer counts as one token.
+    double outputTokens = 200.0;
+    core::Duration tokenTime = std::chrono::milliseconds(50);
     // Requests that a target without a stated capacity is taken to serve at once.
     uint32_t defaultCapacity = 16;
+    // How unsure an estimate of a target's requests is, as a part of its capacity: what others sent
+    // since the last report is not known.
+    double doubt = 0.1;
+    // How long a report of what other instances run on a target is believed; as it ages, the mean
+    // of the other targets takes its place.
+    core::Duration believeReport = std::chrono::seconds(1);
     // The weight of a new observation in a running mean.
     double learningRate = 0.1;
 };
@@ -58,7 +66,7 @@
 
 struct AdmissionOptions {
     // The longest estimated wait for a place on a target that a request of priority 0 accepts.
-    core::Duration longestWait = std::chrono::seconds(10);
+    core::Duration longestWait = std::chrono::seconds(2);
     // The part of longestWait above which an organisation is held to its share.
     double fairFrom = 0.25;
     // Requests of at most so many tokens, prompt and output, count as short.
--- a/tests/routing/crashsuspectstest.cpp
+++ b/tests/routing/crashsuspectstest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace samphirebridge;
 using namespace std::chrono_literals;
 using core::RefusalReason;
@@ -21,7 +23,7 @@
 
 TestRouter makeRouter()
 {
-    return {core::InstanceId("a"), {}, std::mt19937_64(1)};
+    return {core::InstanceId("a"), patientOptions(), std::mt19937_64(1)};
 }
 
 } // namespace
@@ -133,7 +135,12 @@
     CHECK(refusal.reason == RefusalReason::CrashSuspect);
     CHECK(refusal.retryAfter == 2s);
     // One target is kept free from now on; when its work ends, the suspect has it for itself.
-    routing::Ticket last = busy.ticket + 7;
+    std::set<std::string> used;
+    for (int request = 0; request < 12; ++request) {
+        used.insert(send(router, requestNamed('x'), Start).target.value);
+    }
+    CHECK(used.size() == 3);
+    const routing::Ticket last = busy.ticket + 19;
     for (routing::Ticket ticket = busy.ticket; ticket <= last; ++ticket) {
         router.onFinished(ticket, {}, Start + 1s);
     }
--- a/tests/routing/routerharness.h
+++ b/tests/routing/routerharness.h
@@ -22,6 +22,14 @@
     return record;
 }
 
+// Options with a longer wait than the default, so that a few targets take many requests.
+inline samphirebridge::routing::RoutingOptions patientOptions()
+{
+    samphirebridge::routing::RoutingOptions options;
+    options.admission.longestWait = std::chrono::seconds(10);
+    return options;
+}
+
 inline std::string fingerprintNamed(char name)
 {
     return std::string(16, name);
@@ -66,7 +74,7 @@
                                             const samphirebridge::routing::RouteRequest &request,
                                             samphirebridge::core::TimePoint now)
 {
-    const auto choice = choiceOf(router.choose(request, now));
+    auto choice = choiceOf(router.choose(request, now));
     router.onSent(choice.ticket, now);
     return choice;
 }
--- a/tests/routing/routertest.cpp
+++ b/tests/routing/routertest.cpp
@@ -17,7 +17,7 @@
 
 TestRouter makeRouter(uint64_t seed = 1)
 {
-    return {core::InstanceId("a"), {}, std::mt19937_64(seed)};
+    return {core::InstanceId("a"), patientOptions(), std::mt19937_64(seed)};
 }
 
 } // namespace
@@ -215,6 +215,16 @@
     router.onFinished(fresh.ticket, {}, Start);
     router.onFinished(fresh.ticket, {}, Start);
     router.onFailed(9999, RetryReason::Stalled, Start);
+    // Failures of the earlier life, late, do not open its successor's breaker.
+    std::vector<routing::Ticket> late;
+    for (const char name : {'d', 'e', 'f', 'g'}) {
+        late.push_back(send(router, requestNamed(name), Start).ticket);
+    }
+    router.onTarget(engineRecord("t0", 3), Start);
+    for (const routing::Ticket ticket : late) {
+        router.onFailed(ticket, RetryReason::ConnectFailed, Start);
+    }
+    CHECK(choiceOf(router.choose(requestNamed('b'), Start)).incarnation == 3);
 }
 
 TEST_CASE("a list of targets replaces what was known before")
@@ -225,8 +235,23 @@
     router.updateTargets(records, Start);
     CHECK(router.readyTargets() == 2);
     router.tick(Start);
-    // A target that comes back under its old name is a new object to the router.
-    router.onTarget(engineRecord("t0"), Start);
     router.updateTargets(std::vector{engineRecord("t0")}, Start);
     CHECK(send(router, requestNamed('a'), Start).target.value == "t0");
 }
+
+TEST_CASE("a target that was forgotten and comes back under its name is known as it is now")
+{
+    TestRouter router = makeRouter();
+    setUp(router, 1);
+    CHECK(send(router, requestNamed('a'), Start).address == "10.0.0.1:9001");
+    router.onFinished(1, {}, Start);
+    proto::TargetRecord record = engineRecord("t0");
+    record.set_state(proto::GONE);
+    router.onTarget(record, Start);
+    router.tick(Start);
+    CHECK(router.readyTargets() == 0);
+    record.set_state(proto::READY);
+    record.set_address("10.0.0.2:9001");
+    router.onTarget(record, Start);
+    CHECK(send(router, requestNamed('a'), Start).address == "10.0.0.2:9001");
+}
