placement: Plan orders under a lease, numbered before they are sent

Load, unload and change of role follow demand with hysteresis (15 s above, 5 minutes below), the weight store's rate and a bound on orders under way. Only a leader whose lease was confirmed within 10 s plans or sends. A new leader waits 10 s, 1 % of drift and 5 s of flight before it orders a target that ignores fencing numbers; targets that check need no wait.

Ruled out: letting the new leader wait only for unchecked targets that the old one had ordered. It would have to know the old one's orders that were numbered but never reported, and saves 15 s once per failover.

--- a/source/samphirebridge/placement/orderplanner.h
+++ b/source/samphirebridge/placement/orderplanner.h
@@ -12,6 +12,8 @@
 
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphirebridge::placement
@@ -64,10 +66,40 @@
         bool sent = false;
         core::TimePoint at;
     };
+    // Since when a model has been beyond its bounds.
     struct Trend {
         std::optional<core::TimePoint> above;
         std::optional<core::TimePoint> below;
+        std::optional<core::TimePoint> wrongRoles;
     };
+    struct ModelState {
+        ModelDemand demand;
+        std::vector<const PlacedTarget *> serving; // Those being loaded left out.
+        size_t loading = 0;
+        double utilisation = 0;
+    };
+
+    void dropStale(std::span<const PlacedTarget> targets, core::TimePoint now);
+    void earnWeights(core::TimePoint now);
+    [[nodiscard]] ModelState stateOf(const ModelDemand &demand,
+                                     std::span<const PlacedTarget> targets) const;
+    void follow(const ModelState &state, core::TimePoint now);
+    [[nodiscard]] bool wantsMore(const ModelState &state, core::TimePoint now) const;
+    [[nodiscard]] bool canSpare(const ModelState &state) const;
+    [[nodiscard]] bool isFree(const PlacedTarget &target, core::TimePoint now) const;
+    [[nodiscard]] const PlacedTarget *targetToLoad(const ModelState &state,
+                                                   std::span<const PlacedTarget> targets,
+                                                   core::TimePoint now) const;
+    [[nodiscard]] const PlacedTarget *leastLoaded(std::span<const PlacedTarget *const> among,
+                                                  core::TimePoint now) const;
+    bool grow(const ModelState &state,
+              std::span<const PlacedTarget> targets,
+              core::TimePoint now,
+              std::vector<Order> &orders);
+    bool shrink(const ModelState &state, core::TimePoint now, std::vector<Order> &orders);
+    void balanceRoles(const ModelState &state, core::TimePoint now, std::vector<Order> &orders);
+    void issue(Order order, const PlacedTarget &target, core::TimePoint now, std::vector<Order> &);
+    void end(std::string_view changeId, core::TimePoint now);
 
     core::InstanceId self;
     core::Incarnation incarnation;
--- a/source/samphirebridge/placement/placementtypes.h
+++ b/source/samphirebridge/placement/placementtypes.h
@@ -42,6 +42,8 @@
     uint32_t minimumTargets = 0;
     uint32_t maximumTargets = 0; // 0: no bound.
     double weightGigabytes = 0; // What loading it takes from the weight store.
+    // The part of its targets that should only read prompts; 0: reading is not separated.
+    double prefillPart = 0;
 };
 
 // An order before it has its number.
@@ -72,13 +74,18 @@
     // What the weight store gives, and how much of it may be saved up.
     double weightGigabytesPerSecond = 2.0;
     double weightBurstGigabytes = 100.0;
-    // Requests that one target serves at once.
+    // Requests that one target serves at once, and models that it holds at once.
     double placesPerTarget = 16;
+    size_t modelsPerTarget = 1;
     // Orders under way at once.
     size_t ordersInFlight = 4;
-    // The longest time that a leader's leave to order may outlast its lease: the leader sends
-    // nothing later than this after its lease was last confirmed, clock drift included.
+    // How long after its lease was last confirmed by the quorum a leader may send orders.
     core::Duration leaveToOrder = std::chrono::seconds(10);
+    // The longest time between the planner's leave to send and the order's arrival; the host gives
+    // up sending after it.
+    core::Duration orderFlight = std::chrono::seconds(5);
+    // How much faster one instance's clock may run than another's.
+    double clockDrift = 0.01;
     // An order that is neither confirmed nor refused after this long is planned anew.
     core::Duration orderTimeout = std::chrono::minutes(5);
 };
