--- a/source/samphirebridge/requests/chatrequest.h
+++ b/source/samphirebridge/requests/chatrequest.h
@@ -79,6 +79,9 @@
 private:
     ChatRequest() = default;
 
+    absl::Status readFlags();
+    absl::Status readBounds(int64_t maximumOutputTokens);
+
     nlohmann::json body;
     core::ModelId modelId;
     bool streamed = false;
--- a/source/samphirebridge/requests/chatstream.h
+++ b/source/samphirebridge/requests/chatstream.h
@@ -66,30 +66,50 @@
     // Returns what to bill: exact after Complete; before, what is known to have been used.
     [[nodiscard]] core::Tokens used() const;
 
+    // Tells whether `used` is the engine's own count.
+    [[nodiscard]] bool exact() const
+    {
+        return this->prompt.has_value() && this->counted;
+    }
+
+    // Tells whether another target can continue what was delivered so far.
+    [[nodiscard]] bool continuable() const
+    {
+        return this->resumable || this->outputTokens() == 0;
+    }
+
 private:
-    bool takeEvent(const std::string &data, std::string &out);
-    bool takeChunk(nlohmann::json chunk, std::string &out);
-    void takeUsage(const nlohmann::json &usage);
+    bool takeEvent(const std::string &event, std::string &out);
+    bool takeChunk(const nlohmann::json &chunk, std::string &out);
+    bool takeChoice(const nlohmann::json &choice, std::string &out);
+    bool takeDelta(const nlohmann::json &delta, std::string &out);
+    bool takeUsage(const nlohmann::json &usage);
+    bool passOn(const nlohmann::json &chunk, std::string &out);
     void takeIdentity(const nlohmann::json &chunk);
     [[nodiscard]] nlohmann::json chunkOf(nlohmann::json choices) const;
     [[nodiscard]] nlohmann::json usageObject() const;
 
-    bool resumable;
+    bool passesOn; // Several choices, tools...: chunks are passed on as they come.
+    bool resumable; // What was delivered so far is one plain text.
     bool usageWanted;
     int64_t outputBound;
     SseParser parser;
     std::string delivered;
     int64_t deliveredTokens = 0; // Of finished attempts.
     int64_t attemptTokens = 0; // Of the current attempt.
-    bool attemptCounted = false; // attemptTokens is the engine's own count.
+    bool counted = false; // attemptTokens is the engine's own count.
     std::optional<int64_t> prompt;
     std::string answerId;
     std::string model;
     int64_t created = 0;
     bool roleSent = false;
+    nlohmann::json extras = nlohmann::json::object(); // Texts other than the content.
     std::string finishReason;
-    bool usageSeen = false;
     bool done = false;
 };
 
+// Returns prompt and output tokens of an answer that an engine gave whole; nothing if it is no chat
+// completion with its usage.
+std::optional<core::Tokens> usageOfWholeAnswer(std::string_view body);
+
 } // namespace samphirebridge::requests
--- a/source/samphirebridge/requests/requestmachine.h
+++ b/source/samphirebridge/requests/requestmachine.h
@@ -1,7 +1,9 @@
 // The life of one request from its arrival to its answer, as a pure state machine.
 //
 // The host does the machine's actions in their order, hands in what happens and calls back at
-// nextTimer. Promises: after a Claimed there is exactly one Settle or Release, and exactly one
+// nextTimer; what has arrived by then goes in before TimerFired. Where it is told of a caller that
+// leaves, of a deadline or of a shutdown before the claim's result, that result is still to be
+// handed in. Promises: after a Claimed there is exactly one Settle or Release, and exactly one
 // Finish, which is last; Release and Outcome::NotRun are said only if no byte of the request can
 // have reached a target; a request under RepeatRule NEVER is not sent again once a byte may have
 // left; what the caller gets of a chat is always a prefix of one answer.
@@ -13,6 +15,7 @@
 #include "samphirebridge/requests/chatrequest.h"
 #include "samphirebridge/requests/chatstream.h"
 #include "samphirebridge/requests/events.h"
+#include "samphirebridge/requests/keptanswer.h"
 
 #include "manifest.pb.h"
 
@@ -41,7 +44,7 @@
     core::TimePoint deadline; // The end of the request's life.
     uint32_t maximumAttempts = 4; // Next to the fleet's retry budget.
     size_t maximumStoredBytes = size_t{64} << 10U; // A longer answer is not kept for its key.
-    size_t maximumBufferedBytes = size_t{1} << 20U; // A longer plain answer is streamed.
+    size_t maximumBufferedBytes = size_t{1} << 20U; // A longer plain answer is streamed on.
 };
 
 // See the top of this file.
@@ -51,7 +54,7 @@
     explicit RequestMachine(RequestSpecification specification);
 
     // Takes one event and returns what to do. After Finish: nothing.
-    Actions handle(const Event &event, core::TimePoint now);
+    Actions handle(const Event &event, core::TimePoint time);
 
     // Returns when to hand in TimerFired at the latest; empty after Finish.
     [[nodiscard]] std::optional<core::TimePoint> nextTimer() const;
@@ -71,10 +74,10 @@
     [[nodiscard]] bool mayHaveRun() const;
 
 private:
-    enum class State : uint8_t { Unclaimed, Choosing, Sent, Answering, Finished };
+    enum class State : uint8_t { Unclaimed, Abandoned, Choosing, Sent, Answering, Finished };
 
     // How a request is given up.
-    struct End {
+    struct GivenUp {
         core::RefusalReason reason = core::RefusalReason::TargetsFailed;
         std::optional<core::Duration> retryAfter;
         std::string detail;
@@ -92,41 +95,47 @@
     void on(const CallerGone &event);
     void on(const ShutdownDeadline &event);
 
-    [[nodiscard]] bool current(const std::string &attempt) const;
-    [[nodiscard]] bool answerPassesThrough() const;
+    [[nodiscard]] bool isCurrent(const std::string &name) const;
+    [[nodiscard]] bool isRepeatable() const;
+    [[nodiscard]] bool isChatStream() const;
     [[nodiscard]] bool mayBeSentAgain() const;
+    [[nodiscard]] bool stallTimerRuns() const;
     [[nodiscard]] core::Outcome outcomeNow() const;
-    [[nodiscard]] core::Tokens bounded(core::Tokens used) const;
-    void cancelCurrent();
-    void attemptOver(core::RetryReason reason, bool bytesMayHaveLeft);
-    void giveUp(const End &end);
+    [[nodiscard]] StartAttempt attemptFor(const core::TargetId &chosen);
+    void choose(std::optional<core::RetryReason> reason);
+    void cancelAttempt();
+    void endAttempt(core::RetryReason reason, bool bytesMayHaveLeft);
     void takeChatBytes(const std::string &bytes);
-    void takePlainBytes(const std::string &bytes);
+    void takeWholeBytes(const std::string &bytes);
     void completeChat();
-    void completePassThrough();
+    void completeWhole();
+    void completeWholeChat();
+    void beginAnswer(int answerStatus, std::string_view type);
     void forward(std::string bytes);
-    void settle(core::Tokens used, core::Outcome outcome, bool exact, bool keep);
+    void sendWhole(std::string body);
+    void giveUp(const GivenUp &end);
+    void settleGivenUp();
+    void refuse(const GivenUp &end, core::Outcome outcome);
+    void settle(core::Tokens used, bool exact, std::optional<StoredAnswer> answer);
+    [[nodiscard]] std::optional<StoredAnswer> answerWith(std::string_view ending) const;
     void finish();
-    [[nodiscard]] StartAttempt attemptFor(const core::TargetId &target);
 
     RequestSpecification specification;
     std::optional<ChatStream> chat;
     State state = State::Unclaimed;
     core::TimePoint now;
-    core::TimePoint lastProgress;
+    core::TimePoint lastProgress; // Of the current attempt.
     uint32_t attemptCount = 0;
     std::string attempt; // The current one; empty between attempts.
     core::TargetId target;
     std::vector<core::TargetId> failedTargets;
     bool earlierMayHaveLeft = false; // A byte of an earlier attempt can have reached a target.
-    bool answered = false; // The head of some attempt's own answer arrived.
     bool callerPresent = true;
     bool answerBegun = false; // The caller's stream is open.
-    bool streamFull = false; // The answer outgrew what is stored.
-    int status = 0;
+    int status = 0; // Of the current attempt's answer.
     std::string contentType;
-    std::string buffer; // Of a plain answer.
-    std::string kept; // What a stored answer will hold.
+    std::string buffer; // Of an answer that is passed on whole.
+    KeptAnswer kept; // What was forwarded.
     Actions actions;
 };
 
