--- /dev/null
+++ b/tests/requests/chatstreamtest.cpp
@@ -0,0 +1,120 @@
+#include "tests/requests/chatworld.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace samphirebridge;
+using namespace samphirebridge::requests;
+
+namespace
+{
+
+constexpr int64_t Length = 6;
+
+EngineView engineFrom(int64_t start, const std::string &id)
+{
+    return {start, Length, true, id};
+}
+
+} // namespace
+
+TEST_CASE("a broken stream is continued by another engine without gap or repeat under one id")
+{
+    std::mt19937 random(11);
+    for (int64_t broken = 0; broken <= Length; ++broken) {
+        ChatStream stream(chatRequest(true, 20));
+        std::string out;
+        stream.beginAttempt();
+        const EngineView first = engineFrom(0, "first");
+        for (int64_t k = 0; k < broken; ++k) {
+            REQUIRE(stream.feed(tokenChunk(first, k), out) == ChatProgress::Going);
+        }
+        const std::string torn = tokenChunk(first, broken); // Its event never ends.
+        REQUIRE(stream.feed(torn.substr(0, torn.size() - 1), out) == ChatProgress::Going);
+        stream.beginAttempt();
+        REQUIRE(stream.text() == answerText(broken));
+        const std::string rest = wholeStream(engineFrom(broken, "second"), Length);
+        const size_t cut = random() % rest.size();
+        REQUIRE(stream.feed(rest.substr(0, cut), out) == ChatProgress::Going);
+        REQUIRE(stream.feed(rest.substr(cut), out) == ChatProgress::Complete);
+        const CallerView caller = readStream(out + stream.ending());
+        CHECK(caller.text == answerText(Length));
+        CHECK(caller.oneId);
+        CHECK(caller.done);
+        CHECK(caller.finishReason == "stop");
+        CHECK(caller.usageTotal == PromptTokens + Length);
+        CHECK(stream.used() == core::Tokens{PromptTokens + Length});
+        CHECK(stream.exact());
+    }
+}
+
+TEST_CASE("the finishing chunk is held back until usage and terminator are there")
+{
+    ChatStream stream(chatRequest(true, 20));
+    stream.beginAttempt();
+    std::string out;
+    const std::string whole = wholeStream(engineFrom(0, "first"), Length);
+    const size_t terminator = whole.find("data: [DONE]");
+    CHECK(stream.feed(whole.substr(0, terminator), out) == ChatProgress::Going);
+    CHECK(readStream(out).finishReason.empty());
+    CHECK(readStream(out).text == answerText(Length));
+    CHECK(stream.feed(whole.substr(terminator), out) == ChatProgress::Complete);
+}
+
+TEST_CASE("a stream that ends without its usage is not complete")
+{
+    ChatStream stream(chatRequest(true, 20));
+    stream.beginAttempt();
+    std::string out;
+    CHECK(stream.feed(tokenChunk(engineFrom(0, "first"), 0) + "data: [DONE]\n\n", out)
+          == ChatProgress::Going);
+    CHECK_FALSE(stream.exact());
+    CHECK(stream.used() == core::Tokens{1});
+}
+
+TEST_CASE("an engine that does not keep to max_tokens is cut at the bound")
+{
+    ChatStream stream(chatRequest(true, 3));
+    stream.beginAttempt();
+    std::string out;
+    const std::string whole = wholeStream(engineFrom(0, "first"), Length);
+    CHECK(stream.feed(whole, out) == ChatProgress::Malformed);
+    CHECK(stream.exhausted());
+    stream.finishAtBound();
+    const CallerView caller = readStream(out + stream.ending());
+    CHECK(caller.text == answerText(3));
+    CHECK(caller.finishReason == "length");
+}
+
+TEST_CASE("what is no chat stream is malformed")
+{
+    const std::string event = GENERATE(as<std::string>{},
+                                       "data: {\n\n",
+                                       "data: {\"error\":{}}\n\n",
+                                       "data: {\"choices\":[1]}\n\n",
+                                       "data: {\"usage\":{\"prompt_tokens\":-1}}\n\n",
+                                       "data: {\"x\":" + std::string(5000, '[') + "\n\n");
+    ChatStream stream(chatRequest(true, 3));
+    stream.beginAttempt();
+    std::string out;
+    CHECK(stream.feed(event, out) == ChatProgress::Malformed);
+    CHECK(out.empty());
+}
+
+TEST_CASE("a whole answer is assembled from the streams of two engines")
+{
+    ChatStream stream(chatRequest(false, 20));
+    stream.beginAttempt();
+    std::string out;
+    stream.feed(tokenChunk(engineFrom(0, "first"), 0), out);
+    stream.beginAttempt();
+    CHECK(stream.feed(wholeStream(engineFrom(1, "second"), Length), out) == ChatProgress::Complete);
+    const auto whole = nlohmann::json::parse(stream.wholeAnswer());
+    CHECK(whole["id"] == "first");
+    CHECK(whole["object"] == "chat.completion");
+    CHECK(whole["choices"][0]["message"]["content"] == answerText(Length));
+    CHECK(whole["choices"][0]["finish_reason"] == "stop");
+    CHECK(whole["usage"]["prompt_tokens"] == PromptTokens);
+    CHECK(whole["usage"]["completion_tokens"] == Length);
+}
