--- a/tests/requests/chatworld.cpp
+++ b/tests/requests/chatworld.cpp
@@ -126,7 +126,7 @@
         }
         for (const json &choice : chunk["choices"]) {
             caller.text += choice["delta"].value("content", "");
-            const json reason = choice["finish_reason"];
+            const json &reason = choice["finish_reason"];
             caller.finishReason = reason.is_string() ? reason.get<std::string>() : "";
         }
     }
