fleet: Prove the main promises through real processes

Causes found: - a read at an isolated leader said outcome_unknown, which only a command can have: reads end as no_quorum now. - an apply through an instance that had not yet heard of the expected version was refused as a conflict: it fetches that version first. - a version spread with the next heartbeat, up to 1 s later, so 300 changes did not end within 100 s. Ruled out: relays that lose bytes, since the same cases pass with links healed.

--- a/source/samphirebridge/control/ledgerclient.cpp
+++ b/source/samphirebridge/control/ledgerclient.cpp
@@ -20,6 +20,8 @@
 
 // How each kind of call is sent, and what counts as its end.
 struct SubmitProtocol {
+    // Whether a call without a reply may have had an effect.
+    static constexpr bool ChangesState = true;
     using Request = proto::SubmitRequest;
     using Reply = proto::SubmitReply;
 
@@ -50,6 +52,7 @@
 // Reads differ only in their types and in the function that carries them.
 template <typename RequestType, typename ReplyType, auto LocalMember, auto ChannelMember>
 struct ReadProtocol {
+    static constexpr bool ChangesState = false;
     using Request = RequestType;
     using Reply = ReplyType;
 
@@ -209,9 +212,7 @@
                            absl::StatusOr<typename Protocol::Reply> reply)
 {
     if (!reply.ok()) {
-        attempt->mayHaveActed
-            = attempt->mayHaveActed || core::errorCodeOf(reply.status()) == core::ErrorCode::Timeout
-              || core::errorCodeOf(reply.status()) == core::ErrorCode::Unreachable;
+        attempt->mayHaveActed = Protocol::ChangesState;
         this->hint = {};
         this->knownLeader = {};
     } else if (Protocol::isFinal(*reply)) {
--- a/source/samphirebridge/gateway/operatorservice.cpp
+++ b/source/samphirebridge/gateway/operatorservice.cpp
@@ -176,24 +176,8 @@
         sendError(writer, parsed.status());
         return;
     }
-    const auto catalogue = this->node.manifest().catalogue();
     proto::Command command;
-    proto::ApplyManifest *apply = command.mutable_apply_manifest();
-    apply->set_expected_version(expectedVersion);
-    apply->set_change_id(*changeId);
-    apply->set_content_digest(core::sha256Of(manifest::renderManifest(*parsed)));
-    if (catalogue->version() == expectedVersion) {
-        *apply->mutable_delta() = manifest::diffManifests(catalogue->manifest(), *parsed);
-    }
-    apply->mutable_delta()->set_from_version(expectedVersion);
-    apply->mutable_delta()->set_to_version(expectedVersion + 1);
-    if (catalogue->version() < expectedVersion) {
-        sendError(writer,
-                  core::ErrorCode::VersionConflict,
-                  "the expected version is not known on this instance yet",
-                  {{"current_version", catalogue->version()}});
-        return;
-    }
+    *command.mutable_apply_manifest() = this->applyCommand(*parsed, expectedVersion, *changeId);
     const auto result = this->submit(command);
     if (!result.ok()) {
         sendError(writer, result.status());
@@ -209,6 +193,35 @@
     this->answerApply(writer, result->apply_manifest());
 }
 
+proto::ApplyManifest OperatorService::applyCommand(const proto::Manifest &wanted,
+                                                   uint64_t expectedVersion,
+                                                   const std::string &changeId)
+{
+    this->waitVersion(expectedVersion);
+    const auto catalogue = this->node.manifest().catalogue();
+    proto::ApplyManifest apply;
+    apply.set_expected_version(expectedVersion);
+    apply.set_change_id(changeId);
+    apply.set_content_digest(core::sha256Of(manifest::renderManifest(wanted)));
+    // Against any other version the ledger needs no changes: it answers with a conflict, or with
+    // the version that this very change was given before.
+    if (catalogue->version() == expectedVersion) {
+        *apply.mutable_delta() = manifest::diffManifests(catalogue->manifest(), wanted);
+    }
+    apply.mutable_delta()->set_from_version(expectedVersion);
+    apply.mutable_delta()->set_to_version(expectedVersion + 1);
+    return apply;
+}
+
+void OperatorService::waitVersion(uint64_t version)
+{
+    const core::TimePoint deadline = this->clock.now() + InForceTimeout;
+    while (this->node.manifest().catalogue()->version() < version && this->clock.now() < deadline) {
+        this->queue.call([this, version] { this->node.manifest().onVersionSeen(version); });
+        std::this_thread::sleep_for(InForcePoll);
+    }
+}
+
 void OperatorService::answerApply(http::ResponseWriter &writer,
                                   const proto::ApplyManifestResult &result)
 {
--- a/source/samphirebridge/gateway/operatorservice.h
+++ b/source/samphirebridge/gateway/operatorservice.h
@@ -64,6 +64,11 @@
     void sendBudgets(http::ResponseWriter &writer, const std::vector<std::string> &ids);
     void answerBudget(http::ResponseWriter &writer,
                       const absl::StatusOr<proto::CommandResult> &result);
+    // Describes the change as the ledger takes it, once this instance knows the expected version.
+    proto::ApplyManifest applyCommand(const proto::Manifest &wanted,
+                                      uint64_t expectedVersion,
+                                      const std::string &changeId);
+    void waitVersion(uint64_t version);
     void answerApply(http::ResponseWriter &writer, const proto::ApplyManifestResult &result);
     void changeVoters(http::ResponseWriter &writer,
                       proto::ChangeVotersRequest::Change change,
--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -43,6 +43,9 @@
 void InstanceDirectory::setManifestVersion(uint64_t version)
 {
     this->own.set_manifest_version(version);
+    // A version that comes into force is told at once: others must not wait for a heartbeat.
+    this->lastBeat.reset();
+    this->lastAdvance.reset();
 }
 
 std::vector<Outgoing> InstanceDirectory::leave()
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -33,7 +33,7 @@
     // Names the instances of the settings, so that the first heartbeats have somewhere to go.
     void setKnown(std::span<const core::InstanceId> instances, core::TimePoint now);
 
-    // Notes the manifest version in force here; the next heartbeat carries it.
+    // Notes the manifest version in force here; the next tick carries it to the peers.
     void setManifestVersion(uint64_t version);
 
     // Notes that this instance shuts down and returns the update that tells every peer at once.
--- /dev/null
+++ b/tests/fleet/targettest.cpp
@@ -0,0 +1,157 @@
+// Targets that leave, crash or fall silent under real processes.
+#include "tests/support/fleet.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+
+using namespace samphirebridge;
+using namespace samphirebridge::testing;
+
+namespace
+{
+
+constexpr int EngineOffset = 60;
+
+int64_t runsAt(Fleet &fleet, int port)
+{
+    http::ClientRequest request;
+    request.url = fleet.standinUrl(port) + "/standin/stats";
+    const auto answer = fleet.client().fetch(request, std::chrono::seconds(30));
+    REQUIRE(answer.ok());
+    return nlohmann::json::parse(answer->body).at("runs");
+}
+
+} // namespace
+
+TEST_CASE("a target that leaves gets no new work at any instance, also without the quorum")
+{
+    constexpr uint16_t Base = 25000;
+    Fleet fleet({.basePort = Base, .instances = 4, .control = 3});
+    fleet.start();
+    for (int index = 0; index < 4; ++index) {
+        fleet.waitReady(index);
+    }
+    fleet.apply(0, testManifest(1'000'000), 0);
+    fleet.startEngine("stays", Base + EngineOffset, {0, 3});
+    const std::filesystem::path runLog = fleet.folder() / "leaves.runs";
+    ChildProcess &leaves = fleet.startEngine(
+        "leaves",
+        Base + EngineOffset + 1,
+        {3},
+        {"--token-delay-us=20000", "--answer-tokens=400", "--run-log=" + runLog.string()});
+    for (int index = 0; index < 4; ++index) {
+        fleet.waitTargets(index, 2);
+    }
+    // Escrow follows demand: enough of it is at hand at both instances that go on.
+    for (int number = 0; number < 60; ++number) {
+        const auto answer = fleet.call(number % 2 == 0 ? 0 : 3,
+                                       "POST",
+                                       "/v1/chat/completions",
+                                       CallerKeyA,
+                                       chatBody(fmt::format("warm up {}", number), 5));
+        REQUIRE(answer.ok());
+        CHECK(answer->status == 200);
+    }
+    fleet.instance(1).kill();
+    fleet.instance(2).kill();
+    // A stream keeps the leaving target alive while it is asked not to be sent more.
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = fleet.standinUrl(Base + EngineOffset + 1) + "/v1/chat/completions";
+    request.body = chatBody("keeps it busy", 400, true);
+    http::Exchange busy = fleet.client().start(request);
+    Fleet::waitFor("the leaving target is busy", [&] {
+        return busy.next(std::chrono::seconds(1)).kind == http::ExchangeEventKind::Data;
+    });
+    leaves.signal(SIGTERM);
+    fleet.waitTargets(0, 1);
+    fleet.waitTargets(3, 1);
+    const std::string before = readFile(runLog);
+    for (int number = 0; number < 20; ++number) {
+        const auto answer = fleet.call(number % 2 == 0 ? 0 : 3,
+                                       "POST",
+                                       "/v1/chat/completions",
+                                       CallerKeyA,
+                                       chatBody(fmt::format("question {}", number), 5));
+        REQUIRE(answer.ok());
+        CHECK(answer->status == 200);
+    }
+    CHECK_FALSE(before.empty());
+    CHECK(readFile(runLog) == before);
+}
+
+TEST_CASE("a stream whose target dies or freezes goes on from another without gap or repeat")
+{
+    constexpr uint16_t Base = 25100;
+    Fleet fleet({.basePort = Base, .instances = 1, .control = 1});
+    fleet.start();
+    fleet.waitReady(0);
+    fleet.apply(0, testManifest(1'000'000), 0);
+    const std::vector<std::string> slow{"--token-delay-us=20000"};
+    std::map<std::string, int> ports;
+    std::map<std::string, ChildProcess *> engines;
+    for (int number = 0; number < 3; ++number) {
+        const std::string name = fmt::format("engine-{}", number);
+        ports[name] = Base + EngineOffset + number;
+        engines[name] = &fleet.startEngine(name, ports[name], {0}, slow);
+    }
+    fleet.waitTargets(0, 3);
+    const auto whole = fleet.call(
+        0, "POST", "/v1/chat/completions", CallerKeyA, chatBody("the same letter", 60));
+    REQUIRE(whole.ok());
+    REQUIRE(whole->status == 200);
+    const std::string expected
+        = nlohmann::json::parse(whole->body).at("choices").at(0).at("message").at("content");
+
+    for (const int signal : {SIGKILL, SIGSTOP}) {
+        std::map<std::string, int64_t> runsBefore;
+        for (const auto &[name, port] : ports) {
+            runsBefore[name] = runsAt(fleet, port);
+        }
+        http::ClientRequest request;
+        request.method = "POST";
+        request.url = fleet.httpUrl(0) + "/v1/chat/completions";
+        request.headers.set("Authorization", std::string("Bearer ") + CallerKeyA);
+        request.body = chatBody("the same letter", 60, true);
+        http::Exchange exchange = fleet.client().start(request);
+        std::string text;
+        Fleet::waitFor("the first tokens arrive", [&] {
+            text += exchange.next(std::chrono::seconds(1)).bytes;
+            return text.find("data:") != std::string::npos;
+        });
+        std::string serving;
+        for (const auto &[name, port] : ports) {
+            serving = runsAt(fleet, port) > runsBefore[name] ? name : serving;
+        }
+        REQUIRE_FALSE(serving.empty());
+        engines[serving]->signal(signal);
+        bool over = false;
+        Fleet::waitFor("the stream ends", [&] {
+            const auto event = exchange.next(std::chrono::seconds(1));
+            text += event.bytes;
+            over = event.kind == http::ExchangeEventKind::End
+                   || event.kind == http::ExchangeEventKind::Error;
+            return over;
+        });
+        std::string delivered;
+        std::istringstream lines(text);
+        for (std::string line; std::getline(lines, line);) {
+            if (line.rfind("data: {", 0) != 0) {
+                continue;
+            }
+            const auto chunk = nlohmann::json::parse(line.substr(6));
+            for (const auto &choice : chunk.at("choices")) {
+                const auto content = choice.at("delta").find("content");
+                if (content != choice.at("delta").end() && content->is_string()) {
+                    delivered += content->get<std::string>();
+                }
+            }
+        }
+        CHECK(delivered == expected);
+        CHECK(text.find("data: [DONE]") != std::string::npos);
+        ports.erase(serving);
+        engines.erase(serving);
+    }
+}
--- a/tests/membership/instancedirectorytest.cpp
+++ b/tests/membership/instancedirectorytest.cpp
@@ -58,6 +58,20 @@
     CHECK(directory.view({})[1].record.manifest_version() == 9);
 }
 
+TEST_CASE("a version that comes into force is told at once, not with the next heartbeat")
+{
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    const core::TimePoint now;
+    directory.merge(beat(1, 1, 0), now);
+    REQUIRE(directory.tick(now).size() == 1);
+    CHECK(directory.tick(now).empty());
+    directory.setManifestVersion(8);
+    const auto outgoing = directory.tick(now);
+    REQUIRE(outgoing.size() == 1);
+    CHECK(outgoing[0].update.instances(0).manifest_version() == 8);
+    CHECK(outgoing[0].update.instances(0).heartbeat() == 2);
+}
+
 TEST_CASE("leaving is told to every known instance at once")
 {
     InstanceDirectory directory(core::InstanceId("a"), 1, {});
