ledger, budget: Ask others in the place of a silent holder, and save memory

An undelivered recall to a holder out of contact counted as escrow to come for as long as it was silent, so nobody else was asked; it counts for 300 ms now. Of requests above the exposure limit with one size, as many are recorded at once as ask, in place of one per result.

--- a/source/samphirebridge/budget/escrowbatches.cpp
+++ b/source/samphirebridge/budget/escrowbatches.cpp
@@ -224,6 +224,7 @@
 
 void EscrowState::forgetWaiters()
 {
+    this->recordAsks.clear();
     for (auto &[budget, account] : this->accounts) {
         account.forgetWaiters();
     }
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -165,17 +165,18 @@
     return reservation;
 }
 
-// One at a time for each budget and size: of several that ask, the next result serves the first.
+// As many are under way for a budget and size as ask for one.
 Decision
 EscrowState::reserveRecordedFirst(const core::BudgetId &budget, int64_t tokens, core::TimePoint now)
 {
     if (!this->inContact(now)) {
         return this->refuse(DecisionKind::Unconfirmed);
     }
-    const bool underWay = std::ranges::any_of(this->recordedFirst, [&](const RecordedFirst &entry) {
-        return entry.budget == budget && entry.tokens == tokens;
-    });
-    if (!underWay) {
+    const auto underWay
+        = std::ranges::count_if(this->recordedFirst, [&](const RecordedFirst &entry) {
+              return entry.budget == budget && entry.tokens == tokens;
+          });
+    if (++this->recordAsks[{budget, tokens}] > underWay) {
         const ReservationId reservation
             = this->openReservation(budget, tokens, RecordState::Unsent, now);
         this->recordedFirst.push_back({reservation, budget, tokens, now});
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -117,6 +117,8 @@
     absl::flat_hash_map<ReservationId, Reservation> reservations;
     absl::btree_set<ReservationId> unsent;
     std::vector<RecordedFirst> recordedFirst;
+    // How often each budget and size was asked for, above the limit, since waiters ask anew.
+    absl::btree_map<std::pair<core::BudgetId, int64_t>, int64_t> recordAsks;
     std::vector<QueuedSettlement> settlements;
     std::optional<BatchInFlight> inFlight;
     std::optional<core::TimePoint> lastBatchAt;
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -86,10 +86,11 @@
 void addRecalls(LedgerState &state, HolderIndex holder, proto::HolderBatchResult &result)
 {
     HolderRecord &record = state.holders.at(holder);
-    for (const auto &[budget, tokens] : record.recalls) {
+    for (const auto &[budget, asked] : record.recalls) {
         proto::EscrowRecall *recall = result.add_recalls();
         recall->set_budget(state.budgets.at(budget).id);
-        recall->set_tokens(tokens);
+        recall->set_tokens(asked.tokens);
+        recall->set_asked_at_ms(asked.atMs);
     }
     record.recalls.clear();
     std::ranges::sort(*result.mutable_recalls(), {}, &proto::EscrowRecall::budget);
--- a/source/samphirebridge/ledger/escrowgrants.cpp
+++ b/source/samphirebridge/ledger/escrowgrants.cpp
@@ -125,26 +125,31 @@
     return found;
 }
 
-// Asks for what all holders lack together and nobody was asked for yet.
+// Asks for what all holders lack together and nobody was asked for yet. A holder that was asked and
+// has not sent a batch since may be out of contact: others are asked in its place.
 void recall(LedgerState &state, BudgetIndex budget, HolderIndex holder)
 {
     int64_t missing = 0;
     for (const Shortage &shortage : state.shortages.of(budget, state.timeMs)) {
         missing += shortage.tokens;
     }
-    const std::vector<Share> found = sources(state, budget, holder);
-    for (const Share &share : found) {
+    std::vector<Share> found = sources(state, budget, holder);
+    std::erase_if(found, [&](const Share &share) {
         const auto &recalls = state.holders.at(share.holder).recalls;
         const auto asked = recalls.find(budget);
-        missing -= asked == recalls.end() ? 0 : asked->second;
-    }
+        const bool silent
+            = asked != recalls.end() && asked->second.atMs + RecallPatienceMs <= state.timeMs;
+        missing -= asked == recalls.end() || silent ? 0 : asked->second.tokens;
+        return silent;
+    });
     for (const Share &share : found) {
         if (missing <= 0) {
             return;
         }
-        int64_t &asked = state.holders.at(share.holder).recalls[budget];
-        const int64_t more = std::clamp<int64_t>(share.free() - asked, 0, missing);
-        asked += more;
+        auto [asked, added] = state.holders.at(share.holder).recalls.try_emplace(budget);
+        const int64_t more = std::clamp<int64_t>(share.free() - asked->second.tokens, 0, missing);
+        asked->second.tokens += more;
+        asked->second.atMs = added ? state.timeMs : asked->second.atMs;
         missing -= more;
     }
 }
--- a/source/samphirebridge/ledger/escrowgrants.h
+++ b/source/samphirebridge/ledger/escrowgrants.h
@@ -24,6 +24,9 @@
 // How long a shortage counts after the request that showed it, by the ledger's time.
 inline constexpr uint64_t ShortageLifetimeMs = 1500;
 
+// How long a recall that was not delivered counts as escrow to come, by the ledger's time.
+inline constexpr uint64_t RecallPatienceMs = 300;
+
 // What a holder's waiting requests lacked at its last request.
 struct Shortage {
     HolderIndex holder = NoIndex;
--- a/source/samphirebridge/ledger/holderbook.h
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -29,6 +29,12 @@
     ClaimIndex claim = NoIndex; // Set when the reservation was opened by a claim.
 };
 
+// What a holder is asked to return with its next batch.
+struct Recall {
+    int64_t tokens = 0;
+    uint64_t atMs = 0; // When it was asked first.
+};
+
 struct HolderRecord {
     core::HolderId id;
     bool over = false;
@@ -39,7 +45,7 @@
     int64_t exposure = 0;
     std::string lastResult; // The serialised HolderBatchResult of the last sequence.
     absl::flat_hash_map<uint64_t, OpenItem> open;
-    absl::flat_hash_map<BudgetIndex, int64_t> recalls;
+    absl::flat_hash_map<BudgetIndex, Recall> recalls;
 };
 
 class HolderBook
--- a/source/samphirebridge/ledger/manifeststore.cpp
+++ b/source/samphirebridge/ledger/manifeststore.cpp
@@ -97,7 +97,7 @@
     delta.set_from_version(this->current);
     ++this->current;
     delta.set_to_version(this->current);
-    this->remember(std::move(delta));
+    this->remember(delta);
 }
 
 proto::ManifestDelta ManifestStore::since(uint64_t knownVersion) const
@@ -109,17 +109,19 @@
         return merged;
     }
     const bool covered = knownVersion != 0 && knownVersion < this->current && !this->recent.empty()
-                         && this->recent.front().from_version() <= knownVersion;
+                         && this->recent.front().fromVersion <= knownVersion;
     if (!covered) {
         merged.set_from_version(0);
         *merged.mutable_upserts() = this->manifest().entities();
         return merged;
     }
     absl::btree_set<EntityId> changed;
-    for (const proto::ManifestDelta &delta : this->recent) {
-        if (delta.from_version() < knownVersion) {
+    proto::ManifestDelta delta;
+    for (const RecentDelta &recentDelta : this->recent) {
+        if (recentDelta.fromVersion < knownVersion) {
             continue;
         }
+        delta.ParseFromString(recentDelta.bytes);
         for (const proto::Entity &entity : delta.upserts()) {
             changed.insert(*idOf(entity));
         }
@@ -161,13 +163,17 @@
     return manifest;
 }
 
-const std::deque<proto::ManifestDelta> &ManifestStore::recentDeltas() const
+std::vector<proto::ManifestDelta> ManifestStore::recentDeltas() const
 {
-    return this->recent;
+    std::vector<proto::ManifestDelta> deltas(this->recent.size());
+    for (size_t index = 0; index < deltas.size(); ++index) {
+        deltas[index].ParseFromString(this->recent[index].bytes);
+    }
+    return deltas;
 }
 
 absl::Status ManifestStore::restore(const proto::Manifest &manifest,
-                                    std::deque<proto::ManifestDelta> deltas)
+                                    const std::vector<proto::ManifestDelta> &deltas)
 {
     for (const proto::Entity &entity : manifest.entities()) {
         auto id = identify(entity);
@@ -177,18 +183,18 @@
         this->entities.insert_or_assign(*std::move(id), entity.SerializeAsString());
     }
     this->current = manifest.version();
-    for (proto::ManifestDelta &delta : deltas) {
-        this->remember(std::move(delta));
+    for (const proto::ManifestDelta &delta : deltas) {
+        this->remember(delta);
     }
     return absl::OkStatus();
 }
 
-void ManifestStore::remember(proto::ManifestDelta delta)
+void ManifestStore::remember(const proto::ManifestDelta &delta)
 {
-    this->recentBytes += delta.ByteSizeLong();
-    this->recent.push_back(std::move(delta));
+    this->recent.push_back({delta.from_version(), delta.SerializeAsString()});
+    this->recentBytes += this->recent.back().bytes.size();
     while (this->recent.size() > MaximumRecentDeltas || this->recentBytes > MaximumRecentBytes) {
-        this->recentBytes -= this->recent.front().ByteSizeLong();
+        this->recentBytes -= this->recent.front().bytes.size();
         this->recent.pop_front();
     }
 }
--- a/source/samphirebridge/ledger/manifeststore.h
+++ b/source/samphirebridge/ledger/manifeststore.h
@@ -8,8 +8,8 @@
 #include <cstdint>
 #include <deque>
 #include <string>
-#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace samphirebridge::ledger
 {
@@ -39,17 +39,23 @@
     [[nodiscard]] proto::Entity find(proto::EntityKind kind, const std::string &id) const;
 
     [[nodiscard]] proto::Manifest manifest() const;
-    [[nodiscard]] const std::deque<proto::ManifestDelta> &recentDeltas() const;
+    [[nodiscard]] std::vector<proto::ManifestDelta> recentDeltas() const;
 
     // Sets the whole. InvalidManifest when an entity cannot be identified.
-    absl::Status restore(const proto::Manifest &manifest, std::deque<proto::ManifestDelta> deltas);
+    absl::Status restore(const proto::Manifest &manifest,
+                         const std::vector<proto::ManifestDelta> &deltas);
 
 private:
-    void remember(proto::ManifestDelta delta);
+    struct RecentDelta {
+        uint64_t fromVersion = 0;
+        std::string bytes; // Serialised.
+    };
+
+    void remember(const proto::ManifestDelta &delta);
 
     uint64_t current = 0;
     absl::btree_map<EntityId, std::string> entities; // Serialised.
-    std::deque<proto::ManifestDelta> recent; // Without gaps, up to the current version.
+    std::deque<RecentDelta> recent; // Without gaps, up to the current version.
     size_t recentBytes = 0;
 };
 
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -101,10 +101,11 @@
             message->mutable_last_result()->ParseFromString(record.lastResult);
         }
         writeOpen(state, record, *message);
-        for (const auto &[budget, tokens] : record.recalls) {
+        for (const auto &[budget, asked] : record.recalls) {
             proto::EscrowRecall *recall = message->add_recalls();
             recall->set_budget(state.budgets.at(budget).id);
-            recall->set_tokens(tokens);
+            recall->set_tokens(asked.tokens);
+            recall->set_asked_at_ms(asked.atMs);
         }
         std::ranges::sort(*message->mutable_recalls(), {}, &proto::EscrowRecall::budget);
     }
@@ -179,9 +180,9 @@
 
     absl::Status run()
     {
-        absl::Status status = this->state.manifest.restore(
-            this->snapshot.manifest(),
-            {this->snapshot.recent_deltas().begin(), this->snapshot.recent_deltas().end()});
+        const auto &deltas = this->snapshot.recent_deltas();
+        absl::Status status = this->state.manifest.restore(this->snapshot.manifest(),
+                                                           {deltas.begin(), deltas.end()});
         this->state.timeMs = this->snapshot.time_ms();
         this->state.lastOrderNumber = this->snapshot.last_order_number();
         status.Update(this->readHolders());
@@ -307,7 +308,7 @@
             }
             for (const proto::EscrowRecall &recall : message.recalls()) {
                 record.recalls.emplace(this->state.budgets.intern(recall.budget()),
-                                       recall.tokens());
+                                       Recall{recall.tokens(), recall.asked_at_ms()});
             }
         }
         return absl::OkStatus();
--- a/tests/ledger/batchestest.cpp
+++ b/tests/ledger/batchestest.cpp
@@ -94,6 +94,27 @@
     CHECK(ledger.send(b).holder_batch().grants(0).granted_tokens() == 300);
 }
 
+TEST_CASE("others are asked in the place of a holder that was asked and stays silent")
+{
+    TestLedger ledger;
+    proto::HolderBatch holders[] = {batchOf("a", 1), batchOf("b", 1), batchOf("c", 1)};
+    const int64_t shares[] = {500, 300, 200};
+    for (int index = 0; index < 3; ++index) {
+        ledger.registerHolder(holders[index].holder().instance(), 1);
+        addRequest(holders[index], shares[index], shares[index]);
+        ledger.send(holders[index]);
+    }
+    addRequest(holders[2], 250, 250);
+    ledger.send(holders[2]);
+    CHECK(ledger.send(holders[1]).holder_batch().recalls_size() == 0); // "a" has more.
+    ledger.nowMs += 300;
+    addRequest(holders[2], 250, 250);
+    ledger.send(holders[2]);
+    const proto::HolderBatchResult result = ledger.send(holders[1]).holder_batch();
+    REQUIRE(result.recalls_size() == 1);
+    CHECK(result.recalls(0).tokens() == 250);
+}
+
 TEST_CASE("nothing is granted or recalled for a request that all holders together can't cover")
 {
     TestLedger ledger;
