--- a/tests/budget/fleetsimulation.cpp
+++ b/tests/budget/fleetsimulation.cpp
@@ -84,6 +84,12 @@
             break;
         }
     }
+    while (this->options.killEveryMs > 0 && this->nowMs + this->options.killEveryMs < endMs) {
+        this->advance(this->nowMs + this->options.killEveryMs);
+        this->kill(static_cast<int>(this->random(this->options.nodes)));
+        this->advance(this->nowMs + AnswerTimeoutMs);
+        this->noteEnds();
+    }
     this->advance(endMs);
     this->drain();
     this->decide();
@@ -145,6 +151,8 @@
         this->fail(result.error_message());
     }
     if (command.has_holder_batch()) {
+        this->sums.batchBytes
+            += static_cast<int64_t>(command.ByteSizeLong() + result.ByteSizeLong());
         this->noteBatch(command.holder_batch(), result);
     }
     const proto::ClaimVerdict verdict = result.claim().verdict();
@@ -226,6 +234,25 @@
     this->truth[budget].billed += settlement.used_tokens();
 }
 
+// Sums what is quarantined so far, by reservation and as unrecorded exposure.
+void FleetSimulation::noteEnds()
+{
+    this->sums.quarantinedOpen = 0;
+    this->sums.quarantinedUnrecorded = 0;
+    const proto::LedgerSnapshot snapshot = this->ledger.snapshot();
+    std::set<std::string> live;
+    for (const core::HolderId &holder : this->ledger.liveHolders()) {
+        live.insert(fmt::format("{}/{}", holder.instance.value, holder.incarnation));
+    }
+    for (const proto::LedgerSnapshot::EscrowShare &share : snapshot.budgets(0).shares()) {
+        const proto::Holder &holder = share.holder();
+        if (!live.contains(fmt::format("{}/{}", holder.instance(), holder.incarnation()))) {
+            this->sums.quarantinedOpen += share.open_tokens();
+            this->sums.quarantinedUnrecorded += share.escrow_tokens() - share.open_tokens();
+        }
+    }
+}
+
 void FleetSimulation::restartLedger()
 {
     const proto::LedgerSnapshot before = this->ledger.snapshot();
@@ -405,7 +432,8 @@
     request.budget = static_cast<int>(this->random(this->options.budgets));
     request.bound = 1 + static_cast<int64_t>(this->random(this->options.maximumBound));
     request.used = static_cast<int64_t>(this->random(request.bound + 1));
-    request.durationMs = static_cast<int>(this->random(1'500));
+    request.durationMs = static_cast<int>(this->random(this->options.maximumDurationMs));
+    request.arrivedMs = this->nowMs;
     request.deadlineMs = this->nowMs + RequestDeadlineMs;
     if (this->chance(this->options.keyedPercent)) {
         request.key = fmt::format("key-{}", request.id);
@@ -542,6 +570,7 @@
 void FleetSimulation::dispatch(int node, budget::ReservationId reservation, const Request &request)
 {
     ++this->sums.dispatched;
+    this->sums.waitedMs += static_cast<int64_t>(this->nowMs - request.arrivedMs);
     const bool first
         = request.key.empty() || this->dispatchedKeys.emplace(request.key, request.used).second;
     if (first) {
@@ -626,7 +655,7 @@
     this->advance(this->nowMs + 1'000);
     this->draining = true;
     this->options.faults = false;
-    this->advance(this->nowMs + 12'000);
+    this->advance(this->nowMs + 12'000 + this->options.maximumDurationMs);
     for (const Node &node : this->nodes) {
         if (!node.book->isSettled()) {
             this->fail(fmt::format("{} did not settle", node.id.instance.value));
--- a/tests/budget/fleetsimulation.h
+++ b/tests/budget/fleetsimulation.h
@@ -31,6 +31,8 @@
     int arrivalMs = 60; // The mean time between two requests at one node.
     bool faults = true; // Lost, repeated and delayed messages, partitions, kills, restarts.
     int keyedPercent = 30;
+    int maximumDurationMs = 1'500;
+    int killEveryMs = 0; // Without other faults; 0: never.
 };
 
 // Requests that the budget covered when they were decided on.
@@ -49,6 +51,10 @@
     int64_t kills = 0;
     int64_t takeovers = 0;
     int64_t lateSettlements = 0;
+    int64_t waitedMs = 0; // Between arrival and dispatch.
+    int64_t quarantinedOpen = 0; // At the end of holders, by reservation.
+    int64_t quarantinedUnrecorded = 0;
+    int64_t batchBytes = 0; // Of batches and their results.
     int64_t consumed = 0;
     int64_t billed = 0;
     int64_t purchased = 0;
@@ -77,6 +83,7 @@
         int64_t bound = 0;
         int64_t used = 0;
         int durationMs = 0;
+        uint64_t arrivedMs = 0;
         uint64_t deadlineMs = 0;
         std::string key; // Empty: not keyed.
         bool repeatable = false;
@@ -110,6 +117,7 @@
     void checkStep();
     void noteBatch(const proto::HolderBatch &batch, const proto::CommandResult &result);
     void noteSettlement(const proto::HolderBatch &batch, const proto::Settlement &settlement);
+    void noteEnds();
     void restartLedger();
     void send(int node,
               const proto::Command &command,
--- a/utilities/bench/ledgerbench.cpp
+++ b/utilities/bench/ledgerbench.cpp
@@ -1,5 +1,5 @@
 // Measures the ledger and the escrow book: `ledgerbench
-// applies|memory|snapshot|refusals|quarantine`.
+// applies|memory|snapshot|refusals|exposure`.
 #include "tests/budget/fleetsimulation.h"
 
 #include "samphirebridge/core/digest.h"
@@ -177,17 +177,10 @@
     ledger.apply(grant);
     grant.Clear();
     const size_t beforeClaims = heapBytes();
+    uint64_t sequence = 3;
     for (uint64_t index = 1; index <= Claims; ++index) {
         claim(ledger, index);
-    }
-    const size_t withClaims = heapBytes();
-    proto::Command settle;
-    for (uint64_t index = 1; index <= Claims; ++index) {
-        if (settle.holder_batch().settlements_size() == 0) {
-            *settle.mutable_holder_batch()->mutable_holder() = holderOf(0);
-            settle.mutable_holder_batch()->set_sequence(3 + index / 1'000);
-        }
-        proto::Settlement *settlement = settle.mutable_holder_batch()->add_settlements();
+        proto::Settlement *settlement = grant.mutable_holder_batch()->add_settlements();
         settlement->set_reservation(index);
         settlement->set_budget(budgetName(0));
         settlement->set_reserved_tokens(1);
@@ -195,19 +188,25 @@
         settlement->mutable_key()->set_key(keyName(index));
         settlement->mutable_answer()->set_outcome(proto::RAN);
         settlement->mutable_answer()->set_http_status(200);
-        if (index % 1'000 == 999 || index == Claims) {
-            ledger.apply(settle);
-            settle.Clear();
+        if (grant.holder_batch().settlements_size() == 1'000) {
+            *grant.mutable_holder_batch()->mutable_holder() = holderOf(0);
+            grant.mutable_holder_batch()->set_sequence(sequence++);
+            ledger.apply(grant);
+            grant.Clear();
         }
     }
     const size_t finished = heapBytes();
+    for (uint64_t index = 1; index <= Claims; ++index) {
+        claim(ledger, Claims + index);
+    }
+    const size_t withClaims = heapBytes();
     fmt::print("{} budgets: {} bytes each, the manifest's entity and the recent delta included\n",
                Budgets,
                (withBudgets - atStart) / Budgets);
     fmt::print("a holder's share of a budget: {} bytes\n",
                (withShares - withBudgets) / (static_cast<size_t>(Budgets) * Holders));
     fmt::print("a running claim with a key of 36 bytes: {} bytes, its open reservation included\n",
-               (withClaims - beforeClaims) / Claims);
+               (withClaims - finished) / Claims);
     fmt::print("a finished claim without a stored answer: {} bytes\n",
                (finished - beforeClaims) / Claims);
 }
@@ -239,6 +238,40 @@
                secondsSince(start));
 }
 
+// Weighs a record before dispatch (exposure 0) against windows of unrecorded openings.
+void measureExposure()
+{
+    for (const int64_t exposure : {0, 1'000, 10'000, 100'000}) {
+        tests::FleetOptions options;
+        options.seed = 7;
+        options.nodes = 8;
+        options.budgets = 1;
+        options.declaredTokens = 100'000'000;
+        options.exposureTokens = std::max<int64_t>(exposure, 1);
+        options.maximumBound = 4'000;
+        options.maximumDurationMs = 48'000;
+        options.arrivalMs = 40;
+        options.runMs = 60'000;
+        options.faults = false;
+        options.killEveryMs = 3'000;
+        options.keyedPercent = 0;
+        tests::FleetSimulation simulation(options);
+        const std::string failure = simulation.run();
+        const tests::FleetTotals &totals = simulation.totals();
+        fmt::print("exposure {}: {} requests waited {:.1f} ms on average; {} kills quarantined {} "
+                   "tokens each by reservation and {} as unrecorded; {:.0f} bytes of batches a "
+                   "request {}\n",
+                   exposure,
+                   totals.dispatched,
+                   static_cast<double>(totals.waitedMs) / static_cast<double>(totals.dispatched),
+                   totals.kills,
+                   totals.quarantinedOpen / totals.kills,
+                   totals.quarantinedUnrecorded / totals.kills,
+                   static_cast<double>(totals.batchBytes) / static_cast<double>(totals.dispatched),
+                   failure);
+    }
+}
+
 double percent(const tests::Covered &covered)
 {
     const int64_t all = std::max<int64_t>(covered.served + covered.refused, 1);
@@ -318,8 +351,10 @@
         measureSnapshot();
     } else if (what == "refusals") {
         measureRefusals();
+    } else if (what == "exposure") {
+        measureExposure();
     } else {
-        fmt::print("usage: ledgerbench applies|memory|snapshot|refusals\n");
+        fmt::print("usage: ledgerbench applies|memory|snapshot|refusals|exposure\n");
         return 1;
     }
     return 0;
