--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -173,7 +173,7 @@
     const int64_t demanded = std::max<int64_t>(this->target(now, options) - this->free, 0);
     request.set_minimum_tokens(minimum);
     request.set_smallest_tokens(std::max<int64_t>(this->smallestWaiting - this->free, 0));
-    request.set_wanted_tokens(std::max(minimum, wants ? demanded : 0));
+    request.set_wanted_tokens(std::max(minimum, demanded));
     if (wants) {
         this->wantedAt = now;
         this->everWanted = true;
