--- a/tests/requests/chatrequesttest.cpp
+++ b/tests/requests/chatrequesttest.cpp
@@ -55,6 +55,7 @@
         bodyWith("n", 17).dump(),
         bodyWith("stream", "yes").dump(),
         bodyWith("stream_options", 1).dump(),
+        bodyWith("metadata", json::parse(std::string(64, '[') + std::string(64, ']'))).dump(),
         bodyWith("best_of", 4).dump(),
         bodyWith("chat_template", "{% for %}").dump(),
     };
--- a/tests/requests/chatstreamtest.cpp
+++ b/tests/requests/chatstreamtest.cpp
@@ -89,12 +89,13 @@
 
 TEST_CASE("what is no chat stream is malformed")
 {
-    const std::string event = GENERATE(as<std::string>{},
-                                       "data: {\n\n",
-                                       "data: {\"error\":{}}\n\n",
-                                       "data: {\"choices\":[1]}\n\n",
-                                       "data: {\"usage\":{\"prompt_tokens\":-1}}\n\n",
-                                       "data: {\"x\":" + std::string(5000, '[') + "\n\n");
+    const std::string event
+        = GENERATE(as<std::string>{},
+                   "data: {\n\n",
+                   "data: {\"error\":{}}\n\n",
+                   "data: {\"choices\":[1]}\n\n",
+                   "data: {\"usage\":{\"prompt_tokens\":-1}}\n\n",
+                   "data: {\"x\":" + std::string(64, '[') + std::string(64, ']') + "}\n\n");
     ChatStream stream(chatRequest(true, 3));
     stream.beginAttempt();
     std::string out;
--- a/tests/requests/sseparsertest.cpp
+++ b/tests/requests/sseparsertest.cpp
@@ -12,8 +12,8 @@
 TEST_CASE("events are the same however the bytes are cut")
 {
     const std::string stream = ": comment\n\ndata: one\r\n\r\ndata:two\ndata: lines\n\nevent: x\n"
-                               "id: 7\rdata\r\rdata: [DONE]\n\n";
-    const std::vector<std::string> expected{"one", "two\nlines", "", "[DONE]"};
+                               "id: 7\rdata\r\rdata: a\r\ndata: b\r\n\r\ndata: [DONE]\n\n";
+    const std::vector<std::string> expected{"one", "two\nlines", "", "a\nb", "[DONE]"};
     std::mt19937 random(7);
     for (int round = 0; round < 200; ++round) {
         SseParser parser;
