--- a/source/samphirebridge/requests/chatstream.cpp
+++ b/source/samphirebridge/requests/chatstream.cpp
@@ -147,7 +147,7 @@
     if (!hasToken) {
         return true;
     }
-    if (this->outputTokens() >= this->outputBound) {
+    if (this->boundReached()) {
         return false; // The engine does not keep to max_tokens.
     }
     for (const auto &[name, value] : passed.items()) {
@@ -167,6 +167,7 @@
         passed["role"] = "assistant";
     }
     ++this->attemptTokens;
+    ++this->deliveredChunks;
     this->counted = false;
     json choice{{"index", 0}, {"delta", std::move(passed)}, {"finish_reason", nullptr}};
     out += eventOf(this->chunkOf(json::array({std::move(choice)})));
@@ -255,7 +256,13 @@
 
 bool ChatStream::exhausted() const
 {
-    return !this->passesOn && this->outputTokens() >= this->outputBound;
+    return !this->passesOn && this->boundReached();
+}
+
+// An engine that tells too small a usage must not get past the bound by it.
+bool ChatStream::boundReached() const
+{
+    return std::max(this->outputTokens(), this->deliveredChunks) >= this->outputBound;
 }
 
 void ChatStream::finishAtBound()
--- a/source/samphirebridge/requests/chatstream.h
+++ b/source/samphirebridge/requests/chatstream.h
@@ -88,6 +88,7 @@
     void takeIdentity(const nlohmann::json &chunk);
     [[nodiscard]] nlohmann::json chunkOf(nlohmann::json choices) const;
     [[nodiscard]] nlohmann::json usageObject() const;
+    [[nodiscard]] bool boundReached() const;
 
     bool passesOn; // Several choices, tools...: chunks are passed on as they come.
     bool resumable; // What was delivered so far is one plain text.
@@ -95,6 +96,7 @@
     int64_t outputBound;
     SseParser parser;
     std::string delivered;
+    int64_t deliveredChunks = 0; // Of all attempts.
     int64_t deliveredTokens = 0; // Of finished attempts.
     int64_t attemptTokens = 0; // Of the current attempt.
     bool counted = false; // attemptTokens is the engine's own count.
--- a/tests/requests/chatstreamtest.cpp
+++ b/tests/requests/chatstreamtest.cpp
@@ -87,6 +87,20 @@
     CHECK(caller.finishReason == "length");
 }
 
+TEST_CASE("an engine that tells too small a usage does not get past the bound by it")
+{
+    ChatStream stream(chatRequest(true, 3));
+    stream.beginAttempt();
+    std::string out;
+    const std::string usage = "data: {\"usage\":{\"prompt_tokens\":0,\"completion_tokens\":0}}\n\n";
+    ChatProgress progress = ChatProgress::Going;
+    for (int64_t k = 0; k < Length && progress == ChatProgress::Going; ++k) {
+        progress = stream.feed(tokenChunk(engineFrom(0, "first"), k) + usage, out);
+    }
+    CHECK(progress == ChatProgress::Malformed);
+    CHECK(readStream(out).text == answerText(3));
+}
+
 TEST_CASE("what is no chat stream is malformed")
 {
     const std::string event
