--- a/source/samphirebridge/requests/requestmachine.cpp
+++ b/source/samphirebridge/requests/requestmachine.cpp
@@ -28,6 +28,7 @@
 
 RequestMachine::RequestMachine(RequestSpecification specification)
     : specification(std::move(specification))
+    , history(this->specification.attemptPrefix)
     , kept(this->specification.maximumStoredBytes)
 {
     if (this->specification.chat) {
@@ -58,11 +59,6 @@
                     this->lastProgress + this->specification.stallTimeout);
 }
 
-bool RequestMachine::mayHaveRun() const
-{
-    return this->earlierMayHaveLeft || !this->attempt.empty();
-}
-
 void RequestMachine::on(const Claimed &event)
 {
     if (this->state == State::Abandoned) {
@@ -73,7 +69,9 @@
     if (this->state != State::Unclaimed) {
         return;
     }
-    this->earlierMayHaveLeft = event.takeover;
+    if (event.takeover) {
+        this->history.takeOver();
+    }
     this->state = State::Choosing;
     if (this->now >= this->specification.deadline) {
         this->giveUp({core::RefusalReason::DeadlineExceeded, std::nullopt, {}});
@@ -102,7 +100,6 @@
     if (this->state != State::Choosing) {
         return;
     }
-    this->target = event.target;
     this->state = State::Sent;
     this->lastProgress = this->now;
     this->status = 0;
@@ -122,11 +119,11 @@
 
 void RequestMachine::on(const HeadersArrived &event)
 {
-    if (!this->isCurrent(event.attempt) || this->state != State::Sent) {
+    if (!this->history.isCurrent(event.attempt) || this->state != State::Sent) {
         return;
     }
-    if (!event.echo.empty() && event.echo != this->attempt) {
-        this->actions.emplace_back(CountForeignAnswer{this->attempt, event.echo});
+    if (!event.echo.empty() && event.echo != this->history.current()) {
+        this->actions.emplace_back(CountForeignAnswer{this->history.current(), event.echo});
         this->cancelAttempt();
         this->endAttempt(core::RetryReason::ForeignAnswer, true);
         return;
@@ -146,7 +143,7 @@
 
 void RequestMachine::on(const BytesArrived &event)
 {
-    if (!this->isCurrent(event.attempt) || this->state != State::Answering) {
+    if (!this->history.isCurrent(event.attempt) || this->state != State::Answering) {
         return;
     }
     this->lastProgress = this->now;
@@ -159,7 +156,7 @@
 
 void RequestMachine::on(const AnswerEnded &event)
 {
-    if (!this->isCurrent(event.attempt)) {
+    if (!this->history.isCurrent(event.attempt)) {
         return;
     }
     if (this->state != State::Answering) {
@@ -173,7 +170,7 @@
 
 void RequestMachine::on(const AttemptFailed &event)
 {
-    if (this->isCurrent(event.attempt)) {
+    if (this->history.isCurrent(event.attempt)) {
         const bool hasAnswer = this->state == State::Answering;
         this->endAttempt(event.reason, event.bytesMayHaveLeft || hasAnswer);
     }
@@ -198,7 +195,7 @@
 void RequestMachine::on(const CallerGone &)
 {
     this->callerPresent = false;
-    if (!this->attempt.empty() && !this->chat && !this->isRepeatable()) {
+    if (this->history.isRunning() && !this->chat && !this->isRepeatable()) {
         return;
     }
     this->giveUp({core::RefusalReason::AnswerBroken, std::nullopt, {}});
@@ -209,11 +206,6 @@
     this->giveUp({core::RefusalReason::Stopping, RetryAfterFailure, {}});
 }
 
-bool RequestMachine::isCurrent(const std::string &name) const
-{
-    return !this->attempt.empty() && this->attempt == name;
-}
-
 bool RequestMachine::isRepeatable() const
 {
     return this->specification.repeat == proto::REPEATABLE;
@@ -230,7 +222,7 @@
 
 bool RequestMachine::mayBeSentAgain() const
 {
-    if (!mayRepeat(this->specification.repeat) && this->mayHaveRun()) {
+    if (!mayRepeat(this->specification.repeat) && this->history.mayHaveRun()) {
         return false;
     }
     if (this->chat) {
@@ -242,14 +234,13 @@
 // Cancelling what may not be repeated would gain nothing: it waits until its deadline.
 bool RequestMachine::stallTimerRuns() const
 {
-    const bool mayRepeat = this->chat || this->specification.repeat == proto::REPEATABLE
-                           || this->specification.repeat == proto::TARGET_DEDUPLICATES;
-    return !this->attempt.empty() && mayRepeat;
+    const bool isFutile = !this->chat && !mayRepeat(this->specification.repeat);
+    return this->history.isRunning() && !isFutile;
 }
 
 core::Outcome RequestMachine::outcomeNow() const
 {
-    if (!this->mayHaveRun()) {
+    if (!this->history.mayHaveRun()) {
         return core::Outcome::NotRun;
     }
     const bool hasText = this->chat && this->chat->outputTokens() > 0;
@@ -258,16 +249,14 @@
 
 StartAttempt RequestMachine::attemptFor(const core::TargetId &chosen)
 {
-    ++this->attemptCount;
     const RequestSpecification &request = this->specification;
-    this->attempt = request.attemptPrefix + "." + std::to_string(this->attemptCount);
     StartAttempt start;
-    start.attempt = this->attempt;
+    start.attempt = this->history.begin(chosen);
     start.target = chosen;
     start.method = request.method;
     start.path = request.path;
     start.headers = request.headers;
-    start.headers.push_back({"Samphirebridge-Attempt", this->attempt});
+    start.headers.push_back({"Samphirebridge-Attempt", start.attempt});
     start.headers.push_back({"Idempotency-Key", request.requestKey});
     start.freshConnection = !this->isRepeatable();
     if (this->chat) {
@@ -283,28 +272,27 @@
 void RequestMachine::choose(std::optional<core::RetryReason> reason)
 {
     this->state = State::Choosing;
-    this->actions.emplace_back(ChooseTarget{reason.has_value(), reason, this->failedTargets});
+    this->actions.emplace_back(
+        ChooseTarget{reason.has_value(), reason, this->history.failedTargets()});
 }
 
 void RequestMachine::cancelAttempt()
 {
-    if (!this->attempt.empty()) {
-        this->actions.emplace_back(CancelAttempt{this->attempt});
+    if (this->history.isRunning()) {
+        this->actions.emplace_back(CancelAttempt{this->history.current()});
     }
 }
 
 void RequestMachine::endAttempt(core::RetryReason reason, bool bytesMayHaveLeft)
 {
-    this->earlierMayHaveLeft = this->earlierMayHaveLeft || bytesMayHaveLeft;
-    this->failedTargets.push_back(this->target);
-    this->attempt.clear();
+    this->history.fail(bytesMayHaveLeft);
     this->buffer.clear();
     if (this->chat && this->chat->exhausted()) {
         this->chat->finishAtBound();
         this->completeChat();
         return;
     }
-    const bool isLast = this->attemptCount >= this->specification.maximumAttempts
+    const bool isLast = this->history.count() >= this->specification.maximumAttempts
                         || this->now >= this->specification.deadline || !this->callerPresent;
     if (!isLast && this->mayBeSentAgain()) {
         this->choose(reason);
@@ -439,7 +427,7 @@
 
 void RequestMachine::settleGivenUp()
 {
-    if (!this->mayHaveRun()) {
+    if (!this->history.mayHaveRun()) {
         this->actions.emplace_back(Release{});
         return;
     }
@@ -489,7 +477,7 @@
 
 void RequestMachine::finish()
 {
-    this->attempt.clear();
+    this->history.close();
     this->state = State::Finished;
     this->actions.emplace_back(Finish{});
 }
--- a/source/samphirebridge/requests/requestmachine.h
+++ b/source/samphirebridge/requests/requestmachine.h
@@ -12,6 +12,7 @@
 #include "samphirebridge/core/time.h"
 #include "samphirebridge/core/tokens.h"
 #include "samphirebridge/requests/actions.h"
+#include "samphirebridge/requests/attempthistory.h"
 #include "samphirebridge/requests/chatrequest.h"
 #include "samphirebridge/requests/chatstream.h"
 #include "samphirebridge/requests/events.h"
@@ -67,11 +68,14 @@
     // Returns the attempts started so far.
     [[nodiscard]] uint32_t attempts() const
     {
-        return this->attemptCount;
+        return this->history.count();
     }
 
     // Tells whether a byte of the request can have reached a target.
-    [[nodiscard]] bool mayHaveRun() const;
+    [[nodiscard]] bool mayHaveRun() const
+    {
+        return this->history.mayHaveRun();
+    }
 
 private:
     enum class State : uint8_t { Unclaimed, Abandoned, Choosing, Sent, Answering, Finished };
@@ -95,7 +99,6 @@
     void on(const CallerGone &event);
     void on(const ShutdownDeadline &event);
 
-    [[nodiscard]] bool isCurrent(const std::string &name) const;
     [[nodiscard]] bool isRepeatable() const;
     [[nodiscard]] bool isChatStream() const;
     [[nodiscard]] bool mayBeSentAgain() const;
@@ -125,11 +128,7 @@
     State state = State::Unclaimed;
     core::TimePoint now;
     core::TimePoint lastProgress; // Of the current attempt.
-    uint32_t attemptCount = 0;
-    std::string attempt; // The current one; empty between attempts.
-    core::TargetId target;
-    std::vector<core::TargetId> failedTargets;
-    bool earlierMayHaveLeft = false; // A byte of an earlier attempt can have reached a target.
+    AttemptHistory history;
     bool callerPresent = true;
     bool answerBegun = false; // The caller's stream is open.
     int status = 0; // Of the current attempt's answer.
