manifest: Keep the catalogue of a test alive

The asan run found a test that read the policy of a catalogue that was gone already: the fault was the test's.

--- a/tests/manifest/cataloguetest.cpp
+++ b/tests/manifest/cataloguetest.cpp
@@ -120,7 +120,8 @@
 
 TEST_CASE("the policy's zeros become the documented defaults")
 {
-    const EffectivePolicy &none = Catalogue().policy();
+    const Catalogue catalogue;
+    const EffectivePolicy &none = catalogue.policy();
     CHECK(none.escrowHorizon == std::chrono::seconds(30));
     CHECK(none.exposure.count == 65'536);
     CHECK(none.retrySharePercent == 10);
