ledger: Keep a request in doubt that its holder gave up as unknown

Cause: the request machine settles a payment whose connection broke after its bytes may have left with the outcome unknown; the ledger billed that settlement and remembered the key as finished, so nobody could resolve it, and its price was spent. It now stays set aside and unresolved, at a live holder as at one that is over, until an operator resolves it once. Ruled out: leaving the reservation open at the entry instance, since a second arrival would be told key_in_progress until that process ends. Before: the new case fails on every check.

--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -48,11 +48,13 @@
             settleUnrecorded(state, holder, settlement);
             continue;
         }
-        settleRecorded(state,
-                       holder,
-                       settlement.reservation(),
-                       settlement.used_tokens(),
-                       answerOf(settlement));
+        const ClaimIndex claim = state.holders.at(holder).open.at(settlement.reservation()).claim;
+        const proto::StoredAnswer answer = answerOf(settlement);
+        if (claim != NoIndex && answer.outcome() == proto::UNKNOWN) {
+            state.claims.at(claim).inDoubt = true;
+            continue;
+        }
+        settleRecorded(state, holder, settlement.reservation(), settlement.used_tokens(), answer);
     }
 }
 
--- a/source/samphirebridge/ledger/claimbook.h
+++ b/source/samphirebridge/ledger/claimbook.h
@@ -34,6 +34,7 @@
     uint32_t retentionS = 0;
     proto::RepeatRule repeat = proto::REPEAT_RULE_UNSPECIFIED;
     bool finished = false;
+    bool inDoubt = false; // Its holder does not know whether it ran, and gave it up.
 
     [[nodiscard]] uint64_t expiresAtMs() const;
     [[nodiscard]] std::string_view organisation() const;
--- a/source/samphirebridge/ledger/claimcommands.cpp
+++ b/source/samphirebridge/ledger/claimcommands.cpp
@@ -64,6 +64,7 @@
 void hold(LedgerState &state, HolderIndex holder, ClaimIndex index, const proto::Claim &claim)
 {
     ClaimRecord &record = state.claims.at(index);
+    record.inDoubt = false;
     record.holder = holder;
     record.reservation = claim.reservation();
     record.tokens = claim.tokens();
@@ -174,10 +175,10 @@
     if (record.finished) {
         return finishedClaim(state, holder, index, claim);
     }
-    if (record.holder == holder && record.reservation == claim.reservation()) {
+    if (!record.inDoubt && record.holder == holder && record.reservation == claim.reservation()) {
         return verdict(proto::CLAIMED, owner.id);
     }
-    if (!owner.over) {
+    if (!owner.over && !record.inDoubt) {
         return verdict(proto::RUNNING, owner.id);
     }
     const bool repeatable
--- a/source/samphirebridge/ledger/ledger.cpp
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -132,14 +132,14 @@
     std::vector<UnresolvedClaim> unresolved;
     for (const HolderIndex index : this->state->holders.ordered()) {
         const HolderRecord &holder = this->state->holders.at(index);
-        if (!holder.over) {
-            continue;
-        }
         for (const auto &[reservation, item] : holder.open) {
             if (item.claim == NoIndex) {
                 continue;
             }
             const ClaimRecord &claim = this->state->claims.at(item.claim);
+            if (!holder.over && !claim.inDoubt) {
+                continue;
+            }
             unresolved.push_back(
                 {{core::OrganisationId(claim.organisation()), std::string(claim.callerKey())},
                  holder.id,
--- a/source/samphirebridge/ledger/ledger.h
+++ b/source/samphirebridge/ledger/ledger.h
@@ -22,12 +22,12 @@
 
 struct LedgerState;
 
-// A request that was claimed by a holder which is over, and that has no known outcome.
+// A request that has no known outcome: its holder is over, or gave it up as unknown.
 struct UnresolvedClaim {
     core::RequestKey key;
     core::HolderId holder;
     core::BudgetId budget;
-    core::Tokens tokens; // Quarantined until an operator or a late settlement decides.
+    core::Tokens tokens; // Set aside until an operator or a late settlement decides.
 };
 
 // Not safe for use by several threads at once.
@@ -66,8 +66,8 @@
     // Returns the holders that are not over, ordered.
     [[nodiscard]] std::vector<core::HolderId> liveHolders() const;
 
-    // Returns the claims whose holder is over and that have no outcome, ordered by key. A claim
-    // that may be repeated is among them until somebody takes it over.
+    // Returns the claims in doubt and those whose holder is over without an outcome, ordered by
+    // key. A claim that may be repeated is among them until somebody takes it over.
     [[nodiscard]] std::vector<UnresolvedClaim> unresolvedClaims() const;
 
     // Recomputes every sum from its parts and checks the invariant of every budget, in time
--- a/source/samphirebridge/ledger/operatorcommands.cpp
+++ b/source/samphirebridge/ledger/operatorcommands.cpp
@@ -80,17 +80,24 @@
     }
     const ClaimRecord &record = state.claims.at(index);
     const HolderIndex holder = record.holder;
-    if (record.finished || !state.holders.at(holder).over) {
+    const bool live = !state.holders.at(holder).over;
+    if (record.finished || (live && !record.inDoubt)) {
         return refusal(core::ErrorCode::ClaimNotInDoubt,
-                       fmt::format("the claim of key '{}' {}; only one whose holder is over and "
-                                   "that has no outcome can be resolved",
+                       fmt::format("the claim of key '{}' {}; only one that is in doubt, or whose "
+                                   "holder is over, can be resolved",
                                    command.key().key(),
                                    record.finished ? "is finished" : "runs at a live holder"));
     }
     proto::StoredAnswer answer;
     answer.set_outcome(command.ran() ? proto::RAN : proto::NOT_RUN);
     const BudgetIndex budget = record.budget;
-    settleRecorded(state, holder, record.reservation, command.ran() ? record.tokens : 0, answer);
+    const int64_t billed = command.ran() ? record.tokens : 0;
+    const int64_t unbilled = record.tokens - billed;
+    settleRecorded(state, holder, record.reservation, billed, answer);
+    if (live) {
+        // The holder has closed the reservation and does not count on the rest.
+        state.budgets.giveBack(budget, holder, unbilled);
+    }
     return budgetResult(state, budget);
 }
 
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -128,6 +128,7 @@
         message->set_tokens(record.tokens);
         message->set_key_retention_s(record.retentionS);
         message->set_finished(record.finished);
+        message->set_in_doubt(record.inDoubt);
         message->set_finished_at_ms(record.finishedAtMs);
         if (record.finished) {
             const std::string_view bytes = record.answer.view();
@@ -280,6 +281,7 @@
             record.budget = this->state.budgets.intern(message.budget());
             record.tokens = message.tokens();
             record.retentionS = message.key_retention_s();
+            record.inDoubt = message.in_doubt();
             ++this->state.holders.at(holder).claims;
             if (message.finished()) {
                 this->state.claims.finish(
--- a/tests/ledger/claimstest.cpp
+++ b/tests/ledger/claimstest.cpp
@@ -139,3 +139,30 @@
     ledger.nowMs -= 30'000; // A proposer whose clock is behind.
     CHECK(verdictOf(ledger.claim("b", 1, 1, "key", 100)) == proto::CLAIMED);
 }
+
+TEST_CASE(
+    "a request that its holder gave up as unknown is in doubt, unbilled, until it is resolved")
+{
+    for (const bool ran : {false, true}) {
+        TwoHolders ledger;
+        const int64_t pool = ledger.budget().pool_tokens();
+        ledger.claim("a", 1, 1, "key", 100);
+        ledger.settleKeyed(ledger.a, 1, 100, proto::UNKNOWN);
+        CHECK(ledger.budget().billed_tokens() == 0);
+        CHECK(verdictOf(ledger.claim("a", 1, 1, "key", 100)) == proto::OUTCOME_UNKNOWN);
+        CHECK(verdictOf(ledger.claim("b", 1, 1, "key", 100)) == proto::OUTCOME_UNKNOWN);
+        REQUIRE(ledger.ledger.unresolvedClaims().size() == 1);
+        CHECK(ledger.ledger.unresolvedClaims()[0].key.key == "key");
+
+        ledger::Ledger copy;
+        REQUIRE(copy.restore(ledger.ledger.snapshot()).ok());
+        CHECK(copy.unresolvedClaims().size() == 1);
+
+        CHECK(codeOf(ledger.resolve("key", ran, "decided")) == core::ErrorCode::None);
+        CHECK(ledger.ledger.unresolvedClaims().empty());
+        CHECK(ledger.budget().billed_tokens() == (ran ? 100 : 0));
+        CHECK(ledger.budget().pool_tokens() == pool + (ran ? 0 : 100));
+        const proto::CommandResult again = ledger.claim("b", 1, 2, "key", 100);
+        CHECK(verdictOf(again) == (ran ? proto::FINISHED : proto::CLAIMED));
+    }
+}
