manifest: Give paths that can be read in two ways no route

"GET /v1/payments/../x" lay under the repeatable prefix "/v1/payments/", while a target that resolves the dots would run another path, which may be one that is never repeated. Such paths, and those with "//", now match nothing.

Seen to fail without the check.

--- a/source/samphirebridge/manifest/catalogue.cpp
+++ b/source/samphirebridge/manifest/catalogue.cpp
@@ -2,6 +2,7 @@
 
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/manifest/manifestdelta.h"
+#include "samphirebridge/manifest/routepath.h"
 
 #include <fmt/format.h>
 
@@ -148,6 +149,9 @@
 
 std::optional<RouteMatch> Catalogue::match(std::string_view method, std::string_view path) const
 {
+    if (!hasPlainSegments(path)) {
+        return std::nullopt;
+    }
     for (const RouteMatch &candidate : this->routes) {
         const std::string &declared = candidate.route->method();
         const bool methodFits = declared.empty() || std::string_view(declared) == method;
--- a/source/samphirebridge/manifest/catalogue.h
+++ b/source/samphirebridge/manifest/catalogue.h
@@ -57,8 +57,9 @@
 
     // Finds the plain service of a request. A prefix covers whole segments: "/a" covers "/a" and
     // "/a/b", not "/ab"; "/a/" covers what is below. The longest prefix wins, then a route that
-    // names the method. The path comes without its query. Chat services have no routes: they are
-    // found through the model that the request names.
+    // names the method. The path comes decoded and without its query. One with "//", "." or ".." as
+    // segments has no match: a target could read it as another path, with another repeat rule. Chat
+    // services have no routes: they are found through the model that the request names.
     [[nodiscard]] std::optional<RouteMatch> match(std::string_view method,
                                                   std::string_view path) const;
 
--- a/source/samphirebridge/manifest/routepath.cpp
+++ b/source/samphirebridge/manifest/routepath.cpp
@@ -39,13 +39,17 @@
 
 bool isPathPrefix(std::string_view prefix)
 {
-    if (!prefix.starts_with('/') || prefix.size() > MaximumPathBytes) {
-        return false;
-    }
-    if (!std::all_of(prefix.begin(), prefix.end(), isPathCharacter)) {
+    return prefix.size() <= MaximumPathBytes
+           && std::all_of(prefix.begin(), prefix.end(), isPathCharacter)
+           && hasPlainSegments(prefix);
+}
+
+bool hasPlainSegments(std::string_view path)
+{
+    if (!path.starts_with('/')) {
         return false;
     }
-    std::string_view rest = prefix.substr(1);
+    std::string_view rest = path.substr(1);
     while (!rest.empty()) {
         const size_t slash = std::min(rest.find('/'), rest.size());
         if (!isSegment(rest.substr(0, slash))) {
--- a/source/samphirebridge/manifest/routepath.h
+++ b/source/samphirebridge/manifest/routepath.h
@@ -1,6 +1,7 @@
 // What a route may declare as its path prefix.
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace samphirebridge::manifest
@@ -14,6 +15,9 @@
 // '.' and '~', without "//", "." and "..": a path that a proxy could read in two ways is no prefix.
 bool isPathPrefix(std::string_view prefix);
 
+// Whether the path starts with '/' and has no "//" and no "." or ".." as a segment.
+bool hasPlainSegments(std::string_view path);
+
 // Whether every path under the prefix is one that the fleet itself answers.
 bool isReservedPath(std::string_view prefix);
 
--- a/tests/manifest/cataloguetest.cpp
+++ b/tests/manifest/cataloguetest.cpp
@@ -63,6 +63,9 @@
     CHECK(routeOf(catalogue, "GET", "/v1/payments") == " /v1/payments");
     CHECK(routeOf(catalogue, "POST", "/v1/paymentsx") == " /");
     CHECK(routeOf(catalogue, "GET", "") == "none");
+    for (const std::string path : {"/v1/payments/../x", "/v1//payments", "/v1/./x", "/..", "*"}) {
+        CHECK(routeOf(catalogue, "GET", path) == "none");
+    }
 }
 
 TEST_CASE("a catalogue updated by a delta equals one built anew and leaves its predecessor alone")
--- a/tests/samphirectl/pagestest.cpp
+++ b/tests/samphirectl/pagestest.cpp
@@ -186,7 +186,8 @@
         const auto names = samphirectl::commandNames();
         const bool listed
             = std::find(names.begin(), names.end(), first) != names.end()
-              || std::find(names.begin(), names.end(), first + "-" + second) != names.end();
+              || std::find(names.begin(), names.end(), fmt::format("{}-{}", first, second))
+                     != names.end();
         INFO(line);
         CHECK(listed);
     }
