consensus: Test what mutations had left unseen

RaftNode::persisted() asked for another Ready each time, so that a host that called it after every Ready never came to an end (found by the new test, which did not end); it now does so only if an entry became durable.

--- a/source/samphirebridge/consensus/raftlog.cpp
+++ b/source/samphirebridge/consensus/raftlog.cpp
@@ -206,9 +206,9 @@
     return taken;
 }
 
-void RaftLog::markPersisted()
+bool RaftLog::markPersisted()
 {
-    this->durableIndex = this->storedIndex;
+    return std::exchange(this->durableIndex, this->storedIndex) != this->storedIndex;
 }
 
 } // namespace samphirebridge::consensus
--- a/source/samphirebridge/consensus/raftlog.h
+++ b/source/samphirebridge/consensus/raftlog.h
@@ -64,8 +64,8 @@
     std::optional<uint64_t> takeTruncation();
     std::vector<proto::LogEntry> takeUnstored();
     std::vector<proto::LogEntry> takeUnapplied();
-    // Everything taken so far is durable.
-    void markPersisted();
+    // Everything taken so far is durable. True if that was news.
+    bool markPersisted();
 
 private:
     Snapshot latestSnapshot;
--- a/source/samphirebridge/consensus/raftnode.cpp
+++ b/source/samphirebridge/consensus/raftnode.cpp
@@ -215,8 +215,7 @@
 
 void RaftNode::Parts::persisted()
 {
-    this->state.log.markPersisted();
-    if (this->leadership) {
+    if (this->state.log.markPersisted() && this->leadership) {
         this->leadership->wake();
     }
 }
--- a/tests/consensus/durablenodetest.cpp
+++ b/tests/consensus/durablenodetest.cpp
@@ -123,6 +123,9 @@
     group.pass(3s);
     CHECK(group.leader()->node->node().isCaughtUp(successor.name));
     CHECK(successor.node->node().role() == Role::Follower);
+    // It was sent a snapshot, so the first configuration in its log is the snapshot's.
+    CHECK(successor.node->node().firstIndex() > 1);
+    CHECK(successor.node->node().configuration().voters_size() == 3);
     REQUIRE(group.change(MemberChangeKind::Promote, successor.name).ok());
     group.pass(1s);
     REQUIRE(group.change(MemberChangeKind::Remove, lost.name).ok());
@@ -309,7 +312,7 @@
     REQUIRE(group.change(MemberChangeKind::AddLearner, "x/1").ok());
     CHECK(codeOf(group.change(MemberChangeKind::AddLearner, "y/1"))
           == core::ErrorCode::ConfigurationChangePending);
-    group.stop(group.member("x/1"), false);
+    group.stop(group.member("x/1"), Stop::PowerLoss);
     group.pass(1s);
     CHECK(codeOf(group.change(MemberChangeKind::Promote, "x/1"))
           == core::ErrorCode::ConfigurationChangePending);
@@ -327,11 +330,27 @@
         == core::ErrorCode::InvalidRequest);
 }
 
+TEST_CASE("a change that no quorum took is undone where it was made")
+{
+    CalmGroup group(3);
+    Member &old = *group.leader();
+    group.isolate(old);
+    REQUIRE(group.change(MemberChangeKind::AddLearner, "x/1").ok());
+    CHECK(old.node->node().configuration().learners_size() == 1);
+    CHECK_FALSE(old.node->node().configurationCommitted());
+    group.pass(2s);
+    group.healAll();
+    group.pass(2s);
+    CHECK(group.leader() != &old);
+    CHECK(old.node->node().configuration().learners_size() == 0);
+    CHECK(old.node->node().configurationCommitted());
+}
+
 TEST_CASE("a follower behind the compacted log is sent the snapshot in chunks")
 {
     CalmGroup group(3);
     Member &behind = group.follower();
-    group.stop(behind, false);
+    group.stop(behind, Stop::PowerLoss);
     group.commit(80);
     CHECK(group.leader()->node->node().firstIndex() > 40);
     group.start(behind);
--- a/tests/consensus/schedule.cpp
+++ b/tests/consensus/schedule.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 
 namespace samphirebridge::consensus::tests
 {
@@ -123,7 +124,7 @@
     };
     auto opened = Node::open(member.storage, member.machine, nodeSettings(member.seed), this->now);
     if (core::errorCodeOf(opened.status()) == core::ErrorCode::SyncFailed) {
-        this->stop(member, this->chance(500));
+        this->stop(member, Stop::TornPowerLoss);
         return;
     }
     if (!opened.ok()) {
@@ -134,16 +135,22 @@
     member.node = *std::move(opened);
 }
 
-void Schedule::stop(Member &member, bool torn)
+void Schedule::stop(Member &member, Stop how)
 {
     member.node.reset();
-    if (torn) {
-        member.storage.crashTorn();
-    } else {
+    if (how == Stop::PowerLoss) {
         member.storage.crash();
+    } else if (how == Stop::TornPowerLoss) {
+        member.storage.crashTorn();
     }
 }
 
+Stop Schedule::anyStop()
+{
+    constexpr std::array Kinds{Stop::PowerLoss, Stop::TornPowerLoss, Stop::Kill};
+    return Kinds[this->random() % Kinds.size()];
+}
+
 void Schedule::loseDisk(Member &member)
 {
     member.node.reset();
@@ -220,7 +227,7 @@
             this->invariants.violated(
                 fmt::format("{} failed: {}", member.name, core::messageOf(output.status())));
         }
-        this->stop(member, this->chance(500));
+        this->stop(member, Stop::TornPowerLoss);
         return;
     }
     for (const ReadId id : output->confirmedReads) {
@@ -229,7 +236,7 @@
     }
     if (this->chance(this->settings.stops / 3)) {
         // Ends between the sync and the sending.
-        this->stop(member, true);
+        this->stop(member, this->anyStop());
         return;
     }
     for (const proto::RaftMessage &message : output->messages) {
@@ -384,7 +391,7 @@
 void Schedule::fault()
 {
     if (this->chance(this->settings.stops)) {
-        this->stop(this->anyMember(), this->chance(500));
+        this->stop(this->anyMember(), this->anyStop());
     }
     for (const auto &member : this->members) {
         if (!member->node && this->chance(this->settings.restarts)) {
@@ -456,7 +463,7 @@
     const core::TimePoint end = this->now + LongestSettling;
     for (const auto &member : this->members) {
         // A refusal of syncs that is still pending ends with the restart.
-        this->stop(*member, false);
+        this->stop(*member, Stop::PowerLoss);
         this->start(*member);
     }
     while (this->now < end && this->invariants.violation().empty() && !this->agreed()) {
--- a/tests/consensus/schedule.h
+++ b/tests/consensus/schedule.h
@@ -40,6 +40,13 @@
     unsigned memberChanges = 4;
 };
 
+// How a process ends. Killed, it leaves the unsynced bytes readable, though not durable.
+enum class Stop : uint8_t {
+    PowerLoss,
+    TornPowerLoss,
+    Kill,
+};
+
 using Node = DurableNode<storage::MemoryStorage, ChainMachine>;
 
 // A member with its disk; the node is missing while it is stopped.
@@ -67,7 +74,7 @@
 
     // Single events, for tests that need a certain one.
     void pass(core::Duration time);
-    void stop(Member &member, bool torn);
+    void stop(Member &member, Stop how);
     void start(Member &member);
     void loseDisk(Member &member);
     void cut(const std::string &from, const std::string &to);
@@ -88,6 +95,7 @@
         proto::RaftMessage message;
     };
 
+    Stop anyStop();
     bool chance(unsigned perMille);
     Member &anyMember();
     void step();
--- a/tests/storage/logtest.cpp
+++ b/tests/storage/logtest.cpp
@@ -166,6 +166,19 @@
     CHECK(core::messageOf(status).find("hole") != std::string_view::npos);
 }
 
+TEST_CASE("what open returns is durable, though the process before it ended without a sync")
+{
+    MemoryStorage storage;
+    MemoryLog log = openLog(storage);
+    write(log, 1, 2);
+    REQUIRE(log.append(entriesBetween(3, 4)).ok());
+    MemoryLog again = openLog(storage);
+    CHECK(again.lastIndex() == 4);
+    storage.crash();
+    MemoryLog third = openLog(storage);
+    CHECK(third.lastIndex() == 4);
+}
+
 TEST_CASE("a truncated suffix stays gone and is replaced by later entries")
 {
     for (uint64_t index = 1; index <= 20; ++index) {
