consensus: Let a leader's appends leave before its own sync

DurableNode::takeEarlyMessages() hands out a leader's appends and chunks before flush(), so that the followers' syncs can run beside its own. It is optional and additive. The leader's copy still counts only when it is durable, and nothing leaves early while the term itself is not stored.

The schedules use it for half of their flushes.

--- a/source/samphirebridge/consensus/durablenode.h
+++ b/source/samphirebridge/consensus/durablenode.h
@@ -99,6 +99,13 @@
         return this->raft.transferLeadership(to, now);
     }
 
+    // Returns what a leader may send before flush(): its appends, so that the followers' syncs run
+    // beside its own. Optional; without it flush() returns them.
+    std::vector<proto::RaftMessage> takeEarlyMessages()
+    {
+        return this->raft.takeEarlyMessages();
+    }
+
     // Makes everything queued durable with at most one sync of the log, applies what is committed
     // and returns what to send and to tell. To be called after each batch of the calls above.
     absl::StatusOr<Output<Result>> flush();
--- a/source/samphirebridge/consensus/leadership.cpp
+++ b/source/samphirebridge/consensus/leadership.cpp
@@ -139,7 +139,10 @@
     this->continueTransfer();
     if (this->hasCommittedTerm()) {
         const uint64_t round = this->replicator.quorumRound(this->reads.round());
-        confirmed = this->reads.confirm(round, this->state.log.commitIndex());
+        for (const ConfirmedRead &read :
+             this->reads.confirm(round, this->state.log.commitIndex())) {
+            confirmed.push_back(read);
+        }
     }
     if (!this->wasRemoved()) {
         return true;
--- a/source/samphirebridge/consensus/leadership.h
+++ b/source/samphirebridge/consensus/leadership.h
@@ -40,7 +40,8 @@
     // The node's own entries became durable, or something else may be sent.
     void wake();
 
-    // Commits, sends and confirms. False if this node was removed from the voters and is done.
+    // Commits, sends, and adds the reads that are confirmed. False if this node was removed from
+    // the voters and is done.
     bool prepare(std::vector<ConfirmedRead> &confirmed);
     [[nodiscard]] bool hasWork() const;
     // Ends the leadership: returns the reads that were not confirmed.
--- a/source/samphirebridge/consensus/raftnode.cpp
+++ b/source/samphirebridge/consensus/raftnode.cpp
@@ -29,6 +29,7 @@
     void step(const proto::RaftMessage &message);
     absl::Status requireLeader() const;
     Ready takeReady();
+    std::vector<proto::RaftMessage> takeEarlyMessages();
     [[nodiscard]] bool hasReady() const;
     void persisted();
 
@@ -42,11 +43,13 @@
     void dispatch(const proto::RaftMessage &message);
     void lead();
     void stopLeading();
+    void prepareLeader();
     void handleTimeoutNow();
 
     Election election;
     FollowerSide followerSide;
     std::vector<ReadId> failedReads;
+    std::vector<ConfirmedRead> confirmedReads;
 };
 
 void RaftNode::Parts::lead()
@@ -192,15 +195,38 @@
 {
     return this->state.hardStateChanged || this->state.log.hasUnstored()
            || this->state.log.hasUnapplied() || !this->state.outbox.empty()
-           || !this->failedReads.empty() || (this->leadership && this->leadership->hasWork());
+           || !this->failedReads.empty() || !this->confirmedReads.empty()
+           || (this->leadership && this->leadership->hasWork());
 }
 
-Ready RaftNode::Parts::takeReady()
+void RaftNode::Parts::prepareLeader()
 {
-    Ready ready;
-    if (this->leadership && !this->leadership->prepare(ready.confirmedReads)) {
+    if (this->leadership && !this->leadership->prepare(this->confirmedReads)) {
         this->stopLeading();
     }
+}
+
+std::vector<proto::RaftMessage> RaftNode::Parts::takeEarlyMessages()
+{
+    std::vector<proto::RaftMessage> early;
+    if (!this->leadership || this->state.hardStateChanged) {
+        return early;
+    }
+    this->prepareLeader();
+    std::erase_if(this->state.outbox, [&](proto::RaftMessage &message) {
+        const bool isEarly = message.has_append_request() || message.has_install_snapshot();
+        if (isEarly) {
+            early.push_back(std::move(message));
+        }
+        return isEarly;
+    });
+    return early;
+}
+
+Ready RaftNode::Parts::takeReady()
+{
+    this->prepareLeader();
+    Ready ready;
     if (std::exchange(this->state.hardStateChanged, false)) {
         ready.hardState = this->state.hardState;
     }
@@ -209,6 +235,7 @@
     ready.entries = this->state.log.takeUnstored();
     ready.messages = std::exchange(this->state.outbox, {});
     ready.committed = this->state.log.takeUnapplied();
+    ready.confirmedReads = std::exchange(this->confirmedReads, {});
     ready.failedReads = std::exchange(this->failedReads, {});
     return ready;
 }
@@ -288,6 +315,11 @@
     return this->parts->takeReady();
 }
 
+std::vector<proto::RaftMessage> RaftNode::takeEarlyMessages()
+{
+    return this->parts->takeEarlyMessages();
+}
+
 void RaftNode::persisted()
 {
     this->parts->persisted();
--- a/source/samphirebridge/consensus/raftnode.h
+++ b/source/samphirebridge/consensus/raftnode.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace samphirebridge::consensus
 {
@@ -65,6 +66,11 @@
     // persisted(), then the next takeReady().
     Ready takeReady();
 
+    // Moves out the messages that may leave before anything is stored: the appends and chunks of a
+    // leader whose term is stored. Its own copy of the entries counts only after persisted(). May
+    // be called before takeReady(); empty elsewhere than on a leader.
+    std::vector<proto::RaftMessage> takeEarlyMessages();
+
     // Tells that the last Ready's hard state, snapshot and entries are durable.
     void persisted();
 
--- a/tests/consensus/durablenodetest.cpp
+++ b/tests/consensus/durablenodetest.cpp
@@ -21,8 +21,10 @@
 {
 public:
     explicit CalmGroup(size_t voters)
-        : Schedule(ScheduleSettings{
-            .seed = 7, .voters = voters, .dropped = 0, .duplicated = 0, .delayed = 0, .stops = 0})
+        : Schedule(ScheduleSettings{.seed = 7,
+                                    .voters = voters,
+                                    .network = {.dropped = 0, .duplicated = 0, .delayed = 0},
+                                    .stops = 0})
     {
         this->pass(2s);
         REQUIRE(this->leader() != nullptr);
@@ -52,8 +54,8 @@
     void isolate(const Member &member)
     {
         for (Member *const other : this->running()) {
-            this->cut(member.name, other->name);
-            this->cut(other->name, member.name);
+            this->network.cut(member.name, other->name);
+            this->network.cut(other->name, member.name);
         }
     }
 
@@ -96,7 +98,9 @@
     void open(const DurableNodeSettings &settings)
     {
         this->machine = {};
-        this->node = *Node::open(this->storage, this->machine, settings, this->now);
+        auto opened = Node::open(this->storage, this->machine, settings, this->now);
+        REQUIRE(opened.ok());
+        this->node = *std::move(opened);
         this->now += 1s;
         this->node->tick(this->now);
         REQUIRE(this->node->flush().ok());
@@ -228,9 +232,9 @@
         Member &old = *group.leader();
         group.isolate(old);
         if (isOneWay) {
-            group.healAll();
+            group.network.heal();
             for (Member *const other : group.running()) {
-                group.cut(other->name, old.name);
+                group.network.cut(other->name, old.name);
             }
         }
         const uint64_t readsBefore = group.invariants.confirmedReads();
@@ -256,7 +260,7 @@
     group.isolate(away);
     group.pass(5s);
     CHECK(away.node->node().term() == term);
-    group.healAll();
+    group.network.heal();
     group.pass(2s);
     CHECK(group.leader() == &leader);
     CHECK(leader.node->node().term() == term);
@@ -339,7 +343,7 @@
     CHECK(old.node->node().configuration().learners_size() == 1);
     CHECK_FALSE(old.node->node().configurationCommitted());
     group.pass(2s);
-    group.healAll();
+    group.network.heal();
     group.pass(2s);
     CHECK(group.leader() != &old);
     CHECK(old.node->node().configuration().learners_size() == 0);
--- a/tests/consensus/schedule.cpp
+++ b/tests/consensus/schedule.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace samphirebridge::consensus::tests
 {
@@ -16,8 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr core::Duration LongestStep = 20ms;
-constexpr core::Duration UsualLatency = 3ms;
-constexpr core::Duration LongestDelay = 400ms;
+constexpr core::Duration LastCommit = 400ms;
 constexpr core::Duration LongestSettling = 60s;
 
 std::string firstName(size_t number)
@@ -44,6 +44,7 @@
 
 Schedule::Schedule(ScheduleSettings settings)
     : now(core::Duration(1s))
+    , network(settings.network, settings.seed)
     , settings(settings)
     , random(settings.seed)
 {
@@ -158,57 +159,17 @@
     member.diskLost = true;
 }
 
-void Schedule::cut(const std::string &from, const std::string &to)
-{
-    this->blocked.emplace(from, to);
-}
-
-void Schedule::healAll()
-{
-    this->blocked.clear();
-}
-
-void Schedule::post(const proto::RaftMessage &message)
-{
-    if (this->blocked.contains({message.from(), message.to()})
-        || this->chance(this->settings.dropped)) {
-        return;
-    }
-    const unsigned copies = this->chance(this->settings.duplicated) ? 2 : 1;
-    for (unsigned copy = 0; copy < copies; ++copy) {
-        const core::Duration longest
-            = this->chance(this->settings.delayed) ? LongestDelay : UsualLatency;
-        const auto delay = static_cast<int64_t>(this->random() % longest.count());
-        this->flying.push_back({
-            .arrival = this->now + core::Duration(delay),
-            .order = this->messageCount++,
-            .message = message,
-        });
-    }
-}
-
 void Schedule::deliver()
 {
-    std::vector<Flying> due;
-    std::erase_if(this->flying, [&](const Flying &message) {
-        const bool isDue = message.arrival <= this->now;
-        if (isDue) {
-            due.push_back(message);
-        }
-        return isDue;
-    });
-    std::sort(due.begin(), due.end(), [](const Flying &left, const Flying &right) {
-        return std::pair(left.arrival, left.order) < std::pair(right.arrival, right.order);
-    });
-    for (const Flying &arrived : due) {
+    for (const proto::RaftMessage &message : this->network.arrived(this->now)) {
         const auto place
             = std::find_if(this->members.begin(), this->members.end(), [&](const auto &member) {
-                  return member->name == arrived.message.to();
+                  return member->name == message.to();
               });
         if (place == this->members.end() || !(*place)->node) {
             continue;
         }
-        (*place)->node->step(arrived.message, this->now);
+        (*place)->node->step(message, this->now);
         // Sometimes several messages share one flush.
         if (!this->chance(300)) {
             this->flush(**place);
@@ -221,6 +182,11 @@
     if (!member.node) {
         return;
     }
+    if (this->chance(500)) {
+        for (const proto::RaftMessage &message : member.node->takeEarlyMessages()) {
+            this->network.post(message, this->now);
+        }
+    }
     auto output = member.node->flush();
     if (!output.ok()) {
         if (core::errorCodeOf(output.status()) != core::ErrorCode::SyncFailed) {
@@ -240,7 +206,7 @@
         return;
     }
     for (const proto::RaftMessage &message : output->messages) {
-        this->post(message);
+        this->network.post(message, this->now);
     }
     this->check();
 }
@@ -302,7 +268,7 @@
 
 void Schedule::partition()
 {
-    this->blocked.clear();
+    this->network.heal();
     if (this->chance(400)) {
         return;
     }
@@ -316,9 +282,9 @@
     for (const auto &left : this->members) {
         for (const auto &right : this->members) {
             if (side.contains(left->name) && !side.contains(right->name)) {
-                this->cut(left->name, right->name);
+                this->network.cut(left->name, right->name);
                 if (!isOneWay) {
-                    this->cut(right->name, left->name);
+                    this->network.cut(right->name, left->name);
                 }
             }
         }
@@ -452,13 +418,7 @@
 
 bool Schedule::settle()
 {
-    this->healAll();
-    const uint64_t seed = this->settings.seed;
-    this->settings = {};
-    this->settings.seed = seed;
-    this->settings.dropped = 0;
-    this->settings.delayed = 0;
-    this->flying.clear();
+    this->network.becomeSound();
     this->settings.stops = 0;
     const core::TimePoint end = this->now + LongestSettling;
     for (const auto &member : this->members) {
@@ -474,7 +434,7 @@
     if (last == nullptr || !last->node->propose("last command", this->now).ok()) {
         return false;
     }
-    this->pass(LongestDelay);
+    this->pass(LastCommit);
     return this->agreed() && this->invariants.highestApplied() > before;
 }
 
--- a/tests/consensus/schedule.h
+++ b/tests/consensus/schedule.h
@@ -4,6 +4,7 @@
 
 #include "chainmachine.h"
 #include "invariants.h"
+#include "network.h"
 
 #include "samphirebridge/consensus/durablenode.h"
 #include "samphirebridge/storage/memorystorage.h"
@@ -11,12 +12,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace samphirebridge::consensus::tests
@@ -26,11 +24,9 @@
 struct ScheduleSettings {
     uint64_t seed = 1;
     size_t voters = 3;
+    NetworkSettings network;
     unsigned proposals = 400;
     unsigned reads = 150;
-    unsigned dropped = 20;
-    unsigned duplicated = 20;
-    unsigned delayed = 100;
     unsigned stops = 6;
     unsigned restarts = 60; // For each stopped member.
     unsigned partitions = 12;
@@ -77,8 +73,6 @@
     void stop(Member &member, Stop how);
     void start(Member &member);
     void loseDisk(Member &member);
-    void cut(const std::string &from, const std::string &to);
-    void healAll();
     void flush(Member &member);
     Member *leader();
     Member &member(std::string_view name);
@@ -87,14 +81,9 @@
 
     Invariants invariants;
     core::TimePoint now;
+    Network network;
 
 private:
-    struct Flying {
-        core::TimePoint arrival;
-        uint64_t order = 0;
-        proto::RaftMessage message;
-    };
-
     Stop anyStop();
     bool chance(unsigned perMille);
     Member &anyMember();
@@ -106,7 +95,6 @@
     void replaceLostDisk();
     void propose();
     void read();
-    void post(const proto::RaftMessage &message);
     void deliver();
     void check();
     bool agreed();
@@ -114,9 +102,6 @@
     ScheduleSettings settings;
     std::mt19937_64 random;
     std::vector<std::unique_ptr<Member>> members;
-    std::vector<Flying> flying;
-    std::set<std::pair<std::string, std::string>> blocked;
-    uint64_t messageCount = 0;
     uint64_t proposalCount = 0;
     uint64_t generation = 0;
 };
--- a/tests/consensus/scheduletest.cpp
+++ b/tests/consensus/scheduletest.cpp
@@ -82,9 +82,9 @@
 TEST_CASE("no loss, delay, repeat or change of order of messages breaks an invariant")
 {
     ScheduleSettings settings;
-    settings.dropped = 150;
-    settings.duplicated = 200;
-    settings.delayed = 400;
+    settings.network.dropped = 150;
+    settings.network.duplicated = 200;
+    settings.network.delayed = 400;
     settings.stops = 2;
     const Verdict verdict = runSeeds(settings);
     INFO(verdict.violation);
