--- a/tests/consensus/raftnodetest.cpp
+++ b/tests/consensus/raftnodetest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -123,10 +124,19 @@
     REQUIRE(alone.node.requestRead(alone.now).ok());
     CHECK(alone.acknowledge(2, 1).confirmedReads.empty());
     CHECK_FALSE(alone.node.leadsWithCommittedTerm());
-    const auto change = alone.node.changeVoters({MemberChangeKind::Remove, "c/0"}, alone.now);
-    CHECK(core::errorCodeOf(change.status()) == core::ErrorCode::ConfigurationChangePending);
     CHECK(alone.acknowledge(3, 1).confirmedReads.size() == 1);
     CHECK(alone.node.leadsWithCommittedTerm());
+
+    // Again, now that the configuration itself is committed.
+    proto::RaftMessage append = alone.from("b/0", alone.node.term() + 1);
+    append.mutable_append_request();
+    alone.node.step(append, alone.now);
+    alone.take();
+    alone.becomeLeader();
+    CHECK(alone.node.configurationCommitted());
+    const auto change = alone.node.changeVoters({MemberChangeKind::Remove, "c/0"}, alone.now);
+    CHECK(core::errorCodeOf(change.status()) == core::ErrorCode::ConfigurationChangePending);
+    alone.acknowledge(4);
     CHECK(alone.node.changeVoters({MemberChangeKind::Remove, "c/0"}, alone.now).ok());
 }
 
@@ -145,6 +155,50 @@
     CHECK(alone.acknowledge(2, 2).confirmedReads.size() == 1);
 }
 
+TEST_CASE("a leader's entry that left early is committed only when its own copy is stored")
+{
+    Alone alone;
+    alone.becomeLeader();
+    alone.acknowledge(2);
+    REQUIRE(alone.node.propose("early", alone.now).ok());
+    CHECK(alone.node.takeEarlyMessages().size() == 1);
+    proto::RaftMessage message = alone.from("b/0", alone.node.term());
+    message.mutable_append_reply()->set_success(true);
+    message.mutable_append_reply()->set_match_index(3);
+    alone.node.step(message, alone.now);
+    CHECK(alone.node.takeReady().committed.empty());
+    alone.node.persisted();
+    CHECK(alone.node.takeReady().committed.size() == 1);
+}
+
+TEST_CASE("nothing leaves early while the leader's term is not stored")
+{
+    RestoredState restored;
+    restored.hardState.set_term(FirstTerm);
+    restored.snapshot.meta.set_index(1);
+    restored.snapshot.meta.set_term(FirstTerm);
+    restored.snapshot.meta.mutable_configuration()->add_voters("a/0");
+    restored.snapshot.meta.mutable_configuration()->add_learners("b/1");
+    restored.snapshot.data = std::make_shared<const std::string>();
+    core::TimePoint now(1s);
+    RaftNode node(RaftSettings{.member = "a/0"}, restored, now);
+    now += 1s;
+    node.tick(now);
+    REQUIRE(node.role() == Role::Leader);
+    CHECK(node.takeEarlyMessages().empty());
+    CHECK(node.takeReady().hardState.has_value());
+    node.persisted();
+    REQUIRE(node.propose("early", now).ok());
+    proto::RaftMessage reply;
+    reply.set_from("b/1");
+    reply.set_to("a/0");
+    reply.set_term(node.term());
+    reply.mutable_append_reply()->set_success(true);
+    reply.mutable_append_reply()->set_match_index(2);
+    node.step(reply, now);
+    CHECK(node.takeEarlyMessages().size() == 1);
+}
+
 TEST_CASE("a node votes once a term, and only for logs that lack nothing")
 {
     Alone alone(3, {2, 3});
