--- a/tests/consensus/durablenodetest.cpp
+++ b/tests/consensus/durablenodetest.cpp
@@ -21,8 +21,10 @@
 {
 public:
     explicit CalmGroup(size_t voters)
-        : Schedule(ScheduleSettings{
-            .seed = 7, .voters = voters, .dropped = 0, .duplicated = 0, .delayed = 0, .stops = 0})
+        : Schedule(ScheduleSettings{.seed = 7,
+                                    .voters = voters,
+                                    .network = {.dropped = 0, .duplicated = 0, .delayed = 0},
+                                    .stops = 0})
     {
         this->pass(2s);
         REQUIRE(this->leader() != nullptr);
@@ -52,8 +54,8 @@
     void isolate(const Member &member)
     {
         for (Member *const other : this->running()) {
-            this->cut(member.name, other->name);
-            this->cut(other->name, member.name);
+            this->network.cut(member.name, other->name);
+            this->network.cut(other->name, member.name);
         }
     }
 
@@ -96,7 +98,9 @@
     void open(const DurableNodeSettings &settings)
     {
         this->machine = {};
-        this->node = *Node::open(this->storage, this->machine, settings, this->now);
+        auto opened = Node::open(this->storage, this->machine, settings, this->now);
+        REQUIRE(opened.ok());
+        this->node = *std::move(opened);
         this->now += 1s;
         this->node->tick(this->now);
         REQUIRE(this->node->flush().ok());
@@ -120,9 +124,16 @@
     Member &successor = group.join("voter-x/815");
     REQUIRE(group.change(MemberChangeKind::AddLearner, successor.name).ok());
     CHECK_FALSE(group.leader()->node->node().isCaughtUp(successor.name));
+    // The snapshot that it gets covers the entry that added it.
+    group.stop(successor, Stop::PowerLoss);
+    group.commit(30);
+    group.start(successor);
     group.pass(3s);
     CHECK(group.leader()->node->node().isCaughtUp(successor.name));
     CHECK(successor.node->node().role() == Role::Follower);
+    // It was sent a snapshot, so the first configuration in its log is the snapshot's.
+    CHECK(successor.node->node().firstIndex() > 1);
+    CHECK(successor.node->node().configuration().learners_size() == 1);
     REQUIRE(group.change(MemberChangeKind::Promote, successor.name).ok());
     group.pass(1s);
     REQUIRE(group.change(MemberChangeKind::Remove, lost.name).ok());
@@ -225,9 +236,9 @@
         Member &old = *group.leader();
         group.isolate(old);
         if (isOneWay) {
-            group.healAll();
+            group.network.heal();
             for (Member *const other : group.running()) {
-                group.cut(other->name, old.name);
+                group.network.cut(other->name, old.name);
             }
         }
         const uint64_t readsBefore = group.invariants.confirmedReads();
@@ -253,7 +264,7 @@
     group.isolate(away);
     group.pass(5s);
     CHECK(away.node->node().term() == term);
-    group.healAll();
+    group.network.heal();
     group.pass(2s);
     CHECK(group.leader() == &leader);
     CHECK(leader.node->node().term() == term);
@@ -309,7 +320,7 @@
     REQUIRE(group.change(MemberChangeKind::AddLearner, "x/1").ok());
     CHECK(codeOf(group.change(MemberChangeKind::AddLearner, "y/1"))
           == core::ErrorCode::ConfigurationChangePending);
-    group.stop(group.member("x/1"), false);
+    group.stop(group.member("x/1"), Stop::PowerLoss);
     group.pass(1s);
     CHECK(codeOf(group.change(MemberChangeKind::Promote, "x/1"))
           == core::ErrorCode::ConfigurationChangePending);
@@ -327,11 +338,27 @@
         == core::ErrorCode::InvalidRequest);
 }
 
+TEST_CASE("a change that no quorum took is undone where it was made")
+{
+    CalmGroup group(3);
+    Member &old = *group.leader();
+    group.isolate(old);
+    REQUIRE(group.change(MemberChangeKind::AddLearner, "x/1").ok());
+    CHECK(old.node->node().configuration().learners_size() == 1);
+    CHECK_FALSE(old.node->node().configurationCommitted());
+    group.pass(2s);
+    group.network.heal();
+    group.pass(2s);
+    CHECK(group.leader() != &old);
+    CHECK(old.node->node().configuration().learners_size() == 0);
+    CHECK(old.node->node().configurationCommitted());
+}
+
 TEST_CASE("a follower behind the compacted log is sent the snapshot in chunks")
 {
     CalmGroup group(3);
     Member &behind = group.follower();
-    group.stop(behind, false);
+    group.stop(behind, Stop::PowerLoss);
     group.commit(80);
     CHECK(group.leader()->node->node().firstIndex() > 40);
     group.start(behind);
