http, requests: Stop a server within milliseconds; ask a deduplicating target on

A request for a target that deduplicates was left in doubt after its first failure once its caller had left, though another attempt could have told its outcome.

--- a/source/samphirebridge/http/responsewriter.h
+++ b/source/samphirebridge/http/responsewriter.h
@@ -36,8 +36,8 @@
     // Ends a stream properly. Without it the caller sees a broken stream. False as for send.
     bool end();
 
-    // Tells whether the caller closed the connection or a write failed. Costs a poll of the socket;
-    // call it while waiting for something else.
+    // Tells whether the caller closed the connection, or its sending side, or a write failed. Costs
+    // a poll of the socket; call it while waiting for something else.
     [[nodiscard]] bool callerGone();
 
     // Tells whether send or begin was called.
--- a/source/samphirebridge/http/server.cpp
+++ b/source/samphirebridge/http/server.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/http/server.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/http/client.h"
 
 #include <civetweb.h>
 #include <fmt/format.h>
@@ -11,7 +12,7 @@
 #include <condition_variable>
 #include <exception>
 #include <mutex>
-#include <optional>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,7 @@
 
 constexpr size_t ErrorTextBytes = 512;
 constexpr size_t ReadStepBytes = 65536;
+constexpr std::chrono::milliseconds KnockInterval{10};
 constexpr int StatusBadRequest = 400;
 constexpr int StatusTooLarge = 413;
 constexpr int StatusTooManyHeaders = 431;
@@ -135,6 +137,7 @@
     void serve(mg_connection *connection);
     void handle(const Request &request, ResponseWriter &writer);
     absl::Status listen();
+    void close(mg_context *closing);
 };
 
 namespace
@@ -296,6 +299,25 @@
     return absl::OkStatus();
 }
 
+// CivetWeb's accepting thread looks for its end every 2 s or at a connection, so it gets some.
+void Server::Implementation::close(mg_context *closing)
+{
+    std::atomic<bool> closed{false};
+    std::thread closer([closing, &closed] {
+        ::mg_stop(closing);
+        closed = true;
+    });
+    Client client;
+    ClientRequest knock;
+    knock.url = fmt::format("http://{}:{}/", this->settings.address, this->port.load());
+    knock.connectTimeout = KnockInterval;
+    while (!closed) {
+        client.start(knock).next(KnockInterval);
+        std::this_thread::sleep_for(KnockInterval);
+    }
+    closer.join();
+}
+
 absl::StatusOr<std::unique_ptr<Server>> Server::start(const ServerSettings &settings,
                                                       Handler handler)
 {
@@ -330,7 +352,7 @@
     mg_context *context = std::exchange(self.context, nullptr);
     lock.unlock();
     if (context != nullptr) {
-        ::mg_stop(context);
+        self.close(context);
     }
 }
 
--- a/source/samphirebridge/http/server.h
+++ b/source/samphirebridge/http/server.h
@@ -24,6 +24,7 @@
     uint32_t waitingConnections = 64; // Accepted connections that wait for a thread.
     uint64_t maximumBodyBytes = uint64_t{4} << 20U; // More is answered with 413.
     uint32_t maximumHeaderBytes = 16384; // More is answered with an error, too; so are 64 fields.
+    // CivetWeb has one timeout for both: the longer one holds.
     core::Duration readTimeout = std::chrono::seconds(15); // Bounds a slow sender.
     core::Duration writeTimeout = std::chrono::seconds(15); // Bounds a slow reader.
 };
--- a/source/samphirebridge/requests/requestmachine.cpp
+++ b/source/samphirebridge/requests/requestmachine.cpp
@@ -292,8 +292,12 @@
         this->completeChat();
         return;
     }
+    // A target that deduplicates can still tell what became of a request that its caller left.
+    const bool isOfUse = this->callerPresent
+                         || (this->specification.repeat == proto::TARGET_DEDUPLICATES
+                             && this->history.mayHaveRun());
     const bool isLast = this->history.count() >= this->specification.maximumAttempts
-                        || this->now >= this->specification.deadline || !this->callerPresent;
+                        || this->now >= this->specification.deadline || !isOfUse;
     if (!isLast && this->mayBeSentAgain()) {
         this->choose(reason);
         return;
--- a/tests/requests/requestmachinetest.cpp
+++ b/tests/requests/requestmachinetest.cpp
@@ -230,6 +230,20 @@
     checkInDoubt(drive.failed(attempt, RetryReason::ConnectionBroken));
 }
 
+TEST_CASE(
+    "a target that deduplicates is asked again for a caller that left, unless nothing can have run")
+{
+    const bool mayHaveLeft = GENERATE(true, false);
+    Driver drive(plain(proto::TARGET_DEDUPLICATES));
+    const StartAttempt attempt = drive.start();
+    CHECK(drive(CallerGone{}).empty());
+    const Actions actions = drive.failed(attempt, RetryReason::ConnectionBroken, mayHaveLeft);
+    CHECK((find<ChooseTarget>(actions) != nullptr) == mayHaveLeft);
+    if (!mayHaveLeft) {
+        checkReleased(actions);
+    }
+}
+
 TEST_CASE("a takeover is another dispatch only of what may be repeated")
 {
     Driver never(plain(proto::NEVER));
