--- a/utilities/standins/main.cpp
+++ b/utilities/standins/main.cpp
@@ -50,6 +50,13 @@
   --deduplicates         The payment service recognises a repeated key.
   --delay-ms=N           Delay of each payment [default: 0].
   -h --help              Show this text.
+
+Faults are asked for by text in a request, [kind], [kind=N] or [kind=N@id] (only on that target), or
+for the next requests by POST /standin/faults {"kind": "stall-after", "value": 3, "count": 1}; DELETE
+forgets these. Of an engine: crash, crash-after, stall-after, break-after, no-terminator, no-usage,
+wrong-attempt, wrong-length, refuse, error; [tokens=N] sets the answer's length. Of a payment service:
+crash-before, crash-after, break, wrong-length, wrong-attempt, refuse, delay (milliseconds).
+GET /standin/stats tells what was run.
 )";
 
 std::string textOf(const Arguments &arguments, const std::string &name, const std::string &other)
