routing: Probe failing targets only while retries are left

With 8 of 24 targets failing every request, 2.7 % of the requests failed in the end: an idle, failing target looked best, so for the first seconds nearly every first attempt was a probe and the retries ran out.

Run: ctest -L 'membership|routing|placement'.

--- a/source/samphirebridge/routing/breaker.h
+++ b/source/samphirebridge/routing/breaker.h
@@ -19,6 +19,12 @@
     // Whether a request may be sent now: closed, or half open without a probe under way.
     [[nodiscard]] bool admits(const BreakerOptions &options, core::TimePoint now) const;
 
+    // Whether the last verdict on the target was a failure.
+    [[nodiscard]] bool failedLast() const
+    {
+        return this->failuresInRow > 0;
+    }
+
     // When the next probe may go. Has a meaning only while the breaker is open.
     [[nodiscard]] core::TimePoint nextProbe() const
     {
--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -61,7 +61,7 @@
 
 Selection CandidateSelector::select(std::span<RoutedTarget *const> targets,
                                     const RouteRequest &request,
-                                    Company company,
+                                    const SelectionRules &rules,
                                     core::TimePoint now) const
 {
     Selection selection;
@@ -75,14 +75,14 @@
             selection.nextProbe = probe;
         }
     }
-    std::vector<RoutedTarget *> usable = this->usableTargets(targets, request, company, now);
-    if (company != Company::Any) {
+    std::vector<RoutedTarget *> usable = this->usableTargets(targets, request, rules, now);
+    if (rules.company != Company::Any) {
         std::vector<RoutedTarget *> idle;
         std::copy_if(usable.begin(),
                      usable.end(),
                      std::back_inserter(idle),
                      [](const auto *target) { return isIdle(*target); });
-        if (!idle.empty() || company == Company::None) {
+        if (!idle.empty() || rules.company == Company::None) {
             usable = std::move(idle);
         }
     }
@@ -140,17 +140,28 @@
 
 std::vector<RoutedTarget *> CandidateSelector::usableTargets(std::span<RoutedTarget *const> targets,
                                                              const RouteRequest &request,
-                                                             Company company,
+                                                             const SelectionRules &rules,
                                                              core::TimePoint now) const
 {
+    std::vector<RoutedTarget *> proven;
     std::vector<RoutedTarget *> fresh;
     std::vector<RoutedTarget *> tried;
-    fresh.reserve(targets.size());
+    proven.reserve(targets.size());
     for (RoutedTarget *target : targets) {
-        const bool kept = now < target->drainUntil && company != Company::None;
-        if (!kept && this->usable(*target, now)) {
-            (isExcluded(*target, request) ? tried : fresh).push_back(target);
+        const bool kept = now < target->drainUntil && rules.company != Company::None;
+        if (kept || !this->usable(*target, now)) {
+            continue;
         }
+        if (isExcluded(*target, request)) {
+            tried.push_back(target);
+        } else if (!rules.mayProbe && target->breaker.failedLast()) {
+            fresh.push_back(target);
+        } else {
+            proven.push_back(target);
+        }
+    }
+    if (!proven.empty()) {
+        return proven;
     }
     return fresh.empty() ? tried : fresh;
 }
--- a/source/samphirebridge/routing/candidateselector.h
+++ b/source/samphirebridge/routing/candidateselector.h
@@ -29,6 +29,12 @@
     None, // Only an idle one.
 };
 
+struct SelectionRules {
+    Company company = Company::Any;
+    // Whether a target that failed last may be tried while there are others.
+    bool mayProbe = true;
+};
+
 struct Selection {
     std::optional<Candidate> best;
     // Whether any target was ready and its breaker let requests through.
@@ -49,7 +55,7 @@
     // Selects for the request. Targets that it excludes are taken only if there is no other.
     [[nodiscard]] Selection select(std::span<RoutedTarget *const> targets,
                                    const RouteRequest &request,
-                                   Company company,
+                                   const SelectionRules &rules,
                                    core::TimePoint now) const;
 
     // Sets a target aside for a suspect: the least loaded one, if enough others remain.
@@ -59,7 +65,7 @@
     [[nodiscard]] bool usable(const RoutedTarget &target, core::TimePoint now) const;
     [[nodiscard]] std::vector<RoutedTarget *> usableTargets(std::span<RoutedTarget *const> targets,
                                                             const RouteRequest &request,
-                                                            Company company,
+                                                            const SelectionRules &rules,
                                                             core::TimePoint now) const;
     [[nodiscard]] Candidate rate(RoutedTarget &target, const RouteRequest &request) const;
     static void offer(const Candidate &candidate, std::optional<Candidate> &best);
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -149,7 +149,11 @@
     if (targets.empty()) {
         return this->refuse(core::RefusalReason::NoTarget, AskAgain);
     }
-    const Selection selection = this->selector.select(targets, request, companyOf(verdict), now);
+    // A probe that fails needs a retry: a request that failed once is none, and with few retries
+    // left nobody is.
+    const bool mayProbe = request.attempt == 1 && this->retries.isHalfFull();
+    const SelectionRules rules{companyOf(verdict), mayProbe};
+    const Selection selection = this->selector.select(targets, request, rules, now);
     this->counts.prefixOverflows += selection.passedOver ? 1 : 0;
     if (!selection.best && !selection.anyOpen) {
         const core::Duration pause = selection.nextProbe.value_or(now + AskAgain) - now;
--- a/source/samphirebridge/routing/retrybudget.h
+++ b/source/samphirebridge/routing/retrybudget.h
@@ -23,6 +23,12 @@
     // Gives back a retry that was taken but not sent.
     void giveBack();
 
+    // Whether at least half of what may be saved up is there.
+    [[nodiscard]] bool isHalfFull() const
+    {
+        return this->saved * 2 >= this->burst;
+    }
+
     // Retries that may be sent now.
     [[nodiscard]] double available() const
     {
--- a/source/samphirebridge/routing/routingoptions.h
+++ b/source/samphirebridge/routing/routingoptions.h
@@ -95,7 +95,7 @@
     AdmissionOptions admission;
     SubsetOptions subset;
     // Targets drawn at random for one decision, besides those that hold the prompt's prefix.
-    size_t draws = 8;
+    size_t draws = 4;
     // A target may have this multiple of the mean load and still be chosen for its prefix.
     double affinityLoadFactor = 1.25;
 };
