--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -31,12 +31,18 @@
 
 FleetLoad meanLoad(std::span<RoutedTarget *const> targets)
 {
+    // Targets that fail are idle, and say nothing about what the others run.
     FleetLoad mean;
+    size_t working = 0;
     for (const RoutedTarget *target : targets) {
+        if (target->breaker.failedLast()) {
+            continue;
+        }
+        ++working;
         mean.foreignUtilisation += target->load.foreignUtilisation();
         mean.outputTokens += target->load.outputTokens();
     }
-    const auto count = static_cast<double>(std::max<size_t>(1, targets.size()));
+    const auto count = static_cast<double>(std::max<size_t>(1, working));
     mean.foreignUtilisation /= count;
     mean.outputTokens /= count;
     return mean;
