--- a/utilities/bench/routingbench.cpp
+++ b/utilities/bench/routingbench.cpp
@@ -331,6 +331,8 @@
         variant("all drawn", [](Variant &v) { v.options.draws = 1000; }),
         variant("no engine priority", [](Variant &v) { v.enginePriority = false; }),
         variant("no refusal", [](Variant &v) { v.options.admission.longestWait = hours(10); }),
+        variant("no breakers", [](Variant &v) { v.options.breaker.failuresToOpen = 1'000'000; }),
+        variant("no retry budget", [](Variant &v) { v.options.retry.burst = 1e9; }),
         variant("no fair shares", [](Variant &v) { v.options.admission.fairFrom = 1.0; }),
         variant("long as short", [](Variant &v) { v.options.admission.longPart = 1.0; }),
         variant("wait at most 1 s",
@@ -417,6 +419,12 @@
     if (everything || section == "failing") {
         compare("8 of 24 targets fail every request, 18 requests/s", contenders, less, failing);
     }
+    FleetOptions brownout;
+    brownout.failurePart = 0.5;
+    if (everything || section == "brownout") {
+        compare(
+            "Every target fails half of the requests, 18 requests/s", contenders, less, brownout);
+    }
     if (everything || section == "decisions") {
         fmt::print("\n| targets known | subset | decisions/s |\n| --- | --- | --- |\n");
         decisions(24, 64);
--- a/utilities/bench/routingsimulation.cpp
+++ b/utilities/bench/routingsimulation.cpp
@@ -77,7 +77,10 @@
     }
     ++this->result.attempts;
     policy.onSent(job.route, this->now);
-    if (this->engines[job.route.target].failing) {
+    std::uniform_real_distribution<double> chance(0, 1);
+    const bool fails
+        = this->options.failurePart > 0 && chance(this->random) < this->options.failurePart;
+    if (fails || this->engines[job.route.target].failing) {
         this->at(this->now + FailureDelay, [this, job] { this->fail(job); });
         return;
     }
--- a/utilities/bench/routingsimulation.h
+++ b/utilities/bench/routingsimulation.h
@@ -69,6 +69,8 @@
     double slowFactor = 1.5;
     size_t cacheBlocks = 8192;
     size_t failingTargets = 0;
+    // The part of requests that any target fails.
+    double failurePart = 0;
     uint32_t mostAttempts = 4;
     uint64_t seed = 1;
     // Instances that every report of a target reaches; another one hears one in eight.
