--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -30,7 +30,8 @@
     this->own.set_incarnation(incarnation);
 }
 
-void InstanceDirectory::setKnown(std::span<const core::InstanceId> instances, core::TimePoint now)
+void InstanceDirectory::setKnown(std::span<const core::InstanceId> instances,
+                                 core::TimePoint /*now*/)
 {
     for (const core::InstanceId &instance : instances) {
         if (instance == this->self) {
@@ -38,7 +39,7 @@
         }
         Entry &entry = this->entries[instance.value];
         entry.record.set_id(instance.value);
-        entry.listedAt = now;
+        entry.named = true;
     }
 }
 
@@ -47,7 +48,7 @@
     this->own.set_manifest_version(version);
 }
 
-std::vector<Outgoing> InstanceDirectory::leave()
+std::vector<Outgoing> InstanceDirectory::leave(core::TimePoint /*now*/)
 {
     this->own.set_leaving(true);
     this->own.set_heartbeat(this->own.heartbeat() + 1);
@@ -63,8 +64,10 @@
 
 std::vector<Outgoing> InstanceDirectory::tick(core::TimePoint now)
 {
+    const core::Duration longest = this->options.keepSilentInstance * this->slowdown();
     absl::erase_if(this->entries, [&](const auto &item) {
-        return now - item.second.listedAt > this->options.keepSilentInstance * this->slowdown();
+        const Entry &entry = item.second;
+        return !entry.named && entry.heardAt && now - *entry.heardAt > longest;
     });
     if (this->lastBeat && now - *this->lastBeat < this->options.heartbeatEvery) {
         return {};
@@ -102,7 +105,6 @@
         }
         entry.record = record;
         entry.heardAt = now;
-        entry.listedAt = now;
         entry.relays = 0;
     }
 }
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -30,14 +30,16 @@
                       core::Incarnation incarnation,
                       MembershipOptions options);
 
-    // Names the instances of the settings, so that the first heartbeats have somewhere to go.
-    void setKnown(std::span<const core::InstanceId> instances, core::TimePoint now);
+    // Names the instances of the settings, so that the first heartbeats have somewhere to go. They
+    // stay listed however long they are silent. The time is not needed.
+    void setKnown(std::span<const core::InstanceId> instances, core::TimePoint now = {});
 
     // Notes the manifest version in force here; the next heartbeat carries it.
     void setManifestVersion(uint64_t version);
 
     // Notes that this instance shuts down and returns the update that tells every peer at once.
-    std::vector<Outgoing> leave();
+    // The time is not needed.
+    std::vector<Outgoing> leave(core::TimePoint now = {});
 
     // Returns the heartbeats that are due, also to peers out of contact, so that a healed partition
     // is noticed. Call it at least every heartbeatEvery.
@@ -60,7 +62,7 @@
     struct Entry {
         proto::InstanceRecord record;
         std::optional<core::TimePoint> heardAt;
-        core::TimePoint listedAt; // When it was named or last heard.
+        bool named = false; // By the settings.
         uint32_t relays = 0; // Heartbeats of ours that carried this one on.
     };
 
--- a/source/samphirebridge/placement/orderplanner.h
+++ b/source/samphirebridge/placement/orderplanner.h
@@ -25,9 +25,10 @@
     // Self and incarnation make the change ids unique.
     OrderPlanner(core::InstanceId self, core::Incarnation incarnation, PlacementOptions options);
 
-    // This instance leads in that term, and the quorum confirmed it in a round that was begun at that
-    // time. The beginning counts, not the last answer: voters may follow another leader from their
-    // answer on. The first call of a term starts the wait for the old leader's leave to run out.
+    // This instance leads in that term, and the quorum confirmed it in a round that was begun at
+    // that time. The beginning counts, not the last answer: voters may follow another leader from
+    // their answer on. The first call of a term starts the wait for the old leader's leave to run
+    // out.
     void onLease(uint64_t term, core::TimePoint confirmedAt);
 
     // This instance leads no more: nothing is planned or sent, and what was under way is forgotten.
--- a/tests/membership/instancedirectorytest.cpp
+++ b/tests/membership/instancedirectorytest.cpp
@@ -58,6 +58,18 @@
     CHECK(directory.view({})[1].record.manifest_version() == 9);
 }
 
+TEST_CASE("an instance of the settings stays listed, and another one goes after its silence")
+{
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    directory.setKnown(std::vector{core::InstanceId("c")});
+    directory.merge(beat(1, 1, 0), {});
+    directory.tick(core::TimePoint(1min));
+    CHECK(directory.view({}).size() == 3);
+    directory.tick(core::TimePoint(1h));
+    REQUIRE(directory.view({}).size() == 2);
+    CHECK(directory.view({})[1].record.id() == "c");
+}
+
 TEST_CASE("leaving is told to every known instance at once")
 {
     InstanceDirectory directory(core::InstanceId("a"), 1, {});
