membership: Test that the settings' instances stay listed after they were heard

The first version of the test passed with the rule broken, since the named instance had never been heard. It was heard now and then fell silent; the broken rule fails it.

--- a/tests/membership/instancedirectorytest.cpp
+++ b/tests/membership/instancedirectorytest.cpp
@@ -61,13 +61,16 @@
 TEST_CASE("an instance of the settings stays listed, and another one goes after its silence")
 {
     InstanceDirectory directory(core::InstanceId("a"), 1, {});
-    directory.setKnown(std::vector{core::InstanceId("c")});
+    directory.setKnown(std::vector{core::InstanceId("b")});
     directory.merge(beat(1, 1, 0), {});
+    proto::MembershipUpdate other = beat(1, 1, 0);
+    other.mutable_instances(0)->set_id("d");
+    directory.merge(other, {});
     directory.tick(core::TimePoint(1min));
     CHECK(directory.view({}).size() == 3);
     directory.tick(core::TimePoint(1h));
     REQUIRE(directory.view({}).size() == 2);
-    CHECK(directory.view({})[1].record.id() == "c");
+    CHECK(directory.view({})[1].record.id() == "b");
 }
 
 TEST_CASE("leaving is told to every known instance at once")
--- a/tests/membership/membershippropertytest.cpp
+++ b/tests/membership/membershippropertytest.cpp
@@ -157,8 +157,10 @@
 {
     std::printf("instances targets in-contact change-messages told-by-push told-all-ms "
                 "renewal-messages/s bytes/s/instance\n");
-    for (const auto &[instances, targets] : std::vector<std::pair<size_t, size_t>>{
+    for (const auto &size : std::vector<std::pair<size_t, size_t>>{
              {3, 24}, {8, 24}, {8, 240}, {8, 6600}, {40, 240}, {100, 240}, {400, 24}}) {
+        const size_t instances = size.first;
+        const size_t targets = size.second;
         SimulatedFleet fleet(instances, NetworkFaults{}, 5);
         for (size_t target = 0; target < targets; ++target) {
             fleet.start(makeTarget("engine-" + std::to_string(target), 1));
