--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -4,7 +4,6 @@
 #include "samphirebridge/membership/receivers.h"
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
 namespace samphirebridge::membership
@@ -14,7 +13,10 @@
 {
 
 // Instances for which a fleet above directPeers still beats at full rate.
-constexpr int64_t FullRateInstances = 40;
+constexpr int64_t FullRateInstances = 25;
+
+// How often one heartbeat of another instance is told on, each time to fanOut receivers.
+constexpr uint32_t RelaysOfOne = 1;
 
 } // namespace
 
@@ -28,7 +30,8 @@
     this->own.set_incarnation(incarnation);
 }
 
-void InstanceDirectory::setKnown(std::span<const core::InstanceId> instances, core::TimePoint now)
+void InstanceDirectory::setKnown(std::span<const core::InstanceId> instances,
+                                 core::TimePoint /*now*/)
 {
     for (const core::InstanceId &instance : instances) {
         if (instance == this->self) {
@@ -36,7 +39,7 @@
         }
         Entry &entry = this->entries[instance.value];
         entry.record.set_id(instance.value);
-        entry.listedAt = now;
+        entry.named = true;
     }
 }
 
@@ -48,7 +51,7 @@
     this->lastAdvance.reset();
 }
 
-std::vector<Outgoing> InstanceDirectory::leave()
+std::vector<Outgoing> InstanceDirectory::leave(core::TimePoint /*now*/)
 {
     this->own.set_leaving(true);
     this->own.set_heartbeat(this->own.heartbeat() + 1);
@@ -64,8 +67,10 @@
 
 std::vector<Outgoing> InstanceDirectory::tick(core::TimePoint now)
 {
+    const core::Duration longest = this->options.keepSilentInstance * this->slowdown();
     absl::erase_if(this->entries, [&](const auto &item) {
-        return now - item.second.listedAt > this->options.keepSilentInstance * this->slowdown();
+        const Entry &entry = item.second;
+        return !entry.named && entry.heardAt && now - *entry.heardAt > longest;
     });
     if (this->lastBeat && now - *this->lastBeat < this->options.heartbeatEvery) {
         return {};
@@ -103,7 +108,6 @@
         }
         entry.record = record;
         entry.heardAt = now;
-        entry.listedAt = now;
         entry.relays = 0;
     }
 }
@@ -168,11 +172,9 @@
     if (this->entries.size() <= this->options.directPeers) {
         return;
     }
-    // News that was told on this often has reached everyone with high probability.
-    const auto enough = static_cast<uint32_t>(std::bit_width(this->entries.size())) / 2 + 1;
     std::vector<Entry *> fresh;
     for (auto &[id, entry] : this->entries) {
-        if (entry.heardAt && entry.relays < enough) {
+        if (entry.heardAt && entry.relays < RelaysOfOne) {
             fresh.push_back(&entry);
         }
     }
--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -1,6 +1,6 @@
 #include "samphirebridge/transport/peerchannel.h"
 
-#include "generated/instance.grpc.pb.h"
+#include "instance.grpc.pb.h"
 #include "samphirebridge/core/errors.h"
 
 #include <grpcpp/grpcpp.h>
--- a/source/samphirebridge/transport/rpcserver.cpp
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -1,6 +1,6 @@
 #include "samphirebridge/transport/rpcserver.h"
 
-#include "generated/instance.grpc.pb.h"
+#include "instance.grpc.pb.h"
 #include "samphirebridge/core/errors.h"
 
 #include <fmt/format.h>
--- a/tests/transport/transporttest.cpp
+++ b/tests/transport/transporttest.cpp
@@ -1,4 +1,4 @@
-#include "generated/instance.pb.h"
+#include "instance.pb.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/transport/peerset.h"
 #include "samphirebridge/transport/rpcserver.h"
--- a/utilities/cmake/SamphirebridgeTargets.cmake
+++ b/utilities/cmake/SamphirebridgeTargets.cmake
@@ -6,7 +6,9 @@
                                              -Wnon-virtual-dtor -Woverloaded-virtual)
     target_compile_definitions(${target} PRIVATE _GLIBCXX_ASSERTIONS)
     if(SAMPHIREBRIDGE_SANITIZERS)
-        target_compile_options(${target} PUBLIC -fsanitize=${SAMPHIREBRIDGE_SANITIZERS}
+                # With sanitizers g++ 12 takes initialised members of the standard library for uninitialised.
+        target_compile_options(${target} PUBLIC -Wno-maybe-uninitialized
+                                                -fsanitize=${SAMPHIREBRIDGE_SANITIZERS}
                                                 -fno-omit-frame-pointer -fno-sanitize-recover=all)
         target_link_options(${target} PUBLIC -fsanitize=${SAMPHIREBRIDGE_SANITIZERS})
     endif()
