--- a/source/samphirebridge/core/time.h
+++ b/source/samphirebridge/core/time.h
@@ -16,7 +16,8 @@
     using period = Duration::period;
     using duration = Duration;
     using time_point = std::chrono::time_point<ProcessClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady
+        = true; // NOLINT(readability-identifier-naming): std::chrono's name
 };
 
 // A point on the process clock.
--- a/utilities/cmake/SamphirebridgeTargets.cmake
+++ b/utilities/cmake/SamphirebridgeTargets.cmake
@@ -6,7 +6,7 @@
                                              -Wnon-virtual-dtor -Woverloaded-virtual)
     target_compile_definitions(${target} PRIVATE _GLIBCXX_ASSERTIONS)
     if(SAMPHIREBRIDGE_SANITIZERS)
-                # With sanitizers g++ 12 takes initialised members of the standard library for uninitialised.
+        # With sanitizers g++ 12 takes initialised members of the standard library for uninitialised.
         target_compile_options(${target} PUBLIC -Wno-maybe-uninitialized
                                                 -fsanitize=${SAMPHIREBRIDGE_SANITIZERS}
                                                 -fno-omit-frame-pointer -fno-sanitize-recover=all)
@@ -42,6 +42,11 @@
     catch_discover_tests(${target} TEST_PREFIX "${name}: " PROPERTIES LABELS "${arg_LABELS}" ${arg_PROPERTIES})
 endfunction()
 
+# Builds every libFuzzer target.
+if(SAMPHIREBRIDGE_FUZZERS)
+    add_custom_target(fuzzers)
+endif()
+
 # Adds a libFuzzer target and a CTest entry that runs a bounded number of inputs from a fixed seed
 # over the corpus in tests/fuzz/corpus/<name>.
 function(samphirebridge_add_fuzzer name)
@@ -54,6 +59,7 @@
     target_link_libraries(${target} PRIVATE ${arg_DEPENDS})
     samphirebridge_apply_options(${target})
     target_link_options(${target} PRIVATE -fsanitize=fuzzer)
+    add_dependencies(fuzzers ${target})
     # What an earlier run found must not steer this one, or the seed would not say what was run.
     set(found ${CMAKE_CURRENT_BINARY_DIR}/found_${name})
     set(options "-seed=1 -runs=20000 -max_len=4096 -timeout=60")
