--- a/tests/consensus/durablenodetest.cpp
+++ b/tests/consensus/durablenodetest.cpp
@@ -61,8 +61,7 @@
 
     absl::Status change(MemberChangeKind kind, const std::string &name)
     {
-        const absl::Status status
-            = this->leader()->node->changeVoters({kind, name}, this->now).status();
+        absl::Status status = this->leader()->node->changeVoters({kind, name}, this->now).status();
         this->flush(*this->leader());
         return status;
     }
@@ -88,7 +87,7 @@
     std::unique_ptr<Node> node;
     core::TimePoint now = core::TimePoint(1s);
 
-    explicit Single(DurableNodeSettings settings = {})
+    explicit Single(const DurableNodeSettings &settings = {})
     {
         const std::vector<std::string> voters{"only/0"};
         REQUIRE(initialise(this->storage, voters, "only/0").ok());
