--- a/tests/budget/fleetsimulation.h
+++ b/tests/budget/fleetsimulation.h
@@ -20,6 +20,10 @@
 namespace samphirebridge::tests
 {
 
+inline constexpr uint64_t TickMs = 10;
+inline constexpr uint64_t AnswerTimeoutMs = 250;
+inline constexpr uint64_t RequestDeadlineMs = 2'500;
+
 struct FleetOptions {
     uint64_t seed = 1;
     int nodes = 5;
--- a/utilities/bench/ledgerbench.cpp
+++ b/utilities/bench/ledgerbench.cpp
@@ -129,7 +129,7 @@
                 continue;
             }
             proto::Settlement *settlement = batch->add_settlements();
-            settlement->set_reservation(reservation - Holders * Records);
+            settlement->set_reservation(reservation - static_cast<uint64_t>(Holders) * Records);
             settlement->set_budget(budgetName((index - Holders + record) % 1'000));
             settlement->set_reserved_tokens(1);
             settlement->set_used_tokens(1);
