--- a/source/samphirebridge/consensus/durablenode.h
+++ b/source/samphirebridge/consensus/durablenode.h
@@ -129,9 +129,9 @@
 private:
     DurableNode(Storage &storage,
                 Machine &machine,
-                DurableNodeSettings settings,
+                const DurableNodeSettings &settings,
                 storage::Log<Storage> log,
-                RestoredState restored,
+                const RestoredState &restored,
                 core::TimePoint now);
 
     absl::Status persist(const Ready &ready);
@@ -155,9 +155,9 @@
 template <storage::Storage Storage, StateMachine Machine>
 DurableNode<Storage, Machine>::DurableNode(Storage &storage,
                                            Machine &machine,
-                                           DurableNodeSettings settings,
+                                           const DurableNodeSettings &settings,
                                            storage::Log<Storage> log,
-                                           RestoredState restored,
+                                           const RestoredState &restored,
                                            core::TimePoint now)
     : machine(machine)
     , settings(settings)
--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -159,7 +159,8 @@
             = this->durable->changeVoters({kindOf(request.change()), request.member()}, this->now);
         reply.set_error_code(static_cast<uint32_t>(core::errorCodeOf(index.status())));
         reply.set_error_message(std::string(core::messageOf(index.status())));
-        respond(std::move(reply));
+        const auto answer = std::move(respond);
+        answer(std::move(reply));
     }
 
     // Hands the leadership to another voter, if this member leads; for a graceful shutdown.
--- a/source/samphirebridge/core/ids.h
+++ b/source/samphirebridge/core/ids.h
@@ -29,6 +29,7 @@
         return this->value.empty();
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
     friend auto operator<=>(const Id &, const Id &) = default;
 
     // Lets absl's hash containers use the id as a key.
@@ -55,6 +56,7 @@
     InstanceId instance;
     Incarnation incarnation = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
     friend auto operator<=>(const HolderId &, const HolderId &) = default;
 
     template <typename H>
@@ -69,6 +71,7 @@
     OrganisationId organisation;
     std::string key;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
     friend auto operator<=>(const RequestKey &, const RequestKey &) = default;
 
     template <typename H>
--- a/source/samphirebridge/core/tokens.h
+++ b/source/samphirebridge/core/tokens.h
@@ -12,6 +12,7 @@
 struct Tokens {
     int64_t count = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
     friend constexpr auto operator<=>(Tokens, Tokens) = default;
 
     friend constexpr Tokens operator+(Tokens left, Tokens right)
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -46,7 +46,7 @@
 
 FleetView::FleetView(core::InstanceId ownId,
                      core::Incarnation incarnation,
-                     core::DataCentreId dataCentre,
+                     const core::DataCentreId &dataCentre,
                      transport::PeerSet &peers,
                      telemetry::Counters &processCounters,
                      telemetry::Logger &processLogger,
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -27,7 +27,7 @@
 
     FleetView(core::InstanceId self,
               core::Incarnation incarnation,
-              core::DataCentreId dataCentre,
+              const core::DataCentreId &dataCentre,
               transport::PeerSet &peers,
               telemetry::Counters &counters,
               telemetry::Logger &logger,
--- a/source/samphirebridge/gateway/operatorservice.cpp
+++ b/source/samphirebridge/gateway/operatorservice.cpp
@@ -106,7 +106,7 @@
 const std::vector<OperatorService::Endpoint> &OperatorService::endpoints()
 {
     using Service = OperatorService;
-    static const std::vector<Endpoint> All{
+    static const std::vector<Endpoint> all{
         {"GET", {"v1", "manifest"}, &Service::getManifest},
         {"PUT", {"v1", "manifest"}, &Service::putManifest},
         {"GET", {"v1", "status"}, &Service::getStatus},
@@ -120,7 +120,7 @@
         {"POST", {"v1", "instances", "*", "remove"}, &Service::removeInstance},
         {"POST", {"v1", "instances", "*", "retire"}, &Service::retireInstance},
     };
-    return All;
+    return all;
 }
 
 bool OperatorService::serve(const http::Request &request, http::ResponseWriter &writer)
--- a/source/samphirebridge/gateway/requestdriver.cpp
+++ b/source/samphirebridge/gateway/requestdriver.cpp
@@ -114,12 +114,12 @@
     const routing::Decision decision = this->context.queue.call(
         [&] { return this->context.node.fleet().router().choose(request, this->clock.now()); });
     if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
-        this->pending.push_back(requests::NoTarget{refusal->reason, refusal->retryAfter});
+        this->pending.emplace_back(requests::NoTarget{refusal->reason, refusal->retryAfter});
         return;
     }
     this->choice = std::get<routing::Choice>(decision);
     this->ticketOpen = true;
-    this->pending.push_back(requests::TargetChosen{this->choice->target});
+    this->pending.emplace_back(requests::TargetChosen{this->choice->target});
 }
 
 void RequestDriver::perform(const requests::StartAttempt &action)
--- a/source/samphirebridge/manifest/manifestdelta.h
+++ b/source/samphirebridge/manifest/manifestdelta.h
@@ -16,6 +16,7 @@
     proto::EntityKind kind = proto::ENTITY_KIND_UNSPECIFIED;
     std::string_view id;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
     friend auto operator<=>(const EntityName &, const EntityName &) = default;
 };
 
--- a/source/samphirebridge/membership/crashdirectory.h
+++ b/source/samphirebridge/membership/crashdirectory.h
@@ -43,6 +43,7 @@
         std::string fingerprint;
         std::string target;
         core::Incarnation incarnation = 0;
+        // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
         friend auto operator<=>(const Key &, const Key &) = default;
     };
     struct Entry {
--- a/source/samphirebridge/routing/suspectlist.h
+++ b/source/samphirebridge/routing/suspectlist.h
@@ -22,6 +22,7 @@
 struct TargetLife {
     core::TargetId target;
     core::Incarnation incarnation = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
     friend auto operator<=>(const TargetLife &, const TargetLife &) = default;
 };
 
--- a/source/samphirebridge/routing/targetpools.h
+++ b/source/samphirebridge/routing/targetpools.h
@@ -49,6 +49,7 @@
     struct Key {
         std::string service;
         std::string model;
+        // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
         friend auto operator<=>(const Key &, const Key &) = default;
 
         template <typename H>
--- a/tests/measure/fleetmeasure.cpp
+++ b/tests/measure/fleetmeasure.cpp
@@ -31,7 +31,9 @@
 double quantile(std::vector<double> values, double part)
 {
     std::sort(values.begin(), values.end());
-    return values.empty() ? 0 : values[static_cast<size_t>(part * (values.size() - 1))];
+    return values.empty()
+               ? 0
+               : values[static_cast<size_t>(part * static_cast<double>(values.size() - 1))];
 }
 
 void startReady(Fleet &fleet, int instances)
@@ -84,6 +86,7 @@
 {
     std::vector<std::vector<double>> latencies(threads);
     std::vector<std::thread> senders;
+    senders.reserve(threads);
     for (int sender = 0; sender < threads; ++sender) {
         senders.emplace_back([&, sender] {
             for (int number = 0; number < perThread; ++number) {
--- a/tests/runtime/controlthreadtest.cpp
+++ b/tests/runtime/controlthreadtest.cpp
@@ -37,6 +37,7 @@
     constexpr int CallsPerThread = 200;
     int counter = 0;
     std::vector<std::thread> callers;
+    callers.reserve(4);
     for (int caller = 0; caller < 4; ++caller) {
         callers.emplace_back([&] {
             for (int call = 0; call < CallsPerThread; ++call) {
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -5,13 +5,12 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <stdexcept>
 #include <utility>
 
-extern char **environ; // NOLINT(readability-identifier-naming): the C library's name
-
 namespace samphirebridge::testing
 {
 
@@ -22,6 +21,7 @@
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char *> argv;
+    argv.reserve(words.size() + 1);
     for (std::string &word : words) {
         argv.push_back(word.data());
     }
