--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -61,6 +61,7 @@
     , crashDirectory(this->self, {})
     , targetRouter(this->self, routingOptions(dataCentre), std::mt19937_64(seed + 1))
 {
+    this->targetDirectory.setFleetSize(peers.ids().size() + 1);
     this->instanceDirectory.setKnown(peers.ids(), core::SteadyClock().now());
 }
 
--- a/source/samphirebridge/gateway/requestdriver.cpp
+++ b/source/samphirebridge/gateway/requestdriver.cpp
@@ -181,6 +181,7 @@
 
 void RequestDriver::perform(const requests::Settle &action)
 {
+    this->settledTokens = action.used;
     std::optional<budget::ClaimedEnd> claimed;
     if (this->plan.claimed) {
         claimed = budget::ClaimedEnd{
@@ -375,10 +376,18 @@
     if (!std::exchange(this->ticketOpen, false)) {
         return;
     }
+    routing::FinishedAttempt finished;
+    if (this->plan.specification.chat) {
+        const size_t promptBytes = this->plan.specification.chat->promptText().size();
+        const auto prompt = static_cast<int64_t>(promptBytes / BytesPerToken);
+        finished.outputTokens
+            = static_cast<uint32_t>(std::max<int64_t>(this->settledTokens.count - prompt, 1));
+    }
     this->context.queue.post(
-        [&node = this->context.node, ticket = this->choice->ticket, now = this->clock.now()] {
-            node.fleet().router().onFinished(ticket, {}, now);
-        });
+        [&node = this->context.node,
+         ticket = this->choice->ticket,
+         finished,
+         now = this->clock.now()] { node.fleet().router().onFinished(ticket, finished, now); });
 }
 
 void RequestDriver::cancelTicket()
--- a/source/samphirebridge/gateway/requestdriver.h
+++ b/source/samphirebridge/gateway/requestdriver.h
@@ -87,6 +87,7 @@
     bool mustEndTold = false;
     bool callerGoneTold = false;
     bool answeredWhole = false;
+    core::Tokens settledTokens;
     core::RetryReason lastFailure = core::RetryReason::TargetError;
     uint32_t attempts = 0;
 };
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -44,9 +44,6 @@
      "control_messages_failed_total",
      "Messages and calls that got no answer."},
     {Event::ControlBytesSent, "control_bytes_sent_total", "Payload bytes of what was sent."},
-    {Event::RequestsPutBeforeOthers,
-     "requests_put_before_others_total",
-     "Requests that passed longer ones in the queue."},
 };
 
 constexpr Description<Level> Levels[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -39,7 +39,6 @@
     ControlMessagesSent,
     ControlMessagesFailed,
     ControlBytesSent,
-    RequestsPutBeforeOthers,
 };
 
 // The current value of something.
