--- a/source/samphirebridge/gateway/operatorservice.cpp
+++ b/source/samphirebridge/gateway/operatorservice.cpp
@@ -5,12 +5,12 @@
 #include "samphirebridge/gateway/await.h"
 #include "samphirebridge/gateway/jsonanswer.h"
 #include "samphirebridge/gateway/operatorjson.h"
+#include "samphirebridge/gateway/requestfields.h"
 #include "samphirebridge/manifest/manifestdelta.h"
 #include "samphirebridge/manifest/manifestfile.h"
 #include "samphirebridge/storage/memberidentity.h"
 
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -32,53 +32,6 @@
 constexpr core::Duration InForceTimeout = std::chrono::seconds(4);
 constexpr core::Duration InForcePoll = std::chrono::milliseconds(20);
 
-std::vector<std::string> partsOf(const std::string &path)
-{
-    return absl::StrSplit(path, '/', absl::SkipEmpty());
-}
-
-// Returns the value of a parameter of the query, or nothing.
-std::optional<std::string> parameter(const http::Request &request, std::string_view name)
-{
-    const std::vector<std::string> pairs = absl::StrSplit(request.query, '&', absl::SkipEmpty());
-    for (const std::string &pair : pairs) {
-        const size_t equals = pair.find('=');
-        if (equals != std::string::npos && pair.substr(0, equals) == name) {
-            return pair.substr(equals + 1);
-        }
-    }
-    return std::nullopt;
-}
-
-std::optional<int64_t> numberMember(const nlohmann::json &object, const char *member)
-{
-    const auto found = object.find(member);
-    if (found == object.end() || !found->is_number_integer()) {
-        return std::nullopt;
-    }
-    return found->get<int64_t>();
-}
-
-std::optional<std::string> textMember(const nlohmann::json &object, const char *member)
-{
-    const auto found = object.find(member);
-    if (found == object.end() || !found->is_string() || found->get<std::string>().empty()) {
-        return std::nullopt;
-    }
-    return found->get<std::string>();
-}
-
-bool matches(const std::vector<std::string_view> &pattern, const std::vector<std::string> &parts)
-{
-    return std::equal(pattern.begin(),
-                      pattern.end(),
-                      parts.begin(),
-                      parts.end(),
-                      [](std::string_view expected, const std::string &part) {
-                          return expected == "*" || expected == part;
-                      });
-}
-
 void sendMissing(http::ResponseWriter &writer, std::string_view accepted)
 {
     sendError(writer,
@@ -127,7 +80,7 @@
 {
     const std::vector<std::string> parts = partsOf(request.path);
     for (const Endpoint &endpoint : endpoints()) {
-        if (endpoint.method != request.method || !matches(endpoint.parts, parts)) {
+        if (endpoint.method != request.method || !matchesParts(endpoint.parts, parts)) {
             continue;
         }
         if (!this->authorised(request)) {
@@ -161,8 +114,8 @@
 
 void OperatorService::putManifest(const http::Request &request, http::ResponseWriter &writer)
 {
-    const auto expected = parameter(request, "expected_version");
-    const auto changeId = parameter(request, "change_id");
+    const auto expected = queryParameter(request, "expected_version");
+    const auto changeId = queryParameter(request, "change_id");
     uint64_t expectedVersion = 0;
     if (!expected || !absl::SimpleAtoi(*expected, &expectedVersion) || !changeId
         || !core::checkName(*changeId).ok()) {
