--- a/source/samphirebridge/daemon/exitcode.h
+++ b/source/samphirebridge/daemon/exitcode.h
@@ -1,4 +1,4 @@
-// How samphirebridged ends, for supervisors; docs/reference/command/samphirebridged.md lists them.
+// How samphirebridged ends, for supervisors; docs/reference/samphirebridged.md lists them.
 #pragma once
 
 #include <cstdint>
--- a/tests/fleet/budgettest.cpp
+++ b/tests/fleet/budgettest.cpp
@@ -17,11 +17,7 @@
 // Returns the tokens that an engine stand-in generated and read, over all attempts.
 int64_t consumedAt(Fleet &fleet, int port)
 {
-    http::ClientRequest request;
-    request.url = fleet.standinUrl(port) + "/standin/stats";
-    const auto answer = fleet.client().fetch(request, std::chrono::seconds(30));
-    REQUIRE(answer.ok());
-    const auto stats = nlohmann::json::parse(answer->body);
+    const auto stats = fleet.standinStats(port);
     return stats.at("tokens").get<int64_t>() + stats.at("prompt_tokens").get<int64_t>();
 }
 
--- a/tests/fleet/pathtest.cpp
+++ b/tests/fleet/pathtest.cpp
@@ -17,12 +17,7 @@
 // Returns the runs that a payments stand-in counted for a key.
 int runsOf(Fleet &fleet, int port, const std::string &key)
 {
-    http::ClientRequest request;
-    request.url = fleet.standinUrl(port) + "/standin/stats";
-    const auto answer = fleet.client().fetch(request, std::chrono::seconds(30));
-    REQUIRE(answer.ok());
-    const auto stats = nlohmann::json::parse(answer->body);
-    return stats.at("runs_per_key").value(key, 0);
+    return fleet.standinStats(port).at("runs_per_key").value(key, 0);
 }
 
 } // namespace
--- a/tests/fleet/targettest.cpp
+++ b/tests/fleet/targettest.cpp
@@ -16,11 +16,7 @@
 
 int64_t runsAt(Fleet &fleet, int port)
 {
-    http::ClientRequest request;
-    request.url = fleet.standinUrl(port) + "/standin/stats";
-    const auto answer = fleet.client().fetch(request, std::chrono::seconds(30));
-    REQUIRE(answer.ok());
-    return nlohmann::json::parse(answer->body).at("runs");
+    return fleet.standinStats(port).at("runs");
 }
 
 } // namespace
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -175,6 +175,15 @@
     return fmt::format("http://127.0.0.1:{}", port);
 }
 
+nlohmann::json Fleet::standinStats(int port)
+{
+    http::ClientRequest request;
+    request.url = this->standinUrl(port) + "/standin/stats";
+    const auto answer = this->httpClient.fetch(request, CallTimeout);
+    REQUIRE(answer.ok());
+    return nlohmann::json::parse(answer->body);
+}
+
 absl::StatusOr<http::Answer> Fleet::call(int index,
                                          const std::string &method,
                                          const std::string &path,
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -72,6 +72,8 @@
     // Waits until the instance knows so many ready targets.
     void waitTargets(int index, int count);
     [[nodiscard]] std::string standinUrl(int port) const;
+    // Returns what a stand-in counted: runs, runs_per_key and, of an engine, tokens.
+    nlohmann::json standinStats(int port);
 
     // Sends one request to an instance and returns the whole answer.
     absl::StatusOr<http::Answer> call(int index,
