--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -120,6 +120,20 @@
             });
     }
 
+    void readDeclaration(const proto::ReadDeclarationRequest & /*request*/,
+                         transport::Respond<proto::ReadDeclarationReply> respond)
+    {
+        this->read([this, respond = std::move(respond)](bool confirmed) {
+            proto::ReadDeclarationReply reply;
+            reply.set_confirmed(confirmed);
+            reply.set_leader_instance(this->leaderInstance());
+            if (confirmed) {
+                *reply.mutable_declaration() = this->machine.state().declaration();
+            }
+            respond(std::move(reply));
+        });
+    }
+
     void readBudgets(const proto::ReadBudgetsRequest &request,
                      transport::Respond<proto::ReadBudgetsReply> respond)
     {
@@ -196,6 +210,12 @@
         return this->machine.state().manifestVersion();
     }
 
+    // Returns the declaration that this member has applied; a newer one may be in force.
+    [[nodiscard]] const proto::Declaration &appliedDeclaration() const
+    {
+        return this->machine.state().declaration();
+    }
+
 private:
     using Durable = consensus::DurableNode<Storage, LedgerMachine>;
 
--- a/source/samphirebridge/control/ledgerclient.cpp
+++ b/source/samphirebridge/control/ledgerclient.cpp
@@ -13,7 +13,7 @@
 {
 
 // The time that one instance gets to answer before the next is asked.
-constexpr core::Duration AttemptTimeout = std::chrono::milliseconds(1500);
+constexpr core::Duration AttemptTimeout = std::chrono::milliseconds(800);
 
 // The pause after an instance that does not lead and knows no leader.
 constexpr core::Duration RetryPause = std::chrono::milliseconds(50);
@@ -84,6 +84,10 @@
                                       proto::ReadManifestReply,
                                       &LocalControl::readManifest,
                                       &transport::PeerChannel::readManifest>;
+using DeclarationProtocol = ReadProtocol<proto::ReadDeclarationRequest,
+                                         proto::ReadDeclarationReply,
+                                         &LocalControl::readDeclaration,
+                                         &transport::PeerChannel::readDeclaration>;
 using BudgetsProtocol = ReadProtocol<proto::ReadBudgetsRequest,
                                      proto::ReadBudgetsReply,
                                      &LocalControl::readBudgets,
@@ -121,6 +125,11 @@
     this->local = std::move(localControl);
 }
 
+void LedgerClient::setControl(std::vector<core::InstanceId> instances)
+{
+    this->control = std::move(instances);
+}
+
 void LedgerClient::submit(const proto::Command &command, core::Duration timeout, OnResult onResult)
 {
     proto::SubmitRequest request;
@@ -144,6 +153,12 @@
     this->start<ManifestProtocol>(std::move(request), timeout, std::move(onReply));
 }
 
+void LedgerClient::readDeclaration(core::Duration timeout,
+                                   transport::OnReply<proto::ReadDeclarationReply> onReply)
+{
+    this->start<DeclarationProtocol>({}, timeout, std::move(onReply));
+}
+
 void LedgerClient::readBudgets(const proto::ReadBudgetsRequest &request,
                                core::Duration timeout,
                                transport::OnReply<proto::ReadBudgetsReply> onReply)
--- a/source/samphirebridge/control/ledgerclient.h
+++ b/source/samphirebridge/control/ledgerclient.h
@@ -25,6 +25,9 @@
     std::function<void(const proto::ReadManifestRequest &,
                        transport::Respond<proto::ReadManifestReply>)>
         readManifest;
+    std::function<void(const proto::ReadDeclarationRequest &,
+                       transport::Respond<proto::ReadDeclarationReply>)>
+        readDeclaration;
     std::function<void(const proto::ReadBudgetsRequest &,
                        transport::Respond<proto::ReadBudgetsReply>)>
         readBudgets;
@@ -52,12 +55,17 @@
     // Gives the client the process's own voter, if it has one.
     void setLocal(LocalControl local);
 
+    // Replaces the instances that are asked: those that are known to have the role.
+    void setControl(std::vector<core::InstanceId> instances);
+
     void submit(const proto::Command &command, core::Duration timeout, OnResult onResult);
 
     // Reads answer NoQuorum when no read was confirmed before the deadline.
     void readManifest(uint64_t knownVersion,
                       core::Duration timeout,
                       transport::OnReply<proto::ReadManifestReply> onReply);
+    void readDeclaration(core::Duration timeout,
+                         transport::OnReply<proto::ReadDeclarationReply> onReply);
     void readBudgets(const proto::ReadBudgetsRequest &request,
                      core::Duration timeout,
                      transport::OnReply<proto::ReadBudgetsReply> onReply);
--- a/source/samphirebridge/core/ids.cpp
+++ b/source/samphirebridge/core/ids.cpp
@@ -16,7 +16,8 @@
 bool isNameCharacter(char character)
 {
     const auto byte = static_cast<unsigned char>(character);
-    return absl::ascii_isalnum(byte) || byte == '-' || byte == '_' || byte == '.' || byte == '/';
+    return absl::ascii_isalnum(byte) || byte == '-' || byte == '_' || byte == '.' || byte == '/'
+           || byte == ':';
 }
 
 } // namespace
@@ -35,7 +36,7 @@
     }
     if (!std::all_of(name.begin(), name.end(), isNameCharacter)) {
         return makeError(ErrorCode::InvalidName,
-                         "found a character outside the letters, digits, '-', '_', '.' and '/'");
+                         "found a character outside the letters, digits, '-', '_', '.', ':' and '/'");
     }
     return absl::OkStatus();
 }
--- a/source/samphirebridge/core/ids.h
+++ b/source/samphirebridge/core/ids.h
@@ -84,7 +84,7 @@
 // The longest name that a manifest, an announcement or a header may carry, in bytes.
 inline constexpr size_t MaximumIdLength = 128;
 
-// Accepts names of 1 to MaximumIdLength bytes out of letters, digits, '-', '_', '.' and '/'.
+// Accepts names of 1 to MaximumIdLength bytes out of letters, digits, '-', '_', '.', ':' and '/'.
 // Otherwise InvalidName, with what was found.
 absl::Status checkName(std::string_view name);
 
--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include "samphirebridge/gateway/gateway.h"
 #include "samphirebridge/http/client.h"
 #include "samphirebridge/http/server.h"
+#include "samphirebridge/net/loopwaiter.h"
 #include "samphirebridge/runtime/controlthread.h"
 #include "samphirebridge/transport/peerset.h"
 #include "samphirebridge/transport/rpcserver.h"
@@ -33,11 +34,20 @@
 constexpr core::Duration LongestDrain = std::chrono::seconds(2);
 constexpr int DrainPartOfGrace = 4;
 
+// How long an interface of a deployment still takes connections: its balancer asks once a second and
+// stops after two answers that are not ready. At most this part of the shutdown's grace.
+constexpr core::Duration InterfaceDrain = std::chrono::milliseconds(3200);
+constexpr int InterfacePartOfGrace = 2;
+
 // Bounds of the last steps of a shutdown.
 constexpr core::Duration EscrowReturnTimeout = std::chrono::seconds(3);
 constexpr core::Duration HandOverTimeout = std::chrono::seconds(2);
 constexpr core::Duration ShutdownPoll = std::chrono::milliseconds(10);
 
+// The part of the fleet's bound on retries that is used: every instance counts for itself, and the
+// windows of the instances don't begin together.
+constexpr double UsedPartOfRetries = 0.8;
+
 core::Incarnation newIncarnation()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -55,9 +65,20 @@
     return peers;
 }
 
+std::vector<core::InstanceId> seedInstances(const settings::Settings &settings)
+{
+    std::vector<core::InstanceId> seeds;
+    if (settings.discovery) {
+        for (const settings::Address &seed : settings.discovery->seeds) {
+            seeds.emplace_back(settings::formatAddress(seed));
+        }
+    }
+    return seeds;
+}
+
 std::vector<core::InstanceId> controlInstances(const settings::Settings &settings)
 {
-    std::vector<core::InstanceId> instances;
+    std::vector<core::InstanceId> instances = seedInstances(settings);
     for (const settings::Peer &peer : settings.peers) {
         if (peer.roles.control) {
             instances.push_back(peer.id);
@@ -93,6 +114,15 @@
     options.dataCentre = settings.dataCentre;
     options.escrowFlushInterval = settings.escrowFlushInterval;
     options.seed = core::checksumOf(settings.instance.value) ^ options.holder.incarnation;
+    options.votes = settings.roles.control;
+    options.serves = settings.roles.entry;
+    options.discovers = settings.discovery.has_value();
+    if (options.discovers) {
+        constexpr double Percent = 100;
+        options.retrySharePercent
+            = static_cast<uint32_t>(settings.retries.share * UsedPartOfRetries * Percent);
+        options.retrySlack = settings.retries.slack * UsedPartOfRetries;
+    }
     return options;
 }
 
@@ -123,7 +153,10 @@
     explicit Parts(const settings::Settings &processSettings)
         : settings(processSettings)
         , logger(processSettings.instance.value)
-        , peers(otherPeers(processSettings), this->counters)
+        , seeds(seedInstances(processSettings))
+        , peers(processSettings.discovery
+                    ? transport::PeerSet(processSettings.instance, this->seeds, this->counters)
+                    : transport::PeerSet(otherPeers(processSettings), this->counters))
         , client(
               processSettings.instance, controlInstances(processSettings), this->peers, this->queue)
         , node(entryOptions(processSettings),
@@ -134,7 +167,9 @@
         , callers(gateway::DriverContext{
               this->node, this->queue, this->httpClient, this->counters, this->mustEnd})
         , targets(this->node, this->queue, this->counters)
+        , publisher(processSettings.instance, this->peers)
     {
+        this->queue.setOnPost([this] { this->loop.wake(); });
     }
 
     absl::Status openVoter();
@@ -147,7 +182,9 @@
     core::SteadyClock clock;
     telemetry::Logger logger;
     telemetry::Counters counters;
+    net::EventLoop loop;
     runtime::TaskQueue queue;
+    std::vector<core::InstanceId> seeds;
     transport::PeerSet peers;
     control::LedgerClient client;
     std::optional<storage::FileStorage> storage;
@@ -159,8 +196,9 @@
     gateway::TargetService targets;
     std::unique_ptr<gateway::OperatorService> operators;
     std::unique_ptr<gateway::Gateway> gateway;
+    entry::DeclarationPublisher publisher;
     std::unique_ptr<ProcessHost> host;
-    std::unique_ptr<runtime::ControlThread<ProcessHost>> thread;
+    std::unique_ptr<runtime::ControlThread<ProcessHost, net::LoopWaiter>> thread;
     std::unique_ptr<transport::RpcServer> rpcServer;
     std::unique_ptr<http::Server> httpServer;
 };
@@ -188,6 +226,7 @@
     control::LocalControl local;
     local.submit = onControlThread(this->queue, *this->voter, &Voter::submit);
     local.readManifest = onControlThread(this->queue, *this->voter, &Voter::readManifest);
+    local.readDeclaration = onControlThread(this->queue, *this->voter, &Voter::readDeclaration);
     local.readBudgets = onControlThread(this->queue, *this->voter, &Voter::readBudgets);
     local.readStatus = onControlThread(this->queue, *this->voter, &Voter::readStatus);
     this->client.setLocal(std::move(local));
@@ -212,6 +251,8 @@
         handlers.submit = answerWithoutVoter<proto::SubmitRequest, proto::SubmitReply>;
         handlers.readManifest
             = answerWithoutVoter<proto::ReadManifestRequest, proto::ReadManifestReply>;
+        handlers.readDeclaration
+            = answerWithoutVoter<proto::ReadDeclarationRequest, proto::ReadDeclarationReply>;
         handlers.readBudgets
             = answerWithoutVoter<proto::ReadBudgetsRequest, proto::ReadBudgetsReply>;
         handlers.readStatus = answerWithoutVoter<proto::ReadStatusRequest, proto::ReadStatusReply>;
@@ -221,6 +262,7 @@
     }
     handlers.submit = onControlThread(this->queue, *this->voter, &Voter::submit);
     handlers.readManifest = onControlThread(this->queue, *this->voter, &Voter::readManifest);
+    handlers.readDeclaration = onControlThread(this->queue, *this->voter, &Voter::readDeclaration);
     handlers.readBudgets = onControlThread(this->queue, *this->voter, &Voter::readBudgets);
     handlers.readStatus = onControlThread(this->queue, *this->voter, &Voter::readStatus);
     handlers.changeVoters = onControlThread(this->queue, *this->voter, &Voter::changeVoters);
@@ -283,9 +325,10 @@
         return status;
     }
     this->parts->host = std::make_unique<ProcessHost>(
-        this->parts->voter.get(), this->parts->node, this->parts->logger);
-    this->parts->thread = std::make_unique<runtime::ControlThread<ProcessHost>>(
-        this->parts->queue, *this->parts->host, TickInterval);
+        this->parts->voter.get(), this->parts->node, this->parts->publisher, this->parts->logger);
+    using Thread = runtime::ControlThread<ProcessHost, net::LoopWaiter>;
+    this->parts->thread = std::make_unique<Thread>(
+        this->parts->queue, *this->parts->host, TickInterval, net::LoopWaiter(this->parts->loop));
     status = this->parts->listenRpc();
     if (!status.ok()) {
         return status;
@@ -300,23 +343,86 @@
     return absl::OkStatus();
 }
 
+DaemonServices Daemon::services()
+{
+    Parts &running = *this->parts;
+    return {running.settings,
+            running.loop,
+            running.queue,
+            running.node,
+            running.client,
+            running.counters,
+            running.logger};
+}
+
+void Daemon::setInterface(InterfaceShutdown shutdown)
+{
+    this->interface = std::move(shutdown);
+}
+
+void Daemon::reload(const settings::Settings &changed)
+{
+    const std::vector<core::InstanceId> seeds = seedInstances(changed);
+    Parts &running = *this->parts;
+    running.queue.call([&running, &seeds] {
+        for (const core::InstanceId &seed : seeds) {
+            (void)running.peers.find(seed);
+        }
+        running.node.fleet().addKnown(seeds);
+    });
+    running.logger.change("reloaded", {{"seeds", std::to_string(seeds.size())}});
+}
+
 void Daemon::stop()
 {
+    this->parts->logger.change("stopping");
+    if (!this->settings.roles.entry) {
+        this->handOverLeadership();
+    }
     this->drainCallers();
     this->returnEscrow();
     this->handOverLeadership();
+    if (this->interface.end) {
+        this->parts->queue.call([this] { this->interface.end(); });
+    }
     this->parts->rpcServer->stop();
     this->parts->thread->stop();
     this->parts->logger.change("stopped");
 }
 
+void Daemon::drainInterface(core::TimePoint deadline)
+{
+    if (!this->interface.beginDrain) {
+        return;
+    }
+    Parts &running = *this->parts;
+    const core::TimePoint begun = running.clock.now();
+    running.queue.call([this] { this->interface.beginDrain(); });
+    if (this->settings.roles.entry) {
+        std::this_thread::sleep_for(
+            std::min(InterfaceDrain, this->settings.shutdownGrace / InterfacePartOfGrace));
+    }
+    running.queue.call([this] { this->interface.stopAccepting(); });
+    while (running.clock.now() < deadline
+           && !running.queue.call([this] { return this->interface.idle(); })) {
+        std::this_thread::sleep_for(ShutdownPoll);
+    }
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        running.clock.now() - begun);
+    running.logger.change("interface_drained", {{"took_ms", std::to_string(took.count())}});
+}
+
 void Daemon::drainCallers()
 {
     Parts &parts = *this->parts;
     const core::TimePoint deadline = parts.clock.now() + this->settings.shutdownGrace;
     parts.queue.call([&parts] { parts.node.beginDrain(); });
-    std::this_thread::sleep_for(
-        std::min(LongestDrain, this->settings.shutdownGrace / DrainPartOfGrace));
+    if (this->interface.beginDrain) {
+        this->drainInterface(deadline);
+    } else {
+        std::this_thread::sleep_for(
+            std::min(LongestDrain, this->settings.shutdownGrace / DrainPartOfGrace));
+    }
     auto stopped = std::async(std::launch::async, [&parts] { parts.httpServer->stop(); });
     stopped.wait_for(deadline - parts.clock.now());
     // What still runs is resumed by its caller or ended truthfully.
--- a/source/samphirebridge/daemon/datafolder.cpp
+++ b/source/samphirebridge/daemon/datafolder.cpp
@@ -4,6 +4,7 @@
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/storage/memberidentity.h"
 
+#include <algorithm>
 #include <random>
 #include <string>
 #include <vector>
@@ -25,6 +26,37 @@
     return distribution(device);
 }
 
+// Returns the members of a new fleet: the seeds where instances are discovered, else all peers with
+// the role control.
+std::vector<std::string> firstVoters(const settings::Settings &settings)
+{
+    std::vector<std::string> voters;
+    if (settings.discovery) {
+        for (const settings::Address &seed : settings.discovery->seeds) {
+            voters.push_back(
+                storage::memberName(settings::formatAddress(seed), FirstGeneration));
+        }
+    }
+    for (const settings::Peer &peer : settings.peers) {
+        if (peer.roles.control) {
+            voters.push_back(storage::memberName(peer.id.value, FirstGeneration));
+        }
+    }
+    return voters;
+}
+
+// Tells whether this instance is one of the first voters of a fleet that starts for the first time.
+bool foundsFleet(const settings::Settings &settings)
+{
+    if (!settings.discovery || !settings.discovery->foundsFleet) {
+        return false;
+    }
+    const std::vector<settings::Address> &seeds = settings.discovery->seeds;
+    return std::any_of(seeds.begin(), seeds.end(), [&settings](const settings::Address &seed) {
+        return settings::formatAddress(seed) == settings.instance.value;
+    });
+}
+
 } // namespace
 
 absl::Status initialiseFolder(const settings::Settings &settings)
@@ -37,12 +69,7 @@
     if (!storage.ok()) {
         return storage.status();
     }
-    std::vector<std::string> voters;
-    for (const settings::Peer &peer : settings.peers) {
-        if (peer.roles.control) {
-            voters.push_back(storage::memberName(peer.id.value, FirstGeneration));
-        }
-    }
+    const std::vector<std::string> voters = firstVoters(settings);
     return consensus::initialise(
         *storage, voters, storage::memberName(settings.instance.value, FirstGeneration));
 }
@@ -57,6 +84,15 @@
     if (!initialised.ok()) {
         return initialised.status();
     }
+    if (!*initialised && foundsFleet(settings)) {
+        const std::vector<std::string> voters = firstVoters(settings);
+        const absl::Status founded = consensus::initialise(
+            *storage, voters, storage::memberName(settings.instance.value, FirstGeneration));
+        if (!founded.ok()) {
+            return founded;
+        }
+        return storage;
+    }
     if (!*initialised) {
         const absl::Status joining = consensus::initialiseJoining(
             *storage, storage::memberName(settings.instance.value, newGeneration()));
--- a/source/samphirebridge/daemon/processhost.h
+++ b/source/samphirebridge/daemon/processhost.h
@@ -4,6 +4,7 @@
 
 #include "samphirebridge/control/controlnode.h"
 #include "samphirebridge/daemon/exitcode.h"
+#include "samphirebridge/entry/declarationpublisher.h"
 #include "samphirebridge/entry/entrynode.h"
 #include "samphirebridge/storage/filestorage.h"
 #include "samphirebridge/telemetry/logger.h"
@@ -21,9 +22,13 @@
 {
 public:
     // Voter may be null.
-    ProcessHost(Voter *processVoter, entry::EntryNode &entryNode, telemetry::Logger &processLogger)
+    ProcessHost(Voter *processVoter,
+                entry::EntryNode &entryNode,
+                entry::DeclarationPublisher &declarationPublisher,
+                telemetry::Logger &processLogger)
         : voter(processVoter)
         , node(entryNode)
+        , publisher(declarationPublisher)
         , logger(processLogger)
     {
     }
@@ -34,6 +39,13 @@
             this->voter->tick(now);
         }
         this->node.tick(now);
+        if (this->voter != nullptr && now - this->lastPublished >= PublishInterval) {
+            this->lastPublished = now;
+            this->publisher.tick(this->voter->appliedDeclaration(),
+                                 this->voter->leads(),
+                                 this->node.fleet().instances(),
+                                 now);
+        }
     }
 
     void flush(core::TimePoint now)
@@ -52,8 +64,13 @@
     }
 
 private:
+    // The time between two looks at whom to tell of a declaration.
+    static constexpr core::Duration PublishInterval = std::chrono::milliseconds(50);
+
     Voter *voter;
     entry::EntryNode &node;
+    entry::DeclarationPublisher &publisher;
+    core::TimePoint lastPublished;
     telemetry::Logger &logger;
 };
 
--- /dev/null
+++ b/source/samphirebridge/daemon/processrunner.cpp
@@ -0,0 +1,93 @@
+#include "samphirebridge/daemon/processrunner.h"
+
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/daemon/commandline.h"
+#include "samphirebridge/daemon/datafolder.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <string>
+#include <utility>
+
+namespace samphirebridge::daemon
+{
+
+namespace
+{
+
+// Reports why the process ends and returns its exit code.
+int fail(const absl::Status &status)
+{
+    fmt::print(stderr, "samphirebridged: {}\n", core::messageOf(status));
+    return static_cast<int>(exitCodeOf(status));
+}
+
+// Blocks the signals that the process waits for in every thread, so that only sigwait sees them.
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+void reload(Daemon &process, const std::string &path)
+{
+    const auto settings = settings::loadSettings(path);
+    if (settings.ok()) {
+        process.reload(*settings);
+        return;
+    }
+    process.services().logger.change("reload_refused",
+                                     {{"error", std::string(core::messageOf(settings.status()))}});
+}
+
+int run(const std::string &path,
+        settings::Settings settings,
+        const AttachInterface &attach,
+        const sigset_t &signals)
+{
+    Daemon process(std::move(settings));
+    absl::Status started = process.start();
+    if (started.ok() && attach) {
+        started = attach(process);
+    }
+    if (!started.ok()) {
+        return fail(started);
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    while (signal == SIGHUP) {
+        reload(process, path);
+        sigwait(&signals, &signal);
+    }
+    process.stop();
+    return static_cast<int>(ExitCode::Success);
+}
+
+} // namespace
+
+int runProcess(std::span<const char *const> arguments, const AttachInterface &attach)
+{
+    const CommandLine commandLine = parseCommandLine(arguments);
+    auto settings = settings::loadSettings(commandLine.settingsPath);
+    if (!settings.ok()) {
+        return fail(settings.status());
+    }
+    if (commandLine.action == Action::Check) {
+        fmt::print("{}: the settings are acceptable\n", commandLine.settingsPath);
+        return static_cast<int>(ExitCode::Success);
+    }
+    if (commandLine.action == Action::Initialise) {
+        const absl::Status initialised = initialiseFolder(*settings);
+        return initialised.ok() ? static_cast<int>(ExitCode::Success) : fail(initialised);
+    }
+    return run(commandLine.settingsPath, std::move(*settings), attach, blockSignals());
+}
+
+} // namespace samphirebridge::daemon
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -18,6 +18,28 @@
 // The time between two readings of the gauges.
 constexpr core::Duration LevelsInterval = std::chrono::seconds(1);
 
+// The time between two looks at who the control instances are.
+constexpr core::Duration ControlCheckInterval = std::chrono::milliseconds(500);
+
+// How far a life is moved ahead of one that the ledger holds for older than another. The clock that
+// numbers lives may have been set back by more than the process was down.
+constexpr core::Incarnation IncarnationStep = 10'000;
+
+// The demand that escrow covers under a declaration: an instance must serve through the time that
+// it may be cut off from the ledger.
+constexpr core::Duration DeclarationEscrowHorizon = std::chrono::seconds(14);
+
+membership::MembershipOptions membershipOptions(const EntryOptions &options)
+{
+    membership::MembershipOptions membership;
+    if (options.discovers) {
+        membership.introducePeers = true;
+        membership.directPeers = 16;
+        membership.keepSilentInstance = std::chrono::seconds(60);
+    }
+    return membership;
+}
+
 budget::EscrowOptions escrowOptions(core::Duration flushInterval)
 {
     budget::EscrowOptions options;
@@ -39,6 +61,7 @@
     , fleetView(this->options.holder.instance,
                 this->options.holder.incarnation,
                 this->options.dataCentre,
+                membershipOptions(this->options),
                 peers,
                 processCounters,
                 processLogger,
@@ -53,7 +76,15 @@
                      processCounters,
                      processLogger,
                      [this](const manifest::Catalogue &catalogue) { this->onManifest(catalogue); })
+    , declarationKeeper(ledgerClient,
+                        processCounters,
+                        processLogger,
+                        [this](const forwarding::Declaration &declaration) {
+                            this->onDeclaration(declaration);
+                        })
 {
+    this->fleetView.setRoles(this->options.votes, this->options.serves);
+    this->fleetView.setRetryBounds(this->options.retrySharePercent, this->options.retrySlack);
 }
 
 void EntryNode::tick(core::TimePoint now)
@@ -62,9 +93,16 @@
         this->registerHolder();
     }
     this->manifestKeeper.tick();
+    this->declarationKeeper.tick(now);
     this->fleetView.tick(now);
-    const bool nowServing
-        = this->registered && this->manifestKeeper.confirmed() && !this->shuttingDown;
+    if (this->options.discovers && now - this->lastControlCheck >= ControlCheckInterval) {
+        this->lastControlCheck = now;
+        std::vector<core::InstanceId> control = this->fleetView.controlInstances(now);
+        if (!control.empty()) {
+            this->client.setControl(std::move(control));
+        }
+    }
+    const bool nowServing = this->registered && this->isConfigured() && !this->shuttingDown;
     if (nowServing != this->isServing.exchange(nowServing)) {
         this->logger.change(nowServing ? "serving" : "not_serving");
     }
@@ -87,6 +125,9 @@
     for (const proto::MembershipDigest &digest : envelope.digests()) {
         this->fleetView.onDigest(digest, now);
     }
+    for (const proto::Declaration &declaration : envelope.declarations()) {
+        this->declarationKeeper.take(declaration);
+    }
     if (envelope.updates_size() > 0) {
         this->manifestKeeper.onVersionSeen(this->fleetView.newestVersion(now));
     }
@@ -126,6 +167,11 @@
     return this->manifestKeeper;
 }
 
+DeclarationKeeper &EntryNode::declaration()
+{
+    return this->declarationKeeper;
+}
+
 EscrowKeeper &EntryNode::escrow()
 {
     return this->escrowKeeper;
@@ -150,20 +196,55 @@
     holder->set_incarnation(this->options.holder.incarnation);
     this->client.submit(command, RegistrationTimeout, [this](const auto &result) {
         this->registering = false;
-        if (!result.ok()) {
-            return;
-        }
-        if (result->error_code() != 0) {
-            this->logger.change("registration_refused", {{"error", result->error_message()}});
-            return;
-        }
-        this->registered = true;
-        this->escrowKeeper.setRegistered();
-        this->logger.change("registered",
-                            {{"incarnation", std::to_string(this->options.holder.incarnation)}});
+        this->onRegistered(result);
     });
 }
 
+void EntryNode::onRegistered(const absl::StatusOr<proto::CommandResult> &result)
+{
+    if (!result.ok()) {
+        return;
+    }
+    if (result->error_code() == static_cast<uint32_t>(core::ErrorCode::HolderRetired)) {
+        this->renewIncarnation();
+        return;
+    }
+    if (result->error_code() != 0) {
+        this->logger.change("registration_refused", {{"error", result->error_message()}});
+        return;
+    }
+    this->registered = true;
+    this->escrowKeeper.setRegistered();
+    this->logger.change("registered",
+                        {{"incarnation", std::to_string(this->options.holder.incarnation)}});
+}
+
+// The clock may have been set back since the life before this one began. Nothing was done under
+// the present number yet, so a higher one may take its place.
+void EntryNode::renewIncarnation()
+{
+    this->options.holder.incarnation += IncarnationStep;
+    this->escrowKeeper.setHolder(this->options.holder);
+    this->fleetView.setIncarnation(this->options.holder.incarnation);
+    this->logger.change("incarnation_renewed",
+                        {{"incarnation", std::to_string(this->options.holder.incarnation)}});
+}
+
+bool EntryNode::isConfigured() const
+{
+    return this->declarationKeeper.obeysDeclarations() ? this->declarationKeeper.confirmed()
+                                                       : this->manifestKeeper.confirmed();
+}
+
+void EntryNode::onDeclaration(const forwarding::Declaration &declaration)
+{
+    budget::EscrowOptions escrow = escrowOptions(this->options.escrowFlushInterval);
+    escrow.horizon = DeclarationEscrowHorizon;
+    escrow.exposureLimit = forwarding::DeclarationExposure;
+    this->escrowKeeper.setPolicy(escrow, core::Duration::zero());
+    this->fleetView.onDeclaration(declaration, this->clock.now());
+}
+
 void EntryNode::onManifest(const manifest::Catalogue &catalogue)
 {
     const manifest::EffectivePolicy &policy = catalogue.policy();
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "samphirebridge/entry/claimkeeper.h"
+#include "samphirebridge/entry/declarationkeeper.h"
 #include "samphirebridge/entry/escrowkeeper.h"
 #include "samphirebridge/entry/fleetview.h"
 #include "samphirebridge/entry/manifestkeeper.h"
@@ -16,6 +17,15 @@
     core::DataCentreId dataCentre;
     core::Duration escrowFlushInterval = std::chrono::milliseconds(100);
     uint64_t seed = 1;
+    // The roles of the instance's process, as the others are told.
+    bool votes = false;
+    bool serves = true;
+    // Instances are found while the fleet runs.
+    bool discovers = false;
+    // What the whole fleet may send to the targets of a service again: a share of the requests in
+    // percent, and a number besides. No number: the manifest's policy holds.
+    uint32_t retrySharePercent = 0;
+    double retrySlack = 0;
 };
 
 // Lives on the control thread, but for ready() and the manifest's catalogue().
@@ -50,13 +60,18 @@
     [[nodiscard]] bool stopping() const;
 
     [[nodiscard]] ManifestKeeper &manifest();
+    [[nodiscard]] DeclarationKeeper &declaration();
     [[nodiscard]] EscrowKeeper &escrow();
     [[nodiscard]] ClaimKeeper &claims();
     [[nodiscard]] FleetView &fleet();
 
 private:
     void registerHolder();
+    void onRegistered(const absl::StatusOr<proto::CommandResult> &result);
+    void renewIncarnation();
     void onManifest(const manifest::Catalogue &catalogue);
+    void onDeclaration(const forwarding::Declaration &declaration);
+    [[nodiscard]] bool isConfigured() const;
     void updateLevels();
 
     EntryOptions options;
@@ -68,6 +83,8 @@
     EscrowKeeper escrowKeeper;
     ClaimKeeper claimKeeper;
     ManifestKeeper manifestKeeper;
+    DeclarationKeeper declarationKeeper;
+    core::TimePoint lastControlCheck;
     core::TimePoint lastLevels;
     bool registering = false;
     bool registered = false;
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -29,7 +29,8 @@
                            control::LedgerClient &ledgerClient,
                            telemetry::Counters &processCounters,
                            telemetry::Logger &processLogger)
-    : book(std::move(holder), options)
+    : bookOptions(options)
+    , book(std::move(holder), options)
     , client(ledgerClient)
     , counters(processCounters)
     , logger(processLogger)
@@ -43,8 +44,14 @@
     this->lastContact = this->clock.now();
 }
 
+void EscrowKeeper::setHolder(core::HolderId holder)
+{
+    this->book = budget::EscrowBook(std::move(holder), this->bookOptions);
+}
+
 void EscrowKeeper::setPolicy(const budget::EscrowOptions &options, core::Duration serve)
 {
+    this->bookOptions = options;
     this->book.setOptions(options);
     this->outOfContactServe = serve;
 }
@@ -179,8 +186,8 @@
             continue;
         }
         ReservationAnswer answer;
-        answer.reason = this->book.inContact(now) ? core::RefusalReason::BudgetExhausted
-                                                  : core::RefusalReason::BudgetUnconfirmed;
+        // The ledger did not say that too little is left.
+        answer.reason = core::RefusalReason::BudgetUnconfirmed;
         answer.retryAfter = RetryAfterWait;
         const OnReservation onAnswer = std::move(waiter->onAnswer);
         waiter = this->waiters.erase(waiter);
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -44,6 +44,9 @@
     // Batches are sent from now on: the holder is registered.
     void setRegistered();
 
+    // Takes another life of this instance before it was registered.
+    void setHolder(core::HolderId holder);
+
     // Takes over the policy in force. An instance that the ledger did not answer for longer than
     // outOfContactServe reserves nothing more; zero: as long as escrow lasts.
     void setPolicy(const budget::EscrowOptions &options, core::Duration outOfContactServe);
@@ -85,6 +88,7 @@
     void send(const proto::HolderBatch &batch);
     void onBatchAnswer(const absl::StatusOr<proto::CommandResult> &result, core::TimePoint now);
 
+    budget::EscrowOptions bookOptions;
     budget::EscrowBook book;
     control::LedgerClient &client;
     telemetry::Counters &counters;
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -19,6 +19,9 @@
 // The time between two comparisons with a peer picked at random.
 constexpr core::Duration DigestInterval = std::chrono::seconds(2);
 
+// The same while no target is known: an instance that has just started asks until it hears of some.
+constexpr core::Duration FirstDigestInterval = std::chrono::milliseconds(200);
+
 constexpr core::Duration RouterTickInterval = std::chrono::seconds(1);
 
 routing::RoutingOptions routingOptions(const core::DataCentreId &dataCentre)
@@ -47,6 +50,7 @@
 FleetView::FleetView(core::InstanceId ownId,
                      core::Incarnation incarnation,
                      const core::DataCentreId &dataCentre,
+                     const membership::MembershipOptions &membershipOptions,
                      transport::PeerSet &peers,
                      telemetry::Counters &processCounters,
                      telemetry::Logger &processLogger,
@@ -56,9 +60,9 @@
     , counters(processCounters)
     , logger(processLogger)
     , random(seed)
-    , targetDirectory(this->self, {})
-    , instanceDirectory(this->self, incarnation, {})
-    , crashDirectory(this->self, {})
+    , targetDirectory(this->self, membershipOptions)
+    , instanceDirectory(this->self, incarnation, membershipOptions)
+    , crashDirectory(this->self, membershipOptions)
     , targetRouter(this->self, routingOptions(dataCentre), std::mt19937_64(seed + 1))
 {
     this->targetDirectory.setFleetSize(peers.ids().size() + 1);
@@ -112,13 +116,16 @@
         this->lastSweep = now;
         this->take(this->targetDirectory.tick(this->instanceDirectory.peers(now), now), now);
     }
-    if (now - this->lastDigest >= DigestInterval) {
+    const core::Duration digestInterval
+        = this->targetRouter.readyTargets() == 0 ? FirstDigestInterval : DigestInterval;
+    if (now - this->lastDigest >= digestInterval) {
         this->lastDigest = now;
         this->sendDigest(now);
     }
     if (now - this->lastRouterTick >= RouterTickInterval) {
         this->lastRouterTick = now;
         this->targetRouter.tick(now);
+        this->shareRetries(now);
         this->crashDirectory.tick(now);
         this->shareCrashes(now);
     }
@@ -145,6 +152,77 @@
     this->send(this->instanceDirectory.tick(now));
 }
 
+void FleetView::onDeclaration(const forwarding::Declaration &declaration, core::TimePoint now)
+{
+    std::vector<proto::TargetKind> kinds;
+    for (const forwarding::Service &service : declaration.services) {
+        proto::TargetKind &kind = kinds.emplace_back();
+        kind.set_id(service.id.value);
+        kind.set_service(service.id.value);
+    }
+    this->targetRouter.setKinds(kinds);
+    this->instanceDirectory.setDeclarationVersion(declaration.version);
+    this->send(this->instanceDirectory.tick(now));
+}
+
+void FleetView::addKnown(std::span<const core::InstanceId> seeds)
+{
+    this->instanceDirectory.setKnown(seeds);
+}
+
+void FleetView::setRoles(bool votes, bool serves)
+{
+    this->instanceDirectory.setRoles(votes, serves);
+}
+
+void FleetView::setRetryBounds(uint32_t sharePercent, double fleetBurst)
+{
+    this->retrySharePercent = sharePercent;
+    this->fleetRetryBurst = fleetBurst;
+}
+
+void FleetView::setIncarnation(core::Incarnation incarnation)
+{
+    this->instanceDirectory.setIncarnation(incarnation);
+}
+
+std::vector<core::InstanceId> FleetView::controlInstances(core::TimePoint now) const
+{
+    std::vector<core::InstanceId> heard;
+    std::vector<core::InstanceId> silent;
+    for (const membership::InstanceView &view : this->instanceDirectory.view(now)) {
+        if (view.record.votes() && !view.record.leaving()) {
+            (view.inContact ? heard : silent).emplace_back(view.record.id());
+        }
+    }
+    heard.insert(heard.end(), silent.begin(), silent.end());
+    return heard;
+}
+
+bool FleetView::hearsControl(core::TimePoint now) const
+{
+    const auto views = this->instanceDirectory.view(now);
+    return std::any_of(views.begin(), views.end(), [](const membership::InstanceView &view) {
+        return view.record.votes() && view.inContact;
+    });
+}
+
+// The slack of the fleet is divided among the instances that serve callers, heard of lately or not:
+// one that is cut off still uses its part.
+void FleetView::shareRetries(core::TimePoint now)
+{
+    if (this->fleetRetryBurst <= 0) {
+        return;
+    }
+    const auto views = this->instanceDirectory.view(now);
+    const auto serving
+        = std::count_if(views.begin(), views.end(), [](const membership::InstanceView &view) {
+              return view.record.serves();
+          });
+    const double instances = std::max<double>(1, static_cast<double>(serving));
+    this->targetRouter.setRetryShare(this->retrySharePercent, this->fleetRetryBurst / instances);
+}
+
 void FleetView::leave()
 {
     this->send(this->instanceDirectory.leave());
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "instance.pb.h"
+#include "samphirebridge/forwarding/declaration.h"
 #include "samphirebridge/manifest/catalogue.h"
 #include "samphirebridge/membership/crashdirectory.h"
 #include "samphirebridge/membership/instancedirectory.h"
@@ -28,6 +29,7 @@
     FleetView(core::InstanceId self,
               core::Incarnation incarnation,
               const core::DataCentreId &dataCentre,
+              const membership::MembershipOptions &membershipOptions,
               transport::PeerSet &peers,
               telemetry::Counters &counters,
               telemetry::Logger &logger,
@@ -47,6 +49,26 @@
     // which version is in force here.
     void onManifest(const manifest::Catalogue &catalogue, core::TimePoint now);
 
+    // Takes over what a declaration says about services and organisations, and tells the peers which
+    // version is in force here.
+    void onDeclaration(const forwarding::Declaration &declaration, core::TimePoint now);
+
+    // Names further instances that heartbeats go to.
+    void addKnown(std::span<const core::InstanceId> seeds);
+
+    // Says which roles this instance has, and the bound on retries of the whole fleet.
+    void setRoles(bool votes, bool serves);
+    void setRetryBounds(uint32_t sharePercent, double fleetBurst);
+
+    // A new life of this instance, see membership::InstanceDirectory.
+    void setIncarnation(core::Incarnation incarnation);
+
+    // Returns the instances with the role control, those in contact first.
+    [[nodiscard]] std::vector<core::InstanceId> controlInstances(core::TimePoint now) const;
+
+    // Tells whether a control instance was heard lately.
+    [[nodiscard]] bool hearsControl(core::TimePoint now) const;
+
     // Tells every peer that this instance leaves.
     void leave();
 
@@ -63,6 +85,7 @@
 private:
     void send(const std::vector<membership::Outgoing> &outgoing);
     void take(const membership::DirectoryEffect &effect, core::TimePoint now);
+    void shareRetries(core::TimePoint now);
     void sendDigest(core::TimePoint now);
 
     core::InstanceId self;
@@ -74,6 +97,8 @@
     membership::InstanceDirectory instanceDirectory;
     membership::CrashDirectory crashDirectory;
     Router targetRouter;
+    uint32_t retrySharePercent = 0;
+    double fleetRetryBurst = 0;
     core::TimePoint lastSweep;
     core::TimePoint lastDigest;
     core::TimePoint lastRouterTick;
--- /dev/null
+++ b/source/samphirebridge/forwarding/forwardpolicy.h
@@ -0,0 +1,29 @@
+// The figures by which requests that are passed on are given up or tried again.
+#pragma once
+
+#include "samphirebridge/core/time.h"
+
+#include <cstdint>
+
+namespace samphirebridge::forwarding
+{
+
+inline constexpr int64_t MicrosecondsPerMs = 1000;
+
+// Targets that one request is offered to at most, those that refused or could not be reached
+// included: enough to get past one data centre's worth of dead targets.
+inline constexpr uint32_t MostAttempts = 4;
+
+// What a caller is told to wait after every target that was asked failed: about the time in which
+// the directory hears of a crash.
+inline constexpr core::Duration RetryAfterFailure = std::chrono::milliseconds(300);
+
+// A target that keeps a repeatable request waiting for this multiple of the objective, or pauses a
+// stream for this multiple, is given up for another one.
+inline constexpr int FirstFactor = 3;
+inline constexpr int GapFactor = 2;
+
+// A shorter silence never counts as a stall: the network and a busy target account for it.
+inline constexpr core::Duration LeastStall = std::chrono::milliseconds(600);
+
+} // namespace samphirebridge::forwarding
--- a/source/samphirebridge/gateway/jsonanswer.cpp
+++ b/source/samphirebridge/gateway/jsonanswer.cpp
@@ -75,13 +75,4 @@
     sendError(writer, core::errorCodeOf(status), core::messageOf(status));
 }
 
-std::optional<nlohmann::json> parseObject(std::string_view text)
-{
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_object()) {
-        return std::nullopt;
-    }
-    return document;
-}
-
 } // namespace samphirebridge::gateway
--- a/source/samphirebridge/gateway/jsonanswer.h
+++ b/source/samphirebridge/gateway/jsonanswer.h
@@ -7,7 +7,6 @@
 #include <absl/status/status.h>
 #include <nlohmann/json.hpp>
 
-#include <optional>
 #include <string_view>
 
 namespace samphirebridge::gateway
@@ -25,7 +24,4 @@
 
 void sendError(http::ResponseWriter &writer, const absl::Status &status);
 
-// Parses an object. Nothing if the text is not a JSON object.
-std::optional<nlohmann::json> parseObject(std::string_view text);
-
 } // namespace samphirebridge::gateway
--- a/source/samphirebridge/gateway/operatorservice.cpp
+++ b/source/samphirebridge/gateway/operatorservice.cpp
@@ -4,6 +4,7 @@
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/gateway/await.h"
 #include "samphirebridge/gateway/jsonanswer.h"
+#include "samphirebridge/jsontext/parseobject.h"
 #include "samphirebridge/gateway/operatorjson.h"
 #include "samphirebridge/gateway/requestfields.h"
 #include "samphirebridge/manifest/manifestdelta.h"
@@ -244,7 +245,7 @@
 
 void OperatorService::topUp(const http::Request &request, http::ResponseWriter &writer)
 {
-    const auto body = parseObject(request.body);
+    const auto body = jsontext::parseObject(request.body);
     const auto tokens = body ? numberMember(*body, "tokens") : std::nullopt;
     const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
     if (!tokens || !changeId) {
@@ -260,7 +261,7 @@
 
 void OperatorService::releaseQuarantine(const http::Request &request, http::ResponseWriter &writer)
 {
-    const auto body = parseObject(request.body);
+    const auto body = jsontext::parseObject(request.body);
     const auto billed = body ? numberMember(*body, "billed_tokens") : std::nullopt;
     const auto returned = body ? numberMember(*body, "returned_tokens") : std::nullopt;
     const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
@@ -280,7 +281,7 @@
 
 void OperatorService::resolveClaim(const http::Request &request, http::ResponseWriter &writer)
 {
-    const auto body = parseObject(request.body);
+    const auto body = jsontext::parseObject(request.body);
     const auto organisation = body ? textMember(*body, "organisation") : std::nullopt;
     const auto key = body ? textMember(*body, "key") : std::nullopt;
     const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
@@ -352,7 +353,7 @@
 
 void OperatorService::retireInstance(const http::Request &request, http::ResponseWriter &writer)
 {
-    const auto body = parseObject(request.body);
+    const auto body = jsontext::parseObject(request.body);
     const auto incarnation = body ? numberMember(*body, "incarnation") : std::nullopt;
     const auto changeId = body ? textMember(*body, "change_id") : std::nullopt;
     if (!incarnation || !changeId) {
--- a/source/samphirebridge/ledger/commands.h
+++ b/source/samphirebridge/ledger/commands.h
@@ -20,6 +20,9 @@
 proto::CommandResult topUp(LedgerState &state, const proto::TopUp &command);
 proto::CommandResult releaseQuarantine(LedgerState &state, const proto::ReleaseQuarantine &command);
 proto::CommandResult applyManifest(LedgerState &state, const proto::ApplyManifest &command);
+// Accepts a declaration of a higher version; any other changes nothing and is no error.
+proto::CommandResult replaceDeclaration(LedgerState &state,
+                                        const proto::ReplaceDeclaration &command);
 proto::CommandResult numberOrder(LedgerState &state, const proto::NumberOrder &command);
 
 } // namespace samphirebridge::ledger
--- /dev/null
+++ b/source/samphirebridge/ledger/declarationcommands.cpp
@@ -0,0 +1,75 @@
+#include "samphirebridge/core/tokens.h"
+#include "samphirebridge/ledger/commands.h"
+#include "samphirebridge/ledger/ledgerstate.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+absl::Status checkDeclaration(const proto::Declaration &declaration)
+{
+    for (const proto::DeclaredBudget &budget : declaration.budgets()) {
+        if (budget.tokens() < 0 || budget.tokens() > core::MaximumPurchase.count) {
+            return core::makeError(
+                core::ErrorCode::InvalidManifest,
+                fmt::format("budget '{}' declares {} tokens; accepted are 0 to {}",
+                            budget.budget(),
+                            budget.tokens(),
+                            core::MaximumPurchase.count));
+        }
+    }
+    return absl::OkStatus();
+}
+
+// A budget that is declared below what is spent or set aside already grants nothing more, until a
+// later declaration raises it.
+void declareBudget(LedgerState &state, const proto::DeclaredBudget &declared)
+{
+    int64_t tokens = declared.tokens();
+    const BudgetIndex known = state.budgets.find(declared.budget());
+    if (known != NoIndex) {
+        const BudgetRecord &record = state.budgets.at(known);
+        const int64_t committed = record.billed + record.escrow + record.quarantined;
+        tokens = std::max(tokens, committed - record.toppedUp);
+    }
+    state.budgets.declare(declared.budget(), tokens);
+}
+
+proto::CommandResult resultOf(const LedgerState &state, bool replaced)
+{
+    proto::CommandResult result;
+    result.mutable_replace_declaration()->set_version(state.declaration.version());
+    result.mutable_replace_declaration()->set_replaced(replaced);
+    return result;
+}
+
+} // namespace
+
+proto::CommandResult replaceDeclaration(LedgerState &state,
+                                        const proto::ReplaceDeclaration &command)
+{
+    const proto::Declaration &declaration = command.declaration();
+    if (declaration.version() <= state.declaration.version()) {
+        return resultOf(state, false);
+    }
+    if (const absl::Status status = checkDeclaration(declaration); !status.ok()) {
+        return refusal(status);
+    }
+    state.declaration = declaration;
+    for (const proto::DeclaredBudget &budget : declaration.budgets()) {
+        declareBudget(state, budget);
+    }
+    for (const HolderIndex holder : state.holders.ordered()) {
+        int64_t &exposure = state.holders.at(holder).exposure;
+        exposure = std::max(exposure, exposureInForce(state));
+    }
+    return resultOf(state, true);
+}
+
+} // namespace samphirebridge::ledger
--- a/source/samphirebridge/ledger/ledger.cpp
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -45,6 +45,8 @@
         return applyManifest(state, command.apply_manifest());
     case proto::Command::kNumberOrder:
         return numberOrder(state, command.number_order());
+    case proto::Command::kReplaceDeclaration:
+        return replaceDeclaration(state, command.replace_declaration());
     case proto::Command::VALUE_NOT_SET:
         break;
     }
@@ -97,6 +99,11 @@
     return this->state->manifest.since(knownVersion);
 }
 
+const proto::Declaration &Ledger::declaration() const
+{
+    return this->state->declaration;
+}
+
 std::vector<proto::BudgetState> Ledger::budgets(std::span<const core::BudgetId> ids) const
 {
     std::vector<proto::BudgetState> states;
--- a/source/samphirebridge/ledger/ledger.h
+++ b/source/samphirebridge/ledger/ledger.h
@@ -58,6 +58,9 @@
     // checkpoint from version 0 when the known version is too old or above the one in force.
     [[nodiscard]] proto::ManifestDelta manifestSince(uint64_t knownVersion) const;
 
+    // Returns the declaration in force; its version is 0 when none was ever accepted.
+    [[nodiscard]] const proto::Declaration &declaration() const;
+
     // Returns the state of the named budgets in the order of the ids, without those unknown. No id
     // means all budgets, ordered by id.
     [[nodiscard]] std::vector<proto::BudgetState> budgets(std::span<const core::BudgetId> ids
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -71,7 +71,8 @@
 int64_t exposureInForce(const LedgerState &state)
 {
     const int64_t stated = state.manifest.find(proto::POLICY, "policy").policy().exposure_tokens();
-    return stated > 0 ? stated : DefaultExposureTokens;
+    const int64_t byManifest = stated > 0 ? stated : DefaultExposureTokens;
+    return std::max(byManifest, state.declaration.exposure_tokens());
 }
 
 void endHolder(LedgerState &state, HolderIndex holder)
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -27,6 +27,7 @@
     ClaimBook claims;
     ChangeBook changes;
     ManifestStore manifest;
+    proto::Declaration declaration;
     ShortageBook shortages;
     uint64_t lastOrderNumber = 0;
 };
@@ -43,7 +44,7 @@
 // Looks a holder up for a command that only a live one may send. UnknownHolder, HolderRetired.
 absl::StatusOr<HolderIndex> liveHolder(const LedgerState &state, const proto::Holder &holder);
 
-// Returns the exposure that the manifest in force states.
+// Returns the exposure that the manifest in force states, or the declaration's if that is higher.
 int64_t exposureInForce(const LedgerState &state);
 
 // Ends a holder: quarantines what is open and what may have been opened without a record, and
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -186,6 +186,7 @@
                                                            {deltas.begin(), deltas.end()});
         this->state.timeMs = this->snapshot.time_ms();
         this->state.lastOrderNumber = this->snapshot.last_order_number();
+        this->state.declaration = this->snapshot.declaration();
         status.Update(this->readHolders());
         if (status.ok()) {
             status = this->readBudgets();
@@ -398,6 +399,9 @@
     writeChanges(state, snapshot);
     writeShortages(state, snapshot);
     snapshot.set_last_order_number(state.lastOrderNumber);
+    if (state.declaration.version() > 0) {
+        *snapshot.mutable_declaration() = state.declaration;
+    }
     return snapshot;
 }
 
--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -51,6 +51,24 @@
     this->lastAdvance.reset();
 }
 
+void InstanceDirectory::setRoles(bool votes, bool serves)
+{
+    this->own.set_votes(votes);
+    this->own.set_serves(serves);
+}
+
+void InstanceDirectory::setDeclarationVersion(uint64_t version)
+{
+    this->own.set_declaration_version(version);
+    this->lastBeat.reset();
+    this->lastAdvance.reset();
+}
+
+void InstanceDirectory::setIncarnation(core::Incarnation incarnation)
+{
+    this->own.set_incarnation(incarnation);
+}
+
 std::vector<Outgoing> InstanceDirectory::leave(core::TimePoint /*now*/)
 {
     this->own.set_leaving(true);
@@ -169,7 +187,7 @@
 
 void InstanceDirectory::relay(proto::MembershipUpdate &update)
 {
-    if (this->entries.size() <= this->options.directPeers) {
+    if (this->entries.size() <= this->options.directPeers && !this->options.introducePeers) {
         return;
     }
     std::vector<Entry *> fresh;
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -37,6 +37,15 @@
     // Notes the manifest version in force here; the next tick carries it to the peers.
     void setManifestVersion(uint64_t version);
 
+    // Says which roles this instance has.
+    void setRoles(bool votes, bool serves);
+
+    // Notes the declaration in force here, as setManifestVersion does for the manifest.
+    void setDeclarationVersion(uint64_t version);
+
+    // A new life of this instance: the one before was found to be no newer than another.
+    void setIncarnation(core::Incarnation incarnation);
+
     // Notes that this instance shuts down and returns the update that tells every peer at once.
     // The time is not needed.
     std::vector<Outgoing> leave(core::TimePoint now = {});
--- a/source/samphirebridge/membership/membershipoptions.h
+++ b/source/samphirebridge/membership/membershipoptions.h
@@ -29,6 +29,8 @@
     core::Duration keepSilentInstance = std::chrono::minutes(10);
     // Foreign instance records that one heartbeat relays above directPeers.
     size_t relayedHeartbeats = 32;
+    // Instances are found while the fleet runs: heartbeats tell of others also below directPeers.
+    bool introducePeers = false;
     // How long crash reports are kept.
     core::Duration keepCrashes = std::chrono::hours(1);
 };
--- /dev/null
+++ b/source/samphirebridge/net/eventloop.cpp
@@ -0,0 +1,59 @@
+#include "samphirebridge/net/eventloop.h"
+
+#include <uv.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace samphirebridge::net
+{
+
+struct EventLoop::Impl {
+    uv_loop_t loop{};
+    uv_async_t wakeUp{};
+    uv_timer_t waitLimit{};
+    core::SteadyClock clock;
+};
+
+EventLoop::EventLoop()
+    : impl(std::make_unique<Impl>())
+{
+    uv_loop_init(&this->impl->loop);
+    uv_async_init(&this->impl->loop, &this->impl->wakeUp, [](uv_async_t * /*handle*/) {});
+    uv_timer_init(&this->impl->loop, &this->impl->waitLimit);
+}
+
+EventLoop::~EventLoop()
+{
+    uv_close(reinterpret_cast<uv_handle_t *>(&this->impl->wakeUp), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t *>(&this->impl->waitLimit), nullptr);
+    while (uv_run(&this->impl->loop, UV_RUN_NOWAIT) != 0) {
+    }
+    uv_loop_close(&this->impl->loop);
+}
+
+void EventLoop::runUntil(core::TimePoint wakeUp)
+{
+    const core::Duration wait = wakeUp - this->impl->clock.now();
+    const auto millis = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+    uv_update_time(&this->impl->loop);
+    uv_timer_start(
+        &this->impl->waitLimit,
+        [](uv_timer_t * /*handle*/) {},
+        static_cast<uint64_t>(std::max<int64_t>(millis, 0)),
+        0);
+    uv_run(&this->impl->loop, UV_RUN_ONCE);
+    uv_timer_stop(&this->impl->waitLimit);
+}
+
+void EventLoop::wake()
+{
+    uv_async_send(&this->impl->wakeUp);
+}
+
+uv_loop_s *EventLoop::handle()
+{
+    return &this->impl->loop;
+}
+
+} // namespace samphirebridge::net
--- /dev/null
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -0,0 +1,252 @@
+#include "samphirebridge/net/serverconnection.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <utility>
+
+namespace samphirebridge::net
+{
+
+namespace
+{
+
+// Bytes of later requests that are kept while one is answered; then reading stops.
+constexpr size_t MostBufferedBytes = size_t{256} * 1024;
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusRequestTimeout = 408;
+constexpr int StatusContentTooLarge = 413;
+constexpr int StatusHeadTooLarge = 431;
+
+} // namespace
+
+ServerConnection::ServerConnection(EventLoop &eventLoop,
+                                   std::shared_ptr<TcpStream> tcpStream,
+                                   ServerContext &serverContext)
+    : loop(eventLoop)
+    , stream(std::move(tcpStream))
+    , context(serverContext)
+    , parser(MessageKind::Request,
+             serverContext.limits().message,
+             {[this](RequestHead head) { this->onHead(std::move(head)); },
+              nullptr,
+              [this](std::string_view bytes) { this->incoming.body += bytes; },
+              [this] { this->messageReady = true; }})
+    , timer(eventLoop, [this] { this->onTimeout(); })
+{
+}
+
+void ServerConnection::start()
+{
+    const std::weak_ptr<ServerConnection> weak = this->weak_from_this();
+    this->stream->setEvents({[weak](std::string_view bytes) {
+                                 if (const auto connection = weak.lock()) {
+                                     connection->onData(bytes);
+                                 }
+                             },
+                             [weak](StreamEnd /*end*/) {
+                                 if (const auto connection = weak.lock()) {
+                                     connection->onEnd();
+                                 }
+                             },
+                             nullptr});
+    this->stream->startReading();
+    this->armTimer();
+}
+
+bool ServerConnection::idle() const
+{
+    return !this->answerOpen && !this->parser.begun() && this->buffered.empty();
+}
+
+void ServerConnection::close()
+{
+    if (std::exchange(this->isClosed, true)) {
+        return;
+    }
+    this->timer.stop();
+    this->stream->close();
+    const auto gone = std::exchange(this->onGone, nullptr);
+    this->answerOpen = false;
+    if (gone) {
+        gone();
+    }
+    this->context.onClosed(this);
+}
+
+bool ServerConnection::answering(uint64_t number) const
+{
+    return this->answerOpen && !this->isClosed && number == this->requestNumber;
+}
+
+void ServerConnection::sendWhole(ResponseHead head, std::string_view body)
+{
+    if (head.framing != BodyFraming::None || !body.empty()) {
+        head.framing = BodyFraming::Length;
+        head.contentLength = body.size();
+    }
+    this->keepAlive = this->keepAlive && head.keepAlive && !this->context.draining;
+    head.keepAlive = this->keepAlive;
+    std::string text = formatHead(head);
+    if (this->incoming.head.method != "HEAD") {
+        text += body;
+    }
+    this->stream->write(text);
+    this->finishAnswer();
+}
+
+void ServerConnection::begin(ResponseHead head)
+{
+    if (head.framing != BodyFraming::Length) {
+        head.framing = BodyFraming::Chunked;
+    }
+    this->chunked = head.framing == BodyFraming::Chunked;
+    this->keepAlive = this->keepAlive && head.keepAlive && !this->context.draining;
+    head.keepAlive = this->keepAlive;
+    this->stream->write(formatHead(head));
+}
+
+void ServerConnection::write(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    this->stream->write(this->chunked ? formatChunk(bytes) : std::string(bytes));
+}
+
+void ServerConnection::end()
+{
+    if (this->chunked) {
+        this->stream->write(formatChunk({}));
+    }
+    this->finishAnswer();
+}
+
+void ServerConnection::setOnGone(std::function<void()> gone)
+{
+    this->onGone = std::move(gone);
+}
+
+size_t ServerConnection::queuedBytes() const
+{
+    return this->stream->queuedBytes();
+}
+
+void ServerConnection::onData(std::string_view bytes)
+{
+    this->buffered += bytes;
+    if (this->answerOpen) {
+        if (this->buffered.size() > MostBufferedBytes) {
+            this->stream->stopReading();
+        }
+        return;
+    }
+    this->readBuffered();
+}
+
+void ServerConnection::readBuffered()
+{
+    const auto self = this->shared_from_this();
+    while (!this->answerOpen && !this->isClosed && !this->buffered.empty()) {
+        const std::string bytes = std::exchange(this->buffered, {});
+        const auto read = this->parser.feed(bytes);
+        if (!read.ok()) {
+            this->onUnreadable(read.status());
+            return;
+        }
+        this->buffered = bytes.substr(*read);
+        if (std::exchange(this->messageReady, false)) {
+            this->onMessage();
+        }
+    }
+    if (!this->answerOpen && !this->isClosed) {
+        this->armTimer();
+    }
+}
+
+void ServerConnection::onHead(RequestHead requestHead)
+{
+    this->headRead = true;
+    if (requestHead.expectsContinue) {
+        this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    this->incoming.head = std::move(requestHead);
+}
+
+void ServerConnection::onMessage()
+{
+    this->timer.stop();
+    this->answerOpen = true;
+    this->chunked = false;
+    this->keepAlive = this->incoming.head.keepAlive;
+    ++this->requestNumber;
+    auto responder = std::make_shared<Responder>(this->weak_from_this(), this->requestNumber);
+    IncomingRequest request{this->incoming.head, std::exchange(this->incoming.body, {})};
+    this->context.onRequest(std::move(request), std::move(responder));
+}
+
+void ServerConnection::onUnreadable(const absl::Status &error)
+{
+    ResponseHead head;
+    head.status = StatusBadRequest;
+    if (core::errorCodeOf(error) == core::ErrorCode::TooLarge) {
+        head.status = this->headRead ? StatusContentTooLarge : StatusHeadTooLarge;
+    }
+    head.framing = BodyFraming::Length;
+    head.keepAlive = false;
+    this->stream->write(formatHead(head));
+    this->stream->closeWhenDrained();
+    this->close();
+}
+
+void ServerConnection::onEnd()
+{
+    this->close();
+}
+
+void ServerConnection::onTimeout()
+{
+    const auto self = this->shared_from_this();
+    if (this->parser.begun() && !this->headRead) {
+        ResponseHead head;
+        head.status = StatusRequestTimeout;
+        head.framing = BodyFraming::Length;
+        head.keepAlive = false;
+        this->stream->write(formatHead(head));
+    }
+    this->close();
+}
+
+void ServerConnection::finishAnswer()
+{
+    const auto self = this->shared_from_this();
+    this->onGone = nullptr;
+    this->answerOpen = false;
+    this->headRead = false;
+    this->parser.nextMessage();
+    this->parser.setLimits(this->context.limits().message);
+    if (!this->keepAlive) {
+        // The stream outlives this connection until its last bytes have gone out.
+        const auto lingering = this->stream;
+        this->isClosed = true;
+        this->timer.stop();
+        lingering->setEvents({nullptr, [lingering](StreamEnd /*end*/) { lingering->close(); }, nullptr});
+        lingering->closeWhenDrained();
+        this->context.onClosed(this);
+        return;
+    }
+    this->stream->startReading();
+    this->armTimer();
+    if (!this->buffered.empty()) {
+        this->readBuffered();
+    }
+}
+
+void ServerConnection::armTimer()
+{
+    const ServerLimits limits = this->context.limits();
+    const bool reading = this->parser.begun() && !this->headRead;
+    this->timer.start(reading ? limits.headTimeout : limits.idleTimeout);
+}
+
+} // namespace samphirebridge::net
--- /dev/null
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -0,0 +1,192 @@
+#include "samphirebridge/net/targetconnection.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <charconv>
+#include <utility>
+
+namespace samphirebridge::net
+{
+
+namespace
+{
+
+// Reads the whole seconds of a Keep-Alive field's timeout.
+core::Duration keepAliveOf(const http::Headers &headers)
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::string_view value = headers.find("Keep-Alive").value_or("");
+    const size_t place = value.find(Parameter);
+    int seconds = 0;
+    if (place != std::string_view::npos) {
+        const char *begin = value.data() + place + Parameter.size();
+        std::from_chars(begin, value.data() + value.size(), seconds);
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+TargetConnection::TargetConnection(std::shared_ptr<TcpStream> tcpStream)
+    : stream(std::move(tcpStream))
+    , parser(MessageKind::Response,
+             {},
+             {nullptr,
+              [this](ResponseHead head) { this->onHead(std::move(head)); },
+              [this](std::string_view bytes) {
+                  if (!this->skipping && this->events.onBody) {
+                      const auto onBody = this->events.onBody;
+                      onBody(bytes);
+                  }
+              },
+              [this] { this->completed = true; }})
+{
+}
+
+TargetConnection::~TargetConnection()
+{
+    this->stream->close();
+}
+
+void TargetConnection::start()
+{
+    const std::weak_ptr<TargetConnection> weak = this->weak_from_this();
+    this->stream->setEvents({[weak](std::string_view bytes) {
+                                 if (const auto connection = weak.lock()) {
+                                     connection->onData(bytes);
+                                 }
+                             },
+                             [weak](StreamEnd end) {
+                                 if (const auto connection = weak.lock()) {
+                                     connection->onStreamEnd(end);
+                                 }
+                             },
+                             nullptr});
+    this->stream->startReading();
+}
+
+void TargetConnection::send(const RequestHead &head,
+                            std::string_view body,
+                            ExchangeEvents exchangeEvents)
+{
+    this->events = std::move(exchangeEvents);
+    this->busy = true;
+    this->skipping = false;
+    this->completed = false;
+    this->answersHead = head.method == "HEAD";
+    this->parser.nextMessage(this->answersHead);
+    std::string text = formatHead(head);
+    text += body;
+    this->stream->write(text);
+}
+
+void TargetConnection::close()
+{
+    this->busy = false;
+    this->spoiled = true;
+    this->events = {};
+    this->onSpoiled = nullptr;
+    this->stream->close();
+}
+
+bool TargetConnection::reusable() const
+{
+    return !this->busy && !this->spoiled && this->keepAlive && this->buffered.empty()
+           && this->stream->isOpen() && this->stream->queuedBytes() == 0;
+}
+
+void TargetConnection::setOnSpoiled(std::function<void()> spoiledFunction)
+{
+    this->onSpoiled = std::move(spoiledFunction);
+}
+
+void TargetConnection::onData(std::string_view bytes)
+{
+    const auto self = this->shared_from_this();
+    if (!this->busy) {
+        this->spoil();
+        return;
+    }
+    this->buffered += bytes;
+    while (this->busy && !this->buffered.empty()) {
+        const std::string pending = std::exchange(this->buffered, {});
+        const auto read = this->parser.feed(pending);
+        if (!read.ok()) {
+            this->fail(read.status());
+            return;
+        }
+        this->buffered = pending.substr(*read);
+        if (this->busy && std::exchange(this->completed, false)) {
+            this->onComplete();
+        }
+    }
+}
+
+void TargetConnection::onHead(ResponseHead head)
+{
+    this->keepAlive = head.keepAlive;
+    this->keptFor = keepAliveOf(head.headers);
+    const auto onHead = this->events.onHead;
+    if (!onHead) {
+        return;
+    }
+    this->skipping = !onHead(std::move(head));
+}
+
+void TargetConnection::onComplete()
+{
+    if (this->skipping) {
+        // What follows an answer that nobody asked for can't be trusted to be in step.
+        this->keepAlive = false;
+        this->skipping = false;
+        this->parser.nextMessage(this->answersHead);
+        return;
+    }
+    this->busy = false;
+    const auto onEnd = std::exchange(this->events, {}).onEnd;
+    if (onEnd) {
+        onEnd();
+    }
+}
+
+void TargetConnection::onStreamEnd(StreamEnd end)
+{
+    const auto self = this->shared_from_this();
+    if (!this->busy) {
+        this->spoil();
+        return;
+    }
+    if (end == StreamEnd::Closed && this->parser.finish().ok()
+        && std::exchange(this->completed, false) && !this->skipping) {
+        this->keepAlive = false;
+        this->onComplete();
+        return;
+    }
+    this->fail(core::makeError(core::ErrorCode::ConnectionBroken,
+                               end == StreamEnd::Closed
+                                   ? "the target closed the connection before its answer's end"
+                                   : "the target reset the connection"));
+}
+
+void TargetConnection::fail(const absl::Status &error)
+{
+    this->busy = false;
+    this->spoiled = true;
+    this->stream->close();
+    const auto onFailed = std::exchange(this->events, {}).onFailed;
+    if (onFailed) {
+        onFailed(error);
+    }
+}
+
+void TargetConnection::spoil()
+{
+    this->spoiled = true;
+    this->stream->close();
+    const auto spoiledFunction = std::exchange(this->onSpoiled, nullptr);
+    if (spoiledFunction) {
+        spoiledFunction();
+    }
+}
+
+} // namespace samphirebridge::net
--- /dev/null
+++ b/source/samphirebridge/net/tcplistener.h
@@ -0,0 +1,44 @@
+// Accepts connections on one address.
+#pragma once
+
+#include "samphirebridge/net/eventloop.h"
+#include "samphirebridge/net/tcpstream.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+struct uv_tcp_s;
+
+namespace samphirebridge::net
+{
+
+class TcpListener
+{
+public:
+    // Receives each new connection.
+    using OnAccept = std::function<void(std::shared_ptr<TcpStream>)>;
+
+    // Listens on an IPv4 address "host:port". AddressInUse if that can't be had.
+    static absl::StatusOr<std::unique_ptr<TcpListener>>
+    listen(EventLoop &loop, std::string_view address, OnAccept onAccept);
+
+    TcpListener(const TcpListener &) = delete;
+    TcpListener &operator=(const TcpListener &) = delete;
+    // Closes the socket; connections that were accepted live on.
+    ~TcpListener();
+
+    // Returns the port, also where the address asked for any.
+    [[nodiscard]] int port() const;
+
+private:
+    TcpListener(EventLoop &loop, OnAccept onAccept);
+
+    EventLoop &loop;
+    uv_tcp_s *handle;
+    OnAccept onAccept;
+};
+
+} // namespace samphirebridge::net
--- /dev/null
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -0,0 +1,277 @@
+#include "samphirebridge/net/tcpstream.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace samphirebridge::net
+{
+
+namespace
+{
+
+// How long sent data may stay unacknowledged before a connection counts as broken, in milliseconds:
+// a peer that lost power answers nothing. Three times the longest pause of a live machine under the
+// load that docs/CAPACITY.md names.
+constexpr unsigned UnacknowledgedLimitMs = 3000;
+
+// Every stream of the thread reads into the same buffer, since data is handed on at once.
+constexpr size_t ReadBufferBytes = 64 * 1024;
+
+struct WriteRequest {
+    uv_write_t request{};
+    std::string bytes;
+    std::weak_ptr<TcpStream> stream;
+};
+
+struct ConnectRequest {
+    uv_connect_t request{};
+    std::weak_ptr<TcpStream> stream;
+    TcpStream::OnConnected onConnected;
+};
+
+char *readBuffer()
+{
+    thread_local std::array<char, ReadBufferBytes> buffer{};
+    return buffer.data();
+}
+
+absl::StatusOr<sockaddr_in> resolve(std::string_view address)
+{
+    const size_t colon = address.rfind(':');
+    const std::string host(address.substr(0, colon));
+    int port = 0;
+    sockaddr_in resolved{};
+    const bool separable = colon != std::string_view::npos;
+    const char *end = address.data() + address.size();
+    const bool parsed
+        = separable && std::from_chars(address.data() + colon + 1, end, port).ptr == end;
+    if (!parsed || uv_ip4_addr(host.c_str(), port, &resolved) != 0) {
+        return core::makeError(core::ErrorCode::Unreachable,
+                               fmt::format("address '{}'; accepted is IPv4:PORT", address));
+    }
+    return resolved;
+}
+
+absl::Status unreachable(int error)
+{
+    return core::makeError(core::ErrorCode::Unreachable, uv_strerror(error));
+}
+
+} // namespace
+
+TcpStream::TcpStream(EventLoop &loop)
+    : handle(new uv_tcp_t)
+{
+    uv_tcp_init(loop.handle(), this->handle);
+    this->handle->data = this;
+}
+
+TcpStream::~TcpStream()
+{
+    this->close();
+}
+
+std::shared_ptr<TcpStream>
+TcpStream::connect(EventLoop &loop, std::string_view address, OnConnected onConnected)
+{
+    std::shared_ptr<TcpStream> stream(new TcpStream(loop));
+    const auto resolved = resolve(address);
+    if (!resolved.ok()) {
+        onConnected(resolved.status());
+        return stream;
+    }
+    auto *connecting = new ConnectRequest{{}, stream, std::move(onConnected)};
+    connecting->request.data = connecting;
+    const auto finish = [](uv_connect_t *done, int status) {
+        const std::unique_ptr<ConnectRequest> request(static_cast<ConnectRequest *>(done->data));
+        const std::shared_ptr<TcpStream> connected = request->stream.lock();
+        if (connected == nullptr || !connected->isOpen()) {
+            return;
+        }
+        if (status != 0) {
+            connected->close();
+            request->onConnected(unreachable(status));
+            return;
+        }
+        connected->setOptions();
+        request->onConnected(connected);
+    };
+    const int started = uv_tcp_connect(&connecting->request,
+                                       stream->handle,
+                                       reinterpret_cast<const sockaddr *>(&*resolved),
+                                       finish);
+    if (started != 0) {
+        const std::unique_ptr<ConnectRequest> request(connecting);
+        stream->close();
+        request->onConnected(unreachable(started));
+    }
+    return stream;
+}
+
+absl::StatusOr<std::shared_ptr<TcpStream>> TcpStream::accept(EventLoop &loop, uv_stream_s *listener)
+{
+    std::shared_ptr<TcpStream> stream(new TcpStream(loop));
+    const int accepted = uv_accept(listener, reinterpret_cast<uv_stream_t *>(stream->handle));
+    if (accepted != 0) {
+        return unreachable(accepted);
+    }
+    stream->setOptions();
+    return stream;
+}
+
+void TcpStream::setOptions()
+{
+    uv_tcp_nodelay(this->handle, 1);
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t *>(this->handle), &descriptor) == 0) {
+        const unsigned limit = UnacknowledgedLimitMs;
+        (void)setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    }
+}
+
+void TcpStream::setEvents(StreamEvents streamEvents)
+{
+    this->events = std::move(streamEvents);
+}
+
+void TcpStream::startReading()
+{
+    if (!this->isOpen()) {
+        return;
+    }
+    uv_read_start(
+        reinterpret_cast<uv_stream_t *>(this->handle),
+        [](uv_handle_t * /*reading*/, size_t /*suggested*/, uv_buf_t *buffer) {
+            *buffer = uv_buf_init(readBuffer(), ReadBufferBytes);
+        },
+        [](uv_stream_t *reading, ssize_t count, const uv_buf_t *buffer) {
+            auto *raw = static_cast<TcpStream *>(reading->data);
+            if (raw == nullptr || count == 0) {
+                return;
+            }
+            const std::shared_ptr<TcpStream> stream = raw->shared_from_this();
+            if (count < 0) {
+                stream->end(count == UV_EOF ? StreamEnd::Closed : StreamEnd::Broken);
+                return;
+            }
+            const auto onData = stream->events.onData;
+            if (onData) {
+                onData(std::string_view(buffer->base, static_cast<size_t>(count)));
+            }
+        });
+}
+
+void TcpStream::stopReading()
+{
+    if (this->isOpen()) {
+        uv_read_stop(reinterpret_cast<uv_stream_t *>(this->handle));
+    }
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (!this->isOpen() || bytes.empty()) {
+        return;
+    }
+    if (this->queued == 0) {
+        const uv_buf_t buffer
+            = uv_buf_init(const_cast<char *>(bytes.data()), static_cast<unsigned>(bytes.size()));
+        const int taken
+            = uv_try_write(reinterpret_cast<uv_stream_t *>(this->handle), &buffer, 1);
+        if (taken == static_cast<int>(bytes.size())) {
+            return;
+        }
+        bytes.remove_prefix(taken > 0 ? static_cast<size_t>(taken) : 0);
+    }
+    this->queueWrite(bytes);
+}
+
+void TcpStream::queueWrite(std::string_view bytes)
+{
+    auto *writing = new WriteRequest{{}, std::string(bytes), this->weak_from_this()};
+    writing->request.data = writing;
+    this->queued += bytes.size();
+    const uv_buf_t buffer
+        = uv_buf_init(writing->bytes.data(), static_cast<unsigned>(writing->bytes.size()));
+    const auto finish = [](uv_write_t *done, int status) {
+        const std::unique_ptr<WriteRequest> request(static_cast<WriteRequest *>(done->data));
+        if (const std::shared_ptr<TcpStream> stream = request->stream.lock()) {
+            stream->onWritten(request->bytes.size(), status);
+        }
+    };
+    const int started = uv_write(&writing->request,
+                                 reinterpret_cast<uv_stream_t *>(this->handle),
+                                 &buffer,
+                                 1,
+                                 finish);
+    if (started != 0) {
+        const std::unique_ptr<WriteRequest> request(writing);
+        this->queued -= bytes.size();
+        // The reading side reports the end; a broken connection can't be written to.
+    }
+}
+
+void TcpStream::onWritten(size_t bytes, int status)
+{
+    this->queued -= bytes;
+    if (!this->isOpen()) {
+        return;
+    }
+    if (status != 0) {
+        this->end(StreamEnd::Broken);
+        return;
+    }
+    if (this->queued > 0) {
+        return;
+    }
+    if (this->closing) {
+        this->close();
+        return;
+    }
+    const auto onDrained = this->events.onDrained;
+    if (onDrained) {
+        onDrained();
+    }
+}
+
+void TcpStream::end(StreamEnd end)
+{
+    if (std::exchange(this->ended, true)) {
+        return;
+    }
+    this->stopReading();
+    const auto onEnd = this->events.onEnd;
+    if (onEnd) {
+        onEnd(end);
+    }
+}
+
+void TcpStream::close()
+{
+    if (!this->isOpen()) {
+        return;
+    }
+    uv_tcp_t *closed = std::exchange(this->handle, nullptr);
+    closed->data = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t *>(closed),
+             [](uv_handle_t *gone) { delete reinterpret_cast<uv_tcp_t *>(gone); });
+    this->events = {};
+}
+
+void TcpStream::closeWhenDrained()
+{
+    this->closing = true;
+    if (this->queued == 0) {
+        this->close();
+    }
+}
+
+} // namespace samphirebridge::net
--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -1,6 +1,11 @@
 #include "samphirebridge/routing/candidateselector.h"
 
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/rendezvous.h"
+
 #include <algorithm>
+#include <cstddef>
+#include <numeric>
 
 namespace samphirebridge::routing
 {
@@ -99,6 +104,7 @@
     if (!request.prefix.empty()) {
         const double bound
             = meanOccupancy(usable) * this->options->affinityLoadFactor + AffinitySlack;
+        this->offerHome(usable, request, bound, selection);
         for (RoutedTarget *target : usable) {
             const bool holds = target->prefix.knownBlocks({request.prefix.data(), 1}) > 0;
             if (holds && target->load.occupancy() > bound) {
@@ -174,13 +180,56 @@
 
 Candidate CandidateSelector::rate(RoutedTarget &target, const RouteRequest &request) const
 {
-    const size_t blocks = target.prefix.knownBlocks(request.prefix);
-    const uint64_t held = blocks * this->options->prefix.blockTokens;
+    return this->rateWith(target, request, target.prefix.knownBlocks(request.prefix));
+}
+
+Candidate CandidateSelector::rateWith(RoutedTarget &target,
+                                      const RouteRequest &request,
+                                      size_t heldBlocks) const
+{
+    uint64_t held = heldBlocks * this->options->prefix.blockTokens;
+    if (!request.prefixTokens.empty()) {
+        const auto end = request.prefixTokens.begin()
+                         + static_cast<std::ptrdiff_t>(
+                             std::min(heldBlocks, request.prefixTokens.size()));
+        held = std::accumulate(request.prefixTokens.begin(), end, uint64_t{0});
+    }
     const auto cached = static_cast<uint32_t>(std::min<uint64_t>(held, request.promptTokens));
     const uint32_t toRead = request.promptTokens - cached;
     return {&target, cached, target.load.firstToken(toRead), target.load.cost(toRead)};
 }
 
+// The home is the candidate with the highest rendezvous weight whose load is within the bound. It is
+// rated as if it held the shared part: other instances send it there too.
+void CandidateSelector::offerHome(std::span<RoutedTarget *const> usable,
+                                  const RouteRequest &request,
+                                  double bound,
+                                  Selection &selection) const
+{
+    if (request.sharedBlocks == 0 || request.sharedBlocks > request.prefix.size()) {
+        return;
+    }
+    const uint64_t key = request.prefix[request.sharedBlocks - 1];
+    RoutedTarget *home = nullptr;
+    uint64_t heaviest = 0;
+    for (RoutedTarget *target : usable) {
+        if (target->load.occupancy() > bound) {
+            continue;
+        }
+        const uint64_t weight
+            = core::rendezvousWeight(key, core::checksumOf(target->record.id()));
+        if (home == nullptr || weight > heaviest) {
+            home = target;
+            heaviest = weight;
+        }
+    }
+    if (home != nullptr) {
+        const size_t known = home->prefix.knownBlocks(request.prefix);
+        CandidateSelector::offer(
+            this->rateWith(*home, request, std::max(known, request.sharedBlocks)), selection.best);
+    }
+}
+
 void CandidateSelector::offer(const Candidate &candidate, std::optional<Candidate> &best)
 {
     if (!best || candidate.cost < best->cost) {
--- a/source/samphirebridge/routing/candidateselector.h
+++ b/source/samphirebridge/routing/candidateselector.h
@@ -68,6 +68,12 @@
                                                             const SelectionRules &rules,
                                                             core::TimePoint now) const;
     [[nodiscard]] Candidate rate(RoutedTarget &target, const RouteRequest &request) const;
+    [[nodiscard]] Candidate
+    rateWith(RoutedTarget &target, const RouteRequest &request, size_t heldBlocks) const;
+    void offerHome(std::span<RoutedTarget *const> usable,
+                   const RouteRequest &request,
+                   double bound,
+                   Selection &selection) const;
     static void offer(const Candidate &candidate, std::optional<Candidate> &best);
 
     const RoutingOptions *options;
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -42,7 +42,7 @@
     , draw(draw)
     , pools(std::move(self), this->options)
     , selector(this->options, std::move(draw))
-    , retries(this->options.retry)
+    , retryOptions(this->options.retry)
     , suspects(this->options.suspect)
     , admission(this->options.admission)
 {
@@ -64,7 +64,21 @@
 void Dispatcher::setPolicy(const proto::Policy &policy)
 {
     const uint32_t percent = policy.retry_share_percent();
-    this->retries.setSharePercent(percent > 0 ? percent : this->options.retry.sharePercent);
+    this->setRetryShare(percent > 0 ? percent : this->options.retry.sharePercent,
+                        this->retryOptions.burst);
+}
+
+void Dispatcher::setRetryShare(uint32_t percent, double burst)
+{
+    this->retryOptions = {percent, burst};
+    for (auto &[service, budget] : this->retries) {
+        budget.setBounds(this->retryOptions);
+    }
+}
+
+RetryBudget &Dispatcher::retriesOf(const core::ServiceId &service)
+{
+    return this->retries.try_emplace(service, this->retryOptions).first->second;
 }
 
 void Dispatcher::onTarget(const proto::TargetRecord &record, core::TimePoint now)
@@ -151,7 +165,7 @@
     }
     // A probe that fails needs a retry: a request that failed once is none, and with few retries
     // left nobody is.
-    const bool mayProbe = request.attempt == 1 && this->retries.isHalfFull();
+    const bool mayProbe = request.attempt == 1 && this->retriesOf(request.service).isHalfFull();
     const SelectionRules rules{companyOf(verdict), mayProbe};
     const Selection selection = this->selector.select(targets, request, rules, now);
     this->counts.prefixOverflows += selection.passedOver ? 1 : 0;
@@ -168,7 +182,7 @@
     if (auto refusal = this->refuseLate(request, *selection.best, now)) {
         return *refusal;
     }
-    if (request.attempt > 1 && !this->retries.takeRetry()) {
+    if (request.attempt > 1 && !this->retriesOf(request.service).takeRetry()) {
         return this->refuse(core::RefusalReason::RetryBudgetExhausted, AskAgain);
     }
     return this->commit(request, *selection.best, verdict, now);
@@ -340,7 +354,7 @@
     if (request.attempt > 1) {
         ++this->counts.retries;
     } else {
-        this->retries.onFirstAttempt();
+        this->retriesOf(request.service).onFirstAttempt();
         this->admission.onAdmitted({request.organisation, request.priority, tokens}, now);
     }
     this->counts.prefixHits += best.cachedTokens > 0 ? 1 : 0;
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -61,6 +61,10 @@
     // From the manifest: the share of retries. Zero means the default of RetryOptions.
     void setPolicy(const proto::Policy &policy);
 
+    // Sets what this instance may send again, of each service: a share of its requests in percent,
+    // and the retries that may be saved up.
+    void setRetryShare(uint32_t percent, double burst);
+
     // Takes a changed record from membership. A higher incarnation after one that was neither
     // leaving nor gone counts as a crash, and so does a target declared gone after connections to
     // it broke; the reports that follow from it are handed out by takeCrashReports.
@@ -132,6 +136,7 @@
         RoutedTarget *target = nullptr;
     };
 
+    RetryBudget &retriesOf(const core::ServiceId &service);
     [[nodiscard]] Refusal refuse(core::RefusalReason reason, core::Duration retryAfter);
     [[nodiscard]] std::optional<Refusal> refuseSuspect(SuspectVerdict verdict);
     [[nodiscard]] std::optional<Refusal>
@@ -148,7 +153,8 @@
     Draw draw;
     TargetPools pools;
     CandidateSelector selector;
-    RetryBudget retries;
+    RetryOptions retryOptions;
+    absl::flat_hash_map<core::ServiceId, RetryBudget> retries;
     SuspectList suspects;
     FairAdmission admission;
     absl::flat_hash_map<Ticket, Attempt> attempts;
--- a/source/samphirebridge/routing/retrybudget.cpp
+++ b/source/samphirebridge/routing/retrybudget.cpp
@@ -19,9 +19,11 @@
 {
 }
 
-void RetryBudget::setSharePercent(uint32_t percent)
+void RetryBudget::setBounds(const RetryOptions &options)
 {
-    this->share = percent * PerCent;
+    this->share = options.sharePercent * PerCent;
+    this->burst = options.burst;
+    this->saved = std::min(this->saved, this->burst);
 }
 
 void RetryBudget::onFirstAttempt()
--- a/source/samphirebridge/routing/retrybudget.h
+++ b/source/samphirebridge/routing/retrybudget.h
@@ -11,8 +11,8 @@
 public:
     explicit RetryBudget(const RetryOptions &options);
 
-    // Sets the share in retries per hundred first attempts.
-    void setSharePercent(uint32_t percent);
+    // Sets the share and what may be saved up; what is saved above that is lost.
+    void setBounds(const RetryOptions &options);
 
     // A first attempt goes out and earns its share of a retry.
     void onFirstAttempt();
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -28,6 +28,11 @@
     std::string fingerprint;
     // One hash for each whole block of the prompt, each over all blocks up to it.
     std::vector<BlockFingerprint> prefix;
+    // The tokens of each of these blocks, where they differ; otherwise PrefixOptions::blockTokens.
+    std::vector<uint32_t> prefixTokens;
+    // The part of a prompt that other requests share, as its leading blocks. Instances that see the
+    // same targets send requests with the same shared part to the same home, whoever was first.
+    size_t sharedBlocks = 0;
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0; // Expected, not the bound.
     int32_t priority = 0; // Lower is sooner. Steps of one are enough.
--- a/source/samphirebridge/runtime/controlthread.h
+++ b/source/samphirebridge/runtime/controlthread.h
@@ -25,15 +25,43 @@
         } -> std::same_as<void>;
 };
 
+// How the thread waits for work.
+template <typename T>
+concept ControlWaiter = requires(T waiter, TaskQueue &queue, core::TimePoint wakeUp)
+{
+    // Returns once a task was posted or the time has come, or earlier.
+    {
+        waiter.wait(queue, wakeUp)
+        } -> std::same_as<void>;
+};
+
+// Waits for the queue alone.
+struct QueueWaiter {
+    void wait(TaskQueue &queue, core::TimePoint wakeUp) const
+    {
+        queue.runUntil(wakeUp, core::SteadyClock());
+    }
+};
+
 // Runs the queue's tasks and the host's ticks from start() to stop().
-template <ControlHost Host>
+template <ControlHost Host, ControlWaiter Waiter = QueueWaiter>
 class ControlThread
 {
 public:
     ControlThread(TaskQueue &taskQueue, Host &controlHost, core::Duration interval)
+        requires std::default_initializable<Waiter>
+        : ControlThread(taskQueue, controlHost, interval, Waiter())
+    {
+    }
+
+    ControlThread(TaskQueue &taskQueue,
+                  Host &controlHost,
+                  core::Duration interval,
+                  Waiter threadWaiter)
         : queue(taskQueue)
         , host(controlHost)
         , tickInterval(interval)
+        , waiter(threadWaiter)
     {
     }
 
@@ -66,7 +94,8 @@
     {
         core::TimePoint nextTick = this->clock.now();
         while (!this->stopping) {
-            this->queue.runUntil(nextTick, this->clock);
+            this->waiter.wait(this->queue, nextTick);
+            this->queue.runUntil(core::TimePoint{}, this->clock);
             const core::TimePoint now = this->clock.now();
             if (now >= nextTick) {
                 this->host.tick(now);
@@ -80,6 +109,7 @@
     TaskQueue &queue;
     Host &host;
     core::Duration tickInterval;
+    Waiter waiter;
     core::SteadyClock clock;
     std::atomic<bool> stopping = false;
     std::thread thread;
--- a/source/samphirebridge/runtime/taskqueue.cpp
+++ b/source/samphirebridge/runtime/taskqueue.cpp
@@ -13,6 +13,20 @@
         this->queued.push_back(std::move(task));
     }
     this->arrived.notify_one();
+    if (this->onPost) {
+        this->onPost();
+    }
+}
+
+void TaskQueue::setOnPost(std::function<void()> function)
+{
+    this->onPost = std::move(function);
+}
+
+core::TimePoint TaskQueue::dueBefore(core::TimePoint latest)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->queued.empty() ? this->nextWakeUp(latest) : core::TimePoint{};
 }
 
 void TaskQueue::postAt(core::TimePoint due, Task task)
--- a/source/samphirebridge/runtime/taskqueue.h
+++ b/source/samphirebridge/runtime/taskqueue.h
@@ -26,6 +26,10 @@
     // Queues a task. Callable from any thread; tasks put in after close() never run.
     void post(Task task);
 
+    // Sets a function that is called, on the posting thread, after each task that is put in. Only
+    // before the first post.
+    void setOnPost(std::function<void()> onPost);
+
     // Queues a task that becomes due at the time. Only on the control thread.
     void postAt(core::TimePoint due, Task task);
 
@@ -52,6 +56,9 @@
     // Returns the number of tasks run.
     size_t runUntil(core::TimePoint wakeUp, const core::SteadyClock &clock);
 
+    // Returns when a task becomes due, the time given at the latest; at once if one is queued.
+    [[nodiscard]] core::TimePoint dueBefore(core::TimePoint latest);
+
     // Runs what is queued and takes no more.
     void close();
 
@@ -65,6 +72,7 @@
     std::condition_variable arrived;
     std::vector<Task> queued;
     std::multimap<core::TimePoint, Task> timed;
+    std::function<void()> onPost;
     bool closed = false;
 };
 
--- a/source/samphirebridge/settings/reader.cpp
+++ b/source/samphirebridge/settings/reader.cpp
@@ -217,6 +217,28 @@
     return fallback.value_or(range.least);
 }
 
+double MapReader::decimal(std::string_view key, DecimalRange range, double fallback)
+{
+    const DocumentNode *value = this->find(key);
+    if (value == nullptr) {
+        return fallback;
+    }
+    double number = 0;
+    const char *end = value->value.data() + value->value.size();
+    const auto parsed = std::from_chars(
+        value->value.data(), end, number, std::chars_format::fixed);
+    const bool plain = value->kind == NodeKind::Scalar && !value->quoted && !value->value.empty();
+    if (plain && parsed.ec == std::errc() && parsed.ptr == end && number >= range.least
+        && number <= range.most) {
+        return number;
+    }
+    this->problems.add(value->line,
+                       this->placeOf(key),
+                       describeValue(*value),
+                       fmt::format("a decimal number from {} to {}", range.least, range.most));
+    return fallback;
+}
+
 bool MapReader::boolean(std::string_view key, bool fallback)
 {
     const DocumentNode *value = this->find(key);
--- a/source/samphirebridge/settings/reader.h
+++ b/source/samphirebridge/settings/reader.h
@@ -20,6 +20,12 @@
     int64_t most = 0;
 };
 
+// The accepted values of a decimal number, both ends included.
+struct DecimalRange {
+    double least = 0;
+    double most = 0;
+};
+
 // Returns the value as messages show it: its kind, and a scalar's text if it is short enough.
 std::string describeValue(const DocumentNode &node);
 
@@ -56,6 +62,7 @@
 
     // The key's value; without one, the fallback, or a problem if there is no fallback either.
     int64_t integer(std::string_view key, IntegerRange range, std::optional<int64_t> fallback);
+    double decimal(std::string_view key, DecimalRange range, double fallback);
     bool boolean(std::string_view key, bool fallback);
     std::string
     text(std::string_view key, size_t maximumBytes, std::optional<std::string_view> fallback);
--- a/source/samphirebridge/settings/settings.h
+++ b/source/samphirebridge/settings/settings.h
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,6 +50,27 @@
     core::Duration electionTimeout{}; // Shortest; the longest is twice as long.
 };
 
+// How an instance finds the others where no list of peers is given. Every instance's id is then its
+// rpc address.
+struct DiscoverySettings {
+    std::vector<Address> seeds; // Rpc addresses of control instances; the only ones known at first.
+    bool foundsFleet = false; // The whole fleet starts for the first time, with empty disks.
+};
+
+// Where an instance speaks a deployment's own protocol, beside the product's at http.listen.
+struct InterfaceSettings {
+    std::optional<Address> callers; // Callers' requests; with the role entry.
+    std::optional<Address> readiness; // The balancer's question; with the role entry.
+    std::optional<Address> control; // Targets and operators; with the role control.
+};
+
+// The bound on what the whole fleet sends to the targets of one service again.
+struct RetrySettings {
+    double share = 0.2; // Repeats for each request.
+    double slack = 20; // Repeats besides, in one window.
+    core::Duration window = std::chrono::seconds(10);
+};
+
 enum class LogLevel : uint8_t {
     Error,
     Warning,
@@ -63,7 +85,10 @@
     Roles roles;
     HttpSettings http;
     Address rpcListen;
-    std::vector<Peer> peers; // Includes this instance; in the file's order.
+    std::vector<Peer> peers; // Includes this instance; in the file's order. Empty with discovery.
+    std::optional<DiscoverySettings> discovery;
+    InterfaceSettings interface;
+    RetrySettings retries;
     std::string dataFolder; // Empty without the role control. Whether it exists isn't checked here.
     std::vector<std::string> operatorTokenDigests; // 32 bytes each; may be empty: no operators.
     ConsensusSettings consensus;
@@ -71,7 +96,7 @@
     core::Duration shutdownGrace{};
     LogLevel logLevel = LogLevel::Info;
 
-    // Returns this instance's own entry among the peers.
+    // Returns this instance's own entry among the peers; there is none with discovery.
     [[nodiscard]] const Peer &self() const;
 };
 
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -14,18 +14,22 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 12> TopKeys{
+constexpr std::array<std::string_view, 16> TopKeys{
     "instance",
     "data_centre",
     "roles",
     "http",
     "rpc",
     "peers",
+    "discovery",
+    "interface",
     "data_folder",
     "operator_token_sha256",
     "consensus",
     "escrow",
+    "retries",
     "shutdown_grace_ms",
+    "stop_within_s",
     "log_level",
 };
 constexpr std::array<std::string_view, 4> HttpKeys{
@@ -38,13 +42,19 @@
 constexpr std::array<std::string_view, 5> PeerKeys{"id", "rpc", "http", "data_centre", "roles"};
 constexpr std::array<std::string_view, 2> ConsensusKeys{"heartbeat_ms", "election_timeout_ms"};
 constexpr std::array<std::string_view, 1> EscrowKeys{"flush_interval_ms"};
-constexpr std::array<SettingSection, 6> Sections{{
+constexpr std::array<std::string_view, 3> DiscoveryKeys{"seeds", "seed_port", "founds_fleet"};
+constexpr std::array<std::string_view, 3> InterfaceKeys{"callers", "readiness", "control"};
+constexpr std::array<std::string_view, 3> RetryKeys{"share", "slack", "window_s"};
+constexpr std::array<SettingSection, 9> Sections{{
     {"", TopKeys},
     {"http", HttpKeys},
     {"rpc", RpcKeys},
     {"peers", PeerKeys},
     {"consensus", ConsensusKeys},
     {"escrow", EscrowKeys},
+    {"discovery", DiscoveryKeys},
+    {"interface", InterfaceKeys},
+    {"retries", RetryKeys},
 }};
 constexpr std::array<std::string_view, 4> LogLevels{"error", "warning", "info", "debug"};
 
@@ -67,6 +77,15 @@
 constexpr Bounds FlushIntervalMs{{10, 10'000}, 100};
 constexpr Bounds ShutdownGraceMs{{0, 3'600'000}, 30'000};
 constexpr int64_t HeartbeatsPerTimeout = 3;
+constexpr IntegerRange Ports{1, 65535};
+constexpr DecimalRange RetryShare{0, 1};
+constexpr DecimalRange RetrySlack{0, 1'000'000};
+constexpr DecimalRange RetryWindowSeconds{0.1, 3600};
+constexpr DecimalRange StopWithinSeconds{0.1, 3600};
+
+// The part of stop_within_s that the shutdown's grace takes; the rest is for returning escrow, for
+// handing over leadership and for a slow machine.
+constexpr double GracePartOfStop = 0.75;
 
 int64_t readBounded(MapReader &reader, std::string_view key, const Bounds &bounds)
 {
@@ -227,6 +246,9 @@
 
 void readPeers(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
+    if (top.find("discovery") != nullptr && top.find("peers") == nullptr) {
+        return;
+    }
     const std::string accepted
         = fmt::format("a list of 1 to {} instances, this one included", MaximumPeers);
     const DocumentNode *node = top.require("peers", accepted);
@@ -252,6 +274,95 @@
     }
 }
 
+// Reads an optional address; a missing key is no problem.
+std::optional<Address>
+readOptionalAddress(MapReader &reader, std::string_view key, ProblemCollector &problems)
+{
+    if (reader.find(key) == nullptr) {
+        return std::nullopt;
+    }
+    return readAddress(reader, key, problems);
+}
+
+std::vector<Address> readSeeds(MapReader &reader, ProblemCollector &problems)
+{
+    std::vector<Address> seeds;
+    const int64_t port = reader.integer("seed_port", Ports, 0);
+    const Place place = reader.placeOf("seeds");
+    const std::span<const DocumentNode> items = reader.list("seeds");
+    for (size_t index = 0; index < items.size(); ++index) {
+        const DocumentNode &item = items[index];
+        std::optional<Address> seed;
+        if (item.kind == NodeKind::Scalar) {
+            seed = parseAddress(item.value);
+        }
+        if (!seed) {
+            problems.add(item.line,
+                         Place{.parent = &place, .index = index},
+                         describeValue(item),
+                         AcceptedAddress);
+            continue;
+        }
+        seed->port = port > 0 ? static_cast<uint16_t>(port) : seed->port;
+        seeds.push_back(*seed);
+    }
+    return seeds;
+}
+
+// Every instance's id is its rpc address, so that an id is all that others need to reach it.
+void readDiscovery(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const DocumentNode *node = top.find("discovery");
+    if (node == nullptr) {
+        return;
+    }
+    const Place place = top.placeOf("discovery");
+    MapReader reader(*node, place, DiscoveryKeys, problems);
+    DiscoverySettings discovery;
+    discovery.foundsFleet = reader.boolean("founds_fleet", false);
+    discovery.seeds = readSeeds(reader, problems);
+    settings.discovery = std::move(discovery);
+    const std::string address = formatAddress(settings.rpcListen);
+    const DocumentNode *instance = top.find("instance");
+    if (instance != nullptr && settings.rpcListen.port != 0 && settings.instance.value != address) {
+        problems.add(instance->line,
+                     top.placeOf("instance"),
+                     describeValue(*instance),
+                     fmt::format("'{}', the address of rpc.listen, with discovery", address));
+    }
+}
+
+void readInterface(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Place place = top.placeOf("interface");
+    MapReader reader(sectionOf(top, "interface"), place, InterfaceKeys, problems);
+    settings.interface.callers = readOptionalAddress(reader, "callers", problems);
+    settings.interface.readiness = readOptionalAddress(reader, "readiness", problems);
+    settings.interface.control = readOptionalAddress(reader, "control", problems);
+}
+
+void readRetries(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Place place = top.placeOf("retries");
+    MapReader reader(sectionOf(top, "retries"), place, RetryKeys, problems);
+    RetrySettings &retries = settings.retries;
+    retries.share = reader.decimal("share", RetryShare, retries.share);
+    retries.slack = reader.decimal("slack", RetrySlack, retries.slack);
+    const double seconds = std::chrono::duration<double>(retries.window).count();
+    retries.window = std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(
+        reader.decimal("window_s", RetryWindowSeconds, seconds)));
+}
+
+void readShutdown(MapReader &top, Settings &settings)
+{
+    settings.shutdownGrace = readMilliseconds(top, "shutdown_grace_ms", ShutdownGraceMs);
+    if (top.find("stop_within_s") != nullptr) {
+        const double seconds = top.decimal("stop_within_s", StopWithinSeconds, 0);
+        settings.shutdownGrace = std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double>(seconds * GracePartOfStop));
+    }
+}
+
 // The file belongs to this instance: its id, data centre and roles are those of its peers entry.
 void checkSelf(MapReader &top, const Settings &settings, ProblemCollector &problems)
 {
@@ -368,13 +479,16 @@
     settings.roles = readRoles(top, problems);
     readHttp(top, settings, problems);
     readRpc(top, settings, problems);
+    readDiscovery(top, settings, problems);
+    readInterface(top, settings, problems);
     readPeers(top, settings, problems);
     checkSelf(top, settings, problems);
     readDataFolder(top, settings, problems);
     readOperatorTokens(top, settings, problems);
     readConsensus(top, settings, problems);
     readEscrow(top, settings, problems);
-    settings.shutdownGrace = readMilliseconds(top, "shutdown_grace_ms", ShutdownGraceMs);
+    readRetries(top, settings, problems);
+    readShutdown(top, settings);
     const auto info = static_cast<size_t>(LogLevel::Info);
     settings.logLevel = static_cast<LogLevel>(top.choice("log_level", LogLevels, info));
     return settings;
--- a/source/samphirebridge/telemetry/logger.cpp
+++ b/source/samphirebridge/telemetry/logger.cpp
@@ -3,8 +3,15 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <unistd.h>
+
+#include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <condition_variable>
+#include <iterator>
+#include <mutex>
+#include <thread>
+#include <utility>
 
 namespace samphirebridge::telemetry
 {
@@ -12,6 +19,11 @@
 namespace
 {
 
+using Clock = std::chrono::steady_clock;
+
+// How long the last lines of a process may take to be written.
+constexpr std::chrono::milliseconds FlushTimeout{300};
+
 std::string timestamp()
 {
     const auto now = std::chrono::system_clock::now();
@@ -22,36 +34,161 @@
                        millis % 1000);
 }
 
-std::string quoted(std::string_view value)
+void appendQuoted(std::string &line, std::string_view value)
 {
-    std::string result = "\"";
+    line += '"';
     for (const char character : value) {
         if (character == '"' || character == '\\') {
-            result += '\\';
+            line += '\\';
         }
-        result += static_cast<unsigned char>(character) < 0x20 ? ' ' : character;
+        line += static_cast<unsigned char>(character) < 0x20 ? ' ' : character;
     }
-    result += '"';
-    return result;
+    line += '"';
 }
 
 } // namespace
 
-Logger::Logger(std::string_view instanceId)
-    : instance(instanceId)
+struct Logger::Impl {
+    Impl(std::string_view instanceId, LoggerLimits loggerLimits)
+        : instance(instanceId)
+        , limits(loggerLimits)
+    {
+    }
+
+    // Tells whether one more line of that importance may be written in the present second.
+    bool admit(Importance importance)
+    {
+        const auto second
+            = std::chrono::duration_cast<std::chrono::seconds>(Clock::now().time_since_epoch());
+        if (second != this->countedSecond) {
+            this->countedSecond = second;
+            this->ordinaryLines = 0;
+            this->requestLines = 0;
+        }
+        if (importance == Importance::Change) {
+            return true;
+        }
+        if (this->requestLines >= this->limits.requestLinesPerSecond) {
+            return false;
+        }
+        if (importance == Importance::Ordinary) {
+            if (this->ordinaryLines >= this->limits.ordinaryLinesPerSecond) {
+                return false;
+            }
+            ++this->ordinaryLines;
+        }
+        ++this->requestLines;
+        return true;
+    }
+
+    void add(Importance importance, std::string_view event, std::initializer_list<Field> fields)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->admit(importance) || this->queue.size() >= this->limits.queuedBytes) {
+            ++this->leftOut;
+            return;
+        }
+        if (this->leftOut > this->toldLeftOut) {
+            this->append("log_lines_left_out",
+                         {{"count", std::to_string(this->leftOut - this->toldLeftOut)}});
+            this->toldLeftOut = this->leftOut;
+        }
+        this->append(event, fields);
+        this->arrived.notify_one();
+    }
+
+    void append(std::string_view event, std::initializer_list<Field> fields)
+    {
+        fmt::format_to(std::back_inserter(this->queue),
+                       "time={} instance={} event={}",
+                       timestamp(),
+                       this->instance,
+                       event);
+        for (const Field &field : fields) {
+            fmt::format_to(std::back_inserter(this->queue), " {}=", field.name);
+            appendQuoted(this->queue, field.value);
+        }
+        this->queue += '\n';
+    }
+
+    void write()
+    {
+        std::unique_lock lock(this->mutex);
+        while (!this->stopping || !this->queue.empty()) {
+            this->arrived.wait(lock, [this] { return this->stopping || !this->queue.empty(); });
+            const std::string lines = std::exchange(this->queue, {});
+            lock.unlock();
+            Impl::writeAll(lines);
+            lock.lock();
+        }
+        this->finished = true;
+        this->written.notify_all();
+    }
+
+    static void writeAll(std::string_view lines)
+    {
+        while (!lines.empty()) {
+            const ssize_t count = ::write(STDOUT_FILENO, lines.data(), lines.size());
+            if (count <= 0) {
+                // Nobody reads the output any more; there is nowhere to report that.
+                return;
+            }
+            lines.remove_prefix(static_cast<size_t>(count));
+        }
+    }
+
+    std::string instance;
+    LoggerLimits limits;
+    std::mutex mutex;
+    std::condition_variable arrived;
+    std::condition_variable written;
+    std::string queue;
+    std::chrono::seconds countedSecond{};
+    size_t ordinaryLines = 0;
+    size_t requestLines = 0;
+    std::atomic<uint64_t> leftOut = 0;
+    uint64_t toldLeftOut = 0;
+    bool stopping = false;
+    bool finished = false;
+};
+
+Logger::Logger(std::string_view instance, LoggerLimits limits)
+    : impl(std::make_shared<Impl>(instance, limits))
+    , writer([state = this->impl] { state->write(); })
 {
 }
 
-void Logger::change(std::string_view event, std::initializer_list<Field> fields)
+Logger::~Logger()
 {
-    std::string line
-        = fmt::format("time={} instance={} event={}", timestamp(), this->instance, event);
-    for (const Field &field : fields) {
-        line += fmt::format(" {}={}", field.name, quoted(field.value));
+    std::unique_lock lock(this->impl->mutex);
+    this->impl->stopping = true;
+    this->impl->arrived.notify_all();
+    const bool finished = this->impl->written.wait_for(
+        lock, FlushTimeout, [this] { return this->impl->finished; });
+    lock.unlock();
+    if (finished) {
+        this->writer.join();
+        return;
     }
-    line += '\n';
-    const std::lock_guard lock(this->mutex);
-    fmt::print(stderr, "{}", line);
+    // A reader that has stopped would hold the process up for ever; the thread owns its state.
+    this->writer.detach();
+}
+
+void Logger::change(std::string_view event, std::initializer_list<Field> fields)
+{
+    this->impl->add(Importance::Change, event, fields);
+}
+
+void Logger::request(Importance importance,
+                     std::string_view event,
+                     std::initializer_list<Field> fields)
+{
+    this->impl->add(importance, event, fields);
+}
+
+uint64_t Logger::leftOut() const
+{
+    return this->impl->leftOut;
 }
 
 } // namespace samphirebridge::telemetry
--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -23,6 +23,10 @@
 // Messages of one kind that wait for a peer that does not keep up.
 constexpr int MaximumQueuedMessages = 512;
 
+// An idle connection is probed after this silence, and given up when the probe stays unanswered
+// for as long again: a connection may fall silent without a reset.
+constexpr int KeepAliveMs = 1500;
+
 // Bounds of the pause between attempts to connect, in milliseconds.
 constexpr int MinimumReconnectMs = 50;
 constexpr int MaximumReconnectMs = 500;
@@ -35,6 +39,9 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, MinimumReconnectMs);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MinimumReconnectMs);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaximumReconnectMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepAliveMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepAliveMs);
+    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetMaxReceiveMessageSize(MaximumMessageBytes);
     return arguments;
@@ -66,6 +73,15 @@
     }
 }
 
+// Keeps only the last of the declarations: it replaces those before it.
+template <typename Field>
+void keepNewest(Field *field)
+{
+    if (field->size() > 1) {
+        field->DeleteSubrange(0, field->size() - 1);
+    }
+}
+
 } // namespace
 
 struct PeerChannel::State : public std::enable_shared_from_this<PeerChannel::State> {
@@ -178,6 +194,7 @@
     [[nodiscard]] bool hasQueued() const
     {
         return this->queued.raft_size() + this->queued.updates_size() + this->queued.digests_size()
+                   + this->queued.declarations_size()
                > 0;
     }
 
@@ -209,6 +226,7 @@
         dropOldest(this->state->queued.mutable_raft());
         dropOldest(this->state->queued.mutable_updates());
         dropOldest(this->state->queued.mutable_digests());
+        keepNewest(this->state->queued.mutable_declarations());
     }
     this->state->sendNext();
 }
@@ -233,6 +251,16 @@
         });
 }
 
+void PeerChannel::readDeclaration(const proto::ReadDeclarationRequest &request,
+                                  core::Duration timeout,
+                                  OnReply<proto::ReadDeclarationReply> onReply)
+{
+    this->state->call<proto::ReadDeclarationRequest, proto::ReadDeclarationReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->ReadDeclaration(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
 void PeerChannel::readBudgets(const proto::ReadBudgetsRequest &request,
                               core::Duration timeout,
                               OnReply<proto::ReadBudgetsReply> onReply)
--- a/source/samphirebridge/transport/peerchannel.h
+++ b/source/samphirebridge/transport/peerchannel.h
@@ -18,6 +18,8 @@
 class Envelope;
 class ReadBudgetsReply;
 class ReadBudgetsRequest;
+class ReadDeclarationReply;
+class ReadDeclarationRequest;
 class ReadManifestReply;
 class ReadManifestRequest;
 class ReadStatusReply;
@@ -55,6 +57,9 @@
     void readManifest(const proto::ReadManifestRequest &request,
                       core::Duration timeout,
                       OnReply<proto::ReadManifestReply> onReply);
+    void readDeclaration(const proto::ReadDeclarationRequest &request,
+                         core::Duration timeout,
+                         OnReply<proto::ReadDeclarationReply> onReply);
     void readBudgets(const proto::ReadBudgetsRequest &request,
                      core::Duration timeout,
                      OnReply<proto::ReadBudgetsReply> onReply);
--- a/source/samphirebridge/transport/rpcserver.cpp
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -21,6 +21,9 @@
 // The largest message, in bytes: a snapshot chunk or a checkpoint of a large manifest.
 constexpr int MaximumMessageBytes = 64 * 1024 * 1024;
 
+// Peers may probe an idle connection this often, in milliseconds.
+constexpr int ShortestProbeIntervalMs = 500;
+
 using Context = grpc::CallbackServerContext;
 using Reactor = grpc::ServerUnaryReactor;
 
@@ -76,6 +79,14 @@
         return carry(context, *request, reply, this->handlers.readManifest, this->counters);
     }
 
+    Reactor *
+    ReadDeclaration(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                    const proto::ReadDeclarationRequest *request,
+                    proto::ReadDeclarationReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.readDeclaration, this->counters);
+    }
+
     Reactor *ReadBudgets(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                          const proto::ReadBudgetsRequest *request,
                          proto::ReadBudgetsReply *reply) override
@@ -122,6 +133,9 @@
     int boundPort = 0;
     builder.AddListeningPort(std::string(address), grpc::InsecureServerCredentials(), &boundPort);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+                               ShortestProbeIntervalMs);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
     builder.SetMaxReceiveMessageSize(MaximumMessageBytes);
     builder.RegisterService(&impl->service);
     impl->server = builder.BuildAndStart();
--- a/source/samphirebridge/transport/rpcserver.h
+++ b/source/samphirebridge/transport/rpcserver.h
@@ -19,6 +19,8 @@
 class Envelope;
 class ReadBudgetsReply;
 class ReadBudgetsRequest;
+class ReadDeclarationReply;
+class ReadDeclarationRequest;
 class ReadManifestReply;
 class ReadManifestRequest;
 class ReadStatusReply;
@@ -40,6 +42,8 @@
     std::function<void(const proto::SubmitRequest &, Respond<proto::SubmitReply>)> submit;
     std::function<void(const proto::ReadManifestRequest &, Respond<proto::ReadManifestReply>)>
         readManifest;
+    std::function<void(const proto::ReadDeclarationRequest &, Respond<proto::ReadDeclarationReply>)>
+        readDeclaration;
     std::function<void(const proto::ReadBudgetsRequest &, Respond<proto::ReadBudgetsReply>)>
         readBudgets;
     std::function<void(const proto::ReadStatusRequest &, Respond<proto::ReadStatusReply>)>
--- a/tests/routing/retrybudgettest.cpp
+++ b/tests/routing/retrybudgettest.cpp
@@ -29,7 +29,7 @@
     CHECK(budget.available() == options.burst - 1);
     budget.giveBack();
     CHECK(budget.available() == options.burst);
-    budget.setSharePercent(0);
+    budget.setBounds({0, options.burst});
     for (int retry = 0; retry < options.burst; ++retry) {
         CHECK(budget.takeRetry());
     }
