membership: Let only control instances declare targets gone, and send shared prompts to one home

Cause: in a cut from the control instances an entry instance heard no heartbeats, so after 5 s it declared every target gone and refused 1,800 tries (log: target_changed state=gone on every entry). Ruled out: escrow; the refusals carried no_target. Targets announce themselves to control instances only, so only these watch. Requests that share a part of their prompt go to the target with the highest rendezvous weight while it is fast enough, so that instances agree without talking. An error message of Raft read a destroyed string.

--- a/source/samphirebridge/consensus/raftnode.cpp
+++ b/source/samphirebridge/consensus/raftnode.cpp
@@ -185,7 +185,8 @@
     if (this->leadership) {
         return absl::OkStatus();
     }
-    const std::string_view known = this->state.leader.empty() ? "unknown" : this->state.leader;
+    const std::string_view known
+        = this->state.leader.empty() ? std::string_view("unknown") : this->state.leader;
     return core::makeError(
         core::ErrorCode::NotLeader,
         fmt::format("found the role {}; the leader is {}", roleName(this->state.role), known));
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -98,6 +98,7 @@
     if (this->options.discovers && now - this->lastControlCheck >= ControlCheckInterval) {
         this->lastControlCheck = now;
         std::vector<core::InstanceId> control = this->fleetView.controlInstances(now);
+        this->fleetView.setWatchers(control);
         if (!control.empty()) {
             this->client.setControl(std::move(control));
         }
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -199,6 +199,12 @@
     return heard;
 }
 
+void FleetView::setWatchers(std::vector<core::InstanceId> instances)
+{
+    this->targetDirectory.setFleetSize(instances.size());
+    this->targetDirectory.setWatchers(std::move(instances));
+}
+
 bool FleetView::hearsControl(core::TimePoint now) const
 {
     const auto views = this->instanceDirectory.view(now);
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -66,6 +66,9 @@
     // Returns the instances with the role control, those in contact first.
     [[nodiscard]] std::vector<core::InstanceId> controlInstances(core::TimePoint now) const;
 
+    // Names the instances that targets announce themselves to.
+    void setWatchers(std::vector<core::InstanceId> instances);
+
     // Tells whether a control instance was heard lately.
     [[nodiscard]] bool hearsControl(core::TimePoint now) const;
 
--- a/source/samphirebridge/membership/targetdirectory.cpp
+++ b/source/samphirebridge/membership/targetdirectory.cpp
@@ -177,10 +177,17 @@
     refuted.push_back(stored.record);
 }
 
+void TargetDirectory::setWatchers(std::vector<core::InstanceId> instances)
+{
+    std::sort(instances.begin(), instances.end());
+    this->namedWatchers = std::move(instances);
+}
+
 DirectoryEffect TargetDirectory::tick(std::span<const core::InstanceId> peers, core::TimePoint now)
 {
     DirectoryEffect effect;
-    this->rankWatchers(peers, now);
+    const std::vector<core::InstanceId> watching = this->watchingPeers(peers);
+    this->rankWatchers(watching, now);
     // A process that was stopped for a while heard nothing because it did not listen.
     const bool stopped = this->lastTick && now - *this->lastTick > this->options.expireAfter / 2;
     this->lastTick = now;
@@ -197,7 +204,7 @@
             entry.waitFrom = now;
         }
         ++current;
-        if (!entry.rank || now - entry.waitFrom < this->patience(*entry.rank, peers.size() + 1)) {
+        if (!entry.rank || now - entry.waitFrom < this->patience(*entry.rank, watching.size() + 1)) {
             continue;
         }
         proto::TargetRecord gone = entry.record;
@@ -215,7 +222,34 @@
 std::vector<core::InstanceId>
 TargetDirectory::watchersOf(std::string_view target, std::span<const core::InstanceId> peers) const
 {
-    return chooseByWeight(core::checksumOf(target), this->self, peers, this->options.watchers);
+    const uint64_t key = core::checksumOf(target);
+    const std::vector<core::InstanceId> watching = this->watchingPeers(peers);
+    const bool watches = !this->namedWatchers
+                         || std::binary_search(this->namedWatchers->begin(),
+                                               this->namedWatchers->end(),
+                                               this->self);
+    if (watches) {
+        return chooseByWeight(key, this->self, watching, this->options.watchers);
+    }
+    if (watching.empty()) {
+        return {};
+    }
+    const std::span<const core::InstanceId> others(watching);
+    return chooseByWeight(key, others.front(), others.subspan(1), this->options.watchers);
+}
+
+std::vector<core::InstanceId>
+TargetDirectory::watchingPeers(std::span<const core::InstanceId> peers) const
+{
+    std::vector<core::InstanceId> watching;
+    for (const core::InstanceId &peer : peers) {
+        if (!this->namedWatchers
+            || std::binary_search(
+                this->namedWatchers->begin(), this->namedWatchers->end(), peer)) {
+            watching.push_back(peer);
+        }
+    }
+    return watching;
 }
 
 const proto::TargetRecord *TargetDirectory::find(std::string_view target) const
--- a/source/samphirebridge/membership/targetdirectory.h
+++ b/source/samphirebridge/membership/targetdirectory.h
@@ -58,13 +58,17 @@
                                                 std::span<const core::InstanceId> peers,
                                                 core::TimePoint now);
 
-    // Says how many instances the fleet has. While fewer are in contact, targets are given up
+    // Says how many instances the fleet has that may watch. While fewer are in contact, targets are given up
     // later: they announce themselves to instances on the other side too.
     void setFleetSize(size_t instances)
     {
         this->fleetSize = instances;
     }
 
+    // Names the instances that targets announce themselves to; only these watch. Until the first
+    // call every instance does.
+    void setWatchers(std::vector<core::InstanceId> instances);
+
     // Merges a peer's records. Records that are new here are told on only above directPeers. An
     // invalid record is dropped and counted.
     DirectoryEffect merge(const proto::MembershipUpdate &update,
@@ -121,6 +125,8 @@
 
     static bool supersedes(const proto::TargetRecord &record, uint64_t checksum, const Entry &old);
     Entry &store(proto::TargetRecord record, core::TimePoint now);
+    [[nodiscard]] std::vector<core::InstanceId>
+    watchingPeers(std::span<const core::InstanceId> peers) const;
     void rankWatchers(std::span<const core::InstanceId> peers, core::TimePoint now);
     [[nodiscard]] std::optional<size_t> rankOf(std::string_view target,
                                                std::span<const core::InstanceId> peers) const;
@@ -153,6 +159,7 @@
     MembershipOptions options;
     std::vector<core::InstanceId> rankedPeers; // The peers that the ranks rest on.
     size_t fleetSize = 0;
+    std::optional<std::vector<core::InstanceId>> namedWatchers; // Ordered.
     std::optional<core::TimePoint> lastTick;
     TargetEntries entries;
     uint64_t declaredGoneCount = 0;
--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <functional>
 #include <numeric>
+#include <utility>
+#include <vector>
 
 namespace samphirebridge::routing
 {
@@ -19,6 +22,9 @@
 // Targets that must remain when one is set aside.
 constexpr size_t KeepServing = 2;
 
+// Homes of one shared part that are tried before the load alone decides.
+constexpr size_t MostHomes = 4;
+
 // Occupancy above the mean that is never held against a target that holds the prefix.
 constexpr double AffinitySlack = 1.0;
 
@@ -100,11 +106,14 @@
     if (usable.empty()) {
         return selection;
     }
+    selection.best = this->home(usable, request);
+    if (selection.best) {
+        return selection;
+    }
     // Targets that hold the beginning of the prompt come first, within the bound on their load.
     if (!request.prefix.empty()) {
         const double bound
             = meanOccupancy(usable) * this->options->affinityLoadFactor + AffinitySlack;
-        this->offerHome(usable, request, bound, selection);
         for (RoutedTarget *target : usable) {
             const bool holds = target->prefix.knownBlocks({request.prefix.data(), 1}) > 0;
             if (holds && target->load.occupancy() > bound) {
@@ -199,35 +208,36 @@
     return {&target, cached, target.load.firstToken(toRead), target.load.cost(toRead)};
 }
 
-// The home is the candidate with the highest rendezvous weight whose load is within the bound. It is
-// rated as if it held the shared part: other instances send it there too.
-void CandidateSelector::offerHome(std::span<RoutedTarget *const> usable,
-                                  const RouteRequest &request,
-                                  double bound,
-                                  Selection &selection) const
+// Homes are the targets with the highest rendezvous weights for the shared part. One is rated as if
+// it held that part, since other instances send there too; the first that is fast enough is taken.
+std::optional<Candidate> CandidateSelector::home(std::span<RoutedTarget *const> usable,
+                                                 const RouteRequest &request) const
 {
     if (request.sharedBlocks == 0 || request.sharedBlocks > request.prefix.size()) {
-        return;
+        return std::nullopt;
     }
     const uint64_t key = request.prefix[request.sharedBlocks - 1];
-    RoutedTarget *home = nullptr;
-    uint64_t heaviest = 0;
+    std::vector<std::pair<uint64_t, RoutedTarget *>> homes;
+    homes.reserve(usable.size());
     for (RoutedTarget *target : usable) {
-        if (target->load.occupancy() > bound) {
-            continue;
-        }
-        const uint64_t weight
-            = core::rendezvousWeight(key, core::checksumOf(target->record.id()));
-        if (home == nullptr || weight > heaviest) {
-            home = target;
-            heaviest = weight;
+        homes.emplace_back(core::rendezvousWeight(key, core::checksumOf(target->record.id())),
+                           target);
+    }
+    const size_t count = std::min(homes.size(), MostHomes);
+    std::partial_sort(homes.begin(),
+                      homes.begin() + static_cast<std::ptrdiff_t>(count),
+                      homes.end(),
+                      std::greater<>());
+    for (size_t rank = 0; rank < count; ++rank) {
+        RoutedTarget &target = *homes[rank].second;
+        const size_t known = target.prefix.knownBlocks(request.prefix);
+        const Candidate candidate
+            = this->rateWith(target, request, std::max(known, request.sharedBlocks));
+        if (candidate.expectedFirstToken <= request.homeWithin) {
+            return candidate;
         }
     }
-    if (home != nullptr) {
-        const size_t known = home->prefix.knownBlocks(request.prefix);
-        CandidateSelector::offer(
-            this->rateWith(*home, request, std::max(known, request.sharedBlocks)), selection.best);
-    }
+    return std::nullopt;
 }
 
 void CandidateSelector::offer(const Candidate &candidate, std::optional<Candidate> &best)
--- a/source/samphirebridge/routing/candidateselector.h
+++ b/source/samphirebridge/routing/candidateselector.h
@@ -70,10 +70,8 @@
     [[nodiscard]] Candidate rate(RoutedTarget &target, const RouteRequest &request) const;
     [[nodiscard]] Candidate
     rateWith(RoutedTarget &target, const RouteRequest &request, size_t heldBlocks) const;
-    void offerHome(std::span<RoutedTarget *const> usable,
-                   const RouteRequest &request,
-                   double bound,
-                   Selection &selection) const;
+    [[nodiscard]] std::optional<Candidate> home(std::span<RoutedTarget *const> usable,
+                                                const RouteRequest &request) const;
     static void offer(const Candidate &candidate, std::optional<Candidate> &best);
 
     const RoutingOptions *options;
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -33,6 +33,8 @@
     // The part of a prompt that other requests share, as its leading blocks. Instances that see the
     // same targets send requests with the same shared part to the same home, whoever was first.
     size_t sharedBlocks = 0;
+    // The longest expected time to the first token at a home; a slower one is passed over.
+    core::Duration homeWithin{};
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0; // Expected, not the bound.
     int32_t priority = 0; // Lower is sooner. Steps of one are enough.
