net: Tell a reset behind an answer's last bytes from its end

A connection that had carried a foreign answer was used again. Ruled out: the parser, which refuses a body cut short of its stated length.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -216,7 +216,11 @@
         } else {
             this->host.relayWhole(*this->head, this->body);
         }
-        this->note("answered", fmt::format("status={}", this->head->status));
+        this->note("answered",
+                   fmt::format("status={} framing={} bytes={}",
+                               this->head->status,
+                               net::framingName(this->head->framing),
+                               this->body.size()));
         this->finish();
     }
 
--- a/source/samphirebridge/net/httpmessage.cpp
+++ b/source/samphirebridge/net/httpmessage.cpp
@@ -65,6 +65,21 @@
 
 } // namespace
 
+std::string_view framingName(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::UntilClosed:
+        return "until_closed";
+    }
+    return "unknown";
+}
+
 http::Headers endToEndHeaders(const http::Headers &headers)
 {
     const std::vector<std::string> listed = fieldsListedIn(headers);
--- a/source/samphirebridge/net/httpmessage.h
+++ b/source/samphirebridge/net/httpmessage.h
@@ -18,6 +18,9 @@
     UntilClosed,
 };
 
+// Returns a stable name for logs.
+std::string_view framingName(BodyFraming framing);
+
 struct RequestHead {
     std::string method;
     std::string target; // As it came: path and query.
--- a/source/samphirebridge/net/targetconnection.cpp
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -91,7 +91,7 @@
 
 bool TargetConnection::reusable() const
 {
-    return !this->busy && !this->spoiled && this->keepAlive && this->buffered.empty()
+    return !this->busy && !this->spoiled && !this->outOfStep && this->keepAlive && this->buffered.empty()
            && this->stream->isOpen() && this->stream->queuedBytes() == 0;
 }
 
@@ -136,8 +136,7 @@
 void TargetConnection::onComplete()
 {
     if (this->skipping) {
-        // What follows an answer that nobody asked for can't be trusted to be in step.
-        this->keepAlive = false;
+        this->outOfStep = true;
         this->skipping = false;
         this->parser.nextMessage(this->answersHead);
         return;
--- a/source/samphirebridge/net/targetconnection.h
+++ b/source/samphirebridge/net/targetconnection.h
@@ -71,6 +71,7 @@
     bool completed = false;
     bool keepAlive = false;
     bool spoiled = false;
+    bool outOfStep = false; // It carried an answer that nobody asked for.
     core::Duration keptFor{};
 };
 
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -159,7 +159,8 @@
             }
             const std::shared_ptr<TcpStream> stream = raw->shared_from_this();
             if (count < 0) {
-                stream->end(count == UV_EOF ? StreamEnd::Closed : StreamEnd::Broken);
+                const bool closed = count == UV_EOF && !stream->wasReset();
+                stream->end(closed ? StreamEnd::Closed : StreamEnd::Broken);
                 return;
             }
             const auto onData = stream->events.onData;
@@ -242,6 +243,19 @@
     }
 }
 
+// libuv reports the end of a stream, without another read, when a hang-up comes with the last bytes.
+// A reset looks the same to it; only the socket still tells them apart.
+bool TcpStream::wasReset() const
+{
+    uv_os_fd_t descriptor = -1;
+    if (!this->isOpen()
+        || uv_fileno(reinterpret_cast<const uv_handle_t *>(this->handle), &descriptor) != 0) {
+        return true;
+    }
+    char next = 0;
+    return recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 void TcpStream::end(StreamEnd end)
 {
     if (std::exchange(this->ended, true)) {
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -79,6 +79,7 @@
     explicit TcpStream(EventLoop &loop);
 
     void setOptions();
+    [[nodiscard]] bool wasReset() const;
     void end(StreamEnd end);
     void onWritten(size_t bytes, int status);
     void queueWrite(std::string_view bytes);
--- /dev/null
+++ b/tests/net/exchangetest.cpp
@@ -0,0 +1,192 @@
+// Requests to a target over real connections: what counts as a whole answer.
+#include "samphirebridge/net/targetpool.h"
+#include "tests/http/peer.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <optional>
+#include <thread>
+
+using namespace samphirebridge;
+using namespace std::chrono_literals;
+using http::Listener;
+using http::Peer;
+
+namespace
+{
+
+// A caller with one connection to a listener, and what it saw of its exchanges.
+class Caller
+{
+public:
+    explicit Caller(const Listener &listener)
+        : pool(this->loop, {.connectTimeout = 10s})
+        , endpoint{"127.0.0.1:" + std::to_string(listener.port()), 1}
+    {
+    }
+
+    ~Caller()
+    {
+        this->connection.reset();
+        this->pending.reset();
+    }
+
+    void connect()
+    {
+        this->pending = this->pool.acquire(this->endpoint, [this](auto got) {
+            REQUIRE(got.ok());
+            this->connection = std::move(*got);
+        });
+        this->runUntil([this] { return this->connection != nullptr; });
+    }
+
+    void send(std::string_view wantedId = {})
+    {
+        net::RequestHead head;
+        head.method = "GET";
+        head.target = "/";
+        head.headers.set("Host", "target");
+        net::ExchangeEvents events;
+        events.onHead = [this, wanted = std::string(wantedId)](const net::ResponseHead &answer) {
+            this->status = answer.status;
+            return wanted.empty() || answer.headers.find("X-Id").value_or("") == wanted;
+        };
+        events.onBody = [this](std::string_view bytes) { this->body += bytes; };
+        events.onEnd = [this] { this->complete = true; };
+        events.onFailed = [this](const absl::Status & /*error*/) { this->complete = false; };
+        this->connection->send(head, {}, std::move(events));
+    }
+
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        while (!condition()) {
+            this->loop.runUntil(this->clock.now() + 10ms);
+        }
+    }
+
+    // Returns whether the answer was whole.
+    bool waitForEnd()
+    {
+        this->runUntil([this] { return this->complete.has_value(); });
+        return *this->complete;
+    }
+
+    net::EventLoop loop;
+    core::SteadyClock clock;
+    net::TargetPool pool;
+    net::TargetEndpoint endpoint;
+    std::shared_ptr<net::TargetPool::Pending> pending;
+    net::TargetPool::Connection connection;
+    int status = 0;
+    std::string body;
+    std::optional<bool> complete;
+};
+
+} // namespace
+
+TEST_CASE("an answer without a length is whole when the target closes the connection")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send();
+    (void)target.readUntil("\r\n\r\n");
+    target.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+    target.close();
+    CHECK(caller.waitForEnd());
+    CHECK(caller.body == "whole");
+    CHECK_FALSE(caller.connection->reusable());
+}
+
+TEST_CASE("an answer without a length is not whole when the connection is reset right behind it")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send();
+    (void)target.readUntil("\r\n\r\n");
+    // Bytes and reset are there before the caller reads either.
+    target.write("HTTP/1.1 200 OK\r\n\r\npart");
+    target.close(true);
+    CHECK_FALSE(caller.waitForEnd());
+}
+
+TEST_CASE("an answer that is shorter than its length is not whole")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send();
+    (void)target.readUntil("\r\n\r\n");
+    target.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    target.close();
+    CHECK_FALSE(caller.waitForEnd());
+}
+
+TEST_CASE("an answer to another request is skipped, and the connection is not used again")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send("mine");
+    (void)target.readUntil("\r\n\r\n");
+    target.write("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nother"
+                "HTTP/1.1 201 Created\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine");
+    CHECK(caller.waitForEnd());
+    CHECK(caller.status == 201);
+    CHECK(caller.body == "mine");
+    CHECK_FALSE(caller.connection->reusable());
+}
+
+TEST_CASE("bytes behind a whole answer keep the connection from being used again")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send();
+    (void)target.readUntil("\r\n\r\n");
+    target.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n");
+    CHECK(caller.waitForEnd());
+    CHECK(caller.body == "ok");
+    CHECK_FALSE(caller.connection->reusable());
+}
+
+TEST_CASE("a connection that was handed back is used for the next request, but not once it is spoiled")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send();
+    (void)target.readUntil("\r\n\r\n");
+    target.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(caller.waitForEnd());
+    const net::TargetConnection *first = caller.connection.get();
+    caller.pool.release(caller.endpoint, std::exchange(caller.connection, nullptr));
+    caller.connect();
+    CHECK(caller.connection.get() == first);
+    caller.pool.release(caller.endpoint, std::exchange(caller.connection, nullptr));
+    const uint64_t opened = caller.pool.opened();
+    // An answer that nobody asked for.
+    target.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    caller.runUntil([&caller, opened] {
+        caller.connection.reset();
+        caller.pending = caller.pool.acquire(caller.endpoint, [&caller](auto got) {
+            if (got.ok()) {
+                caller.connection = std::move(*got);
+            }
+        });
+        if (caller.connection != nullptr && caller.pool.opened() == opened) {
+            caller.pool.release(caller.endpoint, std::exchange(caller.connection, nullptr));
+        }
+        return caller.pool.opened() > opened;
+    });
+    CHECK(caller.pool.opened() > opened);
+}
--- /dev/null
+++ b/tests/net/messageparsertest.cpp
@@ -0,0 +1,165 @@
+#include "samphirebridge/net/messageparser.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+
+using namespace samphirebridge;
+using net::BodyFraming;
+using net::MessageKind;
+using net::MessageParser;
+
+namespace
+{
+
+// One parser and what it told.
+struct Reader {
+    explicit Reader(MessageKind kind = MessageKind::Request, net::MessageLimits limits = {})
+        : parser(kind,
+                 limits,
+                 {[this](net::RequestHead head) { this->request = std::move(head); },
+                  [this](net::ResponseHead head) { this->response = std::move(head); },
+                  [this](std::string_view bytes) { this->body += bytes; },
+                  [this] { ++this->completed; }})
+    {
+    }
+
+    // Feeds the text in pieces of one byte; returns the bytes taken, or the error's code.
+    core::ErrorCode feedSlowly(std::string_view text)
+    {
+        for (size_t index = 0; index < text.size(); ++index) {
+            const auto read = this->parser.feed(text.substr(index, 1));
+            if (!read.ok()) {
+                return core::errorCodeOf(read.status());
+            }
+        }
+        return core::ErrorCode::None;
+    }
+
+    MessageParser parser;
+    std::optional<net::RequestHead> request;
+    std::optional<net::ResponseHead> response;
+    std::string body;
+    int completed = 0;
+};
+
+core::ErrorCode refusalOf(std::string_view text)
+{
+    Reader whole;
+    const auto read = whole.parser.feed(text);
+    Reader slow;
+    const core::ErrorCode inPieces = slow.feedSlowly(text);
+    INFO(text);
+    CHECK(whole.completed == 0);
+    CHECK(slow.completed == 0);
+    CHECK(core::errorCodeOf(read.status()) == inPieces);
+    return inPieces;
+}
+
+} // namespace
+
+TEST_CASE("a request is read in pieces of any size, and not beyond its end")
+{
+    const std::string text = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz";
+    Reader reader;
+    const auto read = reader.parser.feed(text + "GET / HTTP/1.1\r\n");
+    REQUIRE(read.ok());
+    CHECK(*read == text.size());
+    CHECK(reader.completed == 1);
+    CHECK(reader.request->target == "/a?b=c");
+    CHECK(reader.request->framing == BodyFraming::Length);
+    CHECK(reader.body == "xyz");
+    Reader slow;
+    CHECK(slow.feedSlowly(text) == core::ErrorCode::None);
+    CHECK(slow.completed == 1);
+    CHECK(slow.body == "xyz");
+}
+
+TEST_CASE("a chunked body is read, and its trailer fields are dropped")
+{
+    Reader reader;
+    CHECK(reader.feedSlowly("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "2\r\nab\r\n1\r\nc\r\n0\r\nX-Late: 1\r\n\r\n")
+          == core::ErrorCode::None);
+    CHECK(reader.completed == 1);
+    CHECK(reader.body == "abc");
+    CHECK_FALSE(reader.request->headers.find("X-Late"));
+}
+
+TEST_CASE("a body whose length can be read in two ways is refused")
+{
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    for (const char *framing : {
+             "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+             "Content-Length: 3\r\nContent-Length: 3\r\n",
+             "Content-Length: 3\r\nContent-Length: 4\r\n",
+             "Content-Length: 3, 3\r\n",
+             "Content-Length: +3\r\n",
+             "Content-Length: 0x3\r\n",
+             "Content-Length: 99999999999999999999\r\n",
+             "Transfer-Encoding: gzip, chunked\r\n",
+             "Transfer-Encoding: chunked, identity\r\n",
+             "Transfer-Encoding: xchunked\r\n",
+             "Transfer-Encoding : chunked\r\n",
+         }) {
+        CHECK(refusalOf(start + framing + "\r\n3\r\nabc\r\n0\r\n\r\n")
+              == core::ErrorCode::InvalidRequest);
+    }
+}
+
+TEST_CASE("names that are no tokens and characters that end a line elsewhere are refused")
+{
+    CHECK(refusalOf("GET / HTTP/1.1\r\nHost : h\r\n\r\n") == core::ErrorCode::InvalidRequest);
+    CHECK(refusalOf(std::string("GET / HTTP/1.1\r\nHost: a\0b\r\n\r\n", 29))
+          == core::ErrorCode::InvalidRequest);
+    CHECK(refusalOf("GET /\x7f HTTP/1.1\r\nHost: h\r\n\r\n") == core::ErrorCode::InvalidRequest);
+    CHECK(refusalOf("not a request\r\n\r\n") == core::ErrorCode::InvalidRequest);
+}
+
+TEST_CASE("heads and bodies above the limits are refused")
+{
+    Reader head(MessageKind::Request, {.headBytes = 64});
+    CHECK(head.feedSlowly("GET / HTTP/1.1\r\nHost: " + std::string(80, 'h') + "\r\n\r\n")
+          == core::ErrorCode::TooLarge);
+    Reader body(MessageKind::Request, {.bodyBytes = 4});
+    CHECK(body.feedSlowly("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabcde")
+          == core::ErrorCode::TooLarge);
+    Reader chunks(MessageKind::Request, {.bodyBytes = 4});
+    CHECK(chunks.feedSlowly("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "5\r\nabcde\r\n0\r\n\r\n")
+          == core::ErrorCode::TooLarge);
+}
+
+TEST_CASE("an interim answer is passed over, and the answer to a HEAD has no body")
+{
+    Reader interim(MessageKind::Response);
+    CHECK(interim.feedSlowly("HTTP/1.1 100 Continue\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+          == core::ErrorCode::None);
+    CHECK(interim.completed == 1);
+    CHECK(interim.response->status == 200);
+    Reader head(MessageKind::Response);
+    head.parser.nextMessage(true);
+    CHECK(head.feedSlowly("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n") == core::ErrorCode::None);
+    CHECK(head.completed == 1);
+}
+
+TEST_CASE("a message that the connection's end cuts short is not complete")
+{
+    Reader length(MessageKind::Response);
+    (void)length.feedSlowly("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+    CHECK_FALSE(length.parser.finish().ok());
+    CHECK(length.completed == 0);
+    Reader chunked(MessageKind::Response);
+    (void)chunked.feedSlowly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
+    CHECK_FALSE(chunked.parser.finish().ok());
+    CHECK(chunked.completed == 0);
+    Reader open(MessageKind::Response);
+    (void)open.feedSlowly("HTTP/1.1 200 OK\r\n\r\nab");
+    CHECK(open.parser.finish().ok());
+    CHECK(open.completed == 1);
+}
--- /dev/null
+++ b/tests/net/servertest.cpp
@@ -0,0 +1,168 @@
+// The server's side of connections.
+#include "samphirebridge/net/httpserver.h"
+#include "tests/http/peer.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+using namespace samphirebridge;
+using namespace std::chrono_literals;
+using http::Peer;
+
+namespace
+{
+
+// A server whose loop runs on a thread of its own; requests are kept until the test answers them.
+class Server
+{
+public:
+    Server()
+    {
+        auto listening = net::HttpServer::listen(
+            this->loop,
+            "127.0.0.1:0",
+            [] { return net::ServerLimits{.message = {.headBytes = 2048, .bodyBytes = 16}}; },
+            [this](net::IncomingRequest request, std::shared_ptr<net::Responder> responder) {
+                this->onRequest(std::move(request), std::move(responder));
+            });
+        REQUIRE(listening.ok());
+        this->server = std::move(*listening);
+        this->port = this->server->port();
+    }
+
+    ~Server()
+    {
+        this->stop();
+    }
+
+    void start()
+    {
+        this->thread = std::thread([this] {
+            while (!this->stopping) {
+                this->loop.runUntil(core::SteadyClock().now() + 5ms);
+                if (this->drain.exchange(false)) {
+                    this->server->beginDrain();
+                }
+            }
+            this->held.clear();
+            this->server.reset();
+        });
+    }
+
+    void stop()
+    {
+        this->stopping = true;
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+    }
+
+    int port = 0;
+    std::atomic<bool> drain = false;
+    std::atomic<int> gone = 0;
+    std::atomic<int> requests = 0;
+
+private:
+    void onRequest(net::IncomingRequest request, std::shared_ptr<net::Responder> responder)
+    {
+        ++this->requests;
+        if (request.head.target == "/hold") {
+            responder->setOnGone([this] { ++this->gone; });
+            this->held.push_back(std::move(responder));
+            return;
+        }
+        net::ResponseHead head;
+        head.status = 200;
+        if (request.head.target == "/cut") {
+            responder->begin(head);
+            responder->write("part");
+            responder->cutOff();
+            return;
+        }
+        responder->sendWhole(head, request.head.target + request.body);
+    }
+
+    net::EventLoop loop;
+    std::unique_ptr<net::HttpServer> server;
+    std::vector<std::shared_ptr<net::Responder>> held;
+    std::atomic<bool> stopping = false;
+    std::thread thread;
+};
+
+} // namespace
+
+TEST_CASE("requests that come at once on one connection are answered one after the other")
+{
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+                "Content-Length: 1\r\n\r\nxGET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answers = caller.readUntil("/c");
+    CHECK(answers.starts_with("HTTP/1.1 200 OK"));
+    CHECK(answers.find("/a") < answers.find("/bx"));
+    CHECK(answers.find("/bx") < answers.find("/c"));
+    CHECK(server.requests == 3);
+}
+
+TEST_CASE("bytes that are no request are refused, and the connection is closed")
+{
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n");
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 400"));
+    Peer large = Peer::connect(static_cast<uint16_t>(server.port));
+    large.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n");
+    CHECK(large.readToEnd().starts_with("HTTP/1.1 431"));
+    CHECK(server.requests == 0);
+}
+
+TEST_CASE("an answer that is cut off does not look complete")
+{
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answer = caller.readToEnd();
+    CHECK(answer.find("Transfer-Encoding: chunked") != std::string::npos);
+    CHECK(answer.find("part") != std::string::npos);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a caller that closes while it waits is noticed at once")
+{
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (server.requests == 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    caller.close();
+    while (server.gone == 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    CHECK(server.gone == 1);
+}
+
+TEST_CASE("a draining server answers what still comes and then closes the connection")
+{
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    (void)caller.readUntil("/a");
+    server.drain = true;
+    while (server.drain) {
+        std::this_thread::sleep_for(1ms);
+    }
+    caller.write("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answer = caller.readToEnd();
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.ends_with("/b"));
+}
