control: Let a newcomer take the place of a voter that is gone

Cause: after a planned replacement the old voter stayed a member. Ruled out: elections and storage; every member that kept its disk asked for votes and got three. A caught-up newcomer replaces a voter that was silent for 3 s, an even group drops one, and a member that no leader speaks to asks to be added again.

--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -51,6 +51,9 @@
     {
         this->now = now;
         this->durable->tick(now);
+        if (!this->durable->node().leader().empty()) {
+            this->leaderKnownAt = now;
+        }
         if (now - this->lastJoinStep >= JoinInterval) {
             this->lastJoinStep = now;
             this->proceedJoining();
@@ -232,8 +235,15 @@
     // After this time a proposal's fate is answered as unknown.
     static constexpr core::Duration ProposalTimeout = std::chrono::seconds(5);
 
+    // A voter that was silent for this long makes room for a newcomer: twice the longest election,
+    // so that one that only changes its leader is not taken for lost.
+    static constexpr core::Duration SilentAfter = std::chrono::seconds(3);
+
+    // A member that knew no leader for this long asks to be added.
+    static constexpr core::Duration AbandonedAfter = std::chrono::seconds(3);
+
     // The time between two steps towards becoming a voter.
-    static constexpr core::Duration JoinInterval = std::chrono::milliseconds(500);
+    static constexpr core::Duration JoinInterval = std::chrono::milliseconds(250);
 
     ControlNode(transport::PeerSet &peerSet,
                 telemetry::Counters &processCounters,
@@ -368,7 +378,8 @@
         return reply;
     }
 
-    // Leads learners to a vote; or, in a folder that never was a member, asks to be added.
+    // Leads learners to a vote; or, as a member that no leader speaks to, asks to be added: it may
+    // never have been one, or may have been replaced while it was away.
     void proceedJoining()
     {
         const consensus::RaftNode &raft = this->durable->node();
@@ -376,7 +387,8 @@
             this->promoteLearners();
             return;
         }
-        if (raft.configuration().voters_size() > 0) {
+        const bool abandoned = this->now - this->leaderKnownAt >= AbandonedAfter;
+        if (raft.configuration().voters_size() > 0 && !abandoned) {
             return;
         }
         proto::ChangeVotersRequest request;
@@ -391,17 +403,47 @@
     void promoteLearners()
     {
         const consensus::RaftNode &raft = this->durable->node();
+        const std::optional<std::string> silent = this->silentVoter();
         for (const std::string &learner : raft.configuration().learners()) {
-            const auto step = nextJoinStep(raft.configuration(), learner, raft.isCaughtUp(learner));
-            if (!step) {
-                continue;
-            }
-            // Refused while an earlier change is under way; the next interval tries again.
-            if (this->durable->changeVoters(*step, this->now).ok()) {
-                this->logger.change("voter_change_started", {{"member", step->member}});
+            const auto step
+                = nextJoinStep(raft.configuration(), learner, raft.isCaughtUp(learner), silent);
+            if (step) {
+                this->changeMembers(*step);
+                return;
             }
+        }
+        if (const auto step = nextTrimStep(raft.configuration(), silent)) {
+            this->changeMembers(*step);
+        }
+    }
+
+    // Refused while an earlier change is under way; the next interval tries again.
+    void changeMembers(const consensus::MemberChange &change)
+    {
+        if (!this->durable->changeVoters(change, this->now).ok()) {
             return;
         }
+        const bool removal = change.kind == consensus::MemberChangeKind::Remove;
+        this->logger.change("voter_change_started",
+                            {{"member", change.member},
+                             {"change", removal ? "remove" : "add"},
+                             {"voters",
+                              std::to_string(this->durable->node().configuration().voters_size())}});
+    }
+
+    // Returns the voter that was not heard for longest, if that is long enough to count as lost.
+    [[nodiscard]] std::optional<std::string> silentVoter() const
+    {
+        const consensus::RaftNode &raft = this->durable->node();
+        std::optional<std::string> silent;
+        core::TimePoint oldest = this->now - SilentAfter;
+        for (const std::string &voter : raft.configuration().voters()) {
+            if (voter != this->durable->member() && raft.lastHeard(voter) < oldest) {
+                oldest = raft.lastHeard(voter);
+                silent = voter;
+            }
+        }
+        return silent;
     }
 
     void noteLeader()
@@ -430,6 +472,7 @@
     std::map<uint64_t, Proposal> proposals;
     std::map<consensus::ReadId, OnRead> reads;
     std::string knownLeader;
+    core::TimePoint leaderKnownAt;
 };
 
 } // namespace samphirebridge::control
--- a/source/samphirebridge/control/joinplan.cpp
+++ b/source/samphirebridge/control/joinplan.cpp
@@ -33,7 +33,10 @@
 } // namespace
 
 std::optional<consensus::MemberChange>
-nextJoinStep(const proto::Configuration &configuration, std::string_view member, bool caughtUp)
+nextJoinStep(const proto::Configuration &configuration,
+             std::string_view member,
+             bool caughtUp,
+             const std::optional<std::string> &silentVoter)
 {
     using Kind = consensus::MemberChangeKind;
     const bool votes = contains(configuration.voters(), member);
@@ -51,10 +54,26 @@
     if (older) {
         return consensus::MemberChange{Kind::Remove, *older};
     }
+    const bool wouldBeEven = configuration.voters_size() % 2 != 0;
+    if (!votes && silentVoter && wouldBeEven) {
+        return consensus::MemberChange{Kind::Remove, *silentVoter};
+    }
     if (!votes) {
         return consensus::MemberChange{Kind::Promote, std::string(member)};
     }
     return std::nullopt;
 }
 
+std::optional<consensus::MemberChange>
+nextTrimStep(const proto::Configuration &configuration,
+             const std::optional<std::string> &silentVoter)
+{
+    constexpr int FewestVoters = 4;
+    const int voters = configuration.voters_size();
+    if (!silentVoter || voters < FewestVoters || voters % 2 != 0) {
+        return std::nullopt;
+    }
+    return consensus::MemberChange{consensus::MemberChangeKind::Remove, *silentVoter};
+}
+
 } // namespace samphirebridge::control
--- a/tests/control/joinplantest.cpp
+++ b/tests/control/joinplantest.cpp
@@ -45,3 +45,48 @@
 
     CHECK_FALSE(control::nextJoinStep(configuration({"a/0", "b/0", "c/7"}, {}), "c/7", true));
 }
+
+TEST_CASE("a newcomer takes the place of a voter that is not heard any more")
+{
+    // Five voters of which one is gone for good: with the newcomer they would be six, and two lost
+    // disks among the five that are left would stop them for ever.
+    const auto five = configuration({"a/0", "b/0", "c/0", "d/0", "e/0"}, {"f/3"});
+    auto step = control::nextJoinStep(five, "f/3", true, "b/0");
+    REQUIRE(step);
+    CHECK(step->kind == Kind::Remove);
+    CHECK(step->member == "b/0");
+
+    const auto four = configuration({"a/0", "c/0", "d/0", "e/0"}, {"f/3"});
+    step = control::nextJoinStep(four, "f/3", true, "a/0");
+    REQUIRE(step);
+    CHECK(step->kind == Kind::Promote);
+    CHECK(step->member == "f/3");
+}
+
+TEST_CASE("a silent voter stays while nobody is ready to take its place")
+{
+    const auto five = configuration({"a/0", "b/0", "c/0", "d/0", "e/0"}, {"f/3"});
+    CHECK_FALSE(control::nextJoinStep(five, "f/3", false, "b/0"));
+    CHECK_FALSE(control::nextJoinStep(five, "c/0", true, "b/0"));
+}
+
+TEST_CASE("a newcomer is promoted beside voters that are all heard")
+{
+    const auto step
+        = control::nextJoinStep(configuration({"a/0", "b/0", "c/0"}, {"d/2"}), "d/2", true);
+    REQUIRE(step);
+    CHECK(step->kind == Kind::Promote);
+}
+
+TEST_CASE("of an even number of voters one that is silent goes, since its place was taken")
+{
+    const auto six = configuration({"a/0", "b/0", "c/0", "d/0", "e/0", "f/3"}, {});
+    const auto step = control::nextTrimStep(six, "a/0");
+    REQUIRE(step);
+    CHECK(step->kind == Kind::Remove);
+    CHECK(step->member == "a/0");
+    CHECK_FALSE(control::nextTrimStep(six, std::nullopt));
+    const auto five = configuration({"a/0", "b/0", "c/0", "d/0", "e/0"}, {});
+    CHECK_FALSE(control::nextTrimStep(five, "a/0"));
+    CHECK_FALSE(control::nextTrimStep(configuration({"a/0", "b/0"}, {}), "a/0"));
+}
