budget: Let a witness tell what a holder out of contact may have spent

Cause: an instance that ends without a word leaves all its escrow quarantined, since it may have spent it out of contact. Ruled out: a lower exposure alone; it would stop an instance that is cut off. In contact a holder leaves no more than 40,000 tokens of a budget without a record. Out of contact it may spend all its escrow once its witness, whom the ledger knows, has a notice; the ledger asks the witness when the holder is over.

--- a/source/samphirebridge/budget/escrowbatches.cpp
+++ b/source/samphirebridge/budget/escrowbatches.cpp
@@ -95,7 +95,7 @@
 
 bool EscrowState::hasBusiness(core::TimePoint now) const
 {
-    return !this->unsent.empty() || !this->settlements.empty()
+    return !this->unsent.empty() || !this->settlements.empty() || !this->witnessAnswers.empty()
            || std::ranges::any_of(this->accounts, [&](const auto &entry) {
                   return entry.second.hasBusiness(now, this->options);
               });
@@ -115,6 +115,13 @@
     batch.message.mutable_holder()->set_instance(this->holder.instance.value);
     batch.message.mutable_holder()->set_incarnation(this->holder.incarnation);
     batch.message.set_sequence(++this->lastSequence);
+    if (!this->witness.instance.empty()) {
+        batch.message.mutable_witness()->set_instance(this->witness.instance.value);
+        batch.message.mutable_witness()->set_incarnation(this->witness.incarnation);
+    }
+    for (const proto::WitnessAnswer &answer : this->witnessAnswers) {
+        *batch.message.add_answers() = answer;
+    }
     this->addOpenings(batch);
     this->addSettlements(batch);
     this->addEscrow(batch, now);
@@ -188,6 +195,8 @@
 
 void EscrowState::confirm(const BatchInFlight &batch)
 {
+    this->witnessAnswers.erase(this->witnessAnswers.begin(),
+                               this->witnessAnswers.begin() + batch.message.answers_size());
     for (const SentOpening &opening : batch.openings) {
         this->accounts[opening.budget].removeUnrecorded(opening.unrecorded);
         const auto found = this->reservations.find(opening.reservation);
--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -70,6 +70,21 @@
     return this->state->shutdownBatch(now);
 }
 
+void EscrowBook::setWitness(const core::HolderId &witness)
+{
+    this->state->witness = witness;
+}
+
+void EscrowBook::addWitnessAnswer(const proto::WitnessAnswer &answer)
+{
+    this->state->witnessAnswers.push_back(answer);
+}
+
+core::Tokens EscrowBook::largestUnrecorded() const
+{
+    return core::Tokens{this->state->largestUnrecorded()};
+}
+
 bool EscrowBook::isSettled() const
 {
     return this->state->isSettled();
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -105,6 +105,15 @@
     return absl::OkStatus();
 }
 
+int64_t EscrowState::largestUnrecorded() const
+{
+    int64_t largest = 0;
+    for (const auto &[budget, account] : this->accounts) {
+        largest = std::max(largest, account.unrecordedTokens());
+    }
+    return largest;
+}
+
 bool EscrowState::isSettled() const
 {
     const bool reported
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -78,6 +78,7 @@
     absl::Status onBatchResult(const proto::CommandResult &result, core::TimePoint now);
     void onBatchLost(core::TimePoint now);
 
+    [[nodiscard]] int64_t largestUnrecorded() const;
     [[nodiscard]] bool isSettled() const;
     [[nodiscard]] bool inContact(core::TimePoint now) const;
     [[nodiscard]] std::vector<BudgetShare> shares() const;
@@ -85,6 +86,8 @@
     core::HolderId holder;
     EscrowOptions options;
     EscrowCounters counters;
+    core::HolderId witness; // Of no instance: none.
+    std::vector<proto::WitnessAnswer> witnessAnswers; // Not in an answered batch yet.
 
 private:
     ReservationId openReservation(const core::BudgetId &budget,
--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -39,6 +39,9 @@
 constexpr core::Duration InterfaceDrain = std::chrono::milliseconds(3200);
 constexpr int InterfacePartOfGrace = 2;
 
+// The time that a witness gets to answer a notice.
+constexpr core::Duration NoticeTimeout = std::chrono::milliseconds(500);
+
 // Bounds of the last steps of a shutdown.
 constexpr core::Duration EscrowReturnTimeout = std::chrono::seconds(3);
 constexpr core::Duration HandOverTimeout = std::chrono::seconds(2);
@@ -170,8 +173,16 @@
         , publisher(processSettings.instance, this->peers)
     {
         this->queue.setOnPost([this] { this->loop.wake(); });
+        this->node.escrow().setNoticeSender([this](const core::InstanceId &witness,
+                                                   const proto::IsolationNotice &notice,
+                                                   std::function<void(bool)> onAnswer) {
+            this->sendNotice(witness, notice, std::move(onAnswer));
+        });
     }
 
+    void sendNotice(const core::InstanceId &witness,
+                    const proto::IsolationNotice &notice,
+                    std::function<void(bool)> onAnswer);
     absl::Status openVoter();
     absl::Status listenRpc();
     absl::Status listenHttp();
@@ -203,6 +214,22 @@
     std::unique_ptr<http::Server> httpServer;
 };
 
+void Daemon::Parts::sendNotice(const core::InstanceId &witness,
+                               const proto::IsolationNotice &notice,
+                               std::function<void(bool)> onAnswer)
+{
+    transport::PeerChannel *channel = this->peers.find(witness);
+    if (channel == nullptr) {
+        return;
+    }
+    channel->witness(
+        notice, NoticeTimeout, [&tasks = this->queue, onAnswer = std::move(onAnswer)](auto reply) {
+            tasks.post([onAnswer, accepted = reply.ok() && reply->accepted()] {
+                onAnswer(accepted);
+            });
+        });
+}
+
 absl::Status Daemon::Parts::openVoter()
 {
     if (!this->settings.roles.control) {
@@ -247,6 +274,14 @@
             this->node.onEnvelope(envelope, now);
         });
     };
+    handlers.witness = [this](const proto::IsolationNotice &notice,
+                              transport::Respond<proto::IsolationReply> respond) {
+        this->queue.post([this, notice, respond = std::move(respond)] {
+            proto::IsolationReply reply;
+            reply.set_accepted(this->node.escrow().takeNotice(notice));
+            respond(std::move(reply));
+        });
+    };
     if (this->voter == nullptr) {
         handlers.submit = answerWithoutVoter<proto::SubmitRequest, proto::SubmitReply>;
         handlers.readManifest
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -1,6 +1,8 @@
 #include "samphirebridge/entry/entrynode.h"
 
+#include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/core/rendezvous.h"
 
 #include <chrono>
 #include <string>
@@ -29,6 +31,10 @@
 // it may be cut off from the ledger.
 constexpr core::Duration DeclarationEscrowHorizon = std::chrono::seconds(14);
 
+// Without an answer of the ledger for this long, a request that the escrow does not cover is refused
+// at once under a declaration.
+constexpr core::Duration DeclarationContactTimeout = std::chrono::milliseconds(600);
+
 membership::MembershipOptions membershipOptions(const EntryOptions &options)
 {
     membership::MembershipOptions membership;
@@ -99,6 +105,7 @@
         this->lastControlCheck = now;
         std::vector<core::InstanceId> control = this->fleetView.controlInstances(now);
         this->fleetView.setWatchers(control);
+        this->chooseWitness(now);
         if (!control.empty()) {
             this->client.setControl(std::move(control));
         }
@@ -242,7 +249,9 @@
     budget::EscrowOptions escrow = escrowOptions(this->options.escrowFlushInterval);
     escrow.horizon = DeclarationEscrowHorizon;
     escrow.exposureLimit = forwarding::DeclarationExposure;
+    escrow.contactTimeout = DeclarationContactTimeout;
     this->escrowKeeper.setPolicy(escrow, core::Duration::zero());
+    this->escrowKeeper.setContactExposure(forwarding::ContactExposure);
     this->fleetView.onDeclaration(declaration, this->clock.now());
 }
 
@@ -256,6 +265,29 @@
     this->fleetView.onManifest(catalogue, this->clock.now());
 }
 
+// The witness is the entry instance in contact with the highest rendezvous weight, so that the
+// holders' witnesses are spread over the fleet.
+void EntryNode::chooseWitness(core::TimePoint now)
+{
+    core::HolderId chosen;
+    uint64_t heaviest = 0;
+    for (const membership::InstanceView &view : this->fleetView.instances().view(now)) {
+        const proto::InstanceRecord &record = view.record;
+        if (!record.serves() || record.leaving() || !view.inContact
+            || record.id() == this->options.holder.instance.value) {
+            continue;
+        }
+        const uint64_t weight
+            = core::rendezvousWeight(core::checksumOf(this->options.holder.instance.value),
+                                     core::checksumOf(record.id()));
+        if (chosen.instance.empty() || weight > heaviest) {
+            chosen = {core::InstanceId(record.id()), record.incarnation()};
+            heaviest = weight;
+        }
+    }
+    this->escrowKeeper.setWitness(chosen);
+}
+
 void EntryNode::updateLevels()
 {
     core::Tokens escrow;
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -72,6 +72,7 @@
     void onManifest(const manifest::Catalogue &catalogue);
     void onDeclaration(const forwarding::Declaration &declaration);
     [[nodiscard]] bool isConfigured() const;
+    void chooseWitness(core::TimePoint now);
     void updateLevels();
 
     EntryOptions options;
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -34,6 +34,8 @@
     , client(ledgerClient)
     , counters(processCounters)
     , logger(processLogger)
+    , isolation(this->book.holder(), {})
+    , isolatedExposure(options.exposureLimit)
     , lastContact(this->clock.now())
 {
 }
@@ -46,13 +48,38 @@
 
 void EscrowKeeper::setHolder(core::HolderId holder)
 {
+    this->isolation = budget::Isolation(holder, {});
     this->book = budget::EscrowBook(std::move(holder), this->bookOptions);
 }
 
+void EscrowKeeper::setNoticeSender(SendNotice noticeSender)
+{
+    this->sendNotice = std::move(noticeSender);
+}
+
+void EscrowKeeper::setContactExposure(core::Tokens exposure)
+{
+    this->contactExposure = exposure;
+    this->followIsolation(this->clock.now());
+}
+
+void EscrowKeeper::setWitness(const core::HolderId &witness)
+{
+    this->isolation.setWitness(witness);
+    this->book.setWitness(this->isolation.witness());
+}
+
+bool EscrowKeeper::takeNotice(const proto::IsolationNotice &notice)
+{
+    return this->witnessBook.take(notice);
+}
+
 void EscrowKeeper::setPolicy(const budget::EscrowOptions &options, core::Duration serve)
 {
     this->bookOptions = options;
+    this->isolatedExposure = options.exposureLimit;
     this->book.setOptions(options);
+    this->followIsolation(this->clock.now());
     this->outOfContactServe = serve;
 }
 
@@ -100,6 +127,7 @@
     if (!this->registered) {
         return;
     }
+    this->followIsolation(now);
     const auto batch
         = this->shuttingDown ? this->book.shutdownBatch(now) : this->book.nextBatch(now);
     if (batch) {
@@ -163,6 +191,48 @@
     return now - this->lastContact <= this->outOfContactServe;
 }
 
+void EscrowKeeper::followIsolation(core::TimePoint now)
+{
+    if (!this->contactExposure || !this->sendNotice) {
+        return;
+    }
+    const bool recorded = this->book.largestUnrecorded() <= *this->contactExposure;
+    if (const auto notice = this->isolation.next(now, recorded)) {
+        this->logger.change(notice->isolated() ? "isolation_noticed" : "isolation_withdrawn",
+                            {{"witness", this->isolation.witness().instance.value},
+                             {"number", std::to_string(notice->number())}});
+        this->sendNotice(this->isolation.witness().instance,
+                         *notice,
+                         [this, number = notice->number()](bool accepted) {
+                             this->isolation.onNoticeAnswered(number, accepted);
+                             this->followIsolation(this->clock.now());
+                         });
+    }
+    const core::Tokens exposure
+        = this->isolation.maySpendAll() ? this->isolatedExposure : *this->contactExposure;
+    if (exposure == this->bookOptions.exposureLimit) {
+        return;
+    }
+    this->bookOptions.exposureLimit = exposure;
+    this->book.setOptions(this->bookOptions);
+    this->askWaitersAgain(now);
+}
+
+void EscrowKeeper::answerQuestions(const proto::HolderBatchResult &result)
+{
+    for (const proto::Holder &holder : result.questions()) {
+        proto::WitnessAnswer answer;
+        *answer.mutable_about() = holder;
+        answer.set_isolated(this->witnessBook.close(
+            {core::InstanceId(holder.instance()), holder.incarnation()}));
+        this->logger.change("witness_answered",
+                            {{"holder", holder.instance()},
+                             {"incarnation", std::to_string(holder.incarnation())},
+                             {"isolated", answer.isolated() ? "true" : "false"}});
+        this->book.addWitnessAnswer(answer);
+    }
+}
+
 void EscrowKeeper::askWaitersAgain(core::TimePoint now)
 {
     // In the order of arrival, so that a large request is not passed over for ever.
@@ -199,6 +269,9 @@
 {
     const bool resent = batch.sequence() == this->lastSequence;
     this->lastSequence = batch.sequence();
+    this->sentWitness
+        = {core::InstanceId(batch.witness().instance()), batch.witness().incarnation()};
+    this->isolation.onBatchSent(this->sentWitness, this->clock.now());
     this->counters.count(resent ? telemetry::Event::EscrowBatchesResent
                                 : telemetry::Event::EscrowBatchesSent);
     proto::Command command;
@@ -213,6 +286,8 @@
 {
     if (result.ok()) {
         this->lastContact = now;
+        this->isolation.onBatchAnswered(this->sentWitness);
+        this->answerQuestions(result->holder_batch());
         const absl::Status taken = this->book.onBatchResult(*result, now);
         if (!taken.ok()) {
             this->logger.change("escrow_batch_refused",
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "samphirebridge/budget/escrowbook.h"
+#include "samphirebridge/budget/isolation.h"
+#include "samphirebridge/budget/witnessbook.h"
 #include "samphirebridge/control/ledgerclient.h"
 #include "samphirebridge/core/reasons.h"
 #include "samphirebridge/telemetry/counters.h"
@@ -31,6 +33,10 @@
     core::TimePoint deadline; // The answer comes at the latest then.
 };
 
+// Sends a notice to a witness; the function is called with whether it was accepted, or not at all.
+using SendNotice = std::function<void(
+    const core::InstanceId &, const proto::IsolationNotice &, std::function<void(bool)>)>;
+
 // Lives on the control thread.
 class EscrowKeeper
 {
@@ -51,6 +57,17 @@
     // outOfContactServe reserves nothing more; zero: as long as escrow lasts.
     void setPolicy(const budget::EscrowOptions &options, core::Duration outOfContactServe);
 
+    // Lets this holder spend all its escrow out of contact, with a witness's knowledge; in contact no
+    // more than the exposure stays without a record. Without a sender the policy's exposure holds.
+    void setNoticeSender(SendNotice sendNotice);
+    void setContactExposure(core::Tokens exposure);
+
+    // Names the instance that this holder reports its isolation to.
+    void setWitness(const core::HolderId &witness);
+
+    // Takes a notice of another holder as its witness.
+    bool takeNotice(const proto::IsolationNotice &notice);
+
     // Answers at once, or when a grant or a settlement decided, or at the deadline.
     void reserve(const ReservationRequest &request, core::TimePoint now, OnReservation onAnswer);
 
@@ -83,6 +100,8 @@
     // Returns the answer, or nothing while the request has to wait.
     std::optional<ReservationAnswer> decide(const ReservationRequest &request, core::TimePoint now);
     [[nodiscard]] bool servesOutOfContact(core::TimePoint now) const;
+    void followIsolation(core::TimePoint now);
+    void answerQuestions(const proto::HolderBatchResult &result);
     void askWaitersAgain(core::TimePoint now);
     void expireWaiters(core::TimePoint now);
     void send(const proto::HolderBatch &batch);
@@ -94,6 +113,12 @@
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     core::SteadyClock clock;
+    budget::Isolation isolation;
+    budget::WitnessBook witnessBook;
+    SendNotice sendNotice;
+    std::optional<core::Tokens> contactExposure;
+    core::Tokens isolatedExposure;
+    core::HolderId sentWitness; // Named by the batch in flight.
     core::Duration outOfContactServe{};
     core::TimePoint lastContact;
     std::list<Waiter> waiters;
--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -75,6 +75,10 @@
 // that is cut off goes on serving out of its escrow.
 inline constexpr core::Tokens DeclarationExposure = core::MaximumPurchase;
 
+// The same while the instance is in contact with the ledger: some requests of a usual size. It is
+// what each budget loses when an instance ends without a word.
+inline constexpr core::Tokens ContactExposure{40'000};
+
 struct Declaration {
     uint64_t version = 0;
     std::vector<Route> routes;
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -103,7 +103,9 @@
         entry::ReservationRequest wanted;
         wanted.budget = core::BudgetId(this->way.organisation->id.value);
         wanted.tokens = tokens;
-        wanted.deadline = this->now() + this->way.route->latencyObjective / PartOfObjective;
+        wanted.deadline
+            = this->now()
+              + std::max(LeastTokenWait, this->way.route->latencyObjective / PartOfObjective);
         const std::weak_ptr<ForwardSession> weak = this->weak_from_this();
         this->context.node.escrow().reserve(
             wanted, this->now(), [weak, &node = this->context.node](const auto &answer) {
@@ -206,8 +208,10 @@
     }
 
 private:
-    // A request waits for tokens for at most this part of its latency objective.
-    static constexpr int PartOfObjective = 8;
+    // A request waits for tokens for this part of its latency objective, and at least for some round
+    // trips to the ledger.
+    static constexpr int PartOfObjective = 4;
+    static constexpr core::Duration LeastTokenWait = std::chrono::milliseconds(150);
 
     void onReservation(const entry::ReservationAnswer &answer)
     {
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -98,6 +98,48 @@
     std::ranges::sort(*result.mutable_recalls(), {}, &proto::EscrowRecall::budget);
 }
 
+// Returns what a holder that is over can't have spent: its witness had no notice of isolation, so it
+// had no more than the contact exposure open without a record.
+void returnBeyondContact(LedgerState &state, HolderIndex holder)
+{
+    const int64_t exposure = state.declaration.contact_exposure_tokens();
+    for (const BudgetIndex budget : state.budgets.budgetsOf(holder)) {
+        const int64_t free = state.budgets.share(budget, holder)->free();
+        state.budgets.returnUnrecorded(budget, holder, std::max<int64_t>(free - exposure, 0));
+    }
+    forgetIfDone(state, holder);
+}
+
+void takeAnswers(LedgerState &state, const core::HolderId &witness, const proto::HolderBatch &batch)
+{
+    for (const proto::WitnessAnswer &answer : batch.answers()) {
+        const HolderIndex about = state.holders.find(holderIdOf(answer.about()));
+        if (about == NoIndex) {
+            continue;
+        }
+        HolderRecord &record = state.holders.at(about);
+        if (!record.awaitsWitness || record.witness != witness) {
+            continue;
+        }
+        record.awaitsWitness = false;
+        if (!answer.isolated()) {
+            returnBeyondContact(state, about);
+        }
+    }
+}
+
+void addQuestions(const LedgerState &state,
+                  const core::HolderId &witness,
+                  proto::HolderBatchResult &result)
+{
+    for (const HolderIndex index : state.holders.ordered()) {
+        const HolderRecord &record = state.holders.at(index);
+        if (record.awaitsWitness && record.witness == witness) {
+            *result.add_questions() = protoOf(record.id);
+        }
+    }
+}
+
 // Takes what a holder that is over reports late: settlements only, and each batch once.
 void takeLate(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
 {
@@ -144,9 +186,15 @@
         *result.mutable_holder_batch()->add_grants() = answerRequest(state, holder, request);
     }
     addRecalls(state, holder, *result.mutable_holder_batch());
+    // The records may have moved when a holder was forgotten.
+    const core::HolderId id = holderIdOf(batch.holder());
+    takeAnswers(state, id, batch);
+    addQuestions(state, id, *result.mutable_holder_batch());
     result.mutable_holder_batch()->set_sequence(batch.sequence());
-    record.lastSequence = batch.sequence();
-    record.lastResult = result.holder_batch().SerializeAsString();
+    HolderRecord &reported = state.holders.at(holder);
+    reported.witness = holderIdOf(batch.witness());
+    reported.lastSequence = batch.sequence();
+    reported.lastResult = result.holder_batch().SerializeAsString();
     return result;
 }
 
--- a/source/samphirebridge/ledger/holderbook.h
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -43,6 +43,8 @@
     // The highest exposure that was in force since it registered: it may not have heard of a lower
     // one yet.
     int64_t exposure = 0;
+    core::HolderId witness; // Of no instance: none was named.
+    bool awaitsWitness = false; // It is over, and its witness was not heard yet.
     std::string lastResult; // The serialised HolderBatchResult of the last sequence.
     absl::flat_hash_map<uint64_t, OpenItem> open;
     absl::flat_hash_map<BudgetIndex, Recall> recalls;
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -81,6 +81,9 @@
     record.over = true;
     record.recalls.clear();
     state.shortages.clear(holder);
+    const bool bounded = state.declaration.contact_exposure_tokens() > 0;
+    const HolderIndex witness = state.holders.find(record.witness);
+    record.awaitsWitness = bounded && witness != NoIndex && !state.holders.at(witness).over;
     for (const BudgetIndex budget : state.budgets.budgetsOf(holder)) {
         state.budgets.end(budget, holder, record.exposure);
     }
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -97,6 +97,10 @@
         message->set_retired(record.over);
         message->set_last_sequence(record.lastSequence);
         message->set_exposure_tokens(record.exposure);
+        if (!record.witness.instance.empty()) {
+            *message->mutable_witness() = protoOf(record.witness);
+        }
+        message->set_awaits_witness(record.awaitsWitness);
         if (!record.lastResult.empty()) {
             message->mutable_last_result()->ParseFromString(record.lastResult);
         }
@@ -231,6 +235,8 @@
             record.over = message.retired();
             record.lastSequence = message.last_sequence();
             record.exposure = message.exposure_tokens();
+            record.witness = holderIdOf(message.witness());
+            record.awaitsWitness = message.awaits_witness();
             if (message.has_last_result()) {
                 record.lastResult = message.last_result().SerializeAsString();
             }
--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -281,6 +281,16 @@
         });
 }
 
+void PeerChannel::witness(const proto::IsolationNotice &notice,
+                          core::Duration timeout,
+                          OnReply<proto::IsolationReply> onReply)
+{
+    this->state->call<proto::IsolationNotice, proto::IsolationReply>(
+        notice, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->Witness(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
 void PeerChannel::changeVoters(const proto::ChangeVotersRequest &request,
                                core::Duration timeout,
                                OnReply<proto::ChangeVotersReply> onReply)
--- a/source/samphirebridge/transport/peerchannel.h
+++ b/source/samphirebridge/transport/peerchannel.h
@@ -16,6 +16,8 @@
 class ChangeVotersReply;
 class ChangeVotersRequest;
 class Envelope;
+class IsolationNotice;
+class IsolationReply;
 class ReadBudgetsReply;
 class ReadBudgetsRequest;
 class ReadDeclarationReply;
@@ -66,6 +68,9 @@
     void readStatus(const proto::ReadStatusRequest &request,
                     core::Duration timeout,
                     OnReply<proto::ReadStatusReply> onReply);
+    void witness(const proto::IsolationNotice &notice,
+                 core::Duration timeout,
+                 OnReply<proto::IsolationReply> onReply);
     void changeVoters(const proto::ChangeVotersRequest &request,
                       core::Duration timeout,
                       OnReply<proto::ChangeVotersReply> onReply);
--- a/source/samphirebridge/transport/rpcserver.cpp
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -101,6 +101,13 @@
         return carry(context, *request, reply, this->handlers.readStatus, this->counters);
     }
 
+    Reactor *Witness(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                     const proto::IsolationNotice *request,
+                     proto::IsolationReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.witness, this->counters);
+    }
+
     Reactor *ChangeVoters(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                           const proto::ChangeVotersRequest *request,
                           proto::ChangeVotersReply *reply) override
--- a/source/samphirebridge/transport/rpcserver.h
+++ b/source/samphirebridge/transport/rpcserver.h
@@ -17,6 +17,8 @@
 class ChangeVotersReply;
 class ChangeVotersRequest;
 class Envelope;
+class IsolationNotice;
+class IsolationReply;
 class ReadBudgetsReply;
 class ReadBudgetsRequest;
 class ReadDeclarationReply;
@@ -48,6 +50,7 @@
         readBudgets;
     std::function<void(const proto::ReadStatusRequest &, Respond<proto::ReadStatusReply>)>
         readStatus;
+    std::function<void(const proto::IsolationNotice &, Respond<proto::IsolationReply>)> witness;
     std::function<void(const proto::ChangeVotersRequest &, Respond<proto::ChangeVotersReply>)>
         changeVoters;
 };
