budget: Lend escrow between instances that are cut off from the ledger

Demand was also underestimated in the first seconds, and escrow was topped up only at half. Ruled out: more escrow at once; the pools were empty at the cut. A loan is given only by a holder whose witness has notice of its isolation, so its tokens stay quarantined should it end; both sides report it, the first report moves the tokens.

--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -57,6 +57,21 @@
     this->demand.noteEnd(tokens, used);
 }
 
+int64_t BudgetAccount::lend(int64_t minimum, int64_t wanted)
+{
+    const int64_t tokens = this->waiting > 0 ? 0 : std::min(wanted, this->free / 2);
+    if (tokens <= 0 || tokens < minimum) {
+        return 0;
+    }
+    this->free -= tokens;
+    return tokens;
+}
+
+void BudgetAccount::borrow(int64_t tokens)
+{
+    this->free += tokens;
+}
+
 void BudgetAccount::addUnrecorded(int64_t tokens)
 {
     this->unrecorded += tokens;
@@ -234,7 +249,8 @@
 
 bool BudgetAccount::wantsMore(core::TimePoint now, const EscrowOptions &options) const
 {
-    const bool low = this->free < this->target(now, options) / 2;
+    const double held = static_cast<double>(this->free);
+    const bool low = held < options.refillPart * static_cast<double>(this->target(now, options));
     const bool rested = !this->everWanted || now - this->wantedAt >= options.idleInterval;
     return low && rested;
 }
--- a/source/samphirebridge/budget/budgetaccount.h
+++ b/source/samphirebridge/budget/budgetaccount.h
@@ -37,6 +37,11 @@
     // Ends an unrecorded reservation: the rest is free at once.
     void closeUnrecorded(int64_t tokens, int64_t used);
 
+    // Takes at most half of the free tokens off for another holder; nothing if that is below the
+    // minimum or if requests here wait.
+    int64_t lend(int64_t minimum, int64_t wanted);
+    void borrow(int64_t tokens);
+
     void addUnrecorded(int64_t tokens);
     void removeUnrecorded(int64_t tokens);
 
--- a/source/samphirebridge/budget/demand.cpp
+++ b/source/samphirebridge/budget/demand.cpp
@@ -12,6 +12,9 @@
 // After this time a request counts for a third in the rate.
 constexpr double FadingSeconds = 10;
 
+// A shorter history is taken for this long, so that one request makes no rate.
+constexpr double LeastKnownSeconds = 2;
+
 // The weight of one request in the average used share.
 constexpr double ShareWeight = 0.05;
 
@@ -19,6 +22,7 @@
 
 void Demand::noteRequest(int64_t bound, core::TimePoint now)
 {
+    this->firstAt = this->firstAt.value_or(now);
     this->recentBounds = this->faded(now) + static_cast<double>(bound);
     this->updatedAt = now;
 }
@@ -39,7 +43,13 @@
 
 double Demand::boundsPerSecond(core::TimePoint now) const
 {
-    return this->faded(now) / FadingSeconds;
+    if (!this->firstAt) {
+        return 0;
+    }
+    // What a steady rate would have summed up to since the first request.
+    const double known = std::chrono::duration<double>(now - *this->firstAt).count();
+    const double summed = FadingSeconds * (1 - std::exp(-std::max(known, 0.0) / FadingSeconds));
+    return this->faded(now) / std::max(summed, LeastKnownSeconds);
 }
 
 double Demand::usedShare() const
--- a/source/samphirebridge/budget/demand.h
+++ b/source/samphirebridge/budget/demand.h
@@ -32,6 +32,7 @@
 
     double recentBounds = 0; // Weighted by exp(-age / fading time).
     double averageShare = 1;
+    std::optional<core::TimePoint> firstAt;
     std::optional<core::TimePoint> updatedAt;
 };
 
--- a/source/samphirebridge/budget/escrowbatches.cpp
+++ b/source/samphirebridge/budget/escrowbatches.cpp
@@ -3,6 +3,7 @@
 #include "samphirebridge/core/errors.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphirebridge::budget
 {
@@ -55,7 +56,7 @@
     this->releaseForgotten(now);
     const bool holds = std::ranges::any_of(
         this->accounts, [](const auto &entry) { return entry.second.freeTokens() > 0; });
-    if (!holds && this->settlements.empty() && this->unsent.empty()) {
+    if (!holds && this->settlements.empty() && this->unsent.empty() && this->loans.empty()) {
         return std::nullopt;
     }
     return this->buildBatch(now);
@@ -96,6 +97,7 @@
 bool EscrowState::hasBusiness(core::TimePoint now) const
 {
     return !this->unsent.empty() || !this->settlements.empty() || !this->witnessAnswers.empty()
+           || !this->loans.empty()
            || std::ranges::any_of(this->accounts, [&](const auto &entry) {
                   return entry.second.hasBusiness(now, this->options);
               });
@@ -122,6 +124,9 @@
     for (const proto::WitnessAnswer &answer : this->witnessAnswers) {
         *batch.message.add_answers() = answer;
     }
+    for (const proto::Loan &loan : std::exchange(this->loans, {})) {
+        *batch.message.add_loans() = loan;
+    }
     this->addOpenings(batch);
     this->addSettlements(batch);
     this->addEscrow(batch, now);
--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -80,6 +80,33 @@
     this->state->witnessAnswers.push_back(answer);
 }
 
+std::optional<proto::Loan> EscrowBook::lend(const proto::LoanRequest &request)
+{
+    return this->state->lend(request);
+}
+
+void EscrowBook::takeLoan(const proto::Loan &loan)
+{
+    this->state->takeLoan(loan);
+}
+
+bool EscrowBook::hasUnreportedLoans() const
+{
+    return this->state->hasUnreportedLoans();
+}
+
+double EscrowBook::tokensPerSecond(const core::BudgetId &budget, core::TimePoint now) const
+{
+    const BudgetAccount *account = this->state->account(budget);
+    return account == nullptr ? 0 : account->demandEstimate().tokensPerSecond(now);
+}
+
+core::Tokens EscrowBook::freeTokens(const core::BudgetId &budget) const
+{
+    const BudgetAccount *account = this->state->account(budget);
+    return core::Tokens{account == nullptr ? 0 : account->freeTokens()};
+}
+
 core::Tokens EscrowBook::largestUnrecorded() const
 {
     return core::Tokens{this->state->largestUnrecorded()};
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -39,6 +39,8 @@
     // How long the ledger's answers must have been too small for a request before it is refused as
     // exhausted: what others have settled in the meantime is reported by then.
     core::Duration settlingTime = std::chrono::milliseconds(300);
+    // More is asked for when the free tokens are below this part of what demand asks for.
+    double refillPart = 0.5;
     // What a refused caller is told to wait at least.
     core::Duration retryAfter = std::chrono::seconds(5);
 };
@@ -171,6 +173,18 @@
     void setWitness(const core::HolderId &witness);
     void addWitnessAnswer(const proto::WitnessAnswer &answer);
 
+    // Hands free tokens to another holder. Only while this holder may spend all its escrow: the
+    // ledger hears of the loan later. Nothing where the minimum can't be spared.
+    std::optional<proto::Loan> lend(const proto::LoanRequest &request);
+    void takeLoan(const proto::Loan &loan);
+
+    // Tells whether the ledger has not confirmed a loan yet that this holder gave or took.
+    [[nodiscard]] bool hasUnreportedLoans() const;
+
+    // Returns what requests here use of a budget in a second, and what it has free.
+    [[nodiscard]] double tokensPerSecond(const core::BudgetId &budget, core::TimePoint now) const;
+    [[nodiscard]] core::Tokens freeTokens(const core::BudgetId &budget) const;
+
     // Returns the most that any budget has open, or used, without a record.
     [[nodiscard]] core::Tokens largestUnrecorded() const;
 
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -105,6 +105,44 @@
     return absl::OkStatus();
 }
 
+std::optional<proto::Loan> EscrowState::lend(const proto::LoanRequest &request)
+{
+    const auto found = this->accounts.find(core::BudgetId(request.budget()));
+    if (this->stopping || this->retired || found == this->accounts.end()) {
+        return std::nullopt;
+    }
+    const int64_t tokens = found->second.lend(request.minimum_tokens(), request.wanted_tokens());
+    if (tokens == 0) {
+        return std::nullopt;
+    }
+    proto::Loan loan;
+    loan.mutable_lender()->set_instance(this->holder.instance.value);
+    loan.mutable_lender()->set_incarnation(this->holder.incarnation);
+    loan.set_number(++this->lastLoan);
+    *loan.mutable_borrower() = request.borrower();
+    loan.set_budget(request.budget());
+    loan.set_tokens(tokens);
+    this->loans.push_back(loan);
+    return loan;
+}
+
+void EscrowState::takeLoan(const proto::Loan &loan)
+{
+    this->accounts[core::BudgetId(loan.budget())].borrow(loan.tokens());
+    this->loans.push_back(loan);
+}
+
+bool EscrowState::hasUnreportedLoans() const
+{
+    return !this->loans.empty() || (this->inFlight && this->inFlight->message.loans_size() > 0);
+}
+
+const BudgetAccount *EscrowState::account(const core::BudgetId &budget) const
+{
+    const auto found = this->accounts.find(budget);
+    return found == this->accounts.end() ? nullptr : &found->second;
+}
+
 int64_t EscrowState::largestUnrecorded() const
 {
     int64_t largest = 0;
@@ -116,8 +154,8 @@
 
 bool EscrowState::isSettled() const
 {
-    const bool reported
-        = this->reservations.empty() && this->settlements.empty() && !this->inFlight;
+    const bool reported = this->reservations.empty() && this->settlements.empty()
+                          && this->loans.empty() && !this->inFlight;
     return reported && std::ranges::all_of(this->accounts, [](const auto &entry) {
                return entry.second.freeTokens() == 0 && entry.second.pendingTokens() == 0;
            });
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -78,6 +78,10 @@
     absl::Status onBatchResult(const proto::CommandResult &result, core::TimePoint now);
     void onBatchLost(core::TimePoint now);
 
+    std::optional<proto::Loan> lend(const proto::LoanRequest &request);
+    void takeLoan(const proto::Loan &loan);
+    [[nodiscard]] bool hasUnreportedLoans() const;
+    [[nodiscard]] const BudgetAccount *account(const core::BudgetId &budget) const;
     [[nodiscard]] int64_t largestUnrecorded() const;
     [[nodiscard]] bool isSettled() const;
     [[nodiscard]] bool inContact(core::TimePoint now) const;
@@ -123,6 +127,8 @@
     // How often each budget and size was asked for, above the limit, since waiters ask anew.
     absl::btree_map<std::pair<core::BudgetId, int64_t>, int64_t> recordAsks;
     std::vector<QueuedSettlement> settlements;
+    std::vector<proto::Loan> loans; // Not in a batch yet.
+    uint64_t lastLoan = 0;
     std::optional<BatchInFlight> inFlight;
     std::optional<core::TimePoint> lastBatchAt;
     ReservationId lastReservation = 0;
--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -39,6 +39,9 @@
 constexpr core::Duration InterfaceDrain = std::chrono::milliseconds(3200);
 constexpr int InterfacePartOfGrace = 2;
 
+// The time that a lender gets to answer: a caller's request waits for it.
+constexpr core::Duration LoanTimeout = std::chrono::milliseconds(120);
+
 // The time that a witness gets to answer a notice.
 constexpr core::Duration NoticeTimeout = std::chrono::milliseconds(500);
 
@@ -178,11 +181,19 @@
                                                    std::function<void(bool)> onAnswer) {
             this->sendNotice(witness, notice, std::move(onAnswer));
         });
+        this->node.escrow().setLoanAsker([this](const core::InstanceId &lender,
+                                                const proto::LoanRequest &request,
+                                                auto onReply) {
+            this->askLoan(lender, request, std::move(onReply));
+        });
     }
 
     void sendNotice(const core::InstanceId &witness,
                     const proto::IsolationNotice &notice,
                     std::function<void(bool)> onAnswer);
+    void askLoan(const core::InstanceId &lender,
+                 const proto::LoanRequest &request,
+                 std::function<void(const proto::LoanReply *)> onReply);
     absl::Status openVoter();
     absl::Status listenRpc();
     absl::Status listenHttp();
@@ -230,6 +241,23 @@
         });
 }
 
+void Daemon::Parts::askLoan(const core::InstanceId &lender,
+                            const proto::LoanRequest &request,
+                            std::function<void(const proto::LoanReply *)> onReply)
+{
+    const auto answer = [&tasks = this->queue, onReply = std::move(onReply)](auto reply) {
+        tasks.post([onReply, reply = std::move(reply)] { onReply(reply.ok() ? &*reply : nullptr); });
+    };
+    transport::PeerChannel *channel = this->peers.find(lender);
+    if (channel == nullptr) {
+        answer(absl::StatusOr<proto::LoanReply>(
+            core::makeError(core::ErrorCode::Unreachable, "not among the peers")));
+        return;
+    }
+    // A loan whose reply comes later is not known to the borrower; its ledger share covers it.
+    channel->lend(request, LoanTimeout, answer);
+}
+
 absl::Status Daemon::Parts::openVoter()
 {
     if (!this->settings.roles.control) {
@@ -282,6 +310,12 @@
             respond(std::move(reply));
         });
     };
+    handlers.lend = [this](const proto::LoanRequest &request,
+                           transport::Respond<proto::LoanReply> respond) {
+        this->queue.post([this, request, respond = std::move(respond)] {
+            respond(this->node.escrow().lend(request));
+        });
+    };
     if (this->voter == nullptr) {
         handlers.submit = answerWithoutVoter<proto::SubmitRequest, proto::SubmitReply>;
         handlers.readManifest
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -31,6 +31,13 @@
 // it may be cut off from the ledger.
 constexpr core::Duration DeclarationEscrowHorizon = std::chrono::seconds(14);
 
+// Escrow is topped up early, since a cut may come at any moment.
+constexpr double DeclarationRefillPart = 0.8;
+
+// What a caller is told whose request neither this instance's escrow nor a loan covers: by then
+// other requests were settled, or a cut is over.
+constexpr core::Duration DeclarationRetryAfter = std::chrono::milliseconds(1000);
+
 // Without an answer of the ledger for this long, a request that the escrow does not cover is refused
 // at once under a declaration.
 constexpr core::Duration DeclarationContactTimeout = std::chrono::milliseconds(600);
@@ -250,6 +257,8 @@
     escrow.horizon = DeclarationEscrowHorizon;
     escrow.exposureLimit = forwarding::DeclarationExposure;
     escrow.contactTimeout = DeclarationContactTimeout;
+    escrow.refillPart = DeclarationRefillPart;
+    escrow.retryAfter = DeclarationRetryAfter;
     this->escrowKeeper.setPolicy(escrow, core::Duration::zero());
     this->escrowKeeper.setContactExposure(forwarding::ContactExposure);
     this->fleetView.onDeclaration(declaration, this->clock.now());
@@ -271,12 +280,14 @@
 {
     core::HolderId chosen;
     uint64_t heaviest = 0;
+    std::vector<core::InstanceId> others;
     for (const membership::InstanceView &view : this->fleetView.instances().view(now)) {
         const proto::InstanceRecord &record = view.record;
         if (!record.serves() || record.leaving() || !view.inContact
             || record.id() == this->options.holder.instance.value) {
             continue;
         }
+        others.emplace_back(record.id());
         const uint64_t weight
             = core::rendezvousWeight(core::checksumOf(this->options.holder.instance.value),
                                      core::checksumOf(record.id()));
@@ -286,6 +297,7 @@
         }
     }
     this->escrowKeeper.setWitness(chosen);
+    this->escrowKeeper.setLenders(std::move(others));
 }
 
 void EntryNode::updateLevels()
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -19,6 +19,15 @@
 // The longest time that a request waits for tokens; grants take milliseconds while in contact.
 constexpr core::Duration MaximumWait = std::chrono::seconds(3);
 
+// What is borrowed beyond the request at hand: demand of so many seconds.
+constexpr double LoanSeconds = 1.5;
+
+// Instances that are asked for one loan at once.
+constexpr size_t LendersAsked = 4;
+
+// The pause after an ask that brought nothing.
+constexpr core::Duration AskLoanAgain = std::chrono::milliseconds(300);
+
 // What a caller is told to wait after its request waited for tokens in vain.
 constexpr core::Duration RetryAfterWait = std::chrono::seconds(2);
 
@@ -176,8 +185,9 @@
         return answer;
     case budget::DecisionKind::Unconfirmed:
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
-        return answer;
+        return this->borrow(request, now) ? std::nullopt : std::optional(answer);
     case budget::DecisionKind::Wait:
+        (void)this->borrow(request, now);
         return std::nullopt;
     }
     return answer;
@@ -191,12 +201,86 @@
     return now - this->lastContact <= this->outOfContactServe;
 }
 
+void EscrowKeeper::setLoanAsker(AskLoan loanAsker)
+{
+    this->askLoan = std::move(loanAsker);
+}
+
+void EscrowKeeper::setLenders(std::vector<core::InstanceId> instances)
+{
+    this->lenders = std::move(instances);
+}
+
+proto::LoanReply EscrowKeeper::lend(const proto::LoanRequest &request)
+{
+    proto::LoanReply reply;
+    if (this->shuttingDown || !this->isolation.maySpendAll()) {
+        return reply;
+    }
+    if (auto loan = this->book.lend(request)) {
+        this->logger.change("loan_given",
+                            {{"borrower", request.borrower().instance()},
+                             {"budget", request.budget()},
+                             {"tokens", std::to_string(loan->tokens())}});
+        *reply.mutable_loan() = *std::move(loan);
+    }
+    return reply;
+}
+
+bool EscrowKeeper::borrow(const ReservationRequest &request, core::TimePoint now)
+{
+    if (!this->askLoan || this->lenders.empty() || !this->isolation.maySpendAll()) {
+        return false;
+    }
+    Borrowing &borrowing = this->borrowings[request.budget];
+    if (borrowing.unanswered > 0) {
+        return true;
+    }
+    if (now < borrowing.notBefore) {
+        return false;
+    }
+    const int64_t missing = request.tokens.count - this->book.freeTokens(request.budget).count;
+    const double ahead = this->book.tokensPerSecond(request.budget, now) * LoanSeconds;
+    proto::LoanRequest ask;
+    ask.mutable_borrower()->set_instance(this->book.holder().instance.value);
+    ask.mutable_borrower()->set_incarnation(this->book.holder().incarnation);
+    ask.set_budget(request.budget.value);
+    ask.set_minimum_tokens(missing);
+    ask.set_wanted_tokens(missing + static_cast<int64_t>(ahead));
+    borrowing.unanswered = std::min(this->lenders.size(), LendersAsked);
+    borrowing.notBefore = now + AskLoanAgain;
+    for (size_t count = borrowing.unanswered; count > 0; --count) {
+        this->askLoan(this->lenders[this->lenderTurn++ % this->lenders.size()],
+                      ask,
+                      [this, budget = request.budget](const proto::LoanReply *reply) {
+                          this->onLoanReply(budget, reply);
+                      });
+    }
+    return true;
+}
+
+void EscrowKeeper::onLoanReply(const core::BudgetId &budget, const proto::LoanReply *reply)
+{
+    Borrowing &borrowing = this->borrowings[budget];
+    --borrowing.unanswered;
+    if (reply != nullptr && reply->has_loan()) {
+        this->book.takeLoan(reply->loan());
+        borrowing.notBefore = {};
+        this->logger.change("loan_taken",
+                            {{"lender", reply->loan().lender().instance()},
+                             {"budget", budget.value},
+                             {"tokens", std::to_string(reply->loan().tokens())}});
+    }
+    this->askWaitersAgain(this->clock.now());
+}
+
 void EscrowKeeper::followIsolation(core::TimePoint now)
 {
     if (!this->contactExposure || !this->sendNotice) {
         return;
     }
-    const bool recorded = this->book.largestUnrecorded() <= *this->contactExposure;
+    const bool recorded = this->book.largestUnrecorded() <= *this->contactExposure
+                          && !this->book.hasUnreportedLoans();
     if (const auto notice = this->isolation.next(now, recorded)) {
         this->logger.change(notice->isolated() ? "isolation_noticed" : "isolation_withdrawn",
                             {{"witness", this->isolation.witness().instance.value},
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -11,7 +11,9 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
+#include <vector>
 
 namespace samphirebridge::entry
 {
@@ -37,6 +39,11 @@
 using SendNotice = std::function<void(
     const core::InstanceId &, const proto::IsolationNotice &, std::function<void(bool)>)>;
 
+// Asks another instance for a loan; the function is called with its reply, or with null for none.
+using AskLoan = std::function<void(const core::InstanceId &,
+                                   const proto::LoanRequest &,
+                                   std::function<void(const proto::LoanReply *)>)>;
+
 // Lives on the control thread.
 class EscrowKeeper
 {
@@ -68,6 +75,13 @@
     // Takes a notice of another holder as its witness.
     bool takeNotice(const proto::IsolationNotice &notice);
 
+    // Lets this holder borrow escrow while it is out of contact, from the instances named.
+    void setLoanAsker(AskLoan askLoan);
+    void setLenders(std::vector<core::InstanceId> instances);
+
+    // Gives a loan, if this holder can spare it and may spend without a record.
+    proto::LoanReply lend(const proto::LoanRequest &request);
+
     // Answers at once, or when a grant or a settlement decided, or at the deadline.
     void reserve(const ReservationRequest &request, core::TimePoint now, OnReservation onAnswer);
 
@@ -100,6 +114,16 @@
     // Returns the answer, or nothing while the request has to wait.
     std::optional<ReservationAnswer> decide(const ReservationRequest &request, core::TimePoint now);
     [[nodiscard]] bool servesOutOfContact(core::TimePoint now) const;
+    // An ask of several instances for one budget.
+    struct Borrowing {
+        size_t unanswered = 0;
+        core::TimePoint notBefore; // No ask before, since the last one brought nothing.
+    };
+
+    // Returns the answer to a request that the escrow here does not cover: nothing while a loan is
+    // asked for.
+    bool borrow(const ReservationRequest &request, core::TimePoint now);
+    void onLoanReply(const core::BudgetId &budget, const proto::LoanReply *reply);
     void followIsolation(core::TimePoint now);
     void answerQuestions(const proto::HolderBatchResult &result);
     void askWaitersAgain(core::TimePoint now);
@@ -116,6 +140,10 @@
     budget::Isolation isolation;
     budget::WitnessBook witnessBook;
     SendNotice sendNotice;
+    AskLoan askLoan;
+    std::vector<core::InstanceId> lenders;
+    size_t lenderTurn = 0;
+    std::map<core::BudgetId, Borrowing> borrowings;
     std::optional<core::Tokens> contactExposure;
     core::Tokens isolatedExposure;
     core::HolderId sentWitness; // Named by the batch in flight.
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -58,6 +58,37 @@
     }
 }
 
+// Moves what one holder handed to another. Where the borrower is over it may have spent the tokens,
+// so they count as billed.
+void takeLoan(LedgerState &state, const proto::Loan &loan)
+{
+    const BudgetIndex budget = state.budgets.find(loan.budget());
+    const HolderIndex lender = state.holders.find(holderIdOf(loan.lender()));
+    if (budget == NoIndex || lender == NoIndex) {
+        return;
+    }
+    const Share *share = state.budgets.share(budget, lender);
+    if (share == nullptr) {
+        return;
+    }
+    const int64_t tokens = std::clamp<int64_t>(loan.tokens(), 0, share->free());
+    const absl::StatusOr<HolderIndex> borrower = liveHolder(state, loan.borrower());
+    if (borrower.ok()) {
+        state.budgets.lend(budget, lender, *borrower, tokens);
+    } else {
+        state.budgets.settleUnrecorded(budget, lender, tokens);
+    }
+}
+
+void takeLoans(LedgerState &state, const proto::HolderBatch &batch)
+{
+    for (const proto::Loan &loan : batch.loans()) {
+        if (state.loans.report(loan)) {
+            takeLoan(state, loan);
+        }
+    }
+}
+
 void takeOpenings(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
 {
     HolderRecord &record = state.holders.at(holder);
@@ -178,6 +209,7 @@
                                    describe(record.id),
                                    record.lastSequence));
     }
+    takeLoans(state, batch);
     takeSettlements(state, holder, batch);
     takeOpenings(state, holder, batch);
     takeReturns(state, holder, batch);
--- a/source/samphirebridge/ledger/budgetbook.cpp
+++ b/source/samphirebridge/ledger/budgetbook.cpp
@@ -184,6 +184,20 @@
     this->dropIfEmpty(budget, holder);
 }
 
+void BudgetBook::lend(BudgetIndex budget, HolderIndex from, HolderIndex to, int64_t tokens)
+{
+    if (tokens <= 0) {
+        return;
+    }
+    BudgetRecord &record = this->touch(budget);
+    Share &lender = this->shareOf(budget, from);
+    lender.tokens -= tokens;
+    (lender.over ? record.quarantined : record.escrow) -= tokens;
+    this->shareOf(budget, to).tokens += tokens;
+    record.escrow += tokens;
+    this->dropIfEmpty(budget, from);
+}
+
 void BudgetBook::returnUnrecorded(BudgetIndex budget, HolderIndex holder, int64_t tokens)
 {
     if (tokens <= 0) {
--- a/source/samphirebridge/ledger/budgetbook.h
+++ b/source/samphirebridge/ledger/budgetbook.h
@@ -94,6 +94,9 @@
     // Bills what was used without a record, out of what the share has free.
     void settleUnrecorded(BudgetIndex budget, HolderIndex holder, int64_t used);
 
+    // Moves tokens that the one holder has free to the other, which is live.
+    void lend(BudgetIndex budget, HolderIndex from, HolderIndex to, int64_t tokens);
+
     // Returns part of a dead holder's unrecorded exposure to the pool.
     void returnUnrecorded(BudgetIndex budget, HolderIndex holder, int64_t tokens);
 
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -7,6 +7,7 @@
 #include "samphirebridge/ledger/claimbook.h"
 #include "samphirebridge/ledger/escrowgrants.h"
 #include "samphirebridge/ledger/holderbook.h"
+#include "samphirebridge/ledger/loanbook.h"
 #include "samphirebridge/ledger/manifeststore.h"
 
 #include <ledger.pb.h>
@@ -29,6 +30,7 @@
     ManifestStore manifest;
     proto::Declaration declaration;
     ShortageBook shortages;
+    LoanBook loans;
     uint64_t lastOrderNumber = 0;
 };
 
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -191,6 +191,9 @@
         this->state.timeMs = this->snapshot.time_ms();
         this->state.lastOrderNumber = this->snapshot.last_order_number();
         this->state.declaration = this->snapshot.declaration();
+        for (const proto::Loan &loan : this->snapshot.half_reported_loans()) {
+            this->state.loans.report(loan);
+        }
         status.Update(this->readHolders());
         if (status.ok()) {
             status = this->readBudgets();
@@ -405,6 +408,9 @@
     writeChanges(state, snapshot);
     writeShortages(state, snapshot);
     snapshot.set_last_order_number(state.lastOrderNumber);
+    for (const proto::Loan &loan : state.loans.halfReported()) {
+        *snapshot.add_half_reported_loans() = loan;
+    }
     if (state.declaration.version() > 0) {
         *snapshot.mutable_declaration() = state.declaration;
     }
--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -291,6 +291,16 @@
         });
 }
 
+void PeerChannel::lend(const proto::LoanRequest &request,
+                       core::Duration timeout,
+                       OnReply<proto::LoanReply> onReply)
+{
+    this->state->call<proto::LoanRequest, proto::LoanReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->Lend(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
 void PeerChannel::changeVoters(const proto::ChangeVotersRequest &request,
                                core::Duration timeout,
                                OnReply<proto::ChangeVotersReply> onReply)
--- a/source/samphirebridge/transport/peerchannel.h
+++ b/source/samphirebridge/transport/peerchannel.h
@@ -18,6 +18,8 @@
 class Envelope;
 class IsolationNotice;
 class IsolationReply;
+class LoanReply;
+class LoanRequest;
 class ReadBudgetsReply;
 class ReadBudgetsRequest;
 class ReadDeclarationReply;
@@ -71,6 +73,9 @@
     void witness(const proto::IsolationNotice &notice,
                  core::Duration timeout,
                  OnReply<proto::IsolationReply> onReply);
+    void lend(const proto::LoanRequest &request,
+              core::Duration timeout,
+              OnReply<proto::LoanReply> onReply);
     void changeVoters(const proto::ChangeVotersRequest &request,
                       core::Duration timeout,
                       OnReply<proto::ChangeVotersReply> onReply);
--- a/source/samphirebridge/transport/rpcserver.cpp
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -108,6 +108,13 @@
         return carry(context, *request, reply, this->handlers.witness, this->counters);
     }
 
+    Reactor *Lend(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                  const proto::LoanRequest *request,
+                  proto::LoanReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.lend, this->counters);
+    }
+
     Reactor *ChangeVoters(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                           const proto::ChangeVotersRequest *request,
                           proto::ChangeVotersReply *reply) override
--- a/source/samphirebridge/transport/rpcserver.h
+++ b/source/samphirebridge/transport/rpcserver.h
@@ -19,6 +19,8 @@
 class Envelope;
 class IsolationNotice;
 class IsolationReply;
+class LoanReply;
+class LoanRequest;
 class ReadBudgetsReply;
 class ReadBudgetsRequest;
 class ReadDeclarationReply;
@@ -51,6 +53,7 @@
     std::function<void(const proto::ReadStatusRequest &, Respond<proto::ReadStatusReply>)>
         readStatus;
     std::function<void(const proto::IsolationNotice &, Respond<proto::IsolationReply>)> witness;
+    std::function<void(const proto::LoanRequest &, Respond<proto::LoanReply>)> lend;
     std::function<void(const proto::ChangeVotersRequest &, Respond<proto::ChangeVotersReply>)>
         changeVoters;
 };
