--- /dev/null
+++ b/tests/budget/isolationsimulation.cpp
@@ -0,0 +1,332 @@
+#include "tests/budget/isolationsimulation.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::tests
+{
+
+namespace
+{
+
+const std::string Budget = "letters";
+
+constexpr uint64_t StepMs = 10;
+constexpr uint64_t LongestRequestMs = 1'500;
+constexpr uint64_t AnswerTimeoutMs = 600;
+
+proto::Holder protoOf(const core::HolderId &id)
+{
+    proto::Holder holder;
+    holder.set_instance(id.instance.value);
+    holder.set_incarnation(id.incarnation);
+    return holder;
+}
+
+} // namespace
+
+IsolationSimulation::IsolationSimulation(const IsolationScenario &simulated)
+    : scenario(simulated)
+    , generator(simulated.seed)
+{
+}
+
+std::string IsolationSimulation::run()
+{
+    proto::Command command;
+    proto::Declaration *declaration
+        = command.mutable_replace_declaration()->mutable_declaration();
+    declaration->set_version(1);
+    declaration->set_exposure_tokens(core::MaximumPurchase.count);
+    declaration->set_contact_exposure_tokens(this->scenario.contactExposure);
+    proto::DeclaredBudget *budget = declaration->add_budgets();
+    budget->set_budget(Budget);
+    budget->set_tokens(this->scenario.purchased);
+    this->apply(command);
+    this->nodes.resize(static_cast<size_t>(this->scenario.holders));
+    for (int node = 0; node < this->scenario.holders; ++node) {
+        this->start(node);
+    }
+    for (int node = 0; node < this->scenario.holders; ++node) {
+        this->at(this->random(50), [this, node] { this->arrive(node); });
+        this->tick(node);
+    }
+    const uint64_t endMs = this->nowMs + this->scenario.runMs;
+    while (!this->queue.empty() && this->queue.begin()->first.first <= endMs
+           && this->failure.empty()) {
+        auto first = this->queue.extract(this->queue.begin());
+        this->nowMs = first.key().first;
+        first.mapped()();
+        this->check();
+    }
+    const auto states = this->ledger.budgets();
+    this->sums.billed = states.front().billed_tokens();
+    this->sums.quarantined = states.front().quarantined_tokens();
+    return this->failure;
+}
+
+void IsolationSimulation::at(uint64_t afterMs, std::function<void()> action)
+{
+    this->queue.emplace(std::pair(this->nowMs + afterMs, ++this->events), std::move(action));
+}
+
+uint64_t IsolationSimulation::random(uint64_t below)
+{
+    return this->generator() % below;
+}
+
+bool IsolationSimulation::chance(int percent)
+{
+    return this->random(100) < static_cast<uint64_t>(percent);
+}
+
+core::TimePoint IsolationSimulation::now() const
+{
+    return core::TimePoint(std::chrono::milliseconds(this->nowMs));
+}
+
+bool IsolationSimulation::inCut() const
+{
+    return this->nowMs >= this->scenario.cutFromMs
+           && this->nowMs < this->scenario.cutFromMs + this->scenario.cutForMs;
+}
+
+void IsolationSimulation::fail(const std::string &what)
+{
+    if (this->failure.empty()) {
+        this->failure = fmt::format("seed {} at {} ms: {}", this->scenario.seed, this->nowMs, what);
+    }
+}
+
+budget::EscrowOptions IsolationSimulation::escrowOptions(bool isolated) const
+{
+    budget::EscrowOptions options;
+    options.horizon = std::chrono::seconds(10);
+    options.refillPart = 0.8;
+    options.contactTimeout = std::chrono::milliseconds(600);
+    options.exposureLimit
+        = isolated ? core::MaximumPurchase : core::Tokens{this->scenario.contactExposure};
+    return options;
+}
+
+proto::CommandResult IsolationSimulation::apply(const proto::Command &command)
+{
+    proto::Command timed = command;
+    timed.set_proposed_at_ms(this->nowMs);
+    proto::CommandResult result = this->ledger.apply(timed);
+    const absl::Status status = this->ledger.checkInvariant();
+    if (!status.ok()) {
+        this->fail(std::string(core::messageOf(status)));
+    }
+    return result;
+}
+
+void IsolationSimulation::start(int node)
+{
+    const core::Incarnation life
+        = this->nodes[node] == nullptr ? 1 : this->nodes[node]->id.incarnation + 1;
+    const core::HolderId id{core::InstanceId(fmt::format("node-{}", node)), life};
+    this->nodes[node] = std::make_unique<Node>(id, this->escrowOptions(false));
+}
+
+void IsolationSimulation::tick(int node)
+{
+    Node &state = *this->nodes[node];
+    if (!state.registered && !this->inCut()) {
+        proto::Command command;
+        *command.mutable_register_holder()->mutable_holder() = protoOf(state.id);
+        state.registered = this->apply(command).error_code() == 0;
+    }
+    this->chooseWitness(node);
+    this->follow(node);
+    if (state.registered) {
+        if (const auto batch = state.book.nextBatch(this->now())) {
+            this->sendBatch(node, *batch);
+        }
+    }
+    if (this->nowMs % 100 == 0 && this->chance(this->scenario.killsPercent)) {
+        this->kill(node);
+    }
+    this->at(StepMs - this->nowMs % StepMs, [this, node] { this->tick(node); });
+}
+
+// The process ends: what it knew is gone, also as a witness.
+void IsolationSimulation::kill(int node)
+{
+    ++this->sums.kills;
+    this->start(node);
+}
+
+void IsolationSimulation::follow(int node)
+{
+    Node &state = *this->nodes[node];
+    const bool recorded
+        = state.book.largestUnrecorded() <= core::Tokens{this->scenario.contactExposure}
+          && !state.book.hasUnreportedLoans();
+    if (const auto notice = state.isolation.next(this->now(), recorded)) {
+        this->sendNotice(node, *notice);
+    }
+    state.book.setOptions(this->escrowOptions(state.isolation.maySpendAll()));
+}
+
+void IsolationSimulation::chooseWitness(int node)
+{
+    const int other = (node + 1) % this->scenario.holders;
+    Node &state = *this->nodes[node];
+    state.isolation.setWitness(this->nodes[other]->id);
+    state.book.setWitness(state.isolation.witness());
+}
+
+void IsolationSimulation::sendBatch(int node, const proto::HolderBatch &batch)
+{
+    Node &state = *this->nodes[node];
+    state.sentWitness
+        = {core::InstanceId(batch.witness().instance()), batch.witness().incarnation()};
+    state.isolation.onBatchSent(state.sentWitness, this->now());
+    const core::HolderId id = state.id;
+    const auto answered = std::make_shared<bool>(false);
+    proto::Command command;
+    *command.mutable_holder_batch() = batch;
+    // A message that left before the cut may still arrive in it, and late.
+    const bool lost = this->inCut() || this->chance(this->scenario.lossPercent);
+    const uint64_t late = this->chance(2) ? this->random(3'000) : 0;
+    if (!lost) {
+        this->at(1 + this->random(15) + late, [this, node, id, command, answered] {
+            const proto::CommandResult result = this->apply(command);
+            if (this->inCut() || this->chance(this->scenario.lossPercent)) {
+                return;
+            }
+            this->at(1 + this->random(15), [this, node, id, result, answered] {
+                Node &current = *this->nodes[node];
+                if (current.id != id || *answered) {
+                    return;
+                }
+                *answered = true;
+                current.isolation.onBatchAnswered(current.sentWitness);
+                for (const proto::Holder &about : result.holder_batch().questions()) {
+                    proto::WitnessAnswer answer;
+                    *answer.mutable_about() = about;
+                    answer.set_isolated(current.witnesses.close(
+                        {core::InstanceId(about.instance()), about.incarnation()}));
+                    current.book.addWitnessAnswer(answer);
+                }
+                (void)current.book.onBatchResult(result, this->now());
+            });
+        });
+    }
+    this->at(AnswerTimeoutMs, [this, node, id, answered] {
+        if (this->nodes[node]->id == id && !std::exchange(*answered, true)) {
+            this->nodes[node]->book.onBatchLost(this->now());
+        }
+    });
+}
+
+void IsolationSimulation::sendNotice(int node, const proto::IsolationNotice &notice)
+{
+    const core::HolderId id = this->nodes[node]->id;
+    const core::HolderId witness = this->nodes[node]->isolation.witness();
+    if (this->chance(this->scenario.lossPercent)) {
+        return;
+    }
+    const uint64_t late = this->chance(5) ? this->random(2'000) : 0;
+    this->at(1 + this->random(5) + late, [this, node, id, witness, notice] {
+        const auto found = std::ranges::find_if(
+            this->nodes, [&witness](const auto &other) { return other->id == witness; });
+        if (found == this->nodes.end()) {
+            return;
+        }
+        const bool accepted = (*found)->witnesses.take(notice);
+        if (this->chance(this->scenario.lossPercent)) {
+            return;
+        }
+        this->at(1 + this->random(5), [this, node, id, accepted, number = notice.number()] {
+            if (this->nodes[node]->id == id) {
+                this->nodes[node]->isolation.onNoticeAnswered(number, accepted);
+                this->follow(node);
+            }
+        });
+    });
+}
+
+void IsolationSimulation::arrive(int node)
+{
+    const int64_t bound
+        = 1 + static_cast<int64_t>(this->random(
+                  static_cast<uint64_t>(this->scenario.largestRequest)));
+    this->attempt(node, bound, this->scenario.loans);
+    const int pause = this->scenario.uneven && node != 0 ? 4 * this->scenario.arrivalMs
+                                                         : this->scenario.arrivalMs;
+    this->at(1 + this->random(2 * static_cast<uint64_t>(pause)),
+             [this, node] { this->arrive(node); });
+}
+
+void IsolationSimulation::attempt(int node, int64_t bound, bool mayBorrow)
+{
+    Node &state = *this->nodes[node];
+    const budget::Decision decision
+        = state.book.reserve(core::BudgetId(Budget), core::Tokens{bound}, this->now());
+    if (decision.kind != budget::DecisionKind::Reserved) {
+        if (mayBorrow && state.isolation.maySpendAll()) {
+            this->borrow(node, bound);
+            return;
+        }
+        ++this->sums.refused;
+        this->sums.refusedInCut += this->inCut() ? 1 : 0;
+        return;
+    }
+    ++this->sums.served;
+    this->sums.servedInCut += this->inCut() ? 1 : 0;
+    // The target counts what it ran, whatever becomes of the holder. Requests use all that they may,
+    // so that nothing left over hides tokens that were spent twice.
+    const int64_t used = bound;
+    this->sums.consumed += used;
+    const core::HolderId id = state.id;
+    this->at(this->random(LongestRequestMs), [this, node, id, used, decision] {
+        Node &current = *this->nodes[node];
+        if (current.id == id) {
+            (void)current.book.settle(
+                decision.reservation, core::Tokens{used}, this->now(), std::nullopt);
+        }
+    });
+}
+
+void IsolationSimulation::borrow(int node, int64_t bound)
+{
+    const core::HolderId id = this->nodes[node]->id;
+    const int other = static_cast<int>(this->random(static_cast<uint64_t>(this->scenario.holders)));
+    proto::LoanRequest request;
+    *request.mutable_borrower() = protoOf(id);
+    request.set_budget(Budget);
+    request.set_minimum_tokens(bound);
+    request.set_wanted_tokens(8 * bound);
+    this->at(1 + this->random(5), [this, node, other, id, bound, request] {
+        std::optional<proto::Loan> loan;
+        if (other != node && this->nodes[other]->isolation.maySpendAll()) {
+            loan = this->nodes[other]->book.lend(request);
+        }
+        const bool lost = this->chance(this->scenario.lossPercent);
+        this->at(1 + this->random(5), [this, node, id, bound, loan, lost] {
+            if (this->nodes[node]->id != id) {
+                return;
+            }
+            if (loan && !lost) {
+                ++this->sums.loans;
+                this->nodes[node]->book.takeLoan(*loan);
+            }
+            this->attempt(node, bound, false);
+        });
+    });
+}
+
+void IsolationSimulation::check()
+{
+    if (this->sums.consumed > this->scenario.purchased) {
+        this->fail(fmt::format(
+            "consumed {} of {} tokens", this->sums.consumed, this->scenario.purchased));
+    }
+}
+
+} // namespace samphirebridge::tests
--- /dev/null
+++ b/tests/budget/isolationsimulation.h
@@ -0,0 +1,114 @@
+// Holders that spend in and out of contact with the ledger, witnesses and loans, in virtual time:
+// cuts of all holders at once, lost and late messages, holders that end without a word.
+#pragma once
+
+#include "samphirebridge/budget/escrowbook.h"
+#include "samphirebridge/budget/isolation.h"
+#include "samphirebridge/budget/witnessbook.h"
+#include "samphirebridge/ledger/ledger.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace samphirebridge::tests
+{
+
+struct IsolationScenario {
+    uint64_t seed = 1;
+    int holders = 4;
+    int64_t purchased = 400'000;
+    int64_t contactExposure = 3'000;
+    int64_t largestRequest = 2'000;
+    int arrivalMs = 25; // The mean time between two requests at one holder.
+    uint64_t cutFromMs = 4'000; // All holders lose the ledger.
+    uint64_t cutForMs = 8'000;
+    uint64_t runMs = 18'000;
+    int killsPercent = 2; // The chance that a holder ends, each 100 ms.
+    int lossPercent = 5; // Of messages, both ways.
+    bool loans = true;
+    // One holder gets most of the requests.
+    bool uneven = true;
+};
+
+struct IsolationTotals {
+    int64_t served = 0;
+    int64_t refused = 0;
+    int64_t servedInCut = 0;
+    int64_t refusedInCut = 0;
+    int64_t kills = 0;
+    int64_t loans = 0;
+    int64_t consumed = 0;
+    int64_t billed = 0;
+    int64_t quarantined = 0;
+};
+
+class IsolationSimulation
+{
+public:
+    explicit IsolationSimulation(const IsolationScenario &scenario);
+
+    // Runs to the end. Returns what went wrong first, or nothing.
+    std::string run();
+
+    [[nodiscard]] const IsolationTotals &totals() const
+    {
+        return this->sums;
+    }
+
+private:
+    struct Node {
+        explicit Node(core::HolderId holderId, const budget::EscrowOptions &escrow)
+            : id(holderId)
+            , book(holderId, escrow)
+            , isolation(holderId, {})
+        {
+        }
+
+        core::HolderId id;
+        budget::EscrowBook book;
+        budget::Isolation isolation;
+        budget::WitnessBook witnesses;
+        core::HolderId sentWitness;
+        bool registered = false;
+        std::map<budget::ReservationId, int64_t> open; // What each has used so far.
+    };
+
+    void at(uint64_t afterMs, std::function<void()> action);
+    uint64_t random(uint64_t below);
+    bool chance(int percent);
+    core::TimePoint now() const;
+    bool inCut() const;
+    void fail(const std::string &what);
+    budget::EscrowOptions escrowOptions(bool isolated) const;
+    proto::CommandResult apply(const proto::Command &command);
+
+    void start(int node);
+    void tick(int node);
+    void kill(int node);
+    void follow(int node);
+    void chooseWitness(int node);
+    void sendBatch(int node, const proto::HolderBatch &batch);
+    void sendNotice(int node, const proto::IsolationNotice &notice);
+    void arrive(int node);
+    void attempt(int node, int64_t bound, bool mayBorrow);
+    void borrow(int node, int64_t bound);
+    void check();
+
+    IsolationScenario scenario;
+    std::mt19937_64 generator;
+    uint64_t nowMs = 1'000;
+    uint64_t events = 0;
+    std::map<std::pair<uint64_t, uint64_t>, std::function<void()>> queue;
+    ledger::Ledger ledger;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::string failure;
+    IsolationTotals sums;
+};
+
+} // namespace samphirebridge::tests
--- /dev/null
+++ b/tests/budget/isolationtest.cpp
@@ -0,0 +1,137 @@
+// Budgets out of contact with the ledger: the load of a cut from all control instances while one
+// instance gets most of a tenant's requests, and instances that end without a word.
+#include "tests/budget/isolationsimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphirebridge;
+using namespace samphirebridge::tests;
+using namespace std::chrono_literals;
+using budget::Isolation;
+
+namespace
+{
+
+const core::HolderId Holder{core::InstanceId("a"), 1};
+const core::HolderId Witness{core::InstanceId("b"), 7};
+const core::HolderId Other{core::InstanceId("c"), 3};
+
+// A holder in contact, whose witness the ledger knows.
+Isolation inContact()
+{
+    Isolation isolation(Holder, {});
+    isolation.setWitness(Witness);
+    isolation.onBatchSent(Witness, core::TimePoint(1s));
+    isolation.onBatchAnswered(Witness);
+    return isolation;
+}
+
+} // namespace
+
+TEST_CASE("nothing is spent beyond the budget, whoever ends and whatever is lost")
+{
+    for (uint64_t seed = 1; seed <= 300; ++seed) {
+        IsolationScenario scenario;
+        scenario.seed = seed;
+        // Small enough to be used up before the run's end.
+        scenario.purchased = 100'000 + static_cast<int64_t>(seed % 9) * 100'000;
+        scenario.killsPercent = static_cast<int>(seed % 4);
+        scenario.lossPercent = static_cast<int>(seed % 4) * 6;
+        IsolationSimulation simulation(scenario);
+        CHECK(simulation.run() == "");
+    }
+}
+
+TEST_CASE("in a cut the instance with most requests goes on with loans of the others")
+{
+    IsolationScenario scenario;
+    scenario.killsPercent = 0;
+    scenario.lossPercent = 0;
+    scenario.purchased = 1'200'000;
+    IsolationSimulation with(scenario);
+    REQUIRE(with.run() == "");
+    scenario.loans = false;
+    IsolationSimulation without(scenario);
+    REQUIRE(without.run() == "");
+    INFO("refused in the cut: " << with.totals().refusedInCut << " with loans, "
+                                << without.totals().refusedInCut << " without");
+    CHECK(with.totals().loans > 0);
+    CHECK(with.totals().refusedInCut <= without.totals().refusedInCut);
+    CHECK(with.totals().servedInCut >= without.totals().servedInCut);
+}
+
+TEST_CASE("an instance that ends in contact costs little more than it had under way")
+{
+    IsolationScenario scenario;
+    scenario.killsPercent = 1;
+    scenario.lossPercent = 0;
+    scenario.cutForMs = 0;
+    scenario.purchased = 4'000'000;
+    IsolationSimulation simulation(scenario);
+    REQUIRE(simulation.run() == "");
+    REQUIRE(simulation.totals().kills > 0);
+    // Under way are at most the requests of LongestRequestMs; the rest is the contact exposure.
+    const int64_t underWay = scenario.largestRequest * 1'500 / scenario.arrivalMs;
+    const int64_t most = simulation.totals().kills * (scenario.contactExposure + underWay);
+    CHECK(simulation.totals().quarantined <= most);
+}
+
+TEST_CASE("all escrow may be spent only once the witness that the ledger knows has a notice")
+{
+    Isolation isolation = inContact();
+    isolation.onBatchSent(Witness, core::TimePoint(2s));
+    CHECK_FALSE(isolation.next(core::TimePoint(2s + 100ms), true));
+    const auto notice = isolation.next(core::TimePoint(2s + 300ms), true);
+    REQUIRE(notice);
+    CHECK(notice->isolated());
+    CHECK_FALSE(isolation.maySpendAll());
+    isolation.onNoticeAnswered(notice->number(), false);
+    CHECK_FALSE(isolation.maySpendAll());
+    isolation.onNoticeAnswered(notice->number(), true);
+    CHECK(isolation.maySpendAll());
+}
+
+TEST_CASE("a witness that the ledger may not know yet is of no use")
+{
+    Isolation isolation = inContact();
+    isolation.setWitness(Other);
+    isolation.onBatchSent(Other, core::TimePoint(2s));
+    CHECK_FALSE(isolation.next(core::TimePoint(3s), true));
+    // Nor is the one before: the ledger may have taken the batch.
+    isolation.setWitness(Witness);
+    CHECK_FALSE(isolation.next(core::TimePoint(3s), true));
+}
+
+TEST_CASE("the notice is withdrawn only when everything was recorded")
+{
+    Isolation isolation = inContact();
+    isolation.onBatchSent(Witness, core::TimePoint(2s));
+    const auto notice = isolation.next(core::TimePoint(3s), true);
+    REQUIRE(notice);
+    isolation.onNoticeAnswered(notice->number(), true);
+    isolation.onBatchAnswered(Witness);
+    CHECK_FALSE(isolation.maySpendAll());
+    CHECK_FALSE(isolation.next(core::TimePoint(4s), false));
+    const auto withdrawal = isolation.next(core::TimePoint(4s), true);
+    REQUIRE(withdrawal);
+    CHECK_FALSE(withdrawal->isolated());
+    CHECK(withdrawal->number() > notice->number());
+}
+
+TEST_CASE("a witness that was asked about a holder takes no more of its notices")
+{
+    budget::WitnessBook book;
+    proto::IsolationNotice notice;
+    notice.mutable_holder()->set_instance("a");
+    notice.mutable_holder()->set_incarnation(1);
+    notice.set_number(2);
+    notice.set_isolated(true);
+    CHECK(book.take(notice));
+    notice.set_number(1);
+    notice.set_isolated(false);
+    CHECK_FALSE(book.take(notice));
+    CHECK(book.close(Holder));
+    notice.set_number(3);
+    CHECK_FALSE(book.take(notice));
+    CHECK_FALSE(book.close(Other));
+}
