--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -29,7 +29,7 @@
 
 // The demand that escrow covers under a declaration: an instance must serve through the time that
 // it may be cut off from the ledger.
-constexpr core::Duration DeclarationEscrowHorizon = std::chrono::seconds(14);
+constexpr core::Duration DeclarationEscrowHorizon = std::chrono::seconds(9);
 
 // Escrow is topped up early, since a cut may come at any moment.
 constexpr double DeclarationRefillPart = 0.8;
--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -40,7 +40,7 @@
     core::Duration gapObjective{}; // Between two events of a stream.
     int32_t priority = 0; // 0 goes first.
     uint32_t maximumTargets = 1; // Targets that one request may be sent to.
-    std::vector<ServiceShare> services;
+    std::vector<ServiceShare> services{};
 };
 
 // What is known of the engines of a service.
@@ -53,14 +53,14 @@
 struct Service {
     core::ServiceId id;
     uint32_t connectionsPerTarget = 0; // That a target takes from all instances; 0: not stated.
-    std::optional<EngineTraits> engine;
+    std::optional<EngineTraits> engine{};
 };
 
 struct Organisation {
     core::OrganisationId id;
-    std::vector<std::string> keys;
-    std::optional<int32_t> priority; // Goes before the route's.
-    std::optional<core::Tokens> purchased; // What it may spend in all; without it, no bound.
+    std::vector<std::string> keys{};
+    std::optional<int32_t> priority{}; // Goes before the route's.
+    std::optional<core::Tokens> purchased{}; // What it may spend in all; without it, no bound.
 };
 
 // What a caller may send, and how long it may take.
--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -107,7 +107,7 @@
         return selection;
     }
     selection.best = this->home(usable, request);
-    if (selection.best) {
+    if (selection.best && selection.best->expectedFirstToken <= request.homeWithin) {
         return selection;
     }
     // Targets that hold the beginning of the prompt come first, within the bound on their load.
@@ -209,7 +209,8 @@
 }
 
 // Homes are the targets with the highest rendezvous weights for the shared part. One is rated as if
-// it held that part, since other instances send there too; the first that is fast enough is taken.
+// it held that part, since other instances send there too. Returns the first that is fast enough, or
+// the fastest of them.
 std::optional<Candidate> CandidateSelector::home(std::span<RoutedTarget *const> usable,
                                                  const RouteRequest &request) const
 {
@@ -228,6 +229,7 @@
                       homes.begin() + static_cast<std::ptrdiff_t>(count),
                       homes.end(),
                       std::greater<>());
+    std::optional<Candidate> fastest;
     for (size_t rank = 0; rank < count; ++rank) {
         RoutedTarget &target = *homes[rank].second;
         const size_t known = target.prefix.knownBlocks(request.prefix);
@@ -236,8 +238,9 @@
         if (candidate.expectedFirstToken <= request.homeWithin) {
             return candidate;
         }
+        CandidateSelector::offer(candidate, fastest);
     }
-    return std::nullopt;
+    return fastest;
 }
 
 void CandidateSelector::offer(const Candidate &candidate, std::optional<Candidate> &best)
--- /dev/null
+++ b/tests/platform/declarationwiretest.cpp
@@ -0,0 +1,88 @@
+#include "platform/declarationwire.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace samphirebridge;
+using namespace std::chrono_literals;
+using platform::decodeDeclaration;
+
+namespace
+{
+
+const std::string Document = R"({"Version":7,"Routes":[
+{"Name":"r-1","Host":"ficu95.example","PathPrefix":"/pufi791/","Kind":"streaming","TimeoutMs":12000,
+ "TargetLatencyMs":400,"Priority":0,"Service":"huvo11a","MaxAttempts":2,"AllowAnonymous":false,
+ "Sticky":true,"StreamResume":true,"TargetGapMs":400},
+{"Name":"r-2","Host":"ficu95.example","PathPrefix":"/lohu930/","Kind":"non_idempotent",
+ "TimeoutMs":15000,"TrafficSplit":[{"Service":"huvo11a","Weight":90},{"Service":"wuno96b","Weight":10}]}],
+"Services":[{"Name":"huvo11a","HealthPath":"/health","MaxConnections":610,
+ "Engine":{"Slots":128,"KvCacheTokens":784767,"Stride":5,"Models":[{"Name":"m"}]}},
+ {"Name":"wuno96b","HealthPath":"/health","MaxConnections":96}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+"Tenants":[{"Name":"hule930","ApiKeys":["k1","k2"],"Priority":1,"Prepaid":8723191}],"Unknown":{"a":1}})";
+
+core::ErrorCode errorOf(std::string text)
+{
+    return core::errorCodeOf(decodeDeclaration(text).status());
+}
+
+std::string with(std::string_view piece, std::string_view replacement)
+{
+    std::string text = Document;
+    const size_t place = text.find(piece);
+    REQUIRE(place != std::string::npos);
+    return text.replace(place, piece.size(), replacement);
+}
+
+} // namespace
+
+TEST_CASE("a configuration document is decoded")
+{
+    const auto declaration = decodeDeclaration(Document);
+    REQUIRE(declaration.ok());
+    CHECK(declaration->version == 7);
+    REQUIRE(declaration->routes.size() == 2);
+    const forwarding::Route &stream = declaration->routes[0];
+    CHECK(stream.kind == forwarding::RequestKind::Stream);
+    CHECK(stream.resumable);
+    CHECK(stream.engine);
+    CHECK(stream.timeout == core::Duration(12s));
+    CHECK(stream.latencyObjective == core::Duration(400ms));
+    CHECK(stream.maximumTargets == 2);
+    CHECK(stream.services.front().service == core::ServiceId("huvo11a"));
+    const forwarding::Route &split = declaration->routes[1];
+    CHECK(split.kind == forwarding::RequestKind::Once);
+    CHECK(split.services[1].weight == 10);
+    CHECK(declaration->services[0].engine->tokensPerEvent == 5);
+    CHECK_FALSE(declaration->services[1].engine);
+    CHECK(declaration->organisations[0].keys.size() == 2);
+    CHECK(declaration->organisations[0].purchased == core::Tokens{8'723'191});
+    CHECK(declaration->organisations[0].priority == 1);
+    CHECK(declaration->limits.headTimeout == core::Duration(3s));
+}
+
+TEST_CASE("a document that is cut short anywhere is refused")
+{
+    for (size_t length = 0; length < Document.size(); length += 7) {
+        CHECK(errorOf(Document.substr(0, length)) == core::ErrorCode::InvalidManifest);
+    }
+}
+
+TEST_CASE("members that are missing, of another type or there twice are refused")
+{
+    CHECK(errorOf(with("\"Version\":7", "\"Version\":\"7\"")) == core::ErrorCode::InvalidManifest);
+    CHECK(errorOf(with("\"Version\":7", "\"Version\":-7")) == core::ErrorCode::InvalidManifest);
+    CHECK(errorOf(with("\"Version\":7", "\"Version\":7,\"Version\":8"))
+          == core::ErrorCode::InvalidManifest);
+    CHECK(errorOf(with("\"Routes\":[", "\"Ways\":[")) == core::ErrorCode::InvalidManifest);
+    CHECK(errorOf(with("\"PathPrefix\":\"/pufi791/\"", "\"PathPrefix\":5"))
+          == core::ErrorCode::InvalidManifest);
+    CHECK(errorOf(with("\"TimeoutMs\":12000", "\"TimeoutMs\":\"long\""))
+          == core::ErrorCode::InvalidManifest);
+    CHECK(errorOf(with("[\"k1\",\"k2\"]", "[\"k1\",2]")) == core::ErrorCode::InvalidManifest);
+    CHECK(errorOf("[]") == core::ErrorCode::InvalidManifest);
+}
