routing: Pass a home over for its backlog alone

Cause: homes were compared by the expected time to the first token, which a target's rate dominates. Rates are learned apart for each target, so the same subject moved between targets, and half of the shared parts that were asked for again within 10 s were read anew.

--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -107,7 +107,7 @@
         return selection;
     }
     selection.best = this->home(usable, request);
-    if (selection.best && selection.best->expectedFirstToken <= request.homeWithin) {
+    if (selection.best) {
         return selection;
     }
     // Targets that hold the beginning of the prompt come first, within the bound on their load.
@@ -209,8 +209,8 @@
 }
 
 // Homes are the targets with the highest rendezvous weights for the shared part. One is rated as if
-// it held that part, since other instances send there too. Returns the first that is fast enough, or
-// the fastest of them.
+// it held that part, since other instances send there too. The first is taken whose backlog is not
+// much longer than the shortest of them: what the request itself adds is the same at each.
 std::optional<Candidate> CandidateSelector::home(std::span<RoutedTarget *const> usable,
                                                  const RouteRequest &request) const
 {
@@ -218,29 +218,29 @@
         return std::nullopt;
     }
     const uint64_t key = request.prefix[request.sharedBlocks - 1];
-    std::vector<std::pair<uint64_t, RoutedTarget *>> homes;
-    homes.reserve(usable.size());
+    std::vector<std::pair<uint64_t, RoutedTarget *>> ranked;
+    ranked.reserve(usable.size());
     for (RoutedTarget *target : usable) {
-        homes.emplace_back(core::rendezvousWeight(key, core::checksumOf(target->record.id())),
-                           target);
+        ranked.emplace_back(core::rendezvousWeight(key, core::checksumOf(target->record.id())),
+                            target);
     }
-    const size_t count = std::min(homes.size(), MostHomes);
-    std::partial_sort(homes.begin(),
-                      homes.begin() + static_cast<std::ptrdiff_t>(count),
-                      homes.end(),
+    const size_t count = std::min(ranked.size(), MostHomes);
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end(),
                       std::greater<>());
-    std::optional<Candidate> fastest;
+    core::Duration shortest = core::Duration::max();
     for (size_t rank = 0; rank < count; ++rank) {
-        RoutedTarget &target = *homes[rank].second;
-        const size_t known = target.prefix.knownBlocks(request.prefix);
-        const Candidate candidate
-            = this->rateWith(target, request, std::max(known, request.sharedBlocks));
-        if (candidate.expectedFirstToken <= request.homeWithin) {
-            return candidate;
+        shortest = std::min(shortest, ranked[rank].second->load.firstToken(0));
+    }
+    for (size_t rank = 0; rank < count; ++rank) {
+        RoutedTarget &target = *ranked[rank].second;
+        if (target.load.firstToken(0) - shortest <= request.homeSlack) {
+            const size_t known = target.prefix.knownBlocks(request.prefix);
+            return this->rateWith(target, request, std::max(known, request.sharedBlocks));
         }
-        CandidateSelector::offer(candidate, fastest);
     }
-    return fastest;
+    return std::nullopt;
 }
 
 void CandidateSelector::offer(const Candidate &candidate, std::optional<Candidate> &best)
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -33,8 +33,8 @@
     // The part of a prompt that other requests share, as its leading blocks. Instances that see the
     // same targets send requests with the same shared part to the same home, whoever was first.
     size_t sharedBlocks = 0;
-    // The longest expected time to the first token at a home; a slower one is passed over.
-    core::Duration homeWithin{};
+    // A home's backlog may be expected to take this much longer than the shortest of the homes'.
+    core::Duration homeSlack{};
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0; // Expected, not the bound.
     int32_t priority = 0; // Lower is sooner. Steps of one are enough.
