--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -26,7 +26,7 @@
             this->loop,
             "127.0.0.1:0",
             [] { return net::ServerLimits{.message = {.headBytes = 2048, .bodyBytes = 16}}; },
-            [this](net::IncomingRequest request, std::shared_ptr<net::Responder> responder) {
+            [this](const net::IncomingRequest &request, std::shared_ptr<net::Responder> responder) {
                 this->onRequest(request, std::move(responder));
             });
         REQUIRE(listening.ok());
