--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -23,8 +23,7 @@
 ServerConnection::ServerConnection(EventLoop &eventLoop,
                                    std::shared_ptr<TcpStream> tcpStream,
                                    ServerContext &serverContext)
-    : loop(eventLoop)
-    , stream(std::move(tcpStream))
+    : stream(std::move(tcpStream))
     , context(serverContext)
     , parser(MessageKind::Request,
              serverContext.limits().message,
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -67,7 +67,6 @@
     void finishAnswer();
     void armTimer();
 
-    EventLoop &loop;
     std::shared_ptr<TcpStream> stream;
     ServerContext &context;
     MessageParser parser;
