control, consensus, membership: Serve sooner after the whole fleet lost power

Callers were told to come back after 0.5 s, found the instance still starting and were lost.

Ruled out: slow starts (an entry instance listens within 0.1 s), registration (70 ms after the leader).

Change: control instances keep the targets that they know in a file and hand them out as hearsay after a restart; a member that has heard no leader since its start asks after a quarter of the time (pre-votes protect a leader that lives); an instance that knows no target asks the control instances each 0.1 s, known by name if none was heard; Retry-After during a start grows with its age.

The new test of raftnodetest.cpp fails without the change of the timer; the others need the new classes.

--- a/source/samphirebridge/consensus/electiontimer.h
+++ b/source/samphirebridge/consensus/electiontimer.h
@@ -10,7 +10,9 @@
 namespace samphirebridge::consensus
 {
 
-// Seeded election timeouts.
+// Seeded election timeouts. They are shorter until a leader was heard for the first time: a group
+// that starts as a whole should not wait, and pre-votes keep a member that comes back alone from
+// disturbing a leader.
 class ElectionTimer
 {
 public:
@@ -33,6 +35,7 @@
     std::mt19937_64 random;
     core::TimePoint deadline;
     std::optional<core::TimePoint> leaderHeard;
+    bool everHeard = false;
 };
 
 } // namespace samphirebridge::consensus
--- /dev/null
+++ b/source/samphirebridge/control/targetkeeper.h
@@ -0,0 +1,106 @@
+// Carries the targets that a control instance knows over its own restart, so that a fleet that lost
+// power as a whole need not wait until every target has announced itself again.
+#pragma once
+
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/core/time.h"
+#include "samphirebridge/storage/targetstore.h"
+#include "samphirebridge/telemetry/logger.h"
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace samphirebridge::control
+{
+
+// What is known of the targets, and how often that has changed.
+template <typename T>
+concept TargetView = requires(T view, const proto::MembershipUpdate &update, core::TimePoint now)
+{
+    view.onUpdate(update, now);
+    {
+        view.targets().records()
+        } -> std::same_as<std::vector<proto::TargetRecord>>;
+    {
+        view.targetChanges()
+        } -> std::same_as<uint64_t>;
+    {
+        view.targetDepartures()
+        } -> std::same_as<uint64_t>;
+};
+
+// Storage and view outlive the keeper, which lives on the control thread.
+template <storage::Storage Storage, TargetView View>
+class TargetKeeper
+{
+public:
+    TargetKeeper(Storage &targetStorage, View &targetView, telemetry::Logger &processLogger)
+        : store(targetStorage)
+        , view(targetView)
+        , logger(processLogger)
+    {
+    }
+
+    // Hands the stored targets to the view, as hearsay: one that does not announce itself soon is
+    // declared gone. A list that cannot be read is worth nothing, and is left out with a log line.
+    void restore(core::TimePoint now)
+    {
+        const absl::StatusOr<proto::MembershipUpdate> stored = this->store.load();
+        if (!stored.ok()) {
+            this->logger.change("targets_not_restored",
+                                {{"error", std::string(core::messageOf(stored.status()))}});
+            return;
+        }
+        this->view.onUpdate(*stored, now);
+        this->logger.change("targets_restored",
+                            {{"targets", std::to_string(stored->targets_size())}});
+        this->note(now);
+    }
+
+    // Stores what has changed, a departure at once: a restart must not make a leaving target ready.
+    void flush(core::TimePoint now)
+    {
+        const bool departed = this->view.targetDepartures() != this->savedDepartures;
+        const bool changed = this->view.targetChanges() != this->savedChanges;
+        if (!departed && (!changed || now - this->savedAt < SaveInterval)) {
+            return;
+        }
+        proto::MembershipUpdate targets;
+        for (const proto::TargetRecord &record : this->view.targets().records()) {
+            proto::TargetRecord &stored = *targets.add_targets();
+            stored = record;
+            stored.clear_load();
+        }
+        this->note(now);
+        const absl::Status saved = this->store.save(targets);
+        if (!saved.ok()) {
+            // The list is an aid: without it the targets announce themselves again.
+            this->logger.change("targets_not_saved",
+                                {{"error", std::string(core::messageOf(saved))}});
+        }
+    }
+
+private:
+    // The time between two savings of arrivals: each costs a sync, and a release replaces many
+    // targets one after the other.
+    static constexpr core::Duration SaveInterval = std::chrono::milliseconds(500);
+
+    void note(core::TimePoint now)
+    {
+        this->savedAt = now;
+        this->savedChanges = this->view.targetChanges();
+        this->savedDepartures = this->view.targetDepartures();
+    }
+
+    storage::TargetStore<Storage> store;
+    View &view;
+    telemetry::Logger &logger;
+    core::TimePoint savedAt;
+    uint64_t savedChanges = 0;
+    uint64_t savedDepartures = 0;
+};
+
+} // namespace samphirebridge::control
--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -211,6 +211,7 @@
     std::optional<storage::FileStorage> storage;
     std::unique_ptr<Voter> voter;
     entry::EntryNode node;
+    std::unique_ptr<TargetKeeper> targetKeeper;
     http::Client httpClient;
     std::atomic<bool> mustEnd = false;
     gateway::CallerService callers;
@@ -392,8 +393,16 @@
     if (!status.ok()) {
         return status;
     }
-    this->parts->host = std::make_unique<ProcessHost>(
-        this->parts->voter.get(), this->parts->node, this->parts->publisher, this->parts->logger);
+    if (this->parts->storage) {
+        this->parts->targetKeeper = std::make_unique<TargetKeeper>(
+            *this->parts->storage, this->parts->node.fleet(), this->parts->logger);
+        this->parts->targetKeeper->restore(this->parts->clock.now());
+    }
+    this->parts->host = std::make_unique<ProcessHost>(this->parts->voter.get(),
+                                                      this->parts->targetKeeper.get(),
+                                                      this->parts->node,
+                                                      this->parts->publisher,
+                                                      this->parts->logger);
     using Thread = runtime::ControlThread<ProcessHost, net::LoopWaiter>;
     this->parts->thread = std::make_unique<Thread>(
         this->parts->queue, *this->parts->host, TickInterval, net::LoopWaiter(this->parts->loop));
--- a/source/samphirebridge/daemon/processhost.h
+++ b/source/samphirebridge/daemon/processhost.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "samphirebridge/control/controlnode.h"
+#include "samphirebridge/control/targetkeeper.h"
 #include "samphirebridge/daemon/exitcode.h"
 #include "samphirebridge/entry/declarationpublisher.h"
 #include "samphirebridge/entry/entrynode.h"
@@ -16,17 +17,20 @@
 {
 
 using Voter = control::ControlNode<storage::FileStorage>;
+using TargetKeeper = control::TargetKeeper<storage::FileStorage, entry::FleetView>;
 
 // Satisfies runtime::ControlHost.
 class ProcessHost
 {
 public:
-    // Voter may be null.
+    // Voter and keeper may be null.
     ProcessHost(Voter *processVoter,
+                TargetKeeper *targetKeeper,
                 entry::EntryNode &entryNode,
                 entry::DeclarationPublisher &declarationPublisher,
                 telemetry::Logger &processLogger)
         : voter(processVoter)
+        , targets(targetKeeper)
         , node(entryNode)
         , publisher(declarationPublisher)
         , logger(processLogger)
@@ -51,6 +55,9 @@
     void flush(core::TimePoint now)
     {
         this->node.flush(now);
+        if (this->targets != nullptr) {
+            this->targets->flush(now);
+        }
         if (this->voter == nullptr) {
             return;
         }
@@ -68,6 +75,7 @@
     static constexpr core::Duration PublishInterval = std::chrono::milliseconds(50);
 
     Voter *voter;
+    TargetKeeper *targets;
     entry::EntryNode &node;
     entry::DeclarationPublisher &publisher;
     core::TimePoint lastPublished;
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -20,7 +20,7 @@
 constexpr core::Duration DigestInterval = std::chrono::seconds(2);
 
 // The same while no target is known: an instance that has just started asks until it hears of some.
-constexpr core::Duration FirstDigestInterval = std::chrono::milliseconds(200);
+constexpr core::Duration FirstDigestInterval = std::chrono::milliseconds(100);
 
 constexpr core::Duration RouterTickInterval = std::chrono::seconds(1);
 
@@ -267,6 +267,16 @@
     return this->instanceDirectory;
 }
 
+uint64_t FleetView::targetChanges() const
+{
+    return this->changeCount;
+}
+
+uint64_t FleetView::targetDepartures() const
+{
+    return this->departureCount;
+}
+
 void FleetView::send(const std::vector<membership::Outgoing> &outgoing)
 {
     for (const membership::Outgoing &message : outgoing) {
@@ -288,6 +298,8 @@
                             {{"target", record.id()},
                              {"incarnation", std::to_string(record.incarnation())},
                              {"state", stateName(record.state())}});
+        ++this->changeCount;
+        this->departureCount += record.state() == proto::READY ? 0 : 1;
         this->targetRouter.onTarget(record, now);
     }
     for (const proto::TargetRecord &record : effect.renewed) {
@@ -299,12 +311,19 @@
 
 void FleetView::sendDigest(core::TimePoint now)
 {
-    const std::vector<core::InstanceId> peers = this->instanceDirectory.peers(now);
-    if (peers.empty()) {
+    // Targets announce themselves to control instances, so those know them first.
+    std::vector<core::InstanceId> partners;
+    if (this->targetRouter.readyTargets() == 0) {
+        partners = this->controlInstances(now);
+    }
+    if (partners.empty()) {
+        partners = this->instanceDirectory.digestPartners(now);
+    }
+    if (partners.empty()) {
         return;
     }
-    std::uniform_int_distribution<size_t> pick(0, peers.size() - 1);
-    transport::PeerChannel *channel = this->peerSet.find(peers[pick(this->random)]);
+    std::uniform_int_distribution<size_t> pick(0, partners.size() - 1);
+    transport::PeerChannel *channel = this->peerSet.find(partners[pick(this->random)]);
     if (channel == nullptr) {
         return;
     }
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -85,6 +85,10 @@
     [[nodiscard]] const membership::TargetDirectory &targets() const;
     [[nodiscard]] const membership::InstanceDirectory &instances() const;
 
+    // How often a target's record has changed here, and how often one has left or gone.
+    [[nodiscard]] uint64_t targetChanges() const;
+    [[nodiscard]] uint64_t targetDepartures() const;
+
 private:
     void send(const std::vector<membership::Outgoing> &outgoing);
     void take(const membership::DirectoryEffect &effect, core::TimePoint now);
@@ -102,6 +106,8 @@
     Router targetRouter;
     uint32_t retrySharePercent = 0;
     double fleetRetryBurst = 0;
+    uint64_t changeCount = 0;
+    uint64_t departureCount = 0;
     core::TimePoint lastSweep;
     core::TimePoint lastDigest;
     core::TimePoint lastRouterTick;
--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -75,8 +75,9 @@
 // that is cut off goes on serving out of its escrow.
 inline constexpr core::Tokens DeclarationExposure = core::MaximumPurchase;
 
-// The same while the instance is in contact with the ledger: some requests of a usual size. It is
-// what each budget loses when an instance ends without a word.
+// The same while the instance is in contact with the ledger: a few short requests. A larger one is
+// recorded before it is sent on, which takes a round trip to the quorum. It is what each budget
+// loses when an instance ends without a word.
 inline constexpr core::Tokens ContactExposure{40'000};
 
 struct Declaration {
--- a/source/samphirebridge/forwarding/forwardpolicy.h
+++ b/source/samphirebridge/forwarding/forwardpolicy.h
@@ -3,6 +3,7 @@
 
 #include "samphirebridge/core/time.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace samphirebridge::forwarding
@@ -18,6 +19,18 @@
 // the directory hears of a crash.
 inline constexpr core::Duration RetryAfterFailure = std::chrono::milliseconds(300);
 
+// The bounds of what a caller is told whose instance does not serve yet: a start with a leader takes
+// about the first, and no caller is sent away for longer than the second.
+inline constexpr core::Duration ShortestStartWait = std::chrono::milliseconds(500);
+inline constexpr core::Duration LongestStartWait = std::chrono::seconds(3);
+
+// Returns when a caller should come back to an instance that has not begun to serve. A start that
+// has lasted for a while is expected to last as long again.
+constexpr core::Duration retryAfterStart(core::Duration sinceStart)
+{
+    return std::clamp(sinceStart, ShortestStartWait, LongestStartWait);
+}
+
 // A target that holds the shared part of a prompt is preferred while it is expected to begin no
 // later than others by this part of the objective.
 inline constexpr int HomePartOfObjective = 4;
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -208,8 +208,8 @@
     }
 
 private:
-    // A request waits for tokens for this part of its latency objective, and at least for some
-    // round trips to the ledger.
+    // A request waits for tokens for this part of its latency objective, and at least for as long
+    // as it takes to find out that the ledger is cut off and to tell a witness.
     static constexpr int PartOfObjective = 4;
     static constexpr core::Duration LeastTokenWait = std::chrono::milliseconds(150);
 
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -27,6 +27,7 @@
             const Interface &callerInterface)
         : pool(eventLoop, {})
         , context{eventLoop, entryNode, this->pool, counters, logger, callerInterface, {}}
+        , startedAt(this->context.clock.now())
     {
     }
 
@@ -78,9 +79,6 @@
 private:
     using Session = ForwardSession<Interface>;
 
-    // When a caller is told to come back to an instance that knows no declaration yet.
-    static constexpr core::Duration RetryAfterStart = std::chrono::milliseconds(500);
-
     [[nodiscard]] net::ServerLimits limits() const
     {
         const forwarding::CallerLimits &declared
@@ -128,7 +126,11 @@
         if (!node.serving()) {
             const auto reason
                 = node.stopping() ? core::RefusalReason::Stopping : core::RefusalReason::NotReady;
-            return forwarding::ForwardRefusal{reason, core::Outcome::NotRun, RetryAfterStart};
+            const core::Duration sinceStart = this->context.clock.now() - this->startedAt;
+            const core::Duration retryAfter = node.stopping()
+                                                  ? forwarding::ShortestStartWait
+                                                  : forwarding::retryAfterStart(sinceStart);
+            return forwarding::ForwardRefusal{reason, core::Outcome::NotRun, retryAfter};
         }
         way.table = node.declaration().table();
         way.route = way.table->route(request.host, request.target);
@@ -149,7 +151,9 @@
         if (this->context.node.fleet().hearsControl(this->context.clock.now())) {
             return {reason, core::Outcome::NotRun, {}};
         }
-        return {core::RefusalReason::NotReady, core::Outcome::NotRun, RetryAfterStart};
+        return {core::RefusalReason::NotReady,
+                core::Outcome::NotRun,
+                forwarding::ShortestStartWait};
     }
 
     void refuse(const forwarding::CallerRequest &request,
@@ -167,6 +171,7 @@
 
     net::TargetPool pool;
     IngressContext<Interface> context;
+    core::TimePoint startedAt;
     std::unique_ptr<net::HttpServer> server;
     absl::flat_hash_map<Session *, std::shared_ptr<Session>> sessions;
 };
--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -141,6 +141,18 @@
     return result;
 }
 
+std::vector<core::InstanceId> InstanceDirectory::digestPartners(core::TimePoint now) const
+{
+    std::vector<core::InstanceId> partners = this->peers(now);
+    if (!partners.empty()) {
+        return partners;
+    }
+    for (const auto &[id, entry] : this->entries) {
+        partners.emplace_back(id);
+    }
+    return partners;
+}
+
 std::vector<InstanceView> InstanceDirectory::view(core::TimePoint now) const
 {
     std::vector<InstanceView> result{InstanceView{this->own, true}};
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -60,6 +60,10 @@
     // Returns the instances in contact, without this one, leaving ones included, ordered by id.
     [[nodiscard]] std::vector<core::InstanceId> peers(core::TimePoint now) const;
 
+    // Returns the instances to compare the targets with: the peers or, as long as none was heard,
+    // all that are known by name. An instance that has just started need not wait for a heartbeat.
+    [[nodiscard]] std::vector<core::InstanceId> digestPartners(core::TimePoint now) const;
+
     // Returns every instance heard of, this one included, ordered by id.
     [[nodiscard]] std::vector<InstanceView> view(core::TimePoint now) const;
 
--- a/tests/consensus/raftnodetest.cpp
+++ b/tests/consensus/raftnodetest.cpp
@@ -262,3 +262,25 @@
     CHECK(alone.node.term() == term);
     CHECK(alone.node.commitIndex() == 0);
 }
+
+TEST_CASE("a member that has heard no leader since its start asks early, and later no more")
+{
+    // The load: every member starts at once after a loss of power, and callers wait for a leader.
+    Alone alone;
+    const RaftSettings settings;
+    alone.now += settings.electionTimeoutMaximum / 4;
+    alone.node.tick(alone.now);
+    CHECK(alone.node.role() == Role::PreCandidate);
+    // Pre-votes leave the term as it is, however often they are asked for.
+    alone.now += settings.electionTimeoutMaximum / 4;
+    alone.node.tick(alone.now);
+    CHECK(alone.node.term() == FirstTerm);
+
+    proto::RaftMessage heartbeat = alone.from("b/0", FirstTerm);
+    heartbeat.mutable_append_request();
+    alone.node.step(heartbeat, alone.now);
+    alone.take();
+    alone.now += settings.electionTimeoutMinimum - 1ms;
+    alone.node.tick(alone.now);
+    CHECK(alone.node.role() == Role::Follower);
+}
--- a/tests/membership/instancedirectorytest.cpp
+++ b/tests/membership/instancedirectorytest.cpp
@@ -95,3 +95,14 @@
     REQUIRE(outgoing.size() == 1);
     CHECK(outgoing[0].update.instances(0).leaving());
 }
+
+TEST_CASE("an instance that has heard nobody yet compares its targets with those it knows by name")
+{
+    // The load: an instance starts, and callers come before the first heartbeat.
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    const std::vector<core::InstanceId> seeds{core::InstanceId("a"), core::InstanceId("c")};
+    directory.setKnown(seeds);
+    CHECK(directory.digestPartners({}) == std::vector{core::InstanceId("c")});
+    directory.merge(beat(1, 1, 0), {});
+    CHECK(directory.digestPartners({}) == std::vector{core::InstanceId("b")});
+}
