forwarding: Lower what a budget loses when an instance ends without a word

Ruled out: openings as the main loss; they are requests that ran.

Change: 4,000 tokens; a larger request is recorded before it is sent on, one round trip to the quorum. A request waits 350 ms for tokens, long enough to find out that the ledger is cut off and to tell a witness; 150 ms ended before that, so the first requests of a cut were refused.

--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -78,7 +78,7 @@
 // The same while the instance is in contact with the ledger: a few short requests. A larger one is
 // recorded before it is sent on, which takes a round trip to the quorum. It is what each budget
 // loses when an instance ends without a word.
-inline constexpr core::Tokens ContactExposure{40'000};
+inline constexpr core::Tokens ContactExposure{4'000};
 
 struct Declaration {
     uint64_t version = 0;
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -211,7 +211,7 @@
     // A request waits for tokens for this part of its latency objective, and at least for as long
     // as it takes to find out that the ledger is cut off and to tell a witness.
     static constexpr int PartOfObjective = 4;
-    static constexpr core::Duration LeastTokenWait = std::chrono::milliseconds(150);
+    static constexpr core::Duration LeastTokenWait = std::chrono::milliseconds(350);
 
     void onReservation(const entry::ReservationAnswer &answer)
     {
