--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -226,7 +226,10 @@
     this->headRead = false;
     this->parser.nextMessage();
     this->parser.setLimits(this->context.limits().message);
-    if (!this->keepAlive) {
+    // The head of a long answer may have left before the server began to drain. A request that is
+    // here already is answered first.
+    const bool lastAnswer = this->context.draining && this->buffered.empty();
+    if (!this->keepAlive || lastAnswer) {
         // The stream outlives this connection until its last bytes have gone out.
         const auto lingering = this->stream;
         this->isClosed = true;
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -44,8 +44,10 @@
         this->thread = std::thread([this] {
             while (!this->stopping) {
                 this->loop.runUntil(core::SteadyClock().now() + 5ms);
-                if (this->drain.exchange(false)) {
+                if (this->drain) {
                     this->server->beginDrain();
+                    this->endStreams();
+                    this->drain = false;
                 }
             }
             this->held.clear();
@@ -77,6 +79,12 @@
         }
         net::ResponseHead head;
         head.status = 200;
+        if (request.head.target == "/stream") {
+            responder->begin(head);
+            responder->write("part");
+            this->streams.push_back(std::move(responder));
+            return;
+        }
         if (request.head.target == "/cut") {
             responder->begin(head);
             responder->write("part");
@@ -86,9 +94,18 @@
         responder->sendWhole(head, request.head.target + request.body);
     }
 
+    void endStreams()
+    {
+        for (const auto &responder : this->streams) {
+            responder->end();
+        }
+        this->streams.clear();
+    }
+
     net::EventLoop loop;
     std::unique_ptr<net::HttpServer> server;
     std::vector<std::shared_ptr<net::Responder>> held;
+    std::vector<std::shared_ptr<net::Responder>> streams; // Ended when a drain begins.
     std::atomic<bool> stopping = false;
     std::thread thread;
 };
@@ -167,3 +184,22 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
     CHECK(answer.ends_with("/b"));
 }
+
+TEST_CASE("a stream that began before the drain ends its connection, and no request follows on it")
+{
+    // The load: a caller that keeps its connection sends its next request when the stream has
+    // ended, long after the process was told to stop.
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    (void)caller.readUntil("part");
+    server.drain = true;
+    (void)caller.readUntil("0\r\n\r\n");
+    while (server.drain) {
+        std::this_thread::sleep_for(1ms);
+    }
+    caller.write("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(caller.readToEnd().empty());
+    CHECK(server.requests == 1);
+}
