forwarding: Say in the log how late an answer's first event came and how long it paused

Cause: an answer that was late left one line without a time, so a slow target could not be told from a refused first try. The line now names the target, the attempts, the time to the first event, the longest pause and the whole time.

Late answers gather at two or three slow targets, not at full ones.

--- a/source/samphirebridge/consensus/raftsettings.h
+++ b/source/samphirebridge/consensus/raftsettings.h
@@ -22,8 +22,8 @@
     // The time between two messages of an idle leader.
     core::Duration heartbeatInterval = std::chrono::milliseconds(50);
     // A follower that heard from no leader for a seeded time between these two asks for votes. A
-    // leader that heard from no quorum for the minimum steps down. Since its start and until it hears
-    // a leader, a member waits for a quarter of that time.
+    // leader that heard from no quorum for the minimum steps down. Since its start and until it
+    // hears a leader, a member waits for a quarter of that time.
     core::Duration electionTimeoutMinimum = std::chrono::milliseconds(300);
     core::Duration electionTimeoutMaximum = std::chrono::milliseconds(600);
     // The bounds of one append request; one entry always fits.
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -18,6 +18,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <chrono>
 #include <concepts>
 #include <optional>
 #include <string>
@@ -217,10 +218,16 @@
             this->host.relayWhole(*this->head, this->body);
         }
         this->note("answered",
-                   fmt::format("status={} framing={} bytes={}",
+                   fmt::format("target={} status={} framing={} attempts={} events={} first_ms={} "
+                               "longest_gap_ms={} took_ms={}",
+                               this->choice.target.value,
                                this->head->status,
                                net::framingName(this->head->framing),
-                               this->body.size()));
+                               this->attempts,
+                               this->relay.relayedEvents(),
+                               millisecondsOf(this->firstEventAfter),
+                               millisecondsOf(this->longestGap),
+                               millisecondsOf(this->host.now() - this->arrived)));
         this->finish();
     }
 
@@ -290,6 +297,11 @@
 
     static constexpr int StatusOk = 200;
 
+    static int64_t millisecondsOf(core::Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
     [[nodiscard]] int64_t tokenBound() const
     {
         if (this->organisation == nullptr || !this->organisation->purchased) {
@@ -388,6 +400,12 @@
         if (!std::exchange(this->firstToken, true)) {
             this->host.router().onFirstToken(this->choice.ticket, now);
         }
+        if (this->headRelayed) {
+            this->longestGap = std::max(this->longestGap, now - this->relayedAt);
+        } else {
+            this->firstEventAfter = now - this->arrived;
+        }
+        this->relayedAt = now;
         this->progressAt = now;
         this->relayHeadOnce();
         this->host.relayBody(events);
@@ -576,6 +594,9 @@
     std::vector<core::TargetId> failedTargets;
     core::TimePoint sentAt;
     core::TimePoint progressAt;
+    core::TimePoint relayedAt; // The last events went to the caller.
+    core::Duration firstEventAfter{}; // From the arrival to the first events for the caller.
+    core::Duration longestGap{}; // Between events for the caller, whatever target made them.
     std::optional<net::ResponseHead> head;
     std::string body;
     bool streaming = false;
--- a/source/samphirebridge/forwarding/forwardpolicy.h
+++ b/source/samphirebridge/forwarding/forwardpolicy.h
@@ -19,8 +19,8 @@
 // the directory hears of a crash.
 inline constexpr core::Duration RetryAfterFailure = std::chrono::milliseconds(300);
 
-// The bounds of what a caller is told whose instance does not serve yet: a start with a leader takes
-// about the first, and no caller is sent away for longer than the second.
+// The bounds of what a caller is told whose instance does not serve yet: a start with a leader
+// takes about the first, and no caller is sent away for longer than the second.
 inline constexpr core::Duration ShortestStartWait = std::chrono::milliseconds(500);
 inline constexpr core::Duration LongestStartWait = std::chrono::seconds(3);
 
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -151,9 +151,8 @@
         if (this->context.node.fleet().hearsControl(this->context.clock.now())) {
             return {reason, core::Outcome::NotRun, {}};
         }
-        return {core::RefusalReason::NotReady,
-                core::Outcome::NotRun,
-                forwarding::ShortestStartWait};
+        return {
+            core::RefusalReason::NotReady, core::Outcome::NotRun, forwarding::ShortestStartWait};
     }
 
     void refuse(const forwarding::CallerRequest &request,
