daemon, platform: End by itself when told to stop

Traced with a debugger on loopback: net::EventLoop's destructor waits for every handle on the loop, and the interface, with the timer of its pool of connections, was destroyed after it. Ruled out: streams that last longer than the grace; the process on loopback had none.

Change: an interface is released once the control thread has ended and before the loop goes.

--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/daemon/datafolder.h"
 #include "samphirebridge/daemon/processhost.h"
+#include "samphirebridge/daemon/shutdowntimes.h"
 #include "samphirebridge/gateway/gateway.h"
 #include "samphirebridge/http/client.h"
 #include "samphirebridge/http/server.h"
@@ -34,11 +35,6 @@
 constexpr core::Duration LongestDrain = std::chrono::seconds(2);
 constexpr int DrainPartOfGrace = 4;
 
-// How long an interface of a deployment still takes connections: its balancer asks once a second
-// and stops after two answers that are not ready. At most this part of the shutdown's grace.
-constexpr core::Duration InterfaceDrain = std::chrono::milliseconds(3200);
-constexpr int InterfacePartOfGrace = 2;
-
 // The time that a lender gets to answer: a caller's request waits for it.
 constexpr core::Duration LoanTimeout = std::chrono::milliseconds(120);
 
@@ -453,17 +449,26 @@
 void Daemon::stop()
 {
     this->parts->logger.change("stopping");
+    const core::TimePoint begun = this->parts->clock.now();
     if (!this->settings.roles.entry) {
         this->handOverLeadership();
     }
     this->drainCallers();
-    this->returnEscrow();
-    this->handOverLeadership();
+    const ShutdownTimes times = shutdownTimes(this->settings.shutdownGrace);
+    bool returned
+        = this->returnEscrow(this->interface.end ? begun + times.cutOff
+                                                 : this->parts->clock.now() + EscrowReturnTimeout);
     if (this->interface.end) {
         this->parts->queue.call([this] { this->interface.end(); });
+        returned = returned || this->returnEscrow(begun + times.end);
     }
+    this->parts->logger.change(returned ? "escrow_returned" : "escrow_not_returned");
+    this->handOverLeadership();
     this->parts->rpcServer->stop();
     this->parts->thread->stop();
+    if (this->interface.release) {
+        this->interface.release();
+    }
     this->parts->logger.change("stopped");
 }
 
@@ -476,10 +481,13 @@
     const core::TimePoint begun = running.clock.now();
     running.queue.call([this] { this->interface.beginDrain(); });
     if (this->settings.roles.entry) {
-        std::this_thread::sleep_for(
-            std::min(InterfaceDrain, this->settings.shutdownGrace / InterfacePartOfGrace));
+        std::this_thread::sleep_for(shutdownTimes(this->settings.shutdownGrace).stopAccepting);
     }
-    running.queue.call([this] { this->interface.stopAccepting(); });
+    running.queue.call([this, &running] {
+        this->interface.stopAccepting();
+        // Nothing new is taken, so what is free of the escrow can serve callers elsewhere.
+        running.node.beginShutdown();
+    });
     while (running.clock.now() < deadline
            && !running.queue.call([this] { return this->interface.idle(); })) {
         std::this_thread::sleep_for(ShutdownPoll);
@@ -508,18 +516,16 @@
     parts.queue.call([&parts] { parts.node.beginShutdown(); });
 }
 
-void Daemon::returnEscrow()
+bool Daemon::returnEscrow(core::TimePoint deadline)
 {
     Parts &parts = *this->parts;
-    const core::TimePoint deadline = parts.clock.now() + EscrowReturnTimeout;
     while (parts.clock.now() < deadline) {
         if (parts.queue.call([&parts] { return parts.node.escrow().isSettled(); })) {
-            parts.logger.change("escrow_returned");
-            return;
+            return true;
         }
         std::this_thread::sleep_for(ShutdownPoll);
     }
-    parts.logger.change("escrow_not_returned");
+    return false;
 }
 
 void Daemon::handOverLeadership()
--- a/source/samphirebridge/daemon/daemon.h
+++ b/source/samphirebridge/daemon/daemon.h
@@ -30,12 +30,15 @@
     telemetry::Logger &logger;
 };
 
-// An interface's part in a shutdown, in this order. The functions run on the control thread.
+// An interface's part in a shutdown, in this order. All but the last run on the control thread.
 struct InterfaceShutdown {
     std::function<void()> beginDrain; // Callers are told not to come back.
     std::function<void()> stopAccepting; // No new connections.
     std::function<bool()> idle; // Tells whether no request is under way.
     std::function<void()> end; // Ends what is under way and closes everything.
+    // Destroys the interface. Runs on the caller of Daemon::stop(), once the control thread has
+    // ended and before the loop goes, whose destructor waits for every handle on it.
+    std::function<void()> release;
 };
 
 class Daemon
@@ -68,7 +71,8 @@
 
     void drainCallers();
     void drainInterface(core::TimePoint deadline);
-    void returnEscrow();
+    // Returns whether everything was settled and returned by the deadline.
+    bool returnEscrow(core::TimePoint deadline);
     void handOverLeadership();
 
     settings::Settings settings;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -364,6 +364,11 @@
     writeFile(this->folder() / fmt::format("i{}.yaml", index), text);
 }
 
+std::string platformProgram()
+{
+    return SAMPHIREBRIDGE_PLATFORM_PATH;
+}
+
 std::string testManifest(int64_t tokensA, int64_t tokensB)
 {
     return fmt::format(R"(organisations:
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -131,6 +131,9 @@
     std::map<int, ChildProcess> instances;
 };
 
+// The program that runs on the users' platform.
+std::string platformProgram();
+
 // A manifest with two organisations, the chat service "chat" with the model "letters" and the plain
 // service "payments".
 std::string testManifest(int64_t tokensA, int64_t tokensB = 1'000'000);
