membership, entry: Compare targets at once with an instance that comes back into contact

A control instance pushes a departure only to instances that it counts as in contact.

Change: merging a heartbeat names the instances that came into contact by it, and each is sent a digest. The new test of instancedirectorytest.cpp needs the new result, so it does not build without the change.

--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -82,7 +82,9 @@
 
 void FleetView::onUpdate(const proto::MembershipUpdate &update, core::TimePoint now)
 {
-    this->instanceDirectory.merge(update, now);
+    for (const core::InstanceId &returned : this->instanceDirectory.merge(update, now)) {
+        this->sendDigestTo(returned);
+    }
     const std::vector<core::InstanceId> peers = this->instanceDirectory.peers(now);
     this->take(this->targetDirectory.merge(update, peers, now), now);
     std::vector<membership::Outgoing> outgoing;
@@ -323,7 +325,12 @@
         return;
     }
     std::uniform_int_distribution<size_t> pick(0, partners.size() - 1);
-    transport::PeerChannel *channel = this->peerSet.find(partners[pick(this->random)]);
+    this->sendDigestTo(partners[pick(this->random)]);
+}
+
+void FleetView::sendDigestTo(const core::InstanceId &peer)
+{
+    transport::PeerChannel *channel = this->peerSet.find(peer);
     if (channel == nullptr) {
         return;
     }
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -94,6 +94,7 @@
     void take(const membership::DirectoryEffect &effect, core::TimePoint now);
     void shareRetries(core::TimePoint now);
     void sendDigest(core::TimePoint now);
+    void sendDigestTo(const core::InstanceId &peer);
 
     core::InstanceId self;
     transport::PeerSet &peerSet;
--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -111,8 +111,10 @@
     return outgoing;
 }
 
-void InstanceDirectory::merge(const proto::MembershipUpdate &update, core::TimePoint now)
+std::vector<core::InstanceId> InstanceDirectory::merge(const proto::MembershipUpdate &update,
+                                                       core::TimePoint now)
 {
+    std::vector<core::InstanceId> returned;
     for (const proto::InstanceRecord &record : update.instances()) {
         if (record.id() == this->self.value || !core::checkName(record.id()).ok()) {
             continue;
@@ -124,10 +126,14 @@
         if (entry.heardAt && version(record) <= version(entry.record)) {
             continue;
         }
+        if (!this->inContact(entry, now)) {
+            returned.emplace_back(record.id());
+        }
         entry.record = record;
         entry.heardAt = now;
         entry.relays = 0;
     }
+    return returned;
 }
 
 std::vector<core::InstanceId> InstanceDirectory::peers(core::TimePoint now) const
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -54,8 +54,9 @@
     // is noticed. Call it at least every heartbeatEvery.
     std::vector<Outgoing> tick(core::TimePoint now);
 
-    // Merges a peer's instance records. A lower incarnation or heartbeat is ignored.
-    void merge(const proto::MembershipUpdate &update, core::TimePoint now);
+    // Merges a peer's instance records. A lower incarnation or heartbeat is ignored. Returns the
+    // instances that came into contact by it: what changed meanwhile was not pushed to them.
+    std::vector<core::InstanceId> merge(const proto::MembershipUpdate &update, core::TimePoint now);
 
     // Returns the instances in contact, without this one, leaving ones included, ordered by id.
     [[nodiscard]] std::vector<core::InstanceId> peers(core::TimePoint now) const;
--- a/tests/membership/instancedirectorytest.cpp
+++ b/tests/membership/instancedirectorytest.cpp
@@ -106,3 +106,14 @@
     directory.merge(beat(1, 1, 0), {});
     CHECK(directory.digestPartners({}) == std::vector{core::InstanceId("b")});
 }
+
+TEST_CASE("an instance that comes back into contact is named, so that it gets what it missed")
+{
+    // The load: a target leaves just after a cut has healed, before the heartbeats have arrived.
+    InstanceDirectory directory(core::InstanceId("a"), 1, {});
+    const core::TimePoint now(10s);
+    CHECK(directory.merge(beat(1, 1, 0), now) == std::vector{core::InstanceId("b")});
+    CHECK(directory.merge(beat(1, 2, 0), now + 1s).empty());
+    CHECK(directory.merge(beat(1, 2, 0), now + 9s).empty());
+    CHECK(directory.merge(beat(1, 3, 0), now + 9s) == std::vector{core::InstanceId("b")});
+}
