settings: Refuse a quoted value that the end of a file cuts off

Cause: the YAML library takes the end of the text after a line feed for the end of a quoted value, and decodes escapes to bytes that the text itself may not hold ("\N" even to a byte that is no UTF-8). Ruled out: the renderer, which writes what it is given; a check of the text before parsing, which sees the escape and not what it stands for. Change: the parser is handed a document end mark after the text, at which an open quote is an error, and every decoded value is checked like the text. Before: `a: "abc` with a line feed gave the value "abc ", `a: "x\Ny"` a value with a stray byte (trials with the parser alone).

--- a/source/samphirebridge/settings/document.cpp
+++ b/source/samphirebridge/settings/document.cpp
@@ -26,8 +26,13 @@
     std::string accepted{};
 };
 
-// Hands the text to the parser in pieces, and ends it where the parser reads too far ahead of the
-// values that it reports: it queues a token of some hundred bytes for each "[" of "[[[[".
+// Closes the document. Without it the parser takes a quoted value that the end of the text cuts off
+// after a line feed for a whole one.
+constexpr std::string_view DocumentEnd = "\n...\n";
+
+// Hands the text and the mark of its end to the parser in pieces, and ends it where the parser
+// reads too far ahead of the values that it reports: it queues a token of some hundred bytes for
+// each "[" of "[[[[".
 class MeteredBuffer : public std::streambuf
 {
 public:
@@ -55,23 +60,39 @@
             return traits_type::eof();
         }
         if (this->offset == this->text.size()) {
-            return traits_type::eof();
+            return this->handOutEnd();
         }
         const size_t length = std::min(PieceLength, this->text.size() - this->offset);
-        // A get area is not written through; the interface merely has no const form.
-        char *begin = const_cast<char *>(this->text.data()) + this->offset;
-        this->setg(begin, begin, begin + length);
+        const std::string_view piece = this->text.substr(this->offset, length);
         this->offset += length;
-        return traits_type::to_int_type(*begin);
+        return this->handOut(piece);
     }
 
 private:
     static constexpr size_t PieceLength = 4096;
 
+    int_type handOutEnd()
+    {
+        if (this->ended) {
+            return traits_type::eof();
+        }
+        this->ended = true;
+        return this->handOut(DocumentEnd);
+    }
+
+    int_type handOut(std::string_view piece)
+    {
+        // A get area is not written through; the interface merely has no const form.
+        char *begin = const_cast<char *>(piece.data());
+        this->setg(begin, begin, begin + piece.size());
+        return traits_type::to_int_type(*begin);
+    }
+
     std::string_view text;
     size_t offset = 0;
     size_t progress = 0;
     bool tooFar = false;
+    bool ended = false;
 };
 
 // Builds the tree out of the parser's events.
@@ -115,6 +136,7 @@
                   const std::string &value) override
     {
         this->checkValue(mark, tag, anchor);
+        this->checkText(mark, value);
         this->finish(DocumentNode{
             .kind = NodeKind::Scalar, .quoted = tag == "!", .line = mark.line + 1, .value = value});
     }
@@ -179,6 +201,16 @@
         }
     }
 
+    // An escape may stand for what the text itself must not hold, such as "\\0".
+    void checkText(const YAML::Mark &mark, std::string_view value)
+    {
+        if (findMalformedText(value)) {
+            throw Refusal{.line = mark.line + 1,
+                          .found = "an escape for a character that is not accepted",
+                          .accepted = "UTF-8 without control characters"};
+        }
+    }
+
     [[nodiscard]] bool expectsKey() const
     {
         return !this->levels.empty() && this->levels.back().node.kind == NodeKind::Map
--- a/tests/settings/documenttest.cpp
+++ b/tests/settings/documenttest.cpp
@@ -89,6 +89,24 @@
     CHECK(refusalOf(std::string(Limit + 1, ' ')).code == ErrorCode::TooLarge);
 }
 
+TEST_CASE("an escape for a character that the text itself must not hold is refused")
+{
+    for (const std::string_view escape : {"\\0", "\\N", "\\L", "\\x07", "\\x85", "\\u2028"}) {
+        const Problem problem = refusalOf("a: 1\nb: \"x" + std::string(escape) + "y\"\n");
+        CHECK(problem.line == 2);
+        CHECK(problem.found.starts_with("an escape"));
+    }
+    CHECK(refusalOf("\"a\\0\": 1\n").line == 1);
+}
+
+TEST_CASE("a quoted value that the end of the text cuts off is refused")
+{
+    for (const std::string_view end : {"", "\n", "\n\n", "  \n", " # b\n"}) {
+        CHECK(refusalOf("a: \"b" + std::string(end)).found.starts_with("no YAML"));
+        CHECK(refusalOf("a: 'b" + std::string(end)).found.starts_with("no YAML"));
+    }
+}
+
 TEST_CASE("no more than the stated number of problems is kept")
 {
     ProblemCollector problems(ErrorCode::InvalidSettings, "file.yaml");
