telemetry: Keep the distribution of six latencies

Until now only the time to the first byte had a histogram, so a late answer could not be told apart from a late quorum by the metrics alone. Whole requests, first bytes, gaps within an answer, waits for tokens, reports to the ledger and quorum rounds have one now, from the start and at the same boundaries. Requests finished are counted on the users' interface too; they were not. Test: each histogram exists at zero and takes an observation into its bucket.

--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -104,7 +104,7 @@
         }
         this->proposals.insert_or_assign(*index,
                                          Proposal{this->durable->node().term(),
-                                                  this->now + ProposalTimeout,
+                                                  this->now,
                                                   std::move(respond)});
     }
 
@@ -225,8 +225,13 @@
     // A command whose entry is not applied yet.
     struct Proposal {
         uint64_t term = 0;
-        core::TimePoint expires;
+        core::TimePoint proposed;
         transport::Respond<proto::SubmitReply> respond;
+
+        [[nodiscard]] core::TimePoint expires() const
+        {
+            return this->proposed + ProposalTimeout;
+        }
     };
 
     // Receives whether the quorum confirmed the read.
@@ -305,6 +310,8 @@
             const auto found = this->proposals.find(applied.index);
             if (found != this->proposals.end() && found->second.term == applied.term) {
                 proto::SubmitReply reply;
+                this->counters.observe(telemetry::Latency::QuorumRound,
+                                       this->now - found->second.proposed);
                 reply.set_status(proto::SubmitReply::APPLIED);
                 reply.set_leader_instance(this->leaderInstance());
                 *reply.mutable_result() = std::move(applied.result);
@@ -351,7 +358,7 @@
 
     void expireProposals()
     {
-        while (!this->proposals.empty() && this->proposals.begin()->second.expires <= this->now) {
+        while (!this->proposals.empty() && this->proposals.begin()->second.expires() <= this->now) {
             this->answerUnknown(this->proposals.begin());
         }
     }
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -97,10 +97,11 @@
                            OnReservation onAnswer)
 {
     if (const auto answer = this->decide(request, now)) {
+        this->counters.observe(telemetry::Latency::BudgetWait, core::Duration::zero());
         onAnswer(*answer);
         return;
     }
-    Waiter waiter{request, std::move(onAnswer)};
+    Waiter waiter{request, std::move(onAnswer), now};
     waiter.request.deadline = std::min(request.deadline, now + MaximumWait);
     this->waiters.push_back(std::move(waiter));
     this->flush(now);
@@ -326,6 +327,7 @@
             ++waiter;
             continue;
         }
+        this->counters.observe(telemetry::Latency::BudgetWait, now - waiter->since);
         const OnReservation onAnswer = std::move(waiter->onAnswer);
         waiter = this->waiters.erase(waiter);
         onAnswer(*answer);
@@ -343,6 +345,7 @@
         // The ledger did not say that too little is left.
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
         answer.retryAfter = RetryAfterWait;
+        this->counters.observe(telemetry::Latency::BudgetWait, now - waiter->since);
         const OnReservation onAnswer = std::move(waiter->onAnswer);
         waiter = this->waiters.erase(waiter);
         onAnswer(answer);
@@ -360,9 +363,12 @@
                                 : telemetry::Event::EscrowBatchesSent);
     proto::Command command;
     *command.mutable_holder_batch() = batch;
-    this->client.submit(command, BatchTimeout, [this](const auto &result) {
-        this->onBatchAnswer(result, this->clock.now());
-    });
+    this->client.submit(
+        command, BatchTimeout, [this, sentAt = this->clock.now()](const auto &result) {
+            const core::TimePoint now = this->clock.now();
+            this->counters.observe(telemetry::Latency::LedgerReport, now - sentAt);
+            this->onBatchAnswer(result, now);
+        });
 }
 
 void EscrowKeeper::onBatchAnswer(const absl::StatusOr<proto::CommandResult> &result,
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -110,6 +110,7 @@
     struct Waiter {
         ReservationRequest request;
         OnReservation onAnswer;
+        core::TimePoint since;
     };
 
     // Returns the answer, or nothing while the request has to wait.
--- a/source/samphirebridge/gateway/requestdriver.cpp
+++ b/source/samphirebridge/gateway/requestdriver.cpp
@@ -234,6 +234,8 @@
     if (this->answeredWhole) {
         this->finishTicket();
         this->context.counters.count(telemetry::Event::RequestsFinished);
+        this->context.counters.observe(telemetry::Latency::WholeRequest,
+                                       this->clock.now() - this->arrivedAt);
     } else if (this->callerGoneTold || this->mustEndTold) {
         this->cancelTicket();
     } else {
@@ -356,7 +358,8 @@
         return;
     }
     this->firstByteSent = true;
-    this->context.counters.firstByte(this->clock.now() - this->arrivedAt);
+    this->context.counters.observe(telemetry::Latency::FirstByte,
+                                   this->clock.now() - this->arrivedAt);
 }
 
 void RequestDriver::endTicket(core::RetryReason reason)
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -162,23 +162,28 @@
 
     void relayHead(const net::ResponseHead &head)
     {
-        this->context.counters.firstByte(this->now() - this->machine.arrivedAt());
+        this->relayedAt = this->now();
+        this->observe(telemetry::Latency::FirstByte, this->machine.arrivedAt());
         this->responder->begin(this->callerHead(head));
     }
 
     void relayBody(std::string_view bytes)
     {
+        this->observe(telemetry::Latency::AnswerGap, this->relayedAt);
+        this->relayedAt = this->now();
         this->responder->write(bytes);
     }
 
     void relayEnd()
     {
+        this->noteFinished();
         this->responder->end();
     }
 
     void relayWhole(const net::ResponseHead &head, std::string_view body)
     {
-        this->context.counters.firstByte(this->now() - this->machine.arrivedAt());
+        this->observe(telemetry::Latency::FirstByte, this->machine.arrivedAt());
+        this->noteFinished();
         this->responder->sendWhole(this->callerHead(head), body);
     }
 
@@ -213,6 +218,17 @@
     static constexpr int PartOfObjective = 4;
     static constexpr core::Duration LeastTokenWait = std::chrono::milliseconds(350);
 
+    void observe(telemetry::Latency latency, core::TimePoint since)
+    {
+        this->context.counters.observe(latency, this->now() - since);
+    }
+
+    void noteFinished()
+    {
+        this->context.counters.count(telemetry::Event::RequestsFinished);
+        this->observe(telemetry::Latency::WholeRequest, this->machine.arrivedAt());
+    }
+
     void onReservation(const entry::ReservationAnswer &answer)
     {
         const auto self = this->shared_from_this();
@@ -321,6 +337,7 @@
     net::Timer timer;
     std::unique_ptr<net::Timer> deferred;
     net::TargetEndpoint endpoint;
+    core::TimePoint relayedAt; // When the last piece of the answer went to the caller.
     uint64_t attempt = 0;
     std::shared_ptr<net::TargetPool::Pending> pending;
     net::TargetPool::Connection connection;
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -56,8 +56,25 @@
     {Level::OpenReservations, "open_reservations", "Reservations that are not settled yet."},
 };
 
-// Boundaries of the time to the first byte, in seconds.
-const prometheus::Histogram::BucketBoundaries FirstByteBoundaries{
+constexpr Description<Latency> Latencies[] = {
+    {Latency::WholeRequest,
+     "request_seconds",
+     "Time from a request's arrival to the end of its answer."},
+    {Latency::FirstByte, "first_byte_seconds", "Time from a request's arrival to its first byte."},
+    {Latency::AnswerGap,
+     "answer_gap_seconds",
+     "Time between two pieces of an answer that comes in events."},
+    {Latency::BudgetWait, "budget_wait_seconds", "Time from asking for tokens to the decision."},
+    {Latency::LedgerReport,
+     "ledger_report_seconds",
+     "Time from sending a report to the ledger to its answer."},
+    {Latency::QuorumRound,
+     "quorum_round_seconds",
+     "Time from taking a command in to its application, at the leader."},
+};
+
+// Boundaries of every latency, in seconds: from a decision in memory to the longest answer.
+const prometheus::Histogram::BucketBoundaries LatencyBoundaries{
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.85, 1.5, 3, 6, 12, 30};
 
 std::string prefixed(const char *name)
@@ -99,11 +116,13 @@
     }
     this->billed
         = &counterFamily(this->registry, "tokens_billed_total", "Tokens settled here.").Add({});
-    this->firstByteSeconds = &prometheus::BuildHistogram()
-                                  .Name(prefixed("first_byte_seconds"))
-                                  .Help("Time from a request's arrival to its first byte.")
-                                  .Register(this->registry)
-                                  .Add({}, FirstByteBoundaries);
+    for (const auto &latency : Latencies) {
+        this->latencies[static_cast<size_t>(latency.key)] = &prometheus::BuildHistogram()
+                                                                 .Name(prefixed(latency.name))
+                                                                 .Help(latency.help)
+                                                                 .Register(this->registry)
+                                                                 .Add({}, LatencyBoundaries);
+    }
 }
 
 void Counters::refused(core::RefusalReason reason)
@@ -131,9 +150,10 @@
     this->billed->Increment(static_cast<double>(tokens.count));
 }
 
-void Counters::firstByte(core::Duration latency)
+void Counters::observe(Latency latency, core::Duration took)
 {
-    this->firstByteSeconds->Observe(std::chrono::duration<double>(latency).count());
+    this->latencies[static_cast<size_t>(latency)]->Observe(
+        std::chrono::duration<double>(took).count());
 }
 
 std::string Counters::text() const
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -52,6 +52,16 @@
     OpenReservations,
 };
 
+// Times whose distribution is kept.
+enum class Latency : uint8_t {
+    WholeRequest, // From a request's arrival to the end of its answer.
+    FirstByte, // From a request's arrival to the first byte of its answer.
+    AnswerGap, // Between two pieces of an answer that comes in events.
+    BudgetWait, // From asking for tokens to the decision.
+    LedgerReport, // From sending a report to the ledger to its answer.
+    QuorumRound, // From taking a command in to its application, at the leader.
+};
+
 // Thread-safe; every counter exists from the start, at zero, so that alerts can rely on it.
 class Counters
 {
@@ -64,8 +74,7 @@
     void set(Level level, double value);
     void addBilled(core::Tokens tokens);
 
-    // Records the time to the first byte of an answer, from the request's arrival.
-    void firstByte(core::Duration latency);
+    void observe(Latency latency, core::Duration took);
 
     // Returns everything in the Prometheus text format.
     [[nodiscard]] std::string text() const;
@@ -77,7 +86,7 @@
     std::array<prometheus::Counter *, 32> events{};
     std::array<prometheus::Gauge *, 16> levels{};
     prometheus::Counter *billed = nullptr;
-    prometheus::Histogram *firstByteSeconds = nullptr;
+    std::array<prometheus::Histogram *, 8> latencies{};
 };
 
 } // namespace samphirebridge::telemetry
--- a/tests/telemetry/counterstest.cpp
+++ b/tests/telemetry/counterstest.cpp
@@ -21,6 +21,23 @@
     }
 }
 
+TEST_CASE(
+    "every latency has its histogram from the start, and an observation falls into its bucket")
+{
+    telemetry::Counters counters;
+    for (const std::string_view name :
+         {"request", "first_byte", "answer_gap", "budget_wait", "ledger_report", "quorum_round"}) {
+        const std::string count = fmt::format("samphirebridge_{}_seconds_count 0", name);
+        CHECK(counters.text().find(count) != std::string::npos);
+    }
+    counters.observe(telemetry::Latency::QuorumRound, std::chrono::milliseconds(4));
+    const std::string text = counters.text();
+    CHECK(text.find("samphirebridge_quorum_round_seconds_bucket{le=\"0.002\"} 0")
+          != std::string::npos);
+    CHECK(text.find("samphirebridge_quorum_round_seconds_bucket{le=\"0.005\"} 1")
+          != std::string::npos);
+}
+
 TEST_CASE("a counted refusal shows in the text")
 {
     telemetry::Counters counters;
