--- a/source/samphirebridge/samphirectl/commandline.cpp
+++ b/source/samphirebridge/samphirectl/commandline.cpp
@@ -35,6 +35,7 @@
   samphirectl instance remove INSTANCE [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl instance retire INSTANCE --incarnation=N --change-id=ID [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl key digest [--json]
+  samphirectl explain REQUEST [LOG]... [--json]
   samphirectl --help
 
 Options:
@@ -72,6 +73,7 @@
     "instance-remove",
     "instance-retire",
     "key-digest",
+    "explain",
 });
 
 constexpr size_t MaximumRequestKeyBytes = 256;
@@ -101,6 +103,12 @@
         return value.isString() ? value.asString() : "";
     }
 
+    [[nodiscard]] std::vector<std::string> texts(const std::string &name) const
+    {
+        const docopt::value &value = this->arguments.at(name);
+        return value.isStringList() ? value.asStringList() : std::vector<std::string>{};
+    }
+
     uint64_t number(const std::string &name, uint64_t least, uint64_t most)
     {
         const std::string given = this->text(name);
@@ -227,6 +235,9 @@
     if (reader.has("instance")) {
         return readInstanceCommand(reader);
     }
+    if (reader.has("explain")) {
+        return ExplainCommand{reader.requestKey("REQUEST"), reader.texts("LOG")};
+    }
     return KeyDigestCommand{};
 }
 
--- a/source/samphirebridge/samphirectl/commandline.h
+++ b/source/samphirebridge/samphirectl/commandline.h
@@ -66,6 +66,10 @@
 };
 struct KeyDigestCommand {
 };
+struct ExplainCommand {
+    std::string request;
+    std::vector<std::string> files; // Empty: standard input.
+};
 
 using Command = std::variant<HelpCommand,
                              ValidateCommand,
@@ -81,7 +85,8 @@
                              InstanceAddCommand,
                              InstanceRemoveCommand,
                              InstanceRetireCommand,
-                             KeyDigestCommand>;
+                             KeyDigestCommand,
+                             ExplainCommand>;
 
 struct CommandLine {
     Command command;
--- a/source/samphirebridge/samphirectl/commandrunner.cpp
+++ b/source/samphirebridge/samphirectl/commandrunner.cpp
@@ -4,6 +4,7 @@
 #include "samphirebridge/manifest/manifestdelta.h"
 #include "samphirebridge/manifest/manifestfile.h"
 #include "samphirebridge/samphirectl/answer.h"
+#include "samphirebridge/samphirectl/requesttrail.h"
 #include "samphirebridge/samphirectl/texts.h"
 #include "samphirebridge/samphirectl/token.h"
 
@@ -104,7 +105,8 @@
 {
     return !std::holds_alternative<HelpCommand>(command)
            && !std::holds_alternative<ValidateCommand>(command)
-           && !std::holds_alternative<KeyDigestCommand>(command);
+           && !std::holds_alternative<KeyDigestCommand>(command)
+           && !std::holds_alternative<ExplainCommand>(command);
 }
 
 CommandRunner::CommandRunner(OperatorClient &client, std::istream &input)
@@ -280,4 +282,34 @@
     return successReport({{"sha256", digest}}, digest + "\n");
 }
 
+Report CommandRunner::runOne(const ExplainCommand &command)
+{
+    RequestTrail trail(command.request);
+    if (command.files.empty()) {
+        trail.read(this->input);
+    }
+    for (const std::string &path : command.files) {
+        std::ifstream log(path);
+        if (!log) {
+            return failureReport(core::makeError(
+                core::ErrorCode::InvalidRequest,
+                fmt::format("{}: found no readable file; accepted: a process's log", path)));
+        }
+        trail.read(log);
+    }
+    if (!trail.found()) {
+        return failureReport(core::makeError(
+            core::ErrorCode::InvalidRequest,
+            fmt::format(
+                "found no line of request '{}' in {} lines, {} of them log lines; accepted: "
+                "logs of the instance that took the request, from its time",
+                command.request,
+                trail.linesRead(),
+                trail.linesParsed())));
+    }
+    nlohmann::json result = trailObject(trail.trail());
+    std::string text = trailText(result);
+    return successReport(std::move(result), std::move(text));
+}
+
 } // namespace samphirebridge::samphirectl
--- a/source/samphirebridge/samphirectl/commandrunner.h
+++ b/source/samphirebridge/samphirectl/commandrunner.h
@@ -16,7 +16,8 @@
 class CommandRunner
 {
 public:
-    // Both must outlive the runner. The input is read by "key digest" alone.
+    // Both must outlive the runner. The input is read by "key digest", and by "explain"
+    // without files.
     CommandRunner(OperatorClient &client, std::istream &input);
 
     Report run(const Command &command);
@@ -37,6 +38,7 @@
     Report runOne(const InstanceRemoveCommand &command);
     Report runOne(const InstanceRetireCommand &command);
     Report runOne(const KeyDigestCommand &command);
+    Report runOne(const ExplainCommand &command);
 
     using TextMaker = std::string (*)(const nlohmann::json &result);
 
