--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/budget/budgetaccount.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace samphirebridge::budget
 {
@@ -15,6 +16,9 @@
 // Answers further apart than this many flush intervals don't belong together.
 constexpr int MostGaps = 5;
 
+// A rate of the exposure ramp is reported when it has risen by this part, or has fallen to a half.
+constexpr int64_t RateReportPart = 4;
+
 double secondsOf(core::Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -59,7 +63,8 @@
 
 int64_t BudgetAccount::lend(int64_t minimum, int64_t wanted)
 {
-    const int64_t tokens = this->waiting > 0 ? 0 : std::min(wanted, this->free / 2);
+    const int64_t spare = std::min(this->free / 2, this->free - this->borrowed);
+    const int64_t tokens = this->waiting > 0 ? 0 : std::min(wanted, spare);
     if (tokens <= 0 || tokens < minimum) {
         return 0;
     }
@@ -70,6 +75,12 @@
 void BudgetAccount::borrow(int64_t tokens)
 {
     this->free += tokens;
+    this->borrowed += tokens;
+}
+
+void BudgetAccount::confirmBorrowed(int64_t tokens)
+{
+    this->borrowed -= tokens;
 }
 
 void BudgetAccount::addUnrecorded(int64_t tokens)
@@ -82,6 +93,32 @@
     this->unrecorded -= tokens;
 }
 
+std::optional<int64_t> BudgetAccount::takeIsolationRate(core::TimePoint now,
+                                                        const EscrowOptions &options)
+{
+    const double wanted = options.isolationFactor * this->demand.boundsPerSecond(now);
+    const int64_t rate
+        = std::max(options.leastIsolationRate, static_cast<int64_t>(std::ceil(wanted)));
+    const int64_t last = std::max(options.leastIsolationRate, this->reportedRate);
+    const bool far = rate > last + last / RateReportPart || rate < last / 2;
+    if (options.leastIsolationRate == 0 || !far) {
+        return std::nullopt;
+    }
+    this->reportedRate = rate;
+    return rate;
+}
+
+void BudgetAccount::confirmIsolationRate()
+{
+    this->confirmedRate = this->reportedRate;
+}
+
+int64_t BudgetAccount::exposureLimit(core::TimePoint now, const EscrowOptions &options) const
+{
+    const int64_t known = std::min(this->reportedRate, this->confirmedRate);
+    return exposureAt(options, std::max(options.leastIsolationRate, known), now).count;
+}
+
 void BudgetAccount::addWaiter(int64_t tokens, core::TimePoint now)
 {
     this->smallestWaiting = this->waiting == 0 ? tokens : std::min(this->smallestWaiting, tokens);
@@ -199,7 +236,7 @@
 bool BudgetAccount::isForgettable(core::TimePoint now, const EscrowOptions &options) const
 {
     const bool holdsNothing = this->free == 0 && this->reserved == 0 && this->pending == 0
-                              && this->unrecorded == 0 && this->waiting == 0;
+                              && this->unrecorded == 0 && this->borrowed == 0 && this->waiting == 0;
     return holdsNothing && now - this->usedAt > options.horizon;
 }
 
--- a/source/samphirebridge/budget/budgetaccount.h
+++ b/source/samphirebridge/budget/budgetaccount.h
@@ -38,13 +38,24 @@
     void closeUnrecorded(int64_t tokens, int64_t used);
 
     // Takes at most half of the free tokens off for another holder; nothing if that is below the
-    // minimum or if requests here wait.
+    // minimum or if requests here wait. Borrowed tokens are not lent on before the ledger knows of
+    // the loan: a report of the second loan would find nothing to move.
     int64_t lend(int64_t minimum, int64_t wanted);
     void borrow(int64_t tokens);
+    // The ledger knows of a loan that was taken.
+    void confirmBorrowed(int64_t tokens);
 
     void addUnrecorded(int64_t tokens);
     void removeUnrecorded(int64_t tokens);
 
+    // Returns the rate of the exposure ramp, in tokens a second, if it is to be reported now: it
+    // has become far from the one reported last.
+    std::optional<int64_t> takeIsolationRate(core::TimePoint now, const EscrowOptions &options);
+    // The ledger has the rate that was taken last.
+    void confirmIsolationRate();
+    // Returns the openings without a confirmed record that are allowed now.
+    [[nodiscard]] int64_t exposureLimit(core::TimePoint now, const EscrowOptions &options) const;
+
     // Notes a request that free tokens don't cover. Until forgetWaiters() it is part of the next
     // request for escrow.
     void addWaiter(int64_t tokens, core::TimePoint now);
@@ -103,6 +114,9 @@
     int64_t pending = 0;
     int64_t unrecorded = 0;
     int64_t recalled = 0;
+    int64_t borrowed = 0; // By loans that the ledger may not know of.
+    int64_t reportedRate = 0; // May have reached the ledger or not.
+    int64_t confirmedRate = 0;
     int64_t waiting = 0; // The sum over the waiting requests.
     int64_t smallestWaiting = 0;
     bool urgent = false;
--- a/source/samphirebridge/budget/escrowbatches.cpp
+++ b/source/samphirebridge/budget/escrowbatches.cpp
@@ -128,7 +128,9 @@
     }
     this->addOpenings(batch);
     this->addSettlements(batch);
+    batch.message.set_partial(!this->unsent.empty() || !this->settlements.empty());
     this->addEscrow(batch, now);
+    this->addIsolationRates(batch, now);
     this->openingWanted = false;
     this->lastBatchAt = now;
     ++this->counters.batches;
@@ -197,8 +199,26 @@
     });
 }
 
+// A lower rate may not reach the ledger before what was opened at the higher one.
+void EscrowState::addIsolationRates(BatchInFlight &batch, core::TimePoint now)
+{
+    if (batch.message.partial()) {
+        return;
+    }
+    for (auto &[budget, account] : this->accounts) {
+        if (const auto rate = account.takeIsolationRate(now, this->options)) {
+            proto::IsolationRate *message = batch.message.add_isolation_rates();
+            message->set_budget(budget.value);
+            message->set_tokens_per_s(*rate);
+        }
+    }
+}
+
 void EscrowState::confirm(const BatchInFlight &batch)
 {
+    for (const proto::IsolationRate &rate : batch.message.isolation_rates()) {
+        this->accounts[core::BudgetId(rate.budget())].confirmIsolationRate();
+    }
     this->witnessAnswers.erase(this->witnessAnswers.begin(),
                                this->witnessAnswers.begin() + batch.message.answers_size());
     for (const SentOpening &opening : batch.openings) {
@@ -208,6 +228,12 @@
             found->second.record = RecordState::Recorded;
         }
     }
+    for (const proto::Loan &loan : batch.message.loans()) {
+        BudgetAccount &account = this->accounts[core::BudgetId(loan.budget())];
+        const bool given = loan.lender().instance() == this->holder.instance.value
+                           && loan.lender().incarnation() == this->holder.incarnation;
+        given ? account.removeUnrecorded(loan.tokens()) : account.confirmBorrowed(loan.tokens());
+    }
     for (const QueuedSettlement &settlement : batch.settlements) {
         BudgetAccount &account = this->accounts[core::BudgetId(settlement.message.budget())];
         account.removeUnrecorded(settlement.unrecorded);
--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -2,9 +2,25 @@
 
 #include "samphirebridge/budget/escrowstate.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace samphirebridge::budget
 {
 
+core::Tokens exposureAt(const EscrowOptions &options, int64_t tokensPerSecond, core::TimePoint now)
+{
+    if (!options.exposureRamp) {
+        return options.exposureLimit;
+    }
+    const ExposureRamp &ramp = *options.exposureRamp;
+    const std::chrono::duration<double> elapsed = now - ramp.from;
+    const double grown = std::max(elapsed.count(), 0.0) * static_cast<double>(tokensPerSecond);
+    const double limit = std::min(static_cast<double>(ramp.base.count) + grown,
+                                  static_cast<double>(options.exposureLimit.count));
+    return core::Tokens{static_cast<int64_t>(limit)};
+}
+
 EscrowBook::EscrowBook(core::HolderId holder, EscrowOptions options)
     : state(std::make_unique<EscrowState>(std::move(holder), options))
 {
@@ -80,9 +96,9 @@
     this->state->witnessAnswers.push_back(answer);
 }
 
-std::optional<proto::Loan> EscrowBook::lend(const proto::LoanRequest &request)
+std::optional<proto::Loan> EscrowBook::lend(const proto::LoanRequest &request, core::TimePoint now)
 {
-    return this->state->lend(request);
+    return this->state->lend(request, now);
 }
 
 void EscrowBook::takeLoan(const proto::Loan &loan)
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -23,12 +23,21 @@
 // A reservation's number: unique within the holder, rising from 1.
 using ReservationId = uint64_t;
 
+// What grows with the time out of contact, so that the ledger, which knows that time, knows how
+// much was opened without a record.
+struct ExposureRamp {
+    core::TimePoint from; // When the oldest report without an answer was sent.
+    core::Tokens base; // At that time.
+};
+
 struct EscrowOptions {
     // Demand that the escrow should cover (policy `escrow_horizon_ms`).
     core::Duration horizon = std::chrono::seconds(60);
     // Openings without a confirmed record that a budget may have (policy `exposure_tokens`). Must
     // not exceed what the ledger's manifest states.
     core::Tokens exposureLimit{100'000};
+    // Bounds the limit further where it is set.
+    std::optional<ExposureRamp> exposureRamp;
     // Time between two batches while there is something to report.
     core::Duration flushInterval = std::chrono::milliseconds(100);
     // Time between two batches while there is nothing to report; recalls arrive in their results.
@@ -41,10 +50,22 @@
     core::Duration settlingTime = std::chrono::milliseconds(300);
     // More is asked for when the free tokens are below this part of what demand asks for.
     double refillPart = 0.5;
+    // The least rate of the exposure ramp, in tokens a second; 0: there are no ramps. Must not
+    // exceed what the ledger's declaration states.
+    int64_t leastIsolationRate = 0;
+    // The rate of the ramp in multiples of what requests reserve: in a cut callers of other
+    // instances may come here.
+    double isolationFactor = 2;
+    // How long a request may wait for the exposure ramp to reach it.
+    core::Duration rampPatience = std::chrono::milliseconds(500);
     // What a refused caller is told to wait at least.
     core::Duration retryAfter = std::chrono::seconds(5);
 };
 
+// Returns the openings without a confirmed record that a budget may have now, on a ramp of so many
+// tokens a second if there is a ramp.
+core::Tokens exposureAt(const EscrowOptions &options, int64_t tokensPerSecond, core::TimePoint now);
+
 enum class DecisionKind : uint8_t {
     Reserved, // The request may be dispatched.
     Wait, // A batch or settlements under way can free enough; ask again.
@@ -58,6 +79,7 @@
     None,
     Grant, // The result of the next batch, or of one soon after it.
     Opening, // The budget's unrecorded openings are at the limit until the next batch's result.
+    Ramp, // They are at the limit, out of contact, and it is about to rise far enough.
     Settlement, // Only what open requests of this holder leave unused can free enough.
 };
 
@@ -173,9 +195,10 @@
     void setWitness(const core::HolderId &witness);
     void addWitnessAnswer(const proto::WitnessAnswer &answer);
 
-    // Hands free tokens to another holder. Only while this holder may spend all its escrow: the
-    // ledger hears of the loan later. Nothing where the minimum can't be spared.
-    std::optional<proto::Loan> lend(const proto::LoanRequest &request);
+    // Hands free tokens to another holder, at most as many as may be open without a record: the
+    // ledger hears of the loan later. Only out of contact. Nothing where the minimum can't be
+    // spared.
+    std::optional<proto::Loan> lend(const proto::LoanRequest &request, core::TimePoint now);
     void takeLoan(const proto::Loan &loan);
 
     // Tells whether the ledger has not confirmed a loan yet that this holder gave or took.
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -24,7 +24,10 @@
         return this->refuse(DecisionKind::Unconfirmed);
     }
     const bool byBatch = recording == Recording::Batch;
-    const bool recordFirst = byBatch && tokens > this->options.exposureLimit.count;
+    BudgetAccount &account = this->accounts[budget];
+    const int64_t limit = account.exposureLimit(now, this->options);
+    // On the ramp the ledger is out of contact: no record can come first.
+    const bool recordFirst = byBatch && tokens > limit && !this->options.exposureRamp;
     if (recordFirst) {
         const auto recorded = this->takeRecordedFirst(budget, tokens);
         if (recorded) {
@@ -32,19 +35,14 @@
             return {.kind = DecisionKind::Reserved, .reservation = *recorded};
         }
     }
-    BudgetAccount &account = this->accounts[budget];
     if (tokens > account.freeTokens()) {
         return this->lacking(account, tokens, now);
     }
     if (recordFirst) {
         return this->reserveRecordedFirst(budget, tokens, now);
     }
-    if (byBatch && account.unrecordedTokens() + tokens > this->options.exposureLimit.count) {
-        if (!this->inContact(now)) {
-            return this->refuse(DecisionKind::Unconfirmed);
-        }
-        this->openingWanted = true;
-        return this->wait(WaitCause::Opening);
+    if (byBatch && account.unrecordedTokens() + tokens > limit) {
+        return this->beyondExposure(account, tokens, now);
     }
     const RecordState record = byBatch ? RecordState::Unsent : RecordState::Claiming;
     const ReservationId reservation = this->openReservation(budget, tokens, record, now);
@@ -105,16 +103,20 @@
     return absl::OkStatus();
 }
 
-std::optional<proto::Loan> EscrowState::lend(const proto::LoanRequest &request)
+std::optional<proto::Loan> EscrowState::lend(const proto::LoanRequest &request, core::TimePoint now)
 {
     const auto found = this->accounts.find(core::BudgetId(request.budget()));
     if (this->stopping || this->retired || found == this->accounts.end()) {
         return std::nullopt;
     }
-    const int64_t tokens = found->second.lend(request.minimum_tokens(), request.wanted_tokens());
+    BudgetAccount &account = found->second;
+    const int64_t left = account.exposureLimit(now, this->options) - account.unrecordedTokens();
+    const int64_t tokens
+        = account.lend(request.minimum_tokens(), std::min(request.wanted_tokens(), left));
     if (tokens == 0) {
         return std::nullopt;
     }
+    account.addUnrecorded(tokens);
     proto::Loan loan;
     loan.mutable_lender()->set_instance(this->holder.instance.value);
     loan.mutable_lender()->set_incarnation(this->holder.incarnation);
@@ -232,6 +234,23 @@
     return this->wait(WaitCause::Opening);
 }
 
+// With the tokens asked for the budget would have more open without a record than it may.
+Decision
+EscrowState::beyondExposure(const BudgetAccount &account, int64_t tokens, core::TimePoint now)
+{
+    if (this->options.exposureRamp) {
+        const core::TimePoint latest = now + this->options.rampPatience;
+        const bool soon
+            = account.unrecordedTokens() + tokens <= account.exposureLimit(latest, this->options);
+        return soon ? this->wait(WaitCause::Ramp) : this->refuse(DecisionKind::Unconfirmed);
+    }
+    if (!this->inContact(now)) {
+        return this->refuse(DecisionKind::Unconfirmed);
+    }
+    this->openingWanted = true;
+    return this->wait(WaitCause::Opening);
+}
+
 Decision EscrowState::lacking(BudgetAccount &account, int64_t tokens, core::TimePoint now)
 {
     if (!this->inContact(now)) {
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -78,7 +78,7 @@
     absl::Status onBatchResult(const proto::CommandResult &result, core::TimePoint now);
     void onBatchLost(core::TimePoint now);
 
-    std::optional<proto::Loan> lend(const proto::LoanRequest &request);
+    std::optional<proto::Loan> lend(const proto::LoanRequest &request, core::TimePoint now);
     void takeLoan(const proto::Loan &loan);
     [[nodiscard]] bool hasUnreportedLoans() const;
     [[nodiscard]] const BudgetAccount *account(const core::BudgetId &budget) const;
@@ -101,6 +101,7 @@
     std::optional<ReservationId> takeRecordedFirst(const core::BudgetId &budget, int64_t tokens);
     Decision
     reserveRecordedFirst(const core::BudgetId &budget, int64_t tokens, core::TimePoint now);
+    Decision beyondExposure(const BudgetAccount &account, int64_t tokens, core::TimePoint now);
     Decision lacking(BudgetAccount &account, int64_t tokens, core::TimePoint now);
     Decision wait(WaitCause cause);
     Decision refuse(DecisionKind kind);
@@ -115,6 +116,7 @@
     void addOpenings(BatchInFlight &batch);
     void addSettlements(BatchInFlight &batch);
     void addEscrow(BatchInFlight &batch, core::TimePoint now);
+    void addIsolationRates(BatchInFlight &batch, core::TimePoint now);
     void confirm(const BatchInFlight &batch);
     void takeGrants(const proto::HolderBatchResult &result, core::TimePoint now);
     void retire();
--- a/source/samphirebridge/budget/isolation.cpp
+++ b/source/samphirebridge/budget/isolation.cpp
@@ -98,6 +98,11 @@
     return this->mode == Mode::Isolated;
 }
 
+std::optional<core::TimePoint> Isolation::silentSince() const
+{
+    return this->unansweredSince;
+}
+
 bool Isolation::isCutOff(core::TimePoint now) const
 {
     return this->unansweredSince && now - *this->unansweredSince >= this->options.noticeAfter;
--- a/source/samphirebridge/budget/isolation.h
+++ b/source/samphirebridge/budget/isolation.h
@@ -45,9 +45,12 @@
     std::optional<proto::IsolationNotice> next(core::TimePoint now, bool recorded);
     void onNoticeAnswered(uint64_t number, bool accepted);
 
-    // Tells whether all the escrow may be spent without a record.
+    // Tells whether escrow may be spent without a record, beyond the contact exposure.
     [[nodiscard]] bool maySpendAll() const;
 
+    // Returns when the oldest batch without an answer was sent, if there is one.
+    [[nodiscard]] std::optional<core::TimePoint> silentSince() const;
+
 private:
     enum class Mode : uint8_t {
         Contact,
--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -6,7 +6,9 @@
 #include "samphirebridge/consensus/durablenode.h"
 #include "samphirebridge/control/joinplan.h"
 #include "samphirebridge/control/ledgermachine.h"
+#include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/ledger/clockreadings.h"
 #include "samphirebridge/storage/memberidentity.h"
 #include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/telemetry/logger.h"
@@ -97,15 +99,14 @@
         }
         proto::Command command = request.command();
         command.set_proposed_at_ms(wallClockMs());
+        *command.mutable_proposed_at() = ledger::protoOf(this->clock.read());
         const auto index = this->durable->propose(command.SerializeAsString(), this->now);
         if (!index.ok()) {
             respond(std::move(refusal));
             return;
         }
-        this->proposals.insert_or_assign(*index,
-                                         Proposal{this->durable->node().term(),
-                                                  this->now,
-                                                  std::move(respond)});
+        this->proposals.insert_or_assign(
+            *index, Proposal{this->durable->node().term(), this->now, std::move(respond)});
     }
 
     void readManifest(const proto::ReadManifestRequest &request,
@@ -473,6 +474,7 @@
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     LedgerMachine machine;
+    core::BootClock clock{core::drawClockId()};
     std::unique_ptr<Durable> durable;
     core::TimePoint now;
     core::TimePoint lastJoinStep;
--- /dev/null
+++ b/source/samphirebridge/core/bootclock.h
@@ -0,0 +1,36 @@
+// A clock whose readings can be compared beyond the process that took them.
+#pragma once
+
+#include <cstdint>
+
+namespace samphirebridge::core
+{
+
+// Readings of different clocks can't be compared.
+struct ClockReading {
+    uint64_t clock = 0; // 0: none.
+    uint64_t atMs = 0;
+};
+
+// Counts from the machine's start, and goes on while the machine is suspended, which the steady
+// clock does not: what is measured with it is how long others may have gone on.
+class BootClock
+{
+public:
+    explicit BootClock(uint64_t id);
+
+    // Returns the time now, or no reading where the machine tells none.
+    [[nodiscard]] ClockReading read() const;
+
+private:
+    uint64_t id;
+};
+
+// Returns an id for a clock of this process alone, drawn at random.
+uint64_t drawClockId();
+
+// Returns the id that all processes share from one start of the machine to the next, or 0 where the
+// machine tells none.
+uint64_t machineClockId();
+
+} // namespace samphirebridge::core
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -3,6 +3,7 @@
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/core/rendezvous.h"
+#include "samphirebridge/ledger/clockreadings.h"
 
 #include <chrono>
 #include <string>
@@ -208,6 +209,8 @@
     proto::Holder *holder = command.mutable_register_holder()->mutable_holder();
     holder->set_instance(this->options.holder.instance.value);
     holder->set_incarnation(this->options.holder.incarnation);
+    *command.mutable_register_holder()->mutable_sent_at()
+        = ledger::protoOf(this->machineClock.read());
     this->client.submit(command, RegistrationTimeout, [this](const auto &result) {
         this->registering = false;
         this->onRegistered(result);
@@ -231,6 +234,21 @@
     this->escrowKeeper.setRegistered();
     this->logger.change("registered",
                         {{"incarnation", std::to_string(this->options.holder.incarnation)}});
+    this->logPredecessor(result->register_holder());
+}
+
+void EntryNode::logPredecessor(const proto::RegisterHolderResult &result)
+{
+    if (!result.predecessor_ended()) {
+        return;
+    }
+    this->logger.change(
+        "escrow_set_aside",
+        {{"predecessor", std::to_string(result.predecessor())},
+         {"tokens", std::to_string(result.set_aside_tokens())},
+         {"awaits_witness", result.awaits_witness() ? "true" : "false"},
+         {"isolated_at_most_ms",
+          result.isolation_bounded() ? std::to_string(result.isolated_at_most_ms()) : "unknown"}});
 }
 
 // The clock may have been set back since the life before this one began. Nothing was done under
@@ -257,6 +275,7 @@
     escrow.exposureLimit = forwarding::DeclarationExposure;
     escrow.contactTimeout = DeclarationContactTimeout;
     escrow.refillPart = DeclarationRefillPart;
+    escrow.leastIsolationRate = forwarding::LeastIsolationRate;
     escrow.retryAfter = DeclarationRetryAfter;
     this->escrowKeeper.setPolicy(escrow, core::Duration::zero());
     this->escrowKeeper.setContactExposure(forwarding::ContactExposure);
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -1,6 +1,7 @@
 // The control side of one entry instance: registration, manifest, escrow, claims and targets.
 #pragma once
 
+#include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/entry/claimkeeper.h"
 #include "samphirebridge/entry/declarationkeeper.h"
 #include "samphirebridge/entry/escrowkeeper.h"
@@ -68,6 +69,7 @@
 private:
     void registerHolder();
     void onRegistered(const absl::StatusOr<proto::CommandResult> &result);
+    void logPredecessor(const proto::RegisterHolderResult &result);
     void renewIncarnation();
     void onManifest(const manifest::Catalogue &catalogue);
     void onDeclaration(const forwarding::Declaration &declaration);
@@ -80,6 +82,7 @@
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     core::SteadyClock clock;
+    core::BootClock machineClock{core::machineClockId()};
     FleetView fleetView;
     EscrowKeeper escrowKeeper;
     ClaimKeeper claimKeeper;
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/entry/escrowkeeper.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/ledger/clockreadings.h"
 
 #include <algorithm>
 #include <chrono>
@@ -138,6 +139,9 @@
         return;
     }
     this->followIsolation(now);
+    if (this->bookOptions.exposureRamp) {
+        this->askWaitersAgain(now);
+    }
     const auto batch
         = this->shuttingDown ? this->book.shutdownBatch(now) : this->book.nextBatch(now);
     if (batch) {
@@ -188,7 +192,9 @@
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
         return this->borrow(request, now) ? std::nullopt : std::optional(answer);
     case budget::DecisionKind::Wait:
-        (void)this->borrow(request, now);
+        if (decision.cause != budget::WaitCause::Ramp) {
+            (void)this->borrow(request, now);
+        }
         return std::nullopt;
     }
     return answer;
@@ -218,7 +224,7 @@
     if (this->shuttingDown || !this->isolation.maySpendAll()) {
         return reply;
     }
-    if (auto loan = this->book.lend(request)) {
+    if (auto loan = this->book.lend(request, this->clock.now())) {
         this->logger.change("loan_given",
                             {{"borrower", request.borrower().instance()},
                              {"budget", request.budget()},
@@ -241,6 +247,9 @@
         return false;
     }
     const int64_t missing = request.tokens.count - this->book.freeTokens(request.budget).count;
+    if (missing <= 0) {
+        return false;
+    }
     const double ahead = this->book.tokensPerSecond(request.budget, now) * LoanSeconds;
     proto::LoanRequest ask;
     ask.mutable_borrower()->set_instance(this->book.holder().instance.value);
@@ -293,12 +302,26 @@
                              this->followIsolation(this->clock.now());
                          });
     }
-    const core::Tokens exposure
-        = this->isolation.maySpendAll() ? this->isolatedExposure : *this->contactExposure;
-    if (exposure == this->bookOptions.exposureLimit) {
+    this->setExposure(now);
+}
+
+void EscrowKeeper::setExposure(core::TimePoint now)
+{
+    const bool isolated = this->isolation.maySpendAll();
+    const core::Tokens limit = isolated ? this->isolatedExposure : *this->contactExposure;
+    const auto silentSince = this->isolation.silentSince();
+    const bool ramps = isolated && silentSince && this->bookOptions.leastIsolationRate > 0;
+    const bool follows = this->bookOptions.exposureRamp.has_value() == ramps
+                         && (!ramps || this->bookOptions.exposureRamp->from == *silentSince);
+    if (limit == this->bookOptions.exposureLimit && follows) {
         return;
     }
-    this->bookOptions.exposureLimit = exposure;
+    this->bookOptions.exposureLimit = limit;
+    this->bookOptions.exposureRamp.reset();
+    if (ramps) {
+        this->bookOptions.exposureRamp
+            = budget::ExposureRamp{.from = *silentSince, .base = *this->contactExposure};
+    }
     this->book.setOptions(this->bookOptions);
     this->askWaitersAgain(now);
 }
@@ -355,7 +378,10 @@
 void EscrowKeeper::send(const proto::HolderBatch &batch)
 {
     const bool resent = batch.sequence() == this->lastSequence;
-    this->lastSequence = batch.sequence();
+    if (!resent) {
+        this->lastSequence = batch.sequence();
+        this->lastSentAt = this->machineClock.read();
+    }
     this->sentWitness
         = {core::InstanceId(batch.witness().instance()), batch.witness().incarnation()};
     this->isolation.onBatchSent(this->sentWitness, this->clock.now());
@@ -363,6 +389,7 @@
                                 : telemetry::Event::EscrowBatchesSent);
     proto::Command command;
     *command.mutable_holder_batch() = batch;
+    *command.mutable_holder_batch()->mutable_sent_at() = ledger::protoOf(this->lastSentAt);
     this->client.submit(
         command, BatchTimeout, [this, sentAt = this->clock.now()](const auto &result) {
             const core::TimePoint now = this->clock.now();
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -5,6 +5,7 @@
 #include "samphirebridge/budget/isolation.h"
 #include "samphirebridge/budget/witnessbook.h"
 #include "samphirebridge/control/ledgerclient.h"
+#include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/core/reasons.h"
 #include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/telemetry/logger.h"
@@ -64,9 +65,9 @@
     // outOfContactServe reserves nothing more; zero: as long as escrow lasts.
     void setPolicy(const budget::EscrowOptions &options, core::Duration outOfContactServe);
 
-    // Lets this holder spend all its escrow out of contact, with a witness's knowledge; in contact
-    // no more than the exposure stays without a record. Without a sender the policy's exposure
-    // holds.
+    // Lets this holder spend its escrow out of contact, with a witness's knowledge, on the policy's
+    // ramp if it has one; in contact no more than the exposure stays without a record. Without a
+    // sender the policy's exposure holds.
     void setNoticeSender(SendNotice sendNotice);
     void setContactExposure(core::Tokens exposure);
 
@@ -127,6 +128,8 @@
     bool borrow(const ReservationRequest &request, core::TimePoint now);
     void onLoanReply(const core::BudgetId &budget, const proto::LoanReply *reply);
     void followIsolation(core::TimePoint now);
+    // Lets the book's exposure follow the mode of isolation.
+    void setExposure(core::TimePoint now);
     void answerQuestions(const proto::HolderBatchResult &result);
     void askWaitersAgain(core::TimePoint now);
     void expireWaiters(core::TimePoint now);
@@ -139,6 +142,7 @@
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     core::SteadyClock clock;
+    core::BootClock machineClock{core::machineClockId()};
     budget::Isolation isolation;
     budget::WitnessBook witnessBook;
     SendNotice sendNotice;
@@ -155,6 +159,7 @@
     bool registered = false;
     bool shuttingDown = false;
     uint64_t lastSequence = 0;
+    core::ClockReading lastSentAt; // When the batch of that sequence was sent first.
 };
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/fleetcontrol.cpp
+++ b/source/samphirebridge/entry/fleetcontrol.cpp
@@ -24,6 +24,7 @@
     message->set_content(std::string(content));
     message->set_exposure_tokens(forwarding::DeclarationExposure.count);
     message->set_contact_exposure_tokens(forwarding::ContactExposure.count);
+    message->set_isolation_tokens_per_s(forwarding::LeastIsolationRate);
     for (const forwarding::Organisation &organisation : declaration.organisations) {
         if (organisation.purchased) {
             proto::DeclaredBudget *budget = message->add_budgets();
--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -80,6 +80,11 @@
 // loses when an instance ends without a word.
 inline constexpr core::Tokens ContactExposure{4'000};
 
+// What each second without contact adds to it, in tokens, where requests reserve little; instances
+// report what they need beyond. An instance that ends unheard takes this much with it for each
+// second since its last report but one.
+inline constexpr int64_t LeastIsolationRate = 5'000;
+
 struct Declaration {
     uint64_t version = 0;
     std::vector<Route> routes;
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -116,6 +116,17 @@
     }
 }
 
+void takeIsolationRates(LedgerState &state, HolderIndex holder, const proto::HolderBatch &batch)
+{
+    HolderRecord &record = state.holders.at(holder);
+    for (const proto::IsolationRate &rate : batch.isolation_rates()) {
+        const BudgetIndex budget = state.budgets.find(rate.budget());
+        if (budget != NoIndex) {
+            record.isolationRates[budget] = rate.tokens_per_s();
+        }
+    }
+}
+
 void addRecalls(LedgerState &state, HolderIndex holder, proto::HolderBatchResult &result)
 {
     HolderRecord &record = state.holders.at(holder);
@@ -213,6 +224,7 @@
     takeSettlements(state, holder, batch);
     takeOpenings(state, holder, batch);
     takeReturns(state, holder, batch);
+    takeIsolationRates(state, holder, batch);
     state.shortages.clear(holder);
     for (const proto::EscrowRequest &request : batch.requests()) {
         *result.mutable_holder_batch()->add_grants() = answerRequest(state, holder, request);
@@ -225,6 +237,11 @@
     result.mutable_holder_batch()->set_sequence(batch.sequence());
     HolderRecord &reported = state.holders.at(holder);
     reported.witness = holderIdOf(batch.witness());
+    if (!batch.partial()) {
+        reported.contactSince = reported.lastReportAt;
+        reported.reportSentAt = readingOf(batch.sent_at());
+    }
+    reported.lastReportAt = state.proposedAt;
     reported.lastSequence = batch.sequence();
     reported.lastResult = result.holder_batch().SerializeAsString();
     return result;
@@ -253,11 +270,17 @@
         return refusal(live.status());
     }
     const HolderIndex previous = state.holders.liveOf(id.instance);
-    state.holders.at(state.holders.add(id)).exposure = exposureInForce(state);
+    HolderRecord &record = state.holders.at(state.holders.add(id));
+    record.exposure = exposureInForce(state);
+    record.lastReportAt = state.proposedAt;
+    record.contactSince = state.proposedAt;
+    record.reportSentAt = readingOf(command.sent_at());
+    proto::CommandResult result;
     if (previous != NoIndex) {
-        endHolder(state, previous);
+        *result.mutable_register_holder()
+            = endHolder(state, previous, readingOf(command.sent_at()));
     }
-    return {};
+    return result;
 }
 
 } // namespace samphirebridge::ledger
--- a/source/samphirebridge/ledger/holderbook.h
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -1,6 +1,7 @@
 // Holders: lives of instances, their numbered batches, recorded openings and undelivered recalls.
 #pragma once
 
+#include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/core/ids.h"
 
 #include <absl/container/btree_map.h>
@@ -45,9 +46,18 @@
     int64_t exposure = 0;
     core::HolderId witness; // Of no instance: none was named.
     bool awaitsWitness = false; // It is over, and its witness was not heard yet.
+    // When the last batch, or the registration, was taken in, by the proposer's clock. The holder
+    // has its answer only later.
+    core::ClockReading lastReportAt;
+    // Two times, by the proposer's and by the holder's machine's clock, no later than the sending
+    // of the oldest record that the ledger may not have. The holder sent the last batch after it
+    // had the answer to the report of the first time, and sent it at the second.
+    core::ClockReading contactSince;
+    core::ClockReading reportSentAt;
     std::string lastResult; // The serialised HolderBatchResult of the last sequence.
     absl::flat_hash_map<uint64_t, OpenItem> open;
     absl::flat_hash_map<BudgetIndex, Recall> recalls;
+    absl::flat_hash_map<BudgetIndex, int64_t> isolationRates; // Tokens a second, as it reported.
 };
 
 class HolderBook
--- a/source/samphirebridge/ledger/ledger.cpp
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -67,6 +67,7 @@
 proto::CommandResult Ledger::apply(const proto::Command &command)
 {
     this->state->timeMs = std::max(this->state->timeMs, command.proposed_at_ms());
+    this->state->proposedAt = readingOf(command.proposed_at());
     expire(*this->state);
     proto::CommandResult result = dispatch(*this->state, command);
     const absl::Status status = this->state->budgets.checkTouched();
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -1,5 +1,7 @@
 #include "samphirebridge/ledger/ledgerstate.h"
 
+#include "samphirebridge/core/tokens.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -7,6 +9,62 @@
 namespace samphirebridge::ledger
 {
 
+namespace
+{
+
+// By how much one clock may run ahead of another: a hundredth is far above the drift
+// of quartz clocks, and the constant covers the rounding to milliseconds.
+constexpr uint64_t ClockDriftDivisor = 100;
+constexpr uint64_t ClockRoundingMs = 2;
+
+constexpr int64_t MillisecondsPerSecond = 1'000;
+
+// Returns the time between two readings, at least, or nothing where they can't be compared.
+std::optional<uint64_t> elapsedMs(const core::ClockReading &from, const core::ClockReading &to)
+{
+    if (from.clock == 0 || from.clock != to.clock || to.atMs < from.atMs) {
+        return std::nullopt;
+    }
+    const uint64_t measured = to.atMs - from.atMs;
+    return measured + measured / ClockDriftDivisor + ClockRoundingMs;
+}
+
+// Returns for how long at most the holder may have been out of contact, or nothing where no clock
+// measured it: not the proposer's, since another leads now, nor the machine's, since it was
+// restarted.
+std::optional<uint64_t> longestIsolationMs(const LedgerState &state,
+                                           const HolderRecord &record,
+                                           const core::ClockReading &overBy)
+{
+    const auto byProposer = elapsedMs(record.contactSince, state.proposedAt);
+    const auto byMachine = elapsedMs(record.reportSentAt, overBy);
+    if (byProposer && byMachine) {
+        return std::min(*byProposer, *byMachine);
+    }
+    return byProposer ? byProposer : byMachine;
+}
+
+// Returns the most that the holder can have open in a budget without a record, its witness apart.
+int64_t unrecordedBound(const LedgerState &state,
+                        const HolderRecord &record,
+                        BudgetIndex budget,
+                        std::optional<uint64_t> isolatedMs)
+{
+    const int64_t least = state.declaration.isolation_tokens_per_s();
+    const int64_t contact = state.declaration.contact_exposure_tokens();
+    const auto reported = record.isolationRates.find(budget);
+    const int64_t rate
+        = reported == record.isolationRates.end() ? least : std::max(least, reported->second);
+    if (!isolatedMs || least <= 0 || contact <= 0
+        || *isolatedMs > static_cast<uint64_t>(core::MaximumPurchase.count / rate)) {
+        return record.exposure;
+    }
+    const int64_t ramp = rate * static_cast<int64_t>(*isolatedMs) / MillisecondsPerSecond + 1;
+    return std::min(record.exposure, contact + ramp);
+}
+
+} // namespace
+
 proto::CommandResult refusal(core::ErrorCode code, std::string_view message)
 {
     proto::CommandResult result;
@@ -75,19 +133,31 @@
     return std::max(byManifest, state.declaration.exposure_tokens());
 }
 
-void endHolder(LedgerState &state, HolderIndex holder)
+proto::RegisterHolderResult
+endHolder(LedgerState &state, HolderIndex holder, const core::ClockReading &overBy)
 {
     HolderRecord &record = state.holders.at(holder);
+    const std::optional<uint64_t> isolatedMs = longestIsolationMs(state, record, overBy);
     record.over = true;
     record.recalls.clear();
     state.shortages.clear(holder);
     const bool bounded = state.declaration.contact_exposure_tokens() > 0;
     const HolderIndex witness = state.holders.find(record.witness);
     record.awaitsWitness = bounded && witness != NoIndex && !state.holders.at(witness).over;
+    proto::RegisterHolderResult result;
+    result.set_predecessor_ended(true);
+    result.set_predecessor(record.id.incarnation);
+    result.set_awaits_witness(record.awaitsWitness);
+    result.set_isolation_bounded(isolatedMs.has_value());
+    result.set_isolated_at_most_ms(isolatedMs.value_or(0));
     for (const BudgetIndex budget : state.budgets.budgetsOf(holder)) {
-        state.budgets.end(budget, holder, record.exposure);
+        state.budgets.end(budget, holder, unrecordedBound(state, record, budget, isolatedMs));
+        if (const Share *share = state.budgets.share(budget, holder)) {
+            result.set_set_aside_tokens(result.set_aside_tokens() + share->tokens);
+        }
     }
     forgetIfDone(state, holder);
+    return result;
 }
 
 void forgetIfDone(LedgerState &state, HolderIndex holder)
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -5,6 +5,7 @@
 #include "samphirebridge/ledger/budgetbook.h"
 #include "samphirebridge/ledger/changebook.h"
 #include "samphirebridge/ledger/claimbook.h"
+#include "samphirebridge/ledger/clockreadings.h"
 #include "samphirebridge/ledger/escrowgrants.h"
 #include "samphirebridge/ledger/holderbook.h"
 #include "samphirebridge/ledger/loanbook.h"
@@ -13,6 +14,7 @@
 #include <ledger.pb.h>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace samphirebridge::ledger
@@ -23,6 +25,7 @@
 
 struct LedgerState {
     uint64_t timeMs = 0;
+    core::ClockReading proposedAt; // Of the command being applied.
     HolderBook holders;
     BudgetBook budgets;
     ClaimBook claims;
@@ -50,8 +53,10 @@
 int64_t exposureInForce(const LedgerState &state);
 
 // Ends a holder: quarantines what is open and what may have been opened without a record, and
-// returns the rest to the pools.
-void endHolder(LedgerState &state, HolderIndex holder);
+// returns the rest to the pools. The reading is one of the holder's machine, or none, by which it
+// was over. Tells what it set aside and why.
+proto::RegisterHolderResult
+endHolder(LedgerState &state, HolderIndex holder, const core::ClockReading &overBy);
 
 // Forgets a holder that is over, once nothing refers to it.
 void forgetIfDone(LedgerState &state, HolderIndex holder);
--- a/source/samphirebridge/ledger/operatorcommands.cpp
+++ b/source/samphirebridge/ledger/operatorcommands.cpp
@@ -59,7 +59,7 @@
 {
     const absl::StatusOr<HolderIndex> live = liveHolder(state, command.holder());
     if (live.ok()) {
-        endHolder(state, *live);
+        endHolder(state, *live, {});
         return {};
     }
     if (core::errorCodeOf(live.status()) == core::ErrorCode::HolderRetired) {
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -72,6 +72,18 @@
     }
 }
 
+void writeIsolationRates(const LedgerState &state,
+                         const HolderRecord &record,
+                         Snapshot::HolderRecord &message)
+{
+    for (const auto &[budget, rate] : record.isolationRates) {
+        proto::IsolationRate *entry = message.add_isolation_rates();
+        entry->set_budget(state.budgets.at(budget).id);
+        entry->set_tokens_per_s(rate);
+    }
+    std::ranges::sort(*message.mutable_isolation_rates(), {}, &proto::IsolationRate::budget);
+}
+
 // A holder that is over and of which nothing is left may or may not have been forgotten yet.
 bool isForgettable(const LedgerState &state,
                    HolderIndex index,
@@ -101,6 +113,10 @@
             *message->mutable_witness() = protoOf(record.witness);
         }
         message->set_awaits_witness(record.awaitsWitness);
+        *message->mutable_last_report_at() = protoOf(record.lastReportAt);
+        *message->mutable_contact_since() = protoOf(record.contactSince);
+        *message->mutable_report_sent_at() = protoOf(record.reportSentAt);
+        writeIsolationRates(state, record, *message);
         if (!record.lastResult.empty()) {
             message->mutable_last_result()->ParseFromString(record.lastResult);
         }
@@ -240,6 +256,13 @@
             record.exposure = message.exposure_tokens();
             record.witness = holderIdOf(message.witness());
             record.awaitsWitness = message.awaits_witness();
+            record.lastReportAt = readingOf(message.last_report_at());
+            record.contactSince = readingOf(message.contact_since());
+            record.reportSentAt = readingOf(message.report_sent_at());
+            for (const proto::IsolationRate &rate : message.isolation_rates()) {
+                record.isolationRates[this->state.budgets.intern(rate.budget())]
+                    = rate.tokens_per_s();
+            }
             if (message.has_last_result()) {
                 record.lastResult = message.last_result().SerializeAsString();
             }
--- a/tests/budget/escrowbooktest.cpp
+++ b/tests/budget/escrowbooktest.cpp
@@ -181,6 +181,123 @@
     CHECK(test.ask(60).kind == DecisionKind::Reserved);
 }
 
+TEST_CASE("out of contact the exposure limit rises with the time")
+{
+    TestBook test(100);
+    test.grant(1'000);
+    EscrowOptions options = TestBook::optionsWith(800);
+    options.exposureRamp = ExposureRamp{test.now, core::Tokens{100}};
+    options.leastIsolationRate = 200;
+    test.book.setOptions(options);
+    CHECK(test.ask(100).kind == DecisionKind::Reserved);
+    CHECK(test.ask(80).cause == WaitCause::Ramp); // 400 ms off.
+    CHECK(test.ask(200).kind == DecisionKind::Unconfirmed);
+    test.now += std::chrono::seconds(1);
+    CHECK(test.ask(200).kind == DecisionKind::Reserved);
+    test.now += std::chrono::seconds(10);
+    CHECK(test.ask(501).kind == DecisionKind::Unconfirmed); // Above the limit for good.
+    CHECK(test.ask(500).kind == DecisionKind::Reserved);
+}
+
+TEST_CASE("out of contact the limit rises by the lower of the last two rates that were reported")
+{
+    TestBook test(100);
+    test.grant(100'000);
+    EscrowOptions options = TestBook::optionsWith(100'000);
+    options.leastIsolationRate = 200;
+    test.book.setOptions(options);
+    // Some 500 tokens a second, which are reported once.
+    for (int count = 0; count < 100; ++count) {
+        REQUIRE(test.ask(50).kind == DecisionKind::Reserved);
+        test.exchange();
+    }
+    const auto ramp = [&test, &options] {
+        options.exposureRamp = ExposureRamp{test.now, core::Tokens{100}};
+        test.book.setOptions(options);
+        test.now += std::chrono::seconds(1);
+    };
+    ramp();
+    const Decision beyondLeast = test.ask(600);
+    REQUIRE(beyondLeast.kind == DecisionKind::Reserved);
+    REQUIRE(test.book.release(beyondLeast.reservation, test.now).ok());
+    CHECK(test.ask(1'500).kind != DecisionKind::Reserved);
+    // A higher rate counts once the ledger has it.
+    REQUIRE(test.ask(20'000, Recording::Claim).kind == DecisionKind::Reserved);
+    test.now += std::chrono::milliseconds(100);
+    REQUIRE(test.next());
+    REQUIRE(test.batch.isolation_rates_size() == 1);
+    CHECK(test.batch.isolation_rates(0).tokens_per_s() > 2'000);
+    ramp();
+    CHECK(test.ask(1'500).kind != DecisionKind::Reserved);
+    REQUIRE(test.answer().ok());
+    ramp();
+    CHECK(test.ask(1'500).kind == DecisionKind::Reserved);
+}
+
+TEST_CASE("a loan counts as open without a record until the ledger has it")
+{
+    TestBook test(100);
+    test.grant(1'000);
+    EscrowOptions options = TestBook::optionsWith(800);
+    options.exposureRamp = ExposureRamp{test.now, core::Tokens{100}};
+    options.leastIsolationRate = 200;
+    test.book.setOptions(options);
+    proto::LoanRequest request;
+    request.set_budget(Letters.value);
+    request.set_minimum_tokens(10);
+    request.set_wanted_tokens(400);
+    const auto loan = test.book.lend(request, test.now);
+    REQUIRE(loan);
+    CHECK(loan->tokens() == 100);
+    CHECK_FALSE(test.book.lend(request, test.now));
+    CHECK(test.ask(60).kind == DecisionKind::Wait);
+    test.exchange();
+    CHECK(test.batch.loans_size() == 1);
+    CHECK(test.ask(60).kind == DecisionKind::Reserved);
+}
+
+TEST_CASE("borrowed tokens are lent on only when the ledger knows that they were borrowed")
+{
+    TestBook test(10'000);
+    test.grant(100);
+    proto::Loan taken;
+    taken.mutable_lender()->set_instance("b");
+    taken.mutable_lender()->set_incarnation(1);
+    taken.mutable_borrower()->set_instance("a");
+    taken.mutable_borrower()->set_incarnation(1);
+    taken.set_number(1);
+    taken.set_budget(Letters.value);
+    taken.set_tokens(1'000);
+    test.book.takeLoan(taken);
+    proto::LoanRequest request;
+    request.set_budget(Letters.value);
+    request.set_wanted_tokens(400);
+    const auto own = test.book.lend(request, test.now);
+    REQUIRE(own);
+    CHECK(own->tokens() == 100);
+    CHECK_FALSE(test.book.lend(request, test.now));
+    test.exchange();
+    const auto passedOn = test.book.lend(request, test.now);
+    REQUIRE(passedOn);
+    CHECK(passedOn->tokens() == 400);
+}
+
+TEST_CASE("a report says whether it could not hold everything")
+{
+    TestBook test(10'000);
+    test.grant(5'000);
+    for (int count = 0; count < 1'500; ++count) {
+        REQUIRE(test.ask(1).kind == DecisionKind::Reserved);
+    }
+    test.now += std::chrono::milliseconds(100);
+    REQUIRE(test.next());
+    CHECK(test.batch.partial());
+    REQUIRE(test.answer().ok());
+    test.now += std::chrono::milliseconds(100);
+    REQUIRE(test.next());
+    CHECK_FALSE(test.batch.partial());
+}
+
 TEST_CASE("a reservation above the exposure limit is handed out once it is recorded")
 {
     TestBook test(100);
--- a/tests/budget/isolationsimulation.cpp
+++ b/tests/budget/isolationsimulation.cpp
@@ -41,11 +41,13 @@
     declaration->set_version(1);
     declaration->set_exposure_tokens(core::MaximumPurchase.count);
     declaration->set_contact_exposure_tokens(this->scenario.contactExposure);
+    declaration->set_isolation_tokens_per_s(this->scenario.isolationPerSecond);
     proto::DeclaredBudget *budget = declaration->add_budgets();
     budget->set_budget(Budget);
     budget->set_tokens(this->scenario.purchased);
     this->apply(command);
     this->nodes.resize(static_cast<size_t>(this->scenario.holders));
+    this->machineClocks.resize(this->nodes.size(), 0);
     for (int node = 0; node < this->scenario.holders; ++node) {
         this->start(node);
     }
@@ -53,6 +55,14 @@
         this->at(this->random(50), [this, node] { this->arrive(node); });
         this->tick(node);
     }
+    this->changeLeader();
+    if (this->scenario.killAllAtMs > 0) {
+        this->at(this->scenario.killAllAtMs, [this] {
+            for (int node = 0; node < this->scenario.holders; ++node) {
+                this->kill(node);
+            }
+        });
+    }
     const uint64_t endMs = this->nowMs + this->scenario.runMs;
     while (!this->queue.empty() && this->queue.begin()->first.first <= endMs
            && this->failure.empty()) {
@@ -100,14 +110,21 @@
     }
 }
 
-budget::EscrowOptions IsolationSimulation::escrowOptions(bool isolated) const
+budget::EscrowOptions IsolationSimulation::escrowOptions(const budget::Isolation *isolation) const
 {
+    const bool isolated = isolation != nullptr && isolation->maySpendAll();
     budget::EscrowOptions options;
     options.horizon = std::chrono::seconds(10);
     options.refillPart = 0.8;
     options.contactTimeout = std::chrono::milliseconds(600);
     options.exposureLimit
         = isolated ? core::MaximumPurchase : core::Tokens{this->scenario.contactExposure};
+    options.leastIsolationRate = this->scenario.isolationPerSecond;
+    if (isolated && this->scenario.isolationPerSecond > 0) {
+        options.exposureRamp
+            = budget::ExposureRamp{.from = *isolation->silentSince(),
+                                   .base = core::Tokens{this->scenario.contactExposure}};
+    }
     return options;
 }
 
@@ -115,6 +132,8 @@
 {
     proto::Command timed = command;
     timed.set_proposed_at_ms(this->nowMs);
+    timed.mutable_proposed_at()->set_clock(this->leaderClock);
+    timed.mutable_proposed_at()->set_at_ms(this->nowMs + this->leaderOffsetMs);
     proto::CommandResult result = this->ledger.apply(timed);
     const absl::Status status = this->ledger.checkInvariant();
     if (!status.ok()) {
@@ -123,12 +142,24 @@
     return result;
 }
 
+// Each start of a machine has a clock of its own; they tell about the same time, which must not
+// matter.
+proto::ClockReading IsolationSimulation::machineReading(int node) const
+{
+    proto::ClockReading reading;
+    if (this->scenario.machineClockPercent > 0) {
+        reading.set_clock(1'000 + 100 * static_cast<uint64_t>(node) + this->machineClocks[node]);
+        reading.set_at_ms(this->nowMs + 77 * this->machineClocks[node]);
+    }
+    return reading;
+}
+
 void IsolationSimulation::start(int node)
 {
     const core::Incarnation life
         = this->nodes[node] == nullptr ? 1 : this->nodes[node]->id.incarnation + 1;
     const core::HolderId id{core::InstanceId(fmt::format("node-{}", node)), life};
-    this->nodes[node] = std::make_unique<Node>(id, this->escrowOptions(false));
+    this->nodes[node] = std::make_unique<Node>(id, this->escrowOptions(nullptr));
 }
 
 void IsolationSimulation::tick(int node)
@@ -137,6 +168,7 @@
     if (!state.registered && !this->inCut()) {
         proto::Command command;
         *command.mutable_register_holder()->mutable_holder() = protoOf(state.id);
+        *command.mutable_register_holder()->mutable_sent_at() = this->machineReading(node);
         state.registered = this->apply(command).error_code() == 0;
     }
     this->chooseWitness(node);
@@ -152,10 +184,23 @@
     this->at(StepMs - this->nowMs % StepMs, [this, node] { this->tick(node); });
 }
 
+// Another control instance leads; its clock tells another time.
+void IsolationSimulation::changeLeader()
+{
+    if (this->chance(this->scenario.leaderChangesPercent)) {
+        ++this->leaderClock;
+        this->leaderOffsetMs = this->random(20'000);
+    }
+    this->at(100, [this] { this->changeLeader(); });
+}
+
 // The process ends: what it knew is gone, also as a witness.
 void IsolationSimulation::kill(int node)
 {
     ++this->sums.kills;
+    if (!this->chance(this->scenario.machineClockPercent)) {
+        ++this->machineClocks[node];
+    }
     this->start(node);
 }
 
@@ -168,7 +213,7 @@
     if (const auto notice = state.isolation.next(this->now(), recorded)) {
         this->sendNotice(node, *notice);
     }
-    state.book.setOptions(this->escrowOptions(state.isolation.maySpendAll()));
+    state.book.setOptions(this->escrowOptions(&state.isolation));
 }
 
 void IsolationSimulation::chooseWitness(int node)
@@ -185,10 +230,17 @@
     state.sentWitness
         = {core::InstanceId(batch.witness().instance()), batch.witness().incarnation()};
     state.isolation.onBatchSent(state.sentWitness, this->now());
+    const int64_t records = batch.openings_size() + batch.settlements_size();
+    this->sums.largestBatch = std::max(this->sums.largestBatch, records);
     const core::HolderId id = state.id;
     const auto answered = std::make_shared<bool>(false);
     proto::Command command;
     *command.mutable_holder_batch() = batch;
+    if (batch.sequence() != state.sentSequence) {
+        state.sentSequence = batch.sequence();
+        state.sentAt = this->machineReading(node);
+    }
+    *command.mutable_holder_batch()->mutable_sent_at() = state.sentAt;
     // A message that left before the cut may still arrive in it, and late.
     const bool lost = this->inCut() || this->chance(this->scenario.lossPercent);
     const uint64_t late = this->chance(2) ? this->random(3'000) : 0;
@@ -304,7 +356,7 @@
     this->at(1 + this->random(5), [this, node, other, id, bound, request] {
         std::optional<proto::Loan> loan;
         if (other != node && this->nodes[other]->isolation.maySpendAll()) {
-            loan = this->nodes[other]->book.lend(request);
+            loan = this->nodes[other]->book.lend(request, this->now());
         }
         const bool lost = this->chance(this->scenario.lossPercent);
         this->at(1 + this->random(5), [this, node, id, bound, loan, lost] {
--- a/tests/budget/isolationsimulation.h
+++ b/tests/budget/isolationsimulation.h
@@ -24,11 +24,15 @@
     int holders = 4;
     int64_t purchased = 400'000;
     int64_t contactExposure = 3'000;
+    int64_t isolationPerSecond = 0; // At least; 0: a holder out of contact spends all it has.
     int64_t largestRequest = 2'000;
     int arrivalMs = 25; // The mean time between two requests at one holder.
     uint64_t cutFromMs = 4'000; // All holders lose the ledger.
     uint64_t cutForMs = 8'000;
     uint64_t runMs = 18'000;
+    uint64_t killAllAtMs = 0; // All holders end at once then; 0: never.
+    int leaderChangesPercent = 0; // The chance of another proposer's clock, each 100 ms.
+    int machineClockPercent = 0; // The chance that the machine's clock outlives the holder.
     int killsPercent = 2; // The chance that a holder ends, each 100 ms.
     int lossPercent = 5; // Of messages, both ways.
     bool loans = true;
@@ -46,6 +50,7 @@
     int64_t consumed = 0;
     int64_t billed = 0;
     int64_t quarantined = 0;
+    int64_t largestBatch = 0; // Records in it.
 };
 
 class IsolationSimulation
@@ -76,6 +81,8 @@
         budget::WitnessBook witnesses;
         core::HolderId sentWitness;
         bool registered = false;
+        proto::ClockReading sentAt; // Of the batch in flight, when it was sent first.
+        uint64_t sentSequence = 0;
         std::map<budget::ReservationId, int64_t> open; // What each has used so far.
     };
 
@@ -85,11 +92,13 @@
     core::TimePoint now() const;
     bool inCut() const;
     void fail(const std::string &what);
-    budget::EscrowOptions escrowOptions(bool isolated) const;
+    budget::EscrowOptions escrowOptions(const budget::Isolation *isolation) const;
     proto::CommandResult apply(const proto::Command &command);
+    proto::ClockReading machineReading(int node) const;
 
     void start(int node);
     void tick(int node);
+    void changeLeader();
     void kill(int node);
     void follow(int node);
     void chooseWitness(int node);
@@ -103,6 +112,9 @@
     IsolationScenario scenario;
     std::mt19937_64 generator;
     uint64_t nowMs = 1'000;
+    std::vector<uint64_t> machineClocks;
+    uint64_t leaderClock = 1;
+    uint64_t leaderOffsetMs = 500; // Of its clock.
     uint64_t events = 0;
     std::map<std::pair<uint64_t, uint64_t>, std::function<void()>> queue;
     ledger::Ledger ledger;
--- a/tests/budget/isolationtest.cpp
+++ b/tests/budget/isolationtest.cpp
@@ -42,6 +42,92 @@
     }
 }
 
+TEST_CASE("nothing is spent beyond the budget where the time out of contact bounds the rest")
+{
+    for (uint64_t seed = 1; seed <= 400; ++seed) {
+        IsolationScenario scenario;
+        scenario.seed = seed;
+        scenario.purchased = 100'000 + static_cast<int64_t>(seed % 9) * 100'000;
+        scenario.isolationPerSecond = 2'000 << (seed % 7);
+        scenario.killsPercent = static_cast<int>(seed % 4);
+        scenario.lossPercent = static_cast<int>(seed % 4) * 6;
+        scenario.leaderChangesPercent = seed % 2 == 0 ? 0 : 3;
+        scenario.machineClockPercent = static_cast<int>(seed % 3) * 50;
+        // In contact, in the cut and after it.
+        scenario.killAllAtMs = 2'000 + seed % 16 * 900;
+        IsolationSimulation simulation(scenario);
+        CHECK_THAT(simulation.run(), Catch::Equals(""));
+    }
+}
+
+TEST_CASE("many short requests out of contact stay bounded when one report can't hold them all")
+{
+    int64_t largestBatch = 0;
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+        IsolationScenario scenario;
+        scenario.seed = seed;
+        scenario.arrivalMs = 2;
+        scenario.largestRequest = 60;
+        scenario.contactExposure = 1'000;
+        scenario.isolationPerSecond = 60'000;
+        scenario.purchased = 150'000 + static_cast<int64_t>(seed % 8) * 50'000;
+        scenario.killsPercent = 0;
+        scenario.lossPercent = static_cast<int>(seed % 3) * 20;
+        // Soon after the cut, while reports catch up.
+        scenario.killAllAtMs = 12'000 + seed * 20;
+        IsolationSimulation simulation(scenario);
+        CHECK_THAT(simulation.run(), Catch::Equals(""));
+        largestBatch = std::max(largestBatch, simulation.totals().largestBatch);
+    }
+    CHECK(largestBatch >= 1024);
+}
+
+// The load of a loss of power of all entry instances at once, which leaves no witness.
+TEST_CASE("instances that all end at once in contact take little of the budgets with them")
+{
+    IsolationScenario scenario;
+    scenario.killsPercent = 0;
+    scenario.lossPercent = 0;
+    scenario.cutForMs = 0;
+    scenario.purchased = 4'000'000;
+    scenario.killAllAtMs = 6'000;
+    scenario.isolationPerSecond = 10'000;
+    IsolationSimulation bounded(scenario);
+    REQUIRE_THAT(bounded.run(), Catch::Equals(""));
+    scenario.isolationPerSecond = 0;
+    IsolationSimulation unbounded(scenario);
+    REQUIRE_THAT(unbounded.run(), Catch::Equals(""));
+    INFO(bounded.totals().quarantined << " set aside with the ramp, "
+                                      << unbounded.totals().quarantined << " without");
+    const int64_t underWay = scenario.largestRequest * 1'500 / scenario.arrivalMs;
+    // Two idle intervals of a second each at most between the last report but one and the end.
+    const int64_t ramp = 2 * scenario.isolationPerSecond + scenario.isolationPerSecond / 10;
+    const int64_t most = scenario.holders * (scenario.contactExposure + underWay + ramp);
+    CHECK(bounded.totals().quarantined <= most);
+    CHECK(bounded.totals().quarantined < unbounded.totals().quarantined);
+}
+
+// The load of all processes, those of the ledger too, being killed at once: another leads then.
+TEST_CASE("the machines' clocks bound what is lost where no leader lived on")
+{
+    IsolationScenario scenario;
+    scenario.killsPercent = 0;
+    scenario.lossPercent = 0;
+    scenario.cutForMs = 0;
+    scenario.purchased = 4'000'000;
+    scenario.killAllAtMs = 6'000;
+    scenario.isolationPerSecond = 10'000;
+    scenario.leaderChangesPercent = 100;
+    IsolationSimulation without(scenario);
+    REQUIRE_THAT(without.run(), Catch::Equals(""));
+    scenario.machineClockPercent = 100;
+    IsolationSimulation with(scenario);
+    REQUIRE_THAT(with.run(), Catch::Equals(""));
+    INFO(with.totals().quarantined << " set aside with the machines' clocks, "
+                                   << without.totals().quarantined << " without");
+    CHECK(with.totals().quarantined < without.totals().quarantined / 2);
+}
+
 TEST_CASE("in a cut the instance with most requests goes on with loans of the others")
 {
     IsolationScenario scenario;
--- a/tests/ledger/holderstest.cpp
+++ b/tests/ledger/holderstest.cpp
@@ -32,8 +32,127 @@
     REQUIRE(codeOf(ledger.apply(command)) == core::ErrorCode::None);
 }
 
+// A ledger with 100,000 tokens and a ramp of 1,000 a second on top of 50. Holder "a",
+// incarnation 1, has 90,000 and reported at 1,000 s, 1,001 s and 1,002 s; it is 1,005 s now.
+TestLedger ledgerWithRamp(bool partial = false, uint64_t machineClock = 0)
+{
+    TestLedger ledger;
+    ledger.machineClock = machineClock;
+    ledger.proposerClock = 7;
+    proto::Command command;
+    proto::Declaration *declaration = command.mutable_replace_declaration()->mutable_declaration();
+    declaration->set_version(1);
+    declaration->set_exposure_tokens(core::MaximumPurchase.count);
+    declaration->set_contact_exposure_tokens(50);
+    declaration->set_isolation_tokens_per_s(1'000);
+    proto::DeclaredBudget *budget = declaration->add_budgets();
+    budget->set_budget("letters");
+    budget->set_tokens(100'000);
+    REQUIRE(codeOf(ledger.apply(command)) == core::ErrorCode::None);
+    ledger.registerHolder("a", 1);
+    proto::HolderBatch batch = batchOf("a", 1);
+    addRequest(batch, 90'000, 90'000);
+    ledger.send(batch);
+    ledger.nowMs += 1'000;
+    ledger.send(batch);
+    ledger.nowMs += 1'000;
+    batch.set_partial(partial);
+    ledger.send(batch);
+    ledger.nowMs += 3'000;
+    REQUIRE(ledger.budget().escrow_tokens() == 90'000);
+    return ledger;
+}
+
 } // namespace
 
+TEST_CASE("the time since its last report but one bounds what an unheard holder may have spent")
+{
+    TestLedger ledger = ledgerWithRamp();
+    const proto::CommandResult result = ledger.registerHolder("a", 2);
+    CHECK(result.register_holder().isolation_bounded());
+    // 4 s, and a hundredth for the drift of clocks.
+    CHECK(result.register_holder().isolated_at_most_ms() >= 4'040);
+    CHECK(result.register_holder().isolated_at_most_ms() <= 4'050);
+    CHECK(result.register_holder().set_aside_tokens() == ledger.budget().quarantined_tokens());
+    CHECK(ledger.budget().quarantined_tokens() >= 4'090);
+    CHECK(ledger.budget().quarantined_tokens() <= 4'110);
+}
+
+TEST_CASE("a report that could not hold everything does not shorten that time")
+{
+    TestLedger ledger = ledgerWithRamp(true);
+    CHECK(ledger.registerHolder("a", 2).register_holder().isolated_at_most_ms() >= 5'050);
+}
+
+TEST_CASE("times by the clocks of two proposers bound nothing")
+{
+    TestLedger ledger = ledgerWithRamp();
+    ledger.proposerClock = 8;
+    CHECK_FALSE(ledger.registerHolder("a", 2).register_holder().isolation_bounded());
+    CHECK(ledger.budget().quarantined_tokens() == 90'000);
+}
+
+TEST_CASE("a holder's own rate of spending out of contact counts where it is above the least")
+{
+    TestLedger ledger = ledgerWithRamp();
+    proto::HolderBatch batch = batchOf("a", 1);
+    batch.set_sequence(3);
+    proto::IsolationRate *rate = batch.add_isolation_rates();
+    rate->set_budget("letters");
+    rate->set_tokens_per_s(5'000);
+    ledger.send(batch);
+    REQUIRE(ledger.ledger.restore(ledger.ledger.snapshot()).ok());
+    // 3 s since the last report but one.
+    CHECK(ledger.registerHolder("a", 2).register_holder().isolated_at_most_ms() >= 3'030);
+    CHECK(ledger.budget().quarantined_tokens() >= 15'200);
+    CHECK(ledger.budget().quarantined_tokens() <= 15'260);
+}
+
+TEST_CASE("where another leads, the machine's clock tells the time since the last report")
+{
+    TestLedger ledger = ledgerWithRamp(false, 40);
+    ledger.proposerClock = 8;
+    REQUIRE(ledger.ledger.restore(ledger.ledger.snapshot()).ok());
+    const proto::CommandResult result = ledger.registerHolder("a", 2);
+    CHECK(result.register_holder().isolated_at_most_ms() >= 3'030);
+    CHECK(result.register_holder().isolated_at_most_ms() <= 3'040);
+    CHECK(ledger.budget().quarantined_tokens() <= 3'100);
+}
+
+TEST_CASE("a machine that was restarted, or whose clock went back, tells nothing")
+{
+    TestLedger restarted = ledgerWithRamp(false, 40);
+    restarted.proposerClock = 8;
+    restarted.machineClock = 41;
+    CHECK_FALSE(restarted.registerHolder("a", 2).register_holder().isolation_bounded());
+    TestLedger back = ledgerWithRamp(false, 40);
+    back.proposerClock = 8;
+    back.nowMs -= 4'000;
+    CHECK_FALSE(back.registerHolder("a", 2).register_holder().isolation_bounded());
+}
+
+TEST_CASE("by the machine's clock a report that could not hold everything counts as none")
+{
+    TestLedger ledger = ledgerWithRamp(true, 40);
+    ledger.proposerClock = 8;
+    CHECK(ledger.registerHolder("a", 2).register_holder().isolated_at_most_ms() >= 4'040);
+}
+
+TEST_CASE("a report sent again leaves the time as it was")
+{
+    TestLedger ledger = ledgerWithRamp();
+    ledger.sendAs(batchOf("a", 1), 3);
+    CHECK(ledger.registerHolder("a", 2).register_holder().isolated_at_most_ms() >= 4'040);
+}
+
+TEST_CASE("the time survives a snapshot")
+{
+    TestLedger ledger = ledgerWithRamp();
+    REQUIRE(ledger.ledger.restore(ledger.ledger.snapshot()).ok());
+    CHECK(ledger.registerHolder("a", 2).register_holder().isolated_at_most_ms() >= 4'040);
+    CHECK(ledger.budget().quarantined_tokens() <= 4'110);
+}
+
 TEST_CASE("a higher incarnation ends the lower ones, a lower one is refused")
 {
     TestLedger ledger;
--- a/tests/ledger/testledger.cpp
+++ b/tests/ledger/testledger.cpp
@@ -26,6 +26,8 @@
 proto::CommandResult TestLedger::apply(proto::Command command)
 {
     command.set_proposed_at_ms(this->nowMs);
+    command.mutable_proposed_at()->set_clock(this->proposerClock);
+    command.mutable_proposed_at()->set_at_ms(this->nowMs);
     proto::CommandResult result = this->ledger.apply(command);
     const absl::Status status = this->ledger.checkInvariant();
     INFO(core::messageOf(status));
@@ -34,10 +36,17 @@
     return result;
 }
 
+void TestLedger::stamp(proto::ClockReading &reading) const
+{
+    reading.set_clock(this->machineClock);
+    reading.set_at_ms(this->nowMs);
+}
+
 proto::CommandResult TestLedger::registerHolder(const std::string &instance, uint64_t incarnation)
 {
     proto::Command command;
     setHolder(*command.mutable_register_holder()->mutable_holder(), instance, incarnation);
+    this->stamp(*command.mutable_register_holder()->mutable_sent_at());
     return this->apply(command);
 }
 
@@ -66,6 +75,7 @@
     proto::Command command;
     *command.mutable_holder_batch() = batch;
     command.mutable_holder_batch()->set_sequence(sequence);
+    this->stamp(*command.mutable_holder_batch()->mutable_sent_at());
     return this->apply(command);
 }
 
--- a/tests/ledger/testledger.h
+++ b/tests/ledger/testledger.h
@@ -45,8 +45,13 @@
 
     [[nodiscard]] proto::BudgetState budget() const;
 
+    // Sets what the holder's machine says of the time now.
+    void stamp(proto::ClockReading &reading) const;
+
     ledger::Ledger ledger;
     uint64_t nowMs = 1'000'000;
+    uint64_t proposerClock = 0; // That commands are stamped with; 0: none.
+    uint64_t machineClock = 0; // That holders' messages are stamped with; 0: none.
 };
 
 core::ErrorCode codeOf(const proto::CommandResult &result);
