entry, ingress: Log what a refusal for tokens went by

A refused line said budget_unconfirmed or budget_exhausted and not why. A line `tokens_refused` before it tells what the request needed, what is free, what is open without a record and how much may be, and for how long the ledger was not heard.

--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -123,6 +123,17 @@
     return core::Tokens{account == nullptr ? 0 : account->freeTokens()};
 }
 
+BudgetInputs EscrowBook::inputs(const core::BudgetId &budget, core::TimePoint now) const
+{
+    const BudgetAccount *account = this->state->account(budget);
+    if (account == nullptr) {
+        return {.limit = exposureAt(this->state->options, 0, now)};
+    }
+    return {.free = core::Tokens{account->freeTokens()},
+            .unrecorded = core::Tokens{account->unrecordedTokens()},
+            .limit = core::Tokens{account->exposureLimit(now, this->state->options)}};
+}
+
 core::Tokens EscrowBook::largestUnrecorded() const
 {
     return core::Tokens{this->state->largestUnrecorded()};
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -129,6 +129,13 @@
     double tokensPerSecond = 0; // Estimated demand.
 };
 
+// What a decision on a budget goes by.
+struct BudgetInputs {
+    core::Tokens free{};
+    core::Tokens unrecorded{}; // Open, used or lent without a confirmed record.
+    core::Tokens limit{}; // Of the unrecorded.
+};
+
 class EscrowState;
 
 // Not safe for use by several threads at once.
@@ -207,6 +214,7 @@
     // Returns what requests here use of a budget in a second, and what it has free.
     [[nodiscard]] double tokensPerSecond(const core::BudgetId &budget, core::TimePoint now) const;
     [[nodiscard]] core::Tokens freeTokens(const core::BudgetId &budget) const;
+    [[nodiscard]] BudgetInputs inputs(const core::BudgetId &budget, core::TimePoint now) const;
 
     // Returns the most that any budget has open, or used, without a record.
     [[nodiscard]] core::Tokens largestUnrecorded() const;
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -3,6 +3,8 @@
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/ledger/clockreadings.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 #include <string>
@@ -176,6 +178,7 @@
     if (!this->servesOutOfContact(now)) {
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
         answer.retryAfter = RetryAfterWait;
+        answer.inputs = this->inputsOf(request, now);
         return answer;
     }
     const budget::Decision decision
@@ -187,9 +190,11 @@
         return answer;
     case budget::DecisionKind::Exhausted:
         answer.reason = core::RefusalReason::BudgetExhausted;
+        answer.inputs = this->inputsOf(request, now);
         return answer;
     case budget::DecisionKind::Unconfirmed:
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
+        answer.inputs = this->inputsOf(request, now);
         return this->borrow(request, now) ? std::nullopt : std::optional(answer);
     case budget::DecisionKind::Wait:
         if (decision.cause != budget::WaitCause::Ramp) {
@@ -200,6 +205,18 @@
     return answer;
 }
 
+std::string EscrowKeeper::inputsOf(const ReservationRequest &request, core::TimePoint now) const
+{
+    const budget::BudgetInputs inputs = this->book.inputs(request.budget, now);
+    return fmt::format(
+        "needed={} free={} unrecorded={} limit={} unheard_ms={}",
+        request.tokens.count,
+        inputs.free.count,
+        inputs.unrecorded.count,
+        inputs.limit.count,
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastContact).count());
+}
+
 bool EscrowKeeper::servesOutOfContact(core::TimePoint now) const
 {
     if (this->outOfContactServe == core::Duration::zero() || this->book.inContact(now)) {
@@ -368,6 +385,7 @@
         // The ledger did not say that too little is left.
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
         answer.retryAfter = RetryAfterWait;
+        answer.inputs = this->inputsOf(waiter->request, now);
         this->counters.observe(telemetry::Latency::BudgetWait, now - waiter->since);
         const OnReservation onAnswer = std::move(waiter->onAnswer);
         waiter = this->waiters.erase(waiter);
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -24,6 +24,7 @@
     std::optional<budget::ReservationId> reservation; // Empty: refused.
     core::RefusalReason reason = core::RefusalReason::BudgetExhausted;
     core::Duration retryAfter{};
+    std::string inputs; // What a refusal went by, for the log.
 };
 
 using OnReservation = std::function<void(const ReservationAnswer &)>;
@@ -116,6 +117,8 @@
 
     // Returns the answer, or nothing while the request has to wait.
     std::optional<ReservationAnswer> decide(const ReservationRequest &request, core::TimePoint now);
+    [[nodiscard]] std::string inputsOf(const ReservationRequest &request,
+                                       core::TimePoint now) const;
     [[nodiscard]] bool servesOutOfContact(core::TimePoint now) const;
     // An ask of several instances for one budget.
     struct Borrowing {
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -233,6 +233,9 @@
     {
         const auto self = this->shared_from_this();
         this->reservation = answer.reservation.value_or(0);
+        if (!answer.reservation) {
+            this->note({"tokens_refused", answer.inputs});
+        }
         this->machine.onTokens({answer.reservation.has_value(), answer.reason, answer.retryAfter});
         this->checkDone();
     }
--- a/tests/budget/escrowbooktest.cpp
+++ b/tests/budget/escrowbooktest.cpp
@@ -196,6 +196,10 @@
     CHECK(test.ask(200).kind == DecisionKind::Reserved);
     test.now += std::chrono::seconds(10);
     CHECK(test.ask(501).kind == DecisionKind::Unconfirmed); // Above the limit for good.
+    const BudgetInputs inputs = test.book.inputs(Letters, test.now);
+    CHECK(inputs.free.count == 700);
+    CHECK(inputs.unrecorded.count == 300);
+    CHECK(inputs.limit.count == 800);
     CHECK(test.ask(500).kind == DecisionKind::Reserved);
 }
 
