budget: Name the state out of contact for what it is

maySpendAll() no longer tells what its name says, since the ramp bounds what may be spent: isIsolated(). The two ways that a confirmed loan goes are an if and not a conditional of two calls.

--- a/source/samphirebridge/budget/escrowbatches.cpp
+++ b/source/samphirebridge/budget/escrowbatches.cpp
@@ -232,7 +232,11 @@
         BudgetAccount &account = this->accounts[core::BudgetId(loan.budget())];
         const bool given = loan.lender().instance() == this->holder.instance.value
                            && loan.lender().incarnation() == this->holder.incarnation;
-        given ? account.removeUnrecorded(loan.tokens()) : account.confirmBorrowed(loan.tokens());
+        if (given) {
+            account.removeUnrecorded(loan.tokens());
+        } else {
+            account.confirmBorrowed(loan.tokens());
+        }
     }
     for (const QueuedSettlement &settlement : batch.settlements) {
         BudgetAccount &account = this->accounts[core::BudgetId(settlement.message.budget())];
--- a/source/samphirebridge/budget/isolation.cpp
+++ b/source/samphirebridge/budget/isolation.cpp
@@ -93,7 +93,7 @@
     }
 }
 
-bool Isolation::maySpendAll() const
+bool Isolation::isIsolated() const
 {
     return this->mode == Mode::Isolated;
 }
--- a/source/samphirebridge/budget/isolation.h
+++ b/source/samphirebridge/budget/isolation.h
@@ -1,8 +1,8 @@
 // Decides how much a holder may spend without a record at the ledger.
 //
-// In contact it is little, so that little is lost with the holder. Out of contact it may be all the
-// escrow, but only once a witness, whom the ledger knows by name, has a notice of that: should the
-// holder end, the ledger asks the witness what to believe.
+// In contact it is little, so that little is lost with the holder. Out of contact it may be more,
+// and the more the longer, but only once a witness, whom the ledger knows by name, has a notice of
+// that: should the holder end, the ledger asks the witness what to believe.
 #pragma once
 
 #include "samphirebridge/core/ids.h"
@@ -45,8 +45,9 @@
     std::optional<proto::IsolationNotice> next(core::TimePoint now, bool recorded);
     void onNoticeAnswered(uint64_t number, bool accepted);
 
-    // Tells whether escrow may be spent without a record, beyond the contact exposure.
-    [[nodiscard]] bool maySpendAll() const;
+    // Tells whether a notice is in force out of contact: more than the contact exposure may be open
+    // without a record.
+    [[nodiscard]] bool isIsolated() const;
 
     // Returns when the oldest batch without an answer was sent, if there is one.
     [[nodiscard]] std::optional<core::TimePoint> silentSince() const;
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -238,7 +238,7 @@
 proto::LoanReply EscrowKeeper::lend(const proto::LoanRequest &request)
 {
     proto::LoanReply reply;
-    if (this->shuttingDown || !this->isolation.maySpendAll()) {
+    if (this->shuttingDown || !this->isolation.isIsolated()) {
         return reply;
     }
     if (auto loan = this->book.lend(request, this->clock.now())) {
@@ -253,7 +253,7 @@
 
 bool EscrowKeeper::borrow(const ReservationRequest &request, core::TimePoint now)
 {
-    if (!this->askLoan || this->lenders.empty() || !this->isolation.maySpendAll()) {
+    if (!this->askLoan || this->lenders.empty() || !this->isolation.isIsolated()) {
         return false;
     }
     Borrowing &borrowing = this->borrowings[request.budget];
@@ -324,7 +324,7 @@
 
 void EscrowKeeper::setExposure(core::TimePoint now)
 {
-    const bool isolated = this->isolation.maySpendAll();
+    const bool isolated = this->isolation.isIsolated();
     const core::Tokens limit = isolated ? this->isolatedExposure : *this->contactExposure;
     const auto silentSince = this->isolation.silentSince();
     const bool ramps = isolated && silentSince && this->bookOptions.leastIsolationRate > 0;
--- a/tests/budget/isolationsimulation.cpp
+++ b/tests/budget/isolationsimulation.cpp
@@ -112,7 +112,7 @@
 
 budget::EscrowOptions IsolationSimulation::escrowOptions(const budget::Isolation *isolation) const
 {
-    const bool isolated = isolation != nullptr && isolation->maySpendAll();
+    const bool isolated = isolation != nullptr && isolation->isIsolated();
     budget::EscrowOptions options;
     options.horizon = std::chrono::seconds(10);
     options.refillPart = 0.8;
@@ -320,7 +320,7 @@
     const budget::Decision decision
         = state.book.reserve(core::BudgetId(Budget), core::Tokens{bound}, this->now());
     if (decision.kind != budget::DecisionKind::Reserved) {
-        if (mayBorrow && state.isolation.maySpendAll()) {
+        if (mayBorrow && state.isolation.isIsolated()) {
             this->borrow(node, bound);
             return;
         }
@@ -355,7 +355,7 @@
     request.set_wanted_tokens(8 * bound);
     this->at(1 + this->random(5), [this, node, other, id, bound, request] {
         std::optional<proto::Loan> loan;
-        if (other != node && this->nodes[other]->isolation.maySpendAll()) {
+        if (other != node && this->nodes[other]->isolation.isIsolated()) {
             loan = this->nodes[other]->book.lend(request, this->now());
         }
         const bool lost = this->chance(this->scenario.lossPercent);
--- a/tests/budget/isolationtest.cpp
+++ b/tests/budget/isolationtest.cpp
@@ -170,11 +170,11 @@
     const auto notice = isolation.next(core::TimePoint(2s + 300ms), true);
     REQUIRE(notice);
     CHECK(notice->isolated());
-    CHECK_FALSE(isolation.maySpendAll());
+    CHECK_FALSE(isolation.isIsolated());
     isolation.onNoticeAnswered(notice->number(), false);
-    CHECK_FALSE(isolation.maySpendAll());
+    CHECK_FALSE(isolation.isIsolated());
     isolation.onNoticeAnswered(notice->number(), true);
-    CHECK(isolation.maySpendAll());
+    CHECK(isolation.isIsolated());
 }
 
 TEST_CASE("a witness that the ledger may not know yet is of no use")
@@ -196,7 +196,7 @@
     REQUIRE(notice);
     isolation.onNoticeAnswered(notice->number(), true);
     isolation.onBatchAnswered(Witness);
-    CHECK_FALSE(isolation.maySpendAll());
+    CHECK_FALSE(isolation.isIsolated());
     CHECK_FALSE(isolation.next(core::TimePoint(4s), false));
     const auto withdrawal = isolation.next(core::TimePoint(4s), true);
     REQUIRE(withdrawal);
