ledger: Set all aside of a holder that an operator retires

Cause: the bound by time, meant for a holder whose successor proves that it is over, also held for one that is retired by an operator's word. Operators retire what they can't reach, and an instance that is only cut off goes on spending along its ramp after that word. Ruled out: a registration, which the successor sends from the same instance after its process has ended. Also: elapsedMs() returns the most and not the least, as its comment had it.

--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -277,8 +277,8 @@
     record.reportSentAt = readingOf(command.sent_at());
     proto::CommandResult result;
     if (previous != NoIndex) {
-        *result.mutable_register_holder()
-            = endHolder(state, previous, readingOf(command.sent_at()));
+        *result.mutable_register_holder() = endHolder(
+            state, previous, longestIsolationMs(state, previous, readingOf(command.sent_at())));
     }
     return result;
 }
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -19,7 +19,7 @@
 
 constexpr int64_t MillisecondsPerSecond = 1'000;
 
-// Returns the time between two readings, at least, or nothing where they can't be compared.
+// Returns the time between two readings, at most, or nothing where they can't be compared.
 std::optional<uint64_t> elapsedMs(const core::ClockReading &from, const core::ClockReading &to)
 {
     if (from.clock == 0 || from.clock != to.clock || to.atMs < from.atMs) {
@@ -29,18 +29,6 @@
     return measured + measured / ClockDriftDivisor + ClockRoundingMs;
 }
 
-// Returns for how long at most the holder may have been out of contact, or nothing where no clock
-// measured it: not the proposer's, since another leads now, nor the machine's, since it was
-// restarted. The proposer's goes first: its id is drawn anew by every process, whereas a machine's
-// is what the machine says of itself.
-std::optional<uint64_t> longestIsolationMs(const LedgerState &state,
-                                           const HolderRecord &record,
-                                           const core::ClockReading &overBy)
-{
-    const auto byProposer = elapsedMs(record.contactSince, state.proposedAt);
-    return byProposer ? byProposer : elapsedMs(record.reportSentAt, overBy);
-}
-
 // Returns the most that the holder can have open in a budget without a record, its witness apart.
 int64_t unrecordedBound(const LedgerState &state,
                         const HolderRecord &record,
@@ -130,11 +118,20 @@
     return std::max(byManifest, state.declaration.exposure_tokens());
 }
 
+// The proposer's clock goes first: its id is drawn anew by every process, whereas a machine's is
+// what the machine says of itself.
+std::optional<uint64_t>
+longestIsolationMs(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy)
+{
+    const HolderRecord &record = state.holders.at(holder);
+    const auto byProposer = elapsedMs(record.contactSince, state.proposedAt);
+    return byProposer ? byProposer : elapsedMs(record.reportSentAt, overBy);
+}
+
 proto::RegisterHolderResult
-endHolder(LedgerState &state, HolderIndex holder, const core::ClockReading &overBy)
+endHolder(LedgerState &state, HolderIndex holder, std::optional<uint64_t> isolatedMs)
 {
     HolderRecord &record = state.holders.at(holder);
-    const std::optional<uint64_t> isolatedMs = longestIsolationMs(state, record, overBy);
     record.over = true;
     record.recalls.clear();
     state.shortages.clear(holder);
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -53,10 +53,16 @@
 int64_t exposureInForce(const LedgerState &state);
 
 // Ends a holder: quarantines what is open and what may have been opened without a record, and
-// returns the rest to the pools. The reading is one of the holder's machine, or none, by which it
-// was over. Tells what it set aside and why.
+// returns the rest to the pools. Without the longest time that it may have been out of contact all
+// of the exposure counts. Tells what it set aside and why.
 proto::RegisterHolderResult
-endHolder(LedgerState &state, HolderIndex holder, const core::ClockReading &overBy);
+endHolder(LedgerState &state, HolderIndex holder, std::optional<uint64_t> isolatedMs);
+
+// Returns for how long at most the holder may have been out of contact, or nothing where no clock
+// measured it: not the proposer's, since another leads now, nor the machine's, since it was
+// restarted. The holder is over, and was by the reading of its machine.
+std::optional<uint64_t>
+longestIsolationMs(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy);
 
 // Forgets a holder that is over, once nothing refers to it.
 void forgetIfDone(LedgerState &state, HolderIndex holder);
--- a/source/samphirebridge/ledger/operatorcommands.cpp
+++ b/source/samphirebridge/ledger/operatorcommands.cpp
@@ -59,7 +59,8 @@
 {
     const absl::StatusOr<HolderIndex> live = liveHolder(state, command.holder());
     if (live.ok()) {
-        endHolder(state, *live, {});
+        // The holder may be cut off and still run: no time bounds what it spends.
+        endHolder(state, *live, std::nullopt);
         return {};
     }
     if (core::errorCodeOf(live.status()) == core::ErrorCode::HolderRetired) {
--- a/tests/ledger/holderstest.cpp
+++ b/tests/ledger/holderstest.cpp
@@ -144,6 +144,13 @@
     CHECK(ledger.registerHolder("a", 2).register_holder().isolated_at_most_ms() >= 4'040);
 }
 
+TEST_CASE("an operator's word bounds nothing, since a holder that is cut off may still run")
+{
+    TestLedger ledger = ledgerWithRamp(false, 40);
+    ledger.retire("a", 1, "retire");
+    CHECK(ledger.budget().quarantined_tokens() == 90'000);
+}
+
 TEST_CASE("a report sent again leaves the time as it was")
 {
     TestLedger ledger = ledgerWithRamp();
