utilities: Add the fault soak

samphire-soak plays rounds of a seeded plan against real processes on loopback: instances killed, stopped, frozen, cut off, deafened, delayed, reset or with a lost disk, targets crashed, frozen or retired, alone, in series and overlapping, while callers keep their connections and two operators race. It checks from outside: spending, at most once, whole answers, true "not run", departures, shutdowns, the manifest's version, billing and recovery.

Fleet throws FleetError in place of Catch2's REQUIRE so that a program can use it as well; Catch2 reports the exception as a failure. The relay can delay, reset and cut one way. ChildProcess::running() left the id of a process that had ended for a later kill(): it leaves the status for wait() now.

--- /dev/null
+++ b/tests/soak/plantest.cpp
@@ -0,0 +1,68 @@
+// The faults that a seed stands for.
+#include "utilities/soak/plan.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace samphirebridge::soak;
+
+namespace
+{
+
+constexpr uint64_t Seeds = 2'000;
+
+} // namespace
+
+TEST_CASE("a seed always draws the same faults and another seed others")
+{
+    const Shape shape;
+    CHECK(drawPlan(7, shape) == drawPlan(7, shape));
+    CHECK(drawPlan(7, shape) != drawPlan(8, shape));
+}
+
+TEST_CASE("plans stay inside the fleet and lose one disk at most")
+{
+    const Shape shape;
+    for (uint64_t seed = 0; seed < Seeds; ++seed) {
+        int disks = 0;
+        for (const Fault &fault : drawPlan(seed, shape)) {
+            const bool isDisk = fault.kind == FaultKind::LoseDisk;
+            const int subjects = isDisk                        ? shape.control
+                                 : isInstanceFault(fault.kind) ? shape.instances
+                                                               : shape.targets();
+            INFO("seed " << seed << ": " << describe(fault));
+            CHECK(fault.subject >= 0);
+            CHECK(fault.subject < subjects);
+            CHECK(fault.at <= shape.length);
+            CHECK(fault.duration.count() > 0);
+            disks += isDisk ? 1 : 0;
+        }
+        CHECK(disks <= 1);
+    }
+}
+
+TEST_CASE("plans draw every kind of fault, overlapping ones and series on one subject")
+{
+    const Shape shape;
+    std::set<FaultKind> kinds;
+    int overlaps = 0;
+    int series = 0;
+    for (uint64_t seed = 0; seed < Seeds; ++seed) {
+        const std::vector<Fault> plan = drawPlan(seed, shape);
+        for (size_t index = 0; index < plan.size(); ++index) {
+            kinds.insert(plan[index].kind);
+            if (index == 0) {
+                continue;
+            }
+            const Fault &before = plan[index - 1];
+            overlaps += plan[index].at < before.at + before.duration ? 1 : 0;
+            series
+                += plan[index].kind == before.kind && plan[index].subject == before.subject ? 1 : 0;
+        }
+    }
+    CHECK(kinds.size() == 11);
+    CHECK(overlaps > 0);
+    CHECK(series > 0);
+}
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -85,7 +85,11 @@
 
 bool ChildProcess::running() const
 {
-    return this->id > 0 && waitpid(this->id, nullptr, WNOHANG) == 0;
+    // The status is left for wait(): once it is taken, the id may be another process's.
+    siginfo_t ended{};
+    return this->id > 0
+           && waitid(P_PID, static_cast<id_t>(this->id), &ended, WEXITED | WNOHANG | WNOWAIT) == 0
+           && ended.si_pid == 0;
 }
 
 pid_t ChildProcess::processId() const
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,8 +1,8 @@
 #include "tests/support/fleet.h"
 
 #include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/errors.h"
 
-#include <catch2/catch.hpp>
 #include <fmt/format.h>
 
 #include <chrono>
@@ -31,6 +31,13 @@
     return core::toHex(core::sha256Of(secret));
 }
 
+void require(bool holds, std::string_view what, std::string_view found = {})
+{
+    if (!holds) {
+        throw FleetError(found.empty() ? std::string(what) : fmt::format("{}: {}", what, found));
+    }
+}
+
 } // namespace
 
 Fleet::Fleet(FleetOptions fleetOptions)
@@ -61,8 +68,7 @@
                              {fmt::format("--settings={}/i{}.yaml", this->folder().string(), index),
                               "--initialise"},
                              this->folder());
-            INFO(result.output);
-            REQUIRE(result.exitCode == 0);
+            require(result.exitCode == 0, "cannot initialise a data folder", result.output);
         }
     }
     for (int index = 0; index < this->options.instances; ++index) {
@@ -91,24 +97,38 @@
 
 void Fleet::isolate(int index)
 {
-    this->setIsolated(index, true);
+    this->forLinksOf(index, [](Relay &relay) { relay.silence(); });
 }
 
 void Fleet::rejoin(int index)
 {
-    this->setIsolated(index, false);
+    this->forLinksOf(index, [](Relay &relay) { relay.heal(); });
 }
 
-void Fleet::setIsolated(int index, bool isolated)
+void Fleet::resetLinks(int index)
+{
+    this->forLinksOf(index, [](Relay &relay) { relay.reset(); });
+}
+
+void Fleet::delayLinks(int index, std::chrono::milliseconds time)
+{
+    this->forLinksOf(index, [time](Relay &relay) { relay.delay(time); });
+}
+
+void Fleet::deafen(int index)
 {
     for (auto &[link, relay] : this->relays) {
-        if (link.first != index && link.second != index) {
-            continue;
+        if (link.first == index) {
+            relay->silenceRequests();
         }
-        if (isolated) {
-            relay->silence();
-        } else {
-            relay->heal();
+    }
+}
+
+void Fleet::forLinksOf(int index, const std::function<void(Relay &)> &action)
+{
+    for (auto &[link, relay] : this->relays) {
+        if (link.first == index || link.second == index) {
+            action(*relay);
         }
     }
 }
@@ -180,7 +200,7 @@
     http::ClientRequest request;
     request.url = this->standinUrl(port) + "/standin/stats";
     const auto answer = this->httpClient.fetch(request, CallTimeout);
-    REQUIRE(answer.ok());
+    require(answer.ok(), "no answer from a stand-in", core::messageOf(answer.status()));
     return nlohmann::json::parse(answer->body);
 }
 
@@ -209,8 +229,7 @@
                                const std::string &body)
 {
     const auto answer = this->call(index, method, path, token, body);
-    REQUIRE(answer.ok());
-    INFO(answer->body);
+    require(answer.ok(), "no answer to " + path, core::messageOf(answer.status()));
     return nlohmann::json::parse(answer->body);
 }
 
@@ -238,8 +257,7 @@
                          file.string(),
                          fmt::format("--expect-version={}", expectedVersion),
                          fmt::format("--change-id=change-{}", expectedVersion + 1)});
-    INFO(result.output);
-    REQUIRE(result.exitCode == 0);
+    require(result.exitCode == 0, "the manifest is not accepted", result.output);
 }
 
 double Fleet::metric(int index, const std::string &name)
@@ -275,8 +293,7 @@
 {
     const auto giveUp = std::chrono::steady_clock::now() + NeverAfter;
     while (!condition()) {
-        INFO("waiting until " << what);
-        REQUIRE(std::chrono::steady_clock::now() < giveUp);
+        require(std::chrono::steady_clock::now() < giveUp, "waited in vain until " + what);
         std::this_thread::sleep_for(PollInterval);
     }
 }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -8,17 +8,26 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 namespace samphirebridge::testing
 {
 
+// The fleet did not do what its user counted on; the message says what.
+class FleetError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
 struct FleetOptions {
     uint16_t basePort = 0; // The fleet uses the hundred ports from here on.
     int instances = 3;
@@ -35,7 +44,8 @@
 inline constexpr const char *EngineToken = "demo-engine";
 inline constexpr const char *PaymentsToken = "demo-payments";
 
-// Instances are numbered from 0 and named i0, i1, ... They are killed when the object goes.
+// Instances are numbered from 0 and named i0, i1, ... They are killed when the object goes. What
+// fails is thrown as FleetError.
 class Fleet
 {
 public:
@@ -54,6 +64,12 @@
     // Cuts the instance off from all others, silently, or joins it again. Needs relays.
     void isolate(int index);
     void rejoin(int index);
+    // Closes the instance's connections with all others.
+    void resetLinks(int index);
+    // Lets nothing arrive that the instance asks of the others.
+    void deafen(int index);
+    // Lets all that passes between the instance and the others be late.
+    void delayLinks(int index, std::chrono::milliseconds time);
     // Cuts or heals the link between two instances alone.
     void cutLink(int first, int second);
 
@@ -93,7 +109,7 @@
     // Runs samphirectl against an instance.
     ProgramResult control(int index, std::vector<std::string> arguments);
 
-    // Applies a manifest through an instance and fails the test if that is refused.
+    // Applies a manifest through an instance and throws if that is refused.
     void apply(int index, const std::string &manifest, int expectedVersion);
 
     // Returns a counter's or gauge's value at an instance.
@@ -102,7 +118,7 @@
     // Returns one budget's state as the quorum has it.
     nlohmann::json budget(int index, const std::string &id);
 
-    // Waits until the condition holds; fails the test when it does not for a long time.
+    // Waits until the condition holds; throws when it does not for a long time.
     static void waitFor(const std::string &what, const std::function<bool()> &condition);
 
     [[nodiscard]] std::string leader(int index);
@@ -115,7 +131,8 @@
     [[nodiscard]] uint16_t relayPort(int from, int to) const;
     [[nodiscard]] std::filesystem::path dataFolder(int index) const;
     void writeSettings(int index) const;
-    void setIsolated(int index, bool isolated);
+    // Does something to each relay of a link from or to the instance.
+    void forLinksOf(int index, const std::function<void(Relay &)> &action);
     ChildProcess &startStandin(const std::string &mode,
                                const std::string &name,
                                int port,
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -68,50 +68,75 @@
 
 void Relay::silence()
 {
-    this->silent = true;
+    this->silent = Silence::Both;
+}
+
+void Relay::silenceRequests()
+{
+    this->silent = Silence::Requests;
+}
+
+void Relay::delay(std::chrono::milliseconds time)
+{
+    this->delayTime = time;
+}
+
+void Relay::reset()
+{
+    this->closeAll = true;
 }
 
 void Relay::heal()
 {
     this->closeAll = true;
-    this->silent = false;
+    this->delayTime = std::chrono::milliseconds(0);
+    this->silent = Silence::None;
 }
 
 void Relay::run()
 {
     while (!this->stopping) {
-        std::vector<pollfd> polled{{this->listener, POLLIN, 0}};
-        for (const Link &link : this->links) {
-            polled.push_back({link.near, POLLIN, 0});
-            polled.push_back({link.far, POLLIN, 0});
-        }
-        if (this->silent) {
+        if (this->silent == Silence::Both) {
             std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
             continue;
         }
         if (this->closeAll.exchange(false)) {
             std::for_each(this->links.begin(), this->links.end(), close);
             this->links.clear();
-            continue;
-        }
-        if (poll(polled.data(), polled.size(), PollMs) <= 0) {
-            continue;
         }
-        for (size_t index = 0; index < this->links.size(); ++index) {
-            Link &link = this->links[index];
-            const bool nearReady = polled[1 + 2 * index].revents != 0;
-            const bool farReady = polled[2 + 2 * index].revents != 0;
-            const bool over = (nearReady && !forward(link.near, link.far))
-                              || (farReady && !forward(link.far, link.near));
-            if (over) {
-                close(link);
-            }
-        }
-        std::erase_if(this->links, [](const Link &link) { return link.near < 0; });
-        if (polled.front().revents != 0) {
-            this->accept();
+        this->serveLinks();
+    }
+}
+
+void Relay::serveLinks()
+{
+    const bool requestsPass = this->silent == Silence::None;
+    std::vector<pollfd> polled{{this->listener, POLLIN, 0}};
+    for (const Link &link : this->links) {
+        // poll() passes over a negative descriptor.
+        polled.push_back({requestsPass ? link.near : -1, POLLIN, 0});
+        polled.push_back({link.far, POLLIN, 0});
+    }
+    poll(polled.data(), polled.size(), PollMs);
+    for (size_t index = 0; index < this->links.size(); ++index) {
+        Link &link = this->links[index];
+        const bool nearOver
+            = polled[1 + 2 * index].revents != 0 && !this->receive(link.near, link.towardsFar);
+        const bool farOver
+            = polled[2 + 2 * index].revents != 0 && !this->receive(link.far, link.towardsNear);
+        const bool isOver = nearOver || farOver;
+        // What was taken before the end still passes.
+        const Clock::time_point now = isOver ? Clock::time_point::max() : Clock::now();
+        const bool farTakes = pass(link.towardsFar, link.far, now);
+        const bool nearTakes = pass(link.towardsNear, link.near, now);
+        if (isOver || !farTakes || !nearTakes) {
+            close(link);
         }
     }
+    std::erase_if(this->links, [](const Link &link) { return link.near < 0; });
+    if (polled.front().revents != 0) {
+        this->accept();
+    }
 }
 
 void Relay::accept()
@@ -129,20 +154,30 @@
     this->links.push_back(link);
 }
 
-bool Relay::forward(int from, int to)
+bool Relay::receive(int from, std::deque<Piece> &pieces) const
 {
     std::array<char, BufferBytes> buffer{};
     const ssize_t received = recv(from, buffer.data(), buffer.size(), 0);
     if (received <= 0) {
         return false;
     }
-    ssize_t sent = 0;
-    while (sent < received) {
-        const ssize_t part = send(to, buffer.data() + sent, received - sent, MSG_NOSIGNAL);
-        if (part <= 0) {
-            return false;
+    pieces.push_back({Clock::now() + this->delayTime.load(),
+                      std::string(buffer.data(), static_cast<size_t>(received))});
+    return true;
+}
+
+bool Relay::pass(std::deque<Piece> &pieces, int to, Clock::time_point now)
+{
+    while (!pieces.empty() && pieces.front().due <= now) {
+        std::string_view rest = pieces.front().bytes;
+        while (!rest.empty()) {
+            const ssize_t part = send(to, rest.data(), rest.size(), MSG_NOSIGNAL);
+            if (part <= 0) {
+                return false;
+            }
+            rest.remove_prefix(static_cast<size_t>(part));
         }
-        sent += part;
+        pieces.pop_front();
     }
     return true;
 }
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -1,9 +1,12 @@
-// A TCP relay on loopback that can fall silent: connections stay open, and nothing passes.
+// A TCP relay on loopback that can fall silent, one way or both, delay what passes and reset
+// connections.
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
-#include <mutex>
+#include <deque>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -22,26 +25,55 @@
     // Holds back everything that arrives from now on, in both directions.
     void silence();
 
-    // Lets everything pass again. Connections from the silent time are closed, as a network that
-    // heals after its peers have timed out would see them.
+    // Holds back only what the connecting side sends; the answers pass.
+    void silenceRequests();
+
+    // Lets each piece pass this much later than it came.
+    void delay(std::chrono::milliseconds time);
+
+    // Closes every connection now; new ones are taken.
+    void reset();
+
+    // Lets everything pass again, without delay. Connections from the silent time are closed, as a
+    // network that heals after its peers have timed out would see them.
     void heal();
 
 private:
+    using Clock = std::chrono::steady_clock;
+
+    enum class Silence : uint8_t {
+        None,
+        Requests,
+        Both,
+    };
+
+    struct Piece {
+        Clock::time_point due;
+        std::string bytes;
+    };
+
     struct Link {
         int near = -1;
         int far = -1;
+        std::deque<Piece> towardsFar; // Oldest first.
+        std::deque<Piece> towardsNear;
     };
 
     void run();
+    // Waits a little, takes what arrived and passes on what is due.
+    void serveLinks();
     void accept();
-    // Moves what is there from one side to the other. False: the link is over.
-    static bool forward(int from, int to);
+    // Takes what is there at one end. False: the connection is over.
+    bool receive(int from, std::deque<Piece> &pieces) const;
+    // Passes on what is due. False: the connection is over.
+    static bool pass(std::deque<Piece> &pieces, int to, Clock::time_point now);
     static void close(Link &link);
 
     int listener = -1;
     uint16_t targetPort;
     std::vector<Link> links; // Of the thread alone.
-    std::atomic<bool> silent = false;
+    std::atomic<Silence> silent = Silence::None;
+    std::atomic<std::chrono::milliseconds> delayTime{std::chrono::milliseconds(0)};
     std::atomic<bool> closeAll = false;
     std::atomic<bool> stopping = false;
     std::thread thread;
--- /dev/null
+++ b/utilities/soak/observer.cpp
@@ -0,0 +1,79 @@
+#include "utilities/soak/observer.h"
+
+#include "tests/support/fleet.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <thread>
+
+namespace samphirebridge::soak
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds Interval{150};
+
+} // namespace
+
+Observer::Observer(testing::Fleet &fleet,
+                   const Shape &shape,
+                   const Injector &injector,
+                   const Operators &operators,
+                   Witness &witness)
+    : fleet(fleet)
+    , shape(shape)
+    , injector(injector)
+    , operators(operators)
+    , witness(witness)
+{
+}
+
+void Observer::run(const std::atomic<bool> &stopping)
+{
+    while (!stopping) {
+        this->readRuns();
+        this->readVersions();
+        std::this_thread::sleep_for(Interval);
+    }
+}
+
+void Observer::readRuns()
+{
+    for (int index = 0; index < this->shape.targets(); ++index) {
+        this->readLog(targetName(this->shape, index));
+    }
+    // Read after the logs: what was spent was purchased by a version sent before.
+    const int64_t version = this->operators.highestSent();
+    this->witness.checkSpending(chatTokensAt(version), paymentTokensAt(version));
+}
+
+void Observer::readLog(const std::string &target)
+{
+    std::ifstream file(this->fleet.folder() / (target + ".runs"));
+    std::streamoff &position = this->positions[target];
+    file.seekg(position);
+    for (std::string line; std::getline(file, line) && !file.eof();) {
+        position += static_cast<std::streamoff>(line.size()) + 1;
+        const auto entry = nlohmann::json::parse(line, nullptr, false);
+        if (!entry.is_object()) {
+            this->witness.fail(fmt::format("target {} wrote no JSON: {}", target, line));
+            continue;
+        }
+        this->witness.addRun(target, entry);
+    }
+}
+
+void Observer::readVersions()
+{
+    for (int index = 0; index < this->shape.instances; ++index) {
+        const int before = this->injector.incarnation(index);
+        const double version = this->fleet.metric(index, "samphirebridge_manifest_version");
+        if (version >= 0 && this->injector.incarnation(index) == before) {
+            this->witness.addVersion(index, before, static_cast<int64_t>(version));
+        }
+    }
+}
+
+} // namespace samphirebridge::soak
--- /dev/null
+++ b/utilities/soak/operators.cpp
@@ -0,0 +1,141 @@
+#include "utilities/soak/operators.h"
+
+#include "samphirebridge/core/digest.h"
+#include "tests/support/fleet.h"
+
+#include <fmt/format.h>
+
+#include <thread>
+
+namespace samphirebridge::soak
+{
+
+namespace
+{
+
+// Small at first, so that budgets run out within a round and grow again by changes.
+constexpr int64_t ChatStart = 6'000;
+constexpr int64_t ChatStep = 1'000;
+constexpr int64_t PaymentStart = 3'000;
+constexpr int64_t PaymentStep = 400;
+constexpr std::chrono::milliseconds ChangeInterval{600};
+constexpr int StatusOk = 200;
+
+std::string digestOf(std::string_view secret)
+{
+    return core::toHex(core::sha256Of(secret));
+}
+
+} // namespace
+
+int64_t chatTokensAt(int64_t version)
+{
+    return ChatStart + ChatStep * version;
+}
+
+int64_t paymentTokensAt(int64_t version)
+{
+    return PaymentStart + PaymentStep * version;
+}
+
+std::string manifestOf(int64_t version)
+{
+    return fmt::format(R"(organisations:
+  - {{id: letters, services: [chat], models: [letters]}}
+  - {{id: fees, services: [payments]}}
+budgets:
+  - {{id: letters, organisation: letters, tokens: {}}}
+  - {{id: fees, organisation: fees, tokens: {}}}
+caller_keys:
+  - {{id: letters, organisation: letters, budget: letters, sha256: {}}}
+  - {{id: fees, organisation: fees, budget: fees, sha256: {}}}
+services:
+  - {{id: chat, kind: chat, max_output_tokens: 512, stall_timeout_ms: 1000, deadline_ms: 15000}}
+  - id: payments
+    kind: plain
+    price_tokens: {}
+    stall_timeout_ms: 4000
+    deadline_ms: 8000
+    routes:
+      - {{method: POST, path_prefix: /v1/payments, repeat: never}}
+models:
+  - {{id: letters, service: chat}}
+target_kinds:
+  - {{id: engine, service: chat, announce_sha256: {}, checks_fencing: true}}
+  - {{id: payments, service: payments, announce_sha256: {}, checks_fencing: false}}
+)",
+                       chatTokensAt(version),
+                       paymentTokensAt(version),
+                       digestOf(testing::CallerKeyA),
+                       digestOf(testing::CallerKeyB),
+                       PaymentPrice,
+                       digestOf(testing::EngineToken),
+                       digestOf(testing::PaymentsToken));
+}
+
+Operators::Operators(testing::Fleet &fleet, const Shape &shape)
+    : fleet(fleet)
+    , shape(shape)
+{
+}
+
+void Operators::found()
+{
+    this->sent = 1;
+    this->fleet.apply(0, manifestOf(1), 0);
+    this->confirmed = 1;
+}
+
+void Operators::run(const std::atomic<bool> &stopping)
+{
+    for (int round = 0; !stopping; ++round) {
+        std::this_thread::sleep_for(ChangeInterval);
+        const int first = round % this->shape.instances;
+        const int second = (round + 1) % this->shape.instances;
+        const std::optional<int64_t> current = this->currentVersion(first);
+        if (!current) {
+            continue;
+        }
+        std::thread other(
+            [&] { this->change(second, *current + 1, fmt::format("second-{}", round)); });
+        this->change(first, *current + 1, fmt::format("first-{}", round));
+        other.join();
+    }
+}
+
+int64_t Operators::highestSent() const
+{
+    return this->sent;
+}
+
+int64_t Operators::highestConfirmed() const
+{
+    return this->confirmed;
+}
+
+std::optional<int64_t> Operators::currentVersion(int instance)
+{
+    const auto answer = this->fleet.call(instance, "GET", "/v1/status", testing::OperatorToken);
+    if (!answer.ok() || answer->status != StatusOk) {
+        return std::nullopt;
+    }
+    return nlohmann::json::parse(answer->body).at("manifest_version").get<int64_t>();
+}
+
+bool Operators::change(int instance, int64_t version, const std::string &changeId)
+{
+    int64_t highest = this->sent;
+    while (highest < version && !this->sent.compare_exchange_weak(highest, version)) { }
+    const std::string path
+        = fmt::format("/v1/manifest?expected_version={}&change_id={}", version - 1, changeId);
+    const auto answer
+        = this->fleet.call(instance, "PUT", path, testing::OperatorToken, manifestOf(version));
+    if (!answer.ok() || answer->status != StatusOk) {
+        return false;
+    }
+    int64_t known = this->confirmed;
+    while (known < version && !this->confirmed.compare_exchange_weak(known, version)) { }
+    return true;
+}
+
+} // namespace samphirebridge::soak
--- /dev/null
+++ b/utilities/soak/round.cpp
@@ -0,0 +1,229 @@
+#include "utilities/soak/round.h"
+
+#include "tests/support/fleet.h"
+#include "utilities/soak/caller.h"
+#include "utilities/soak/injector.h"
+#include "utilities/soak/observer.h"
+#include "utilities/soak/operators.h"
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace samphirebridge::soak
+{
+
+namespace
+{
+
+constexpr int ShutdownGraceMs = 30'000; // Longer than any call.
+constexpr int64_t DepartureSlackMs = 4'000; // Within this a change is in force everywhere.
+
+// The parts of a round that live while it is played.
+class Round
+{
+public:
+    explicit Round(const RoundSettings &settings)
+        : settings(settings)
+        , fleet({.basePort = settings.basePort,
+                 .instances = settings.shape.instances,
+                 .control = settings.shape.control,
+                 .relays = true,
+                 .shutdownGraceMs = ShutdownGraceMs})
+        , witness(PaymentPrice)
+        , injector(this->fleet, settings.shape, settings.basePort)
+        , operators(this->fleet, settings.shape)
+        , observer(this->fleet, settings.shape, this->injector, this->operators, this->witness)
+        , callLog(this->fleet.folder() / "calls.jsonl")
+    {
+        for (int index = 0; index < settings.shape.instances; ++index) {
+            this->callerSettings.urls.push_back(this->fleet.httpUrl(index));
+        }
+        this->callerSettings.chatKey = testing::CallerKeyA;
+        this->callerSettings.paymentKey = testing::CallerKeyB;
+    }
+
+    RoundResult play()
+    {
+        try {
+            this->start();
+            this->playFaults();
+            this->recover();
+            this->check();
+        } catch (const testing::FleetError &error) {
+            this->witness.fail(error.what());
+        }
+        for (const std::string &failure : this->injector.failures()) {
+            this->witness.fail(failure);
+        }
+        RoundResult result{this->witness.violations(), this->witness.summary()};
+        if (!result.violations.empty() && !this->settings.keep.empty()) {
+            this->keepFolder(result);
+        }
+        return result;
+    }
+
+private:
+    void start()
+    {
+        this->fleet.start();
+        for (int index = 0; index < this->settings.shape.instances; ++index) {
+            this->fleet.waitReady(index);
+        }
+        this->operators.found();
+        for (int index = 0; index < this->settings.shape.targets(); ++index) {
+            this->injector.startTarget(index);
+        }
+        for (int index = 0; index < this->settings.shape.instances; ++index) {
+            this->fleet.waitTargets(index, this->settings.shape.targets());
+        }
+    }
+
+    void playFaults()
+    {
+        std::atomic<bool> stopping = false;
+        std::vector<std::thread> threads;
+        for (int number = 0; number < this->settings.shape.callers; ++number) {
+            threads.emplace_back([this, number, &stopping] {
+                const uint64_t seed
+                    = this->settings.seed * MostCallers + static_cast<uint64_t>(number);
+                Caller caller(this->callerSettings,
+                              fmt::format("s{}-c{}", this->settings.seed, number),
+                              seed,
+                              [this](const Call &call) { this->take(call); });
+                caller.run(stopping);
+            });
+        }
+        threads.emplace_back([this, &stopping] { this->operators.run(stopping); });
+        std::thread watching([this] { this->observer.run(this->isOver); });
+        const std::vector<Fault> plan = drawPlan(this->settings.seed, this->settings.shape);
+        this->injector.run(plan);
+        stopping = true;
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        this->isOver = true;
+        watching.join();
+    }
+
+    // After the last fault every instance serves again, with the newest manifest.
+    void recover()
+    {
+        const Shape &shape = this->settings.shape;
+        int64_t version = 0;
+        for (int index = 0; index < shape.instances; ++index) {
+            this->fleet.waitReady(index);
+        }
+        testing::Fleet::waitFor("a last manifest is accepted", [&] {
+            version = this->operators.currentVersion(0).value_or(version) + 1;
+            return this->operators.change(0, version, fmt::format("last-{}", version));
+        });
+        for (int index = 0; index < shape.instances; ++index) {
+            testing::Fleet::waitFor(
+                fmt::format("instance {} has version {} in force", index, version), [&] {
+                    const double found
+                        = this->fleet.metric(index, "samphirebridge_manifest_version");
+                    return found >= static_cast<double>(version);
+                });
+            for (const CallKind kind : {CallKind::Stream, CallKind::Whole, CallKind::Payment}) {
+                this->waitServed(index, kind);
+            }
+        }
+    }
+
+    void waitServed(int index, CallKind kind)
+    {
+        http::Client client;
+        int attempt = 0;
+        testing::Fleet::waitFor(
+            fmt::format("instance {} serves call kind {}", index, static_cast<int>(kind)), [&] {
+                const std::string name = fmt::format("s{}-last-{}-{}-{}",
+                                                     this->settings.seed,
+                                                     index,
+                                                     static_cast<int>(kind),
+                                                     ++attempt);
+                const Script script{.kind = kind, .name = name, .tokens = 3, .instance = index};
+                const Call call = perform(client, this->callerSettings, script);
+                this->take(call);
+                return call.end == CallEnd::Answered;
+            });
+    }
+
+    void check()
+    {
+        const auto state = [this](const std::string &id) {
+            const nlohmann::json budget = this->fleet.budget(0, id);
+            return BudgetState{budget.at("purchased_tokens"),
+                               budget.at("billed_tokens"),
+                               budget.at("escrow_tokens"),
+                               budget.at("quarantined_tokens"),
+                               budget.at("pool_tokens")};
+        };
+        testing::Fleet::waitFor("the ledger accounts for what the targets ran", [&] {
+            this->observer.readRuns();
+            return this->witness.isAccountedFor(state("letters"), state("fees"));
+        });
+        this->witness.checkBilling(state("letters"), state("fees"));
+        this->witness.checkRuns();
+        for (const Shutdown &shutdown : this->injector.shutdowns()) {
+            this->witness.checkShutdown(shutdown);
+        }
+        for (const Departure &departure : this->injector.departures()) {
+            this->witness.checkDeparture(departure, DepartureSlackMs);
+        }
+    }
+
+    void take(const Call &call)
+    {
+        this->witness.add(call);
+        const std::lock_guard lock(this->callLogMutex);
+        this->callLog << toJson(call).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+                      << '\n';
+    }
+
+    void keepFolder(const RoundResult &result)
+    {
+        this->callLog.flush();
+        std::ofstream report(this->fleet.folder() / "report.txt");
+        for (const Fault &fault : drawPlan(this->settings.seed, this->settings.shape)) {
+            report << describe(fault) << '\n';
+        }
+        for (const std::string &violation : result.violations) {
+            report << "violation: " << violation << '\n';
+        }
+        report.close();
+        const auto kept = this->settings.keep / fmt::format("seed-{}", this->settings.seed);
+        std::filesystem::create_directories(kept);
+        std::filesystem::copy(this->fleet.folder(),
+                              kept,
+                              std::filesystem::copy_options::recursive
+                                  | std::filesystem::copy_options::overwrite_existing);
+    }
+
+    static constexpr uint64_t MostCallers = 1'000; // Spreads the callers' seeds.
+
+    RoundSettings settings;
+    testing::Fleet fleet;
+    Witness witness;
+    Injector injector;
+    Operators operators;
+    Observer observer;
+    CallerSettings callerSettings;
+    std::mutex callLogMutex;
+    std::ofstream callLog;
+    std::atomic<bool> isOver = false;
+};
+
+} // namespace
+
+RoundResult playRound(const RoundSettings &settings)
+{
+    Round round(settings);
+    return round.play();
+}
+
+} // namespace samphirebridge::soak
--- /dev/null
+++ b/utilities/soak/witness.cpp
@@ -0,0 +1,278 @@
+#include "utilities/soak/witness.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace samphirebridge::soak
+{
+
+namespace
+{
+
+constexpr std::string_view NotRun = "not_run";
+
+std::string_view endName(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::Answered:
+        return "answered";
+    case CallEnd::Refused:
+        return "refused";
+    case CallEnd::Broken:
+        return "broken";
+    case CallEnd::NotSent:
+        return "not_sent";
+    }
+    return "not_sent";
+}
+
+std::string_view kindName(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::Stream:
+        return "stream";
+    case CallKind::Whole:
+        return "whole";
+    case CallKind::Payment:
+        return "payment";
+    }
+    return "payment";
+}
+
+// Tells whether the caller was told for certain, or can know, that nothing was run.
+bool isKnownNotRun(const Call &call)
+{
+    return call.end == CallEnd::NotSent || (call.end == CallEnd::Refused && call.outcome == NotRun);
+}
+
+int64_t sumOf(const BudgetState &budget)
+{
+    return budget.billed + budget.escrow + budget.quarantined + budget.pool;
+}
+
+} // namespace
+
+nlohmann::json toJson(const Call &call)
+{
+    return {{"kind", kindName(call.kind)},
+            {"key", call.key},
+            {"instance", call.instance},
+            {"started_ms", call.startedMs},
+            {"ended_ms", call.endedMs},
+            {"end", endName(call.end)},
+            {"status", call.status},
+            {"outcome", call.outcome},
+            {"detail", call.detail},
+            {"text", call.text}};
+}
+
+Witness::Witness(int64_t paymentPrice)
+    : paymentPrice(paymentPrice)
+{
+}
+
+void Witness::add(const Call &call)
+{
+    const std::lock_guard lock(this->mutex);
+    this->checkAnswer(call);
+    this->callsPerKey[call.key].push_back(call);
+}
+
+void Witness::checkAnswer(const Call &call)
+{
+    const bool isWhole = call.end == CallEnd::Answered && call.text == call.expected;
+    const bool isPart = call.kind == CallKind::Stream && call.end != CallEnd::Answered
+                        && call.expected.starts_with(call.text);
+    const bool isNone = call.end != CallEnd::Answered && call.text.empty();
+    if (!isWhole && !isPart && !isNone) {
+        this->note(fmt::format("{} {} at instance {}: the answer ({}) is '{}' and not '{}'",
+                               kindName(call.kind),
+                               call.key,
+                               call.instance,
+                               endName(call.end),
+                               call.text,
+                               call.expected));
+    }
+}
+
+void Witness::addRun(const std::string &target, const nlohmann::json &line)
+{
+    const std::string event = line.value("event", "");
+    const std::lock_guard lock(this->mutex);
+    if (event == "run") {
+        this->runsPerKey[line.value("key", "")].push_back(
+            {target, line.value("at_ms", int64_t{0})});
+    } else if (event == "finished" || event == "cancelled") {
+        this->chatTokens
+            += line.value("tokens", int64_t{0}) + line.value("prompt_tokens", int64_t{0});
+    }
+}
+
+void Witness::checkSpending(int64_t chatBudget, int64_t paymentBudget)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->chatTokens > chatBudget) {
+        this->note(fmt::format(
+            "engines consumed {} tokens of a budget of {}", this->chatTokens, chatBudget));
+    }
+    const int64_t paid = this->paymentRuns() * this->paymentPrice;
+    if (paid > paymentBudget) {
+        this->note(
+            fmt::format("payments for {} tokens ran of a budget of {}", paid, paymentBudget));
+    }
+}
+
+void Witness::addVersion(int instance, int incarnation, int64_t version)
+{
+    const std::lock_guard lock(this->mutex);
+    int64_t &highest = this->versions[{instance, incarnation}];
+    if (version < highest) {
+        this->note(fmt::format(
+            "instance {} went back from manifest version {} to {}", instance, highest, version));
+    }
+    highest = std::max(highest, version);
+}
+
+void Witness::checkShutdown(const Shutdown &shutdown)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[key, calls] : this->callsPerKey) {
+        for (const Call &call : calls) {
+            const bool wasUnderWay = call.instance == shutdown.instance
+                                     && call.startedMs < shutdown.signalledMs
+                                     && call.endedMs > shutdown.signalledMs;
+            if (wasUnderWay && call.end == CallEnd::Broken) {
+                this->note(fmt::format("{} was cut off by the shutdown of instance {}: {}",
+                                       key,
+                                       shutdown.instance,
+                                       call.detail));
+            }
+        }
+    }
+}
+
+void Witness::checkDeparture(const Departure &departure, int64_t slackMs)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[key, runs] : this->runsPerKey) {
+        for (const Run &run : runs) {
+            if (run.target == departure.target && run.startedMs > departure.announcedMs + slackMs) {
+                this->note(fmt::format("target {} was sent {} {} ms after it said that it leaves",
+                                       run.target,
+                                       key,
+                                       run.startedMs - departure.announcedMs));
+            }
+        }
+    }
+}
+
+void Witness::checkRuns()
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[key, calls] : this->callsPerKey) {
+        this->checkRefusals(key, calls);
+        const auto runs = this->runsPerKey.find(key);
+        const size_t count = runs == this->runsPerKey.end() ? 0 : runs->second.size();
+        const bool isPayment = calls.front().kind == CallKind::Payment;
+        if (isPayment && count > 1) {
+            this->note(fmt::format("payment {} ran {} times", key, count));
+        }
+        const bool isAnswered = std::any_of(calls.begin(), calls.end(), [](const Call &call) {
+            return call.end == CallEnd::Answered;
+        });
+        if (isPayment && isAnswered && count == 0) {
+            this->note(fmt::format("payment {} was answered and did not run", key));
+        }
+    }
+}
+
+void Witness::checkRefusals(const std::string &key, std::span<const Call> calls)
+{
+    const bool isNeverRun = std::all_of(calls.begin(), calls.end(), isKnownNotRun);
+    const auto runs = this->runsPerKey.find(key);
+    if (isNeverRun && runs != this->runsPerKey.end()) {
+        this->note(
+            fmt::format("{} ran at {} though every call was told that it has not run, last: {}",
+                        key,
+                        runs->second.front().target,
+                        calls.back().detail));
+    }
+}
+
+void Witness::checkBilling(const BudgetState &chat, const BudgetState &payments)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const BudgetState &budget : {chat, payments}) {
+        if (sumOf(budget) != budget.purchased) {
+            this->note(fmt::format(
+                "a budget of {} tokens is accounted for as {}", budget.purchased, sumOf(budget)));
+        }
+    }
+    int64_t billable = 0;
+    for (const auto &[key, calls] : this->callsPerKey) {
+        const bool isPayment = calls.front().kind == CallKind::Payment;
+        const bool isCertain = std::all_of(calls.begin(), calls.end(), isKnownNotRun);
+        billable += isPayment && !isCertain ? this->paymentPrice : 0;
+    }
+    if (payments.billed > billable) {
+        this->note(fmt::format(
+            "{} tokens are billed for payments of {} at most", payments.billed, billable));
+    }
+}
+
+bool Witness::isAccountedFor(const BudgetState &chat, const BudgetState &payments) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->chatTokens <= chat.billed + chat.quarantined
+           && this->paymentRuns() * this->paymentPrice <= payments.billed + payments.quarantined;
+}
+
+void Witness::fail(const std::string &violation)
+{
+    const std::lock_guard lock(this->mutex);
+    this->note(violation);
+}
+
+std::vector<std::string> Witness::violations() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->broken;
+}
+
+std::string Witness::summary() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::map<std::string, int> counts;
+    for (const auto &[key, calls] : this->callsPerKey) {
+        for (const Call &call : calls) {
+            ++counts[fmt::format("{} {}", kindName(call.kind), endName(call.end))];
+        }
+    }
+    std::string text;
+    for (const auto &[name, count] : counts) {
+        text += fmt::format("{}{} {}", text.empty() ? "" : ", ", count, name);
+    }
+    return text;
+}
+
+void Witness::note(std::string violation)
+{
+    if (std::find(this->broken.begin(), this->broken.end(), violation) == this->broken.end()) {
+        this->broken.push_back(std::move(violation));
+    }
+}
+
+int64_t Witness::paymentRuns() const
+{
+    int64_t runs = 0;
+    for (const auto &[key, list] : this->runsPerKey) {
+        const auto calls = this->callsPerKey.find(key);
+        const bool isPayment
+            = calls != this->callsPerKey.end() && calls->second.front().kind == CallKind::Payment;
+        runs += isPayment ? static_cast<int64_t>(list.size()) : 0;
+    }
+    return runs;
+}
+
+} // namespace samphirebridge::soak
--- a/utilities/standins/main.cpp
+++ b/utilities/standins/main.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 
 using namespace samphirebridge;
 using namespace samphirebridge::standins;
@@ -49,6 +50,7 @@
   --ignore-fencing       The engine takes orders with any fencing number.
   --deduplicates         The payment service recognises a repeated key.
   --delay-ms=N           Delay of each payment [default: 0].
+  --linger-ms=N          Serve this long after announcing that it leaves [default: 0].
   -h --help              Show this text.
 
 Faults are asked for by text in a request, [kind], [kind=N] or [kind=N@id] (only on that target), or
@@ -148,6 +150,7 @@
     int signal = 0;
     ::sigwait(&signals, &signal);
     announcer.leave();
+    std::this_thread::sleep_for(std::chrono::milliseconds(numberOf(arguments, "--linger-ms")));
     (*server)->stop();
     return EXIT_SUCCESS;
 }
--- a/utilities/standins/runlog.cpp
+++ b/utilities/standins/runlog.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 
@@ -29,11 +30,13 @@
     }
 }
 
-void RunLog::write(const nlohmann::json &entry) const
+void RunLog::write(nlohmann::json entry) const
 {
     if (this->descriptor < 0) {
         return;
     }
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    entry["at_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
     const std::string line
         = entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
     if (::write(this->descriptor, line.data(), line.size()) < 0) {
--- a/utilities/standins/runlog.h
+++ b/utilities/standins/runlog.h
@@ -8,7 +8,8 @@
 namespace samphirebridge::standins
 {
 
-// Appends one JSON object a line, each by one write. Usable from many threads.
+// Appends one JSON object a line, each by one write and with the time as `at_ms`, in milliseconds
+// since 1970. Usable from many threads.
 class RunLog
 {
 public:
@@ -18,7 +19,7 @@
     RunLog(const RunLog &) = delete;
     RunLog &operator=(const RunLog &) = delete;
 
-    void write(const nlohmann::json &entry) const;
+    void write(nlohmann::json entry) const;
 
 private:
     int descriptor = -1;
