storage, soak: Let tests lose unsynced bytes, and losses of power be played

Cause: a killed process keeps what it wrote in the kernel's cache, so no round could show a lost sync. With the setting fault_injection a control instance holds unsynced bytes back, or its disk is slow; the process logs fault_injected at its start. The soak sets it and kills all instances at once. It also holds a confirmed manifest against later reads.

Rounds that failed are kept as case files (seed and faults), since a seed means other faults once the drawing changes.

--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -413,6 +413,16 @@
     this->parts->thread->start();
     this->parts->logger.change("started",
                                {{"http", settings::formatAddress(this->settings.http.listen)}});
+    const settings::FaultInjectionSettings &faults = this->settings.faultInjection;
+    if (faults.losesUnsynced || faults.syncDelay > core::Duration::zero()) {
+        this->parts->logger.change(
+            "fault_injected",
+            {{"lose_unsynced", faults.losesUnsynced ? "true" : "false"},
+             {"sync_delay_ms",
+              fmt::format("{}",
+                          std::chrono::duration_cast<std::chrono::milliseconds>(faults.syncDelay)
+                              .count())}});
+    }
     return absl::OkStatus();
 }
 
--- a/source/samphirebridge/daemon/datafolder.cpp
+++ b/source/samphirebridge/daemon/datafolder.cpp
@@ -56,6 +56,14 @@
     });
 }
 
+absl::StatusOr<storage::FileStorage> openStorage(const settings::Settings &settings)
+{
+    const settings::FaultInjectionSettings &faults = settings.faultInjection;
+    return storage::FileStorage::open(
+        settings.dataFolder,
+        {.losesUnsynced = faults.losesUnsynced, .syncDelay = faults.syncDelay});
+}
+
 } // namespace
 
 absl::Status initialiseFolder(const settings::Settings &settings)
@@ -64,7 +72,7 @@
         return core::makeError(core::ErrorCode::InvalidSettings,
                                "found no role control; --initialise is for control instances");
     }
-    auto storage = storage::FileStorage::open(settings.dataFolder);
+    auto storage = openStorage(settings);
     if (!storage.ok()) {
         return storage.status();
     }
@@ -75,7 +83,7 @@
 
 absl::StatusOr<storage::FileStorage> openFolder(const settings::Settings &settings)
 {
-    auto storage = storage::FileStorage::open(settings.dataFolder);
+    auto storage = openStorage(settings);
     if (!storage.ok()) {
         return storage.status();
     }
--- a/source/samphirebridge/settings/settings.h
+++ b/source/samphirebridge/settings/settings.h
@@ -70,6 +70,12 @@
     double slack = 20; // Repeats besides.
 };
 
+// Faults that tests ask for. A process that has one set logs a warning at its start.
+struct FaultInjectionSettings {
+    bool losesUnsynced = false; // The process's end loses what a loss of power would.
+    core::Duration syncDelay{}; // Added to each sync of a file.
+};
+
 enum class LogLevel : uint8_t {
     Error,
     Warning,
@@ -88,6 +94,7 @@
     std::optional<DiscoverySettings> discovery;
     InterfaceSettings interface;
     RetrySettings retries;
+    FaultInjectionSettings faultInjection;
     std::string dataFolder; // Empty without the role control. Whether it exists isn't checked here.
     std::vector<std::string> operatorTokenDigests; // 32 bytes each; may be empty: no operators.
     ConsensusSettings consensus;
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 16> TopKeys{
+constexpr std::array<std::string_view, 17> TopKeys{
     "instance",
     "data_centre",
     "roles",
@@ -28,6 +28,7 @@
     "consensus",
     "escrow",
     "retries",
+    "fault_injection",
     "shutdown_grace_ms",
     "stop_within_s",
     "log_level",
@@ -45,7 +46,8 @@
 constexpr std::array<std::string_view, 3> DiscoveryKeys{"seeds", "seed_port", "founds_fleet"};
 constexpr std::array<std::string_view, 3> InterfaceKeys{"callers", "readiness", "control"};
 constexpr std::array<std::string_view, 2> RetryKeys{"share", "slack"};
-constexpr std::array<SettingSection, 9> Sections{{
+constexpr std::array<std::string_view, 2> FaultInjectionKeys{"lose_unsynced", "sync_delay_ms"};
+constexpr std::array<SettingSection, 10> Sections{{
     {"", TopKeys},
     {"http", HttpKeys},
     {"rpc", RpcKeys},
@@ -55,6 +57,7 @@
     {"discovery", DiscoveryKeys},
     {"interface", InterfaceKeys},
     {"retries", RetryKeys},
+    {"fault_injection", FaultInjectionKeys},
 }};
 constexpr std::array<std::string_view, 4> LogLevels{"error", "warning", "info", "debug"};
 
@@ -72,6 +75,7 @@
 constexpr Bounds HttpThreads{{1, 4096}, 512};
 constexpr Bounds BodyBytes{{1024, 64 << 20}, 1 << 20};
 constexpr Bounds CallerBufferBytes{{4096, 64 << 20}, 1 << 20};
+constexpr Bounds SyncDelayMs{{0, 60'000}, 0};
 constexpr Bounds HeartbeatMs{{10, 10'000}, 100};
 constexpr Bounds ElectionTimeoutMs{{50, 60'000}, 1000};
 constexpr Bounds FlushIntervalMs{{10, 10'000}, 100};
@@ -349,6 +353,15 @@
     retries.slack = reader.decimal("slack", RetrySlack, retries.slack);
 }
 
+void readFaultInjection(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Place place = top.placeOf("fault_injection");
+    MapReader reader(sectionOf(top, "fault_injection"), place, FaultInjectionKeys, problems);
+    FaultInjectionSettings &faults = settings.faultInjection;
+    faults.losesUnsynced = reader.boolean("lose_unsynced", faults.losesUnsynced);
+    faults.syncDelay = readMilliseconds(reader, "sync_delay_ms", SyncDelayMs);
+}
+
 void readShutdown(MapReader &top, Settings &settings)
 {
     settings.shutdownGrace = readMilliseconds(top, "shutdown_grace_ms", ShutdownGraceMs);
@@ -483,6 +496,7 @@
     readOperatorTokens(top, settings, problems);
     readConsensus(top, settings, problems);
     readEscrow(top, settings, problems);
+    readFaultInjection(top, settings, problems);
     readRetries(top, settings, problems);
     readShutdown(top, settings);
     const auto info = static_cast<size_t>(LogLevel::Info);
--- a/source/samphirebridge/storage/filestorage.cpp
+++ b/source/samphirebridge/storage/filestorage.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <system_error>
+#include <thread>
 #include <utility>
 
 #include <fcntl.h>
@@ -54,7 +55,8 @@
 
 } // namespace
 
-absl::StatusOr<FileStorage> FileStorage::open(std::string_view folder)
+absl::StatusOr<FileStorage> FileStorage::open(std::string_view folder,
+                                              const FileStorageFaults &faults)
 {
     const std::string path(folder);
     const int descriptor = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -66,16 +68,19 @@
     if (descriptor < 0) {
         return unavailable("opening the data folder", folder);
     }
-    FileStorage storage(folder, descriptor);
+    FileStorage storage(folder, descriptor, faults);
     if (::flock(descriptor, LOCK_EX | LOCK_NB) != 0) {
         return unavailable("locking the data folder, which another process may have open,", folder);
     }
     return storage;
 }
 
-FileStorage::FileStorage(std::string_view folder, int folderDescriptor)
+FileStorage::FileStorage(std::string_view folder,
+                         int folderDescriptor,
+                         const FileStorageFaults &faults)
     : folder(folder)
     , folderDescriptor(folderDescriptor)
+    , faults(faults)
 {
 }
 
@@ -83,7 +88,9 @@
     : folder(std::move(other.folder))
     , folderDescriptor(std::exchange(other.folderDescriptor, -1))
     , syncFailed(other.syncFailed)
+    , faults(other.faults)
     , descriptors(std::exchange(other.descriptors, {}))
+    , heldBack(std::exchange(other.heldBack, {}))
 {
 }
 
@@ -96,7 +103,9 @@
     this->folder = std::move(other.folder);
     this->folderDescriptor = std::exchange(other.folderDescriptor, -1);
     this->syncFailed = other.syncFailed;
+    this->faults = other.faults;
     this->descriptors = std::exchange(other.descriptors, {});
+    this->heldBack = std::exchange(other.heldBack, {});
     return *this;
 }
 
@@ -156,9 +165,18 @@
     if (!descriptor.ok()) {
         return descriptor.status();
     }
+    if (this->faults.losesUnsynced) {
+        this->heldBack[std::string(name)].append(bytes);
+        return absl::OkStatus();
+    }
+    return this->write(name, *descriptor, bytes);
+}
+
+absl::Status FileStorage::write(std::string_view name, int descriptor, std::string_view bytes) const
+{
     while (!bytes.empty()) {
         const ssize_t written
-            = retryInterrupted([&] { return ::write(*descriptor, bytes.data(), bytes.size()); });
+            = retryInterrupted([&] { return ::write(descriptor, bytes.data(), bytes.size()); });
         if (written < 0) {
             return unavailable("writing", this->pathOf(name));
         }
@@ -167,6 +185,17 @@
     return absl::OkStatus();
 }
 
+absl::Status FileStorage::writeHeldBack(std::string_view name, int descriptor)
+{
+    const auto place = this->heldBack.find(std::string(name));
+    if (place == this->heldBack.end()) {
+        return absl::OkStatus();
+    }
+    const std::string bytes = std::move(place->second);
+    this->heldBack.erase(place);
+    return this->write(name, descriptor, bytes);
+}
+
 absl::StatusOr<std::string> FileStorage::read(std::string_view name)
 {
     const std::string key(name);
@@ -195,6 +224,10 @@
     }
     ::close(descriptor);
     bytes.resize(done);
+    const auto held = this->heldBack.find(key);
+    if (held != this->heldBack.end()) {
+        bytes += held->second;
+    }
     return bytes;
 }
 
@@ -219,6 +252,11 @@
     if (!descriptor.ok()) {
         return descriptor.status();
     }
+    std::this_thread::sleep_for(this->faults.syncDelay);
+    const absl::Status written = this->writeHeldBack(name, *descriptor);
+    if (!written.ok()) {
+        return written;
+    }
     if (::fdatasync(*descriptor) != 0) {
         // The kernel may have dropped the pages that it could not write, so a second try that
         // succeeds would prove nothing.
@@ -247,6 +285,11 @@
     }
     this->forget(from);
     this->forget(to);
+    this->heldBack.erase(std::string(to));
+    if (auto held = this->heldBack.extract(std::string(from)); !held.empty()) {
+        held.key() = std::string(to);
+        this->heldBack.insert(std::move(held));
+    }
     const std::string oldName(from);
     const std::string newName(to);
     const int result = ::renameat(
@@ -266,6 +309,10 @@
     if (!descriptor.ok()) {
         return descriptor.status();
     }
+    const absl::Status written = this->writeHeldBack(name, *descriptor);
+    if (!written.ok()) {
+        return written;
+    }
     if (::ftruncate(*descriptor, static_cast<off_t>(length)) != 0) {
         return unavailable("truncating", this->pathOf(name));
     }
@@ -279,6 +326,7 @@
     }
     this->forget(name);
     const std::string key(name);
+    this->heldBack.erase(key);
     if (::unlinkat(this->folderDescriptor, key.c_str(), 0) != 0 && errno != ENOENT) {
         return unavailable("removing", this->pathOf(name));
     }
--- a/tests/storage/filestoragetest.cpp
+++ b/tests/storage/filestoragetest.cpp
@@ -76,6 +76,29 @@
     CHECK(core::errorCodeOf(locked) == core::ErrorCode::StorageUnavailable);
 }
 
+TEST_CASE("with the fault lose_unsynced only synced bytes outlive the process")
+{
+    const Folder folder;
+    {
+        auto storage = FileStorage::open(folder.path, {.losesUnsynced = true});
+        REQUIRE(storage.ok());
+        REQUIRE(storage->append("a", "synced").ok());
+        REQUIRE(storage->sync("a").ok());
+        REQUIRE(storage->append("a", " not").ok());
+        REQUIRE(storage->append("b", "renamed").ok());
+        REQUIRE(storage->rename("b", "c").ok());
+        CHECK(*storage->read("a") == "synced not");
+        CHECK(*storage->read("c") == "renamed");
+        REQUIRE(storage->append("d", "cut short").ok());
+        REQUIRE(storage->truncate("d", 3).ok());
+        CHECK(*storage->read("d") == "cut");
+    }
+    auto storage = FileStorage::open(folder.path);
+    REQUIRE(storage.ok());
+    CHECK(*storage->read("a") == "synced");
+    CHECK(*storage->read("c") == "");
+}
+
 TEST_CASE("the log and the record files work on real files")
 {
     const Folder folder;
--- a/utilities/soak/caller.cpp
+++ b/utilities/soak/caller.cpp
@@ -76,6 +76,7 @@
         this->call.instance = script.instance;
         this->call.expected = expectedOf(script);
         this->call.startedMs = nowMs();
+        this->promptTokens = standins::countTokens(promptOf(script));
     }
 
     void takeHead(int status)
@@ -111,6 +112,10 @@
         } else {
             this->endDocument();
         }
+        const bool isChat = this->call.kind != CallKind::Payment;
+        if (isChat && !this->call.text.empty()) {
+            this->call.tokens = this->promptTokens + standins::countTokens(this->call.text);
+        }
         return std::move(this->call);
     }
 
@@ -195,6 +200,7 @@
     requests::SseParser parser;
     std::string body;
     json problem;
+    int64_t promptTokens = 0;
     bool isDone = false;
 };
 
--- a/utilities/soak/injector.cpp
+++ b/utilities/soak/injector.cpp
@@ -115,8 +115,22 @@
     }
 }
 
+void Injector::losePower(const Fault &fault)
+{
+    for (int index = 0; index < this->shape.instances; ++index) {
+        Fault part = fault;
+        part.kind = FaultKind::KillInstance;
+        part.subject = index;
+        this->begin(part);
+    }
+}
+
 void Injector::begin(const Fault &fault)
 {
+    if (fault.kind == FaultKind::LosePower) {
+        this->losePower(fault);
+        return;
+    }
     this->running.push_back({fault, Clock::now() + fault.duration, nowMs()});
     switch (fault.kind) {
     case FaultKind::KillInstance:
@@ -138,6 +152,8 @@
     case FaultKind::ResetInstance:
         this->fleet.resetLinks(fault.subject);
         break;
+    case FaultKind::LosePower: // Split above.
+        break;
     case FaultKind::IsolateInstance:
     case FaultKind::DeafenInstance:
     case FaultKind::DelayInstance:
--- a/utilities/soak/injector.h
+++ b/utilities/soak/injector.h
@@ -67,6 +67,8 @@
     };
 
     void begin(const Fault &fault);
+    // Begins a fault of every instance, as one of each.
+    void losePower(const Fault &fault);
     // Ends the fault. False: what it waits for has not happened yet.
     bool end(const Running &ending);
     bool endProcess(const Running &ending);
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -7,8 +7,8 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <map>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -22,18 +22,18 @@
 
 Usage:
   samphire-soak [--seed=N] [--rounds=N] [options]
-  samphire-soak --seeds-file=PATH [options]
+  samphire-soak (--case=FILE)... [options]
 
 Options:
   --seed=N           Seed of the first round; the next rounds count on [default: 1].
   --rounds=N         How many rounds to play [default: 1].
-  --seeds-file=PATH  Play the seeds of a file: a seed at the start of each line, its cause after it.
+  --case=FILE        Play the round of a case file, as a failed round leaves it; may be repeated.
   --length-ms=N      Time with faults in each round [default: 15000].
   --instances=N      Instances of the fleet, 3 to 5; three have the role control [default: 4].
   --callers=N        Callers at once [default: 12].
   --base-port=N      The soak uses the hundred ports from here on [default: 30000].
   --keep=DIR         Copy the logs of a failed round there.
-  --plan             Print the faults of the rounds and play none.
+  --plan             Print the rounds as case files and play none.
   -h --help          Show this text.
 
 A round whose promises were not kept prints its seed and what was seen, and the program ends with 1.
@@ -46,26 +46,6 @@
     return std::stoll(arguments.at(name).asString());
 }
 
-std::vector<uint64_t> seedsOf(const Arguments &arguments)
-{
-    std::vector<uint64_t> seeds;
-    if (arguments.at("--seeds-file")) {
-        std::ifstream file(arguments.at("--seeds-file").asString());
-        for (std::string line; std::getline(file, line);) {
-            uint64_t seed = 0;
-            if (std::istringstream(line) >> seed) {
-                seeds.push_back(seed);
-            }
-        }
-        return seeds;
-    }
-    const int64_t first = numberOf(arguments, "--seed");
-    for (int64_t number = 0; number < numberOf(arguments, "--rounds"); ++number) {
-        seeds.push_back(static_cast<uint64_t>(first + number));
-    }
-    return seeds;
-}
-
 RoundSettings settingsOf(const Arguments &arguments)
 {
     RoundSettings settings;
@@ -79,11 +59,35 @@
     return settings;
 }
 
+std::vector<RoundSettings> roundsOf(const Arguments &arguments)
+{
+    std::vector<RoundSettings> rounds;
+    RoundSettings settings = settingsOf(arguments);
+    for (const std::string &path : arguments.at("--case").asStringList()) {
+        std::ifstream file(path);
+        const std::string text{std::istreambuf_iterator<char>(file), {}};
+        const Case read = parseCase(text, path);
+        settings.seed = read.seed;
+        settings.faults = read.faults;
+        rounds.push_back(settings);
+    }
+    if (!rounds.empty()) {
+        return rounds;
+    }
+    const int64_t first = numberOf(arguments, "--seed");
+    for (int64_t number = 0; number < numberOf(arguments, "--rounds"); ++number) {
+        settings.seed = static_cast<uint64_t>(first + number);
+        settings.faults = drawPlan(settings.seed, settings.shape);
+        rounds.push_back(settings);
+    }
+    return rounds;
+}
+
 void printPlan(const RoundSettings &settings)
 {
     std::cout << fmt::format("seed {}\n", settings.seed);
-    for (const Fault &fault : drawPlan(settings.seed, settings.shape)) {
-        std::cout << "  " << describe(fault) << '\n';
+    for (const Fault &fault : settings.faults) {
+        std::cout << describe(fault) << '\n';
     }
 }
 
@@ -108,29 +112,21 @@
 {
     const Arguments arguments
         = docopt::docopt(std::string(Usage), {texts + 1, texts + count}, true);
-    RoundSettings settings = settingsOf(arguments);
+    const int64_t instances = numberOf(arguments, "--instances");
     constexpr int LeastInstances = 3;
     constexpr int MostInstances = 5;
-    if (settings.shape.instances < LeastInstances || settings.shape.instances > MostInstances) {
-        std::cerr << fmt::format("--instances={}: accepted are {} to {}\n",
-                                 settings.shape.instances,
-                                 LeastInstances,
-                                 MostInstances);
-        return EXIT_FAILURE;
-    }
-    const std::vector<uint64_t> seeds = seedsOf(arguments);
-    if (seeds.empty()) {
-        std::cerr << "no seeds to play\n";
+    if (instances < LeastInstances || instances > MostInstances) {
+        std::cerr << fmt::format(
+            "--instances={}: accepted are {} to {}\n", instances, LeastInstances, MostInstances);
         return EXIT_FAILURE;
     }
     int failures = 0;
-    for (const uint64_t seed : seeds) {
-        settings.seed = seed;
+    for (const RoundSettings &round : roundsOf(arguments)) {
         if (arguments.at("--plan").asBool()) {
-            printPlan(settings);
+            printPlan(round);
             continue;
         }
-        failures += play(settings) ? 0 : 1;
+        failures += play(round) ? 0 : 1;
     }
     return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/utilities/soak/operators.cpp
+++ b/utilities/soak/operators.cpp
@@ -73,9 +73,10 @@
                        digestOf(testing::PaymentsToken));
 }
 
-Operators::Operators(testing::Fleet &fleet, const Shape &shape)
+Operators::Operators(testing::Fleet &fleet, const Shape &shape, Witness &witness)
     : fleet(fleet)
     , shape(shape)
+    , witness(witness)
 {
 }
 
@@ -92,10 +93,18 @@
         std::this_thread::sleep_for(ChangeInterval);
         const int first = round % this->shape.instances;
         const int second = (round + 1) % this->shape.instances;
+        const int64_t known = this->confirmed;
         const std::optional<int64_t> current = this->currentVersion(first);
         if (!current) {
             continue;
         }
+        if (*current < known) {
+            this->witness.fail(
+                fmt::format("version {} is read at instance {} after {} was confirmed",
+                            *current,
+                            first,
+                            known));
+        }
         std::thread other(
             [&] { this->change(second, *current + 1, fmt::format("second-{}", round)); });
         this->change(first, *current + 1, fmt::format("first-{}", round));
--- a/utilities/soak/operators.h
+++ b/utilities/soak/operators.h
@@ -3,6 +3,7 @@
 
 #include "samphirebridge/http/client.h"
 #include "utilities/soak/plan.h"
+#include "utilities/soak/witness.h"
 
 #include <atomic>
 #include <cstdint>
@@ -30,7 +31,7 @@
 class Operators
 {
 public:
-    Operators(testing::Fleet &fleet, const Shape &shape);
+    Operators(testing::Fleet &fleet, const Shape &shape, Witness &witness);
 
     // Sends the first manifest. Throws FleetError if it is refused.
     void found();
@@ -52,6 +53,7 @@
 private:
     testing::Fleet &fleet;
     Shape shape;
+    Witness &witness;
     std::atomic<int64_t> sent{0};
     std::atomic<int64_t> confirmed{0};
 };
--- a/utilities/soak/plan.cpp
+++ b/utilities/soak/plan.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <random>
+#include <sstream>
+#include <stdexcept>
 
 namespace samphirebridge::soak
 {
@@ -26,6 +29,7 @@
     KindRow{FaultKind::StopInstance, "stop_instance", true, 3},
     KindRow{FaultKind::FreezeInstance, "freeze_instance", true, 2},
     KindRow{FaultKind::LoseDisk, "lose_disk", true, 1},
+    KindRow{FaultKind::LosePower, "lose_power", true, 1},
     KindRow{FaultKind::IsolateInstance, "isolate_instance", true, 3},
     KindRow{FaultKind::DeafenInstance, "deafen_instance", true, 1},
     KindRow{FaultKind::DelayInstance, "delay_instance", true, 1},
@@ -99,6 +103,19 @@
     return static_cast<int>(dice.between(0, count - 1));
 }
 
+std::optional<Fault> parseFault(std::string_view name, std::istream &rest)
+{
+    const auto row = std::find_if(
+        Kinds.begin(), Kinds.end(), [name](const KindRow &kind) { return kind.name == name; });
+    int subject = 0;
+    int64_t at = 0;
+    int64_t duration = 0;
+    if (row == Kinds.end() || !(rest >> subject >> at >> duration)) {
+        return std::nullopt;
+    }
+    return Fault{row->kind, subject, milliseconds(at), milliseconds(duration)};
+}
+
 } // namespace
 
 std::string_view faultName(FaultKind kind)
@@ -113,14 +130,43 @@
 
 std::string describe(const Fault &fault)
 {
-    return fmt::format("{} of {} {} at {} ms for {} ms",
+    return fmt::format("{} {} {} {}",
                        faultName(fault.kind),
-                       isInstanceFault(fault.kind) ? "instance" : "target",
                        fault.subject,
                        fault.at.count(),
                        fault.duration.count());
 }
 
+Case parseCase(std::string_view text, std::string_view fileName)
+{
+    Case found;
+    std::istringstream lines{std::string(text)};
+    int number = 0;
+    for (std::string line; std::getline(lines, line);) {
+        ++number;
+        if (line.empty() || line.starts_with('#')) {
+            continue;
+        }
+        std::istringstream words(line);
+        std::string first;
+        words >> first;
+        if (first == "seed" && words >> found.seed) {
+            continue;
+        }
+        const std::optional<Fault> fault = parseFault(first, words);
+        if (!fault) {
+            throw std::runtime_error(fmt::format(
+                "{}:{}: found '{}'; accepted: 'seed N', or a kind of fault, its subject, its start "
+                "and its length in milliseconds",
+                fileName,
+                number,
+                line));
+        }
+        found.faults.push_back(*fault);
+    }
+    return found;
+}
+
 int Shape::targets() const
 {
     return this->engines + this->payments;
--- a/utilities/soak/plan.h
+++ b/utilities/soak/plan.h
@@ -15,6 +15,7 @@
     StopInstance, // SIGTERM, started again at the end.
     FreezeInstance, // SIGSTOP, SIGCONT at the end.
     LoseDisk, // SIGKILL of a control instance, its data folder removed, started again at the end.
+    LosePower, // SIGKILL of all instances at once, started again at the end.
     IsolateInstance, // No byte passes between it and any other instance.
     DeafenInstance, // What it asks of the others does not arrive; what they ask of it does.
     DelayInstance, // All that passes between it and the others is late.
@@ -39,9 +40,22 @@
     friend bool operator==(const Fault &, const Fault &) = default;
 };
 
-// Renders the fault for people.
+// Renders the fault as a line of a case file: its kind, its subject, when it begins and how long it
+// lasts, in milliseconds.
 std::string describe(const Fault &fault);
 
+// A round to be played again: its seed and the faults that were drawn for it, since a seed alone
+// means other faults once the drawing changes.
+struct Case {
+    uint64_t seed = 0;
+    std::vector<Fault> faults;
+};
+
+// Reads a case file: a line `seed N`, then a line for each fault as `describe` renders it. A line
+// that begins with # is a comment. Throws std::runtime_error that names the line that is none of
+// these.
+Case parseCase(std::string_view text, std::string_view fileName);
+
 // What a round is made of.
 struct Shape {
     int instances = 4; // Five at most.
--- a/utilities/soak/round.cpp
+++ b/utilities/soak/round.cpp
@@ -6,12 +6,14 @@
 #include "utilities/soak/observer.h"
 #include "utilities/soak/operators.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <fmt/format.h>
 
 #include <atomic>
 #include <fstream>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace samphirebridge::soak
@@ -23,6 +25,15 @@
 constexpr int ShutdownGraceMs = 30'000; // Longer than any call.
 constexpr int64_t DepartureSlackMs = 4'000; // Within this a change is in force everywhere.
 
+// Every control instance loses at its end what it had not synced; in some rounds disks are slow.
+std::string storageSettings(uint64_t seed)
+{
+    constexpr uint64_t SlowEach = 4; // Of this many rounds one has slow disks.
+    constexpr int SlowMs = 20;
+    const int delayMs = seed % SlowEach == 0 ? SlowMs : 0;
+    return fmt::format("fault_injection: {{lose_unsynced: true, sync_delay_ms: {}}}\n", delayMs);
+}
+
 // The parts of a round that live while it is played.
 class Round
 {
@@ -33,10 +44,11 @@
                  .instances = settings.shape.instances,
                  .control = settings.shape.control,
                  .relays = true,
-                 .shutdownGraceMs = ShutdownGraceMs})
+                 .shutdownGraceMs = ShutdownGraceMs,
+                 .furtherSettings = storageSettings(settings.seed)})
         , witness(PaymentPrice)
         , injector(this->fleet, settings.shape, settings.basePort)
-        , operators(this->fleet, settings.shape)
+        , operators(this->fleet, settings.shape, this->witness)
         , observer(this->fleet, settings.shape, this->injector, this->operators, this->witness)
         , callLog(this->fleet.folder() / "calls.jsonl")
     {
@@ -54,7 +66,7 @@
             this->playFaults();
             this->recover();
             this->check();
-        } catch (const testing::FleetError &error) {
+        } catch (const std::runtime_error &error) {
             this->witness.fail(error.what());
         }
         for (const std::string &failure : this->injector.failures()) {
@@ -86,7 +98,10 @@
     void playFaults()
     {
         std::atomic<bool> stopping = false;
-        std::vector<std::thread> threads;
+        std::jthread watching([this] { this->observer.run(this->isOver); });
+        const absl::Cleanup over([this] { this->isOver = true; });
+        std::vector<std::jthread> threads;
+        const absl::Cleanup stop([&stopping] { stopping = true; });
         for (int number = 0; number < this->settings.shape.callers; ++number) {
             threads.emplace_back([this, number, &stopping] {
                 const uint64_t seed
@@ -99,15 +114,7 @@
             });
         }
         threads.emplace_back([this, &stopping] { this->operators.run(stopping); });
-        std::thread watching([this] { this->observer.run(this->isOver); });
-        const std::vector<Fault> plan = drawPlan(this->settings.seed, this->settings.shape);
-        this->injector.run(plan);
-        stopping = true;
-        for (std::thread &thread : threads) {
-            thread.join();
-        }
-        this->isOver = true;
-        watching.join();
+        this->injector.run(this->settings.faults);
     }
 
     // After the last fault every instance serves again, with the newest manifest.
@@ -163,10 +170,16 @@
                                budget.at("quarantined_tokens"),
                                budget.at("pool_tokens")};
         };
-        testing::Fleet::waitFor("the ledger accounts for what the targets ran", [&] {
-            this->observer.readRuns();
-            return this->witness.isAccountedFor(state("letters"), state("fees"));
-        });
+        std::optional<std::string> unaccounted;
+        try {
+            testing::Fleet::waitFor("the ledger accounts for what was served", [&] {
+                this->observer.readRuns();
+                unaccounted = this->witness.unaccounted(state("letters"), state("fees"));
+                return !unaccounted;
+            });
+        } catch (const testing::FleetError &error) {
+            this->witness.fail(unaccounted.value_or(error.what()));
+        }
         this->witness.checkBilling(state("letters"), state("fees"));
         this->witness.checkRuns();
         for (const Shutdown &shutdown : this->injector.shutdowns()) {
@@ -188,12 +201,13 @@
     void keepFolder(const RoundResult &result)
     {
         this->callLog.flush();
-        std::ofstream report(this->fleet.folder() / "report.txt");
-        for (const Fault &fault : drawPlan(this->settings.seed, this->settings.shape)) {
-            report << describe(fault) << '\n';
-        }
+        std::ofstream report(this->fleet.folder() / "round.case");
         for (const std::string &violation : result.violations) {
-            report << "violation: " << violation << '\n';
+            report << "# " << violation << '\n';
+        }
+        report << "seed " << this->settings.seed << '\n';
+        for (const Fault &fault : this->settings.faults) {
+            report << describe(fault) << '\n';
         }
         report.close();
         const auto kept = this->settings.keep / fmt::format("seed-{}", this->settings.seed);
--- a/utilities/soak/round.h
+++ b/utilities/soak/round.h
@@ -12,8 +12,9 @@
 {
 
 struct RoundSettings {
-    uint64_t seed = 1;
+    uint64_t seed = 1; // Of the callers.
     Shape shape;
+    std::vector<Fault> faults;
     uint16_t basePort = 30'000; // The round uses the hundred ports from here on.
     std::filesystem::path keep; // Where a failed round's folder is copied to; empty: nowhere.
 };
--- a/utilities/soak/witness.cpp
+++ b/utilities/soak/witness.cpp
@@ -62,6 +62,7 @@
             {"ended_ms", call.endedMs},
             {"end", endName(call.end)},
             {"status", call.status},
+            {"tokens", call.tokens},
             {"outcome", call.outcome},
             {"detail", call.detail},
             {"text", call.text}};
@@ -76,6 +77,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->checkAnswer(call);
+    this->chatTokens += call.tokens;
     this->callsPerKey[call.key].push_back(call);
 }
 
@@ -104,7 +106,7 @@
         this->runsPerKey[line.value("key", "")].push_back(
             {target, line.value("at_ms", int64_t{0})});
     } else if (event == "finished" || event == "cancelled") {
-        this->chatTokens
+        this->engineTokens
             += line.value("tokens", int64_t{0}) + line.value("prompt_tokens", int64_t{0});
     }
 }
@@ -113,8 +115,8 @@
 {
     const std::lock_guard lock(this->mutex);
     if (this->chatTokens > chatBudget) {
-        this->note(fmt::format(
-            "engines consumed {} tokens of a budget of {}", this->chatTokens, chatBudget));
+        this->note(
+            fmt::format("callers got {} tokens of a budget of {}", this->chatTokens, chatBudget));
     }
     const int64_t paid = this->paymentRuns() * this->paymentPrice;
     if (paid > paymentBudget) {
@@ -221,11 +223,24 @@
     }
 }
 
-bool Witness::isAccountedFor(const BudgetState &chat, const BudgetState &payments) const
+std::optional<std::string> Witness::unaccounted(const BudgetState &chat,
+                                                const BudgetState &payments) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->chatTokens <= chat.billed + chat.quarantined
-           && this->paymentRuns() * this->paymentPrice <= payments.billed + payments.quarantined;
+    const int64_t paid = this->paymentRuns() * this->paymentPrice;
+    const bool isComplete = this->chatTokens <= chat.billed + chat.quarantined
+                            && paid <= payments.billed + payments.quarantined;
+    if (isComplete) {
+        return std::nullopt;
+    }
+    return fmt::format("of {} tokens of chats {} are billed and {} set aside, of {} of payments {} "
+                       "and {}",
+                       this->chatTokens,
+                       chat.billed,
+                       chat.quarantined,
+                       paid,
+                       payments.billed,
+                       payments.quarantined);
 }
 
 void Witness::fail(const std::string &violation)
@@ -253,7 +268,8 @@
     for (const auto &[name, count] : counts) {
         text += fmt::format("{}{} {}", text.empty() ? "" : ", ", count, name);
     }
-    return text;
+    return fmt::format(
+        "{}; callers got {} tokens, engines made {}", text, this->chatTokens, this->engineTokens);
 }
 
 void Witness::note(std::string violation)
--- a/utilities/soak/witness.h
+++ b/utilities/soak/witness.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -41,6 +42,8 @@
     std::string detail; // Of a refusal or a broken call, for people.
     std::string text; // What the answer said; of a stream as far as it came.
     std::string expected; // What a complete answer says.
+    int64_t tokens
+        = 0; // Of a chat: what the caller got, the prompt included; 0 if that is nothing.
 };
 
 // Renders the call as one JSON object.
@@ -81,8 +84,9 @@
     // Takes a line of a target's run log.
     void addRun(const std::string &target, const nlohmann::json &line);
 
-    // Checks what targets have run so far against the most that can have been purchased by now.
-    void checkSpending(int64_t chatTokens, int64_t paymentTokens);
+    // Checks what callers got and targets ran so far against the most that can have been purchased
+    // by now. A chat is billed for its answer once, whatever attempts it took.
+    void checkSpending(int64_t chatBudget, int64_t paymentBudget);
 
     // Takes the version of the manifest that a process has in force.
     void addVersion(int instance, int incarnation, int64_t version);
@@ -96,12 +100,13 @@
     // Checks, after all calls, payments and refusals against what the targets ran.
     void checkRuns();
 
-    // Checks the ledger against what the targets ran, once all instances have reported.
+    // Checks the ledger against what was served, once all instances have reported.
     void checkBilling(const BudgetState &chat, const BudgetState &payments);
 
-    // Tells whether the ledger accounts for all that the targets ran; reports may still be under
-    // way.
-    [[nodiscard]] bool isAccountedFor(const BudgetState &chat, const BudgetState &payments) const;
+    // Tells what was served that the ledger does not account for, if anything; reports may still be
+    // under way.
+    [[nodiscard]] std::optional<std::string> unaccounted(const BudgetState &chat,
+                                                         const BudgetState &payments) const;
 
     void fail(const std::string &violation);
 
@@ -126,7 +131,8 @@
     std::map<std::string, std::vector<Call>> callsPerKey; // Under the mutex, as all that follows.
     std::map<std::string, std::vector<Run>> runsPerKey;
     std::map<std::pair<int, int>, int64_t> versions; // Highest per instance and incarnation.
-    int64_t chatTokens = 0;
+    int64_t chatTokens = 0; // What callers got.
+    int64_t engineTokens = 0; // What engines read and made, in all attempts that they ended.
     std::vector<std::string> broken;
 };
 
