--- a/tests/soak/witnesstest.cpp
+++ b/tests/soak/witnesstest.cpp
@@ -160,6 +160,10 @@
     witness.add(payment("paid", CallEnd::Answered));
     witness.addRun("payments-3", run("paid"));
     witness.add(payment("refused", CallEnd::Refused, "not_run"));
+    Call letter = stream("one two three", CallEnd::Answered);
+    letter.tokens = 10;
+    letter.mostTokens = 10;
+    witness.add(letter);
     const BudgetState chat{
         .purchased = 50, .billed = 10, .escrow = 20, .quarantined = 5, .pool = 15};
     const BudgetState paid{.purchased = 300, .billed = 100, .pool = 200};
@@ -171,7 +175,15 @@
     const BudgetState twice{.purchased = 300, .billed = 200, .pool = 100};
     witness.checkBilling(chat, twice);
     CHECK(violations(witness) == 1);
+    const BudgetState twiceRead{
+        .purchased = 50, .billed = 20, .escrow = 10, .quarantined = 5, .pool = 15};
+    witness.checkBilling(twiceRead, paid);
+    CHECK(violations(witness) == 2);
+    witness.checkPurchase(chat, 50);
+    CHECK(violations(witness) == 2);
+    witness.checkPurchase(chat, 60);
+    CHECK(violations(witness) == 3);
     const BudgetState lost{.purchased = 300, .billed = 100, .pool = 150};
     witness.checkBilling(chat, lost);
-    CHECK(violations(witness) == 2);
+    CHECK(violations(witness) == 4);
 }
--- a/utilities/soak/caller.cpp
+++ b/utilities/soak/caller.cpp
@@ -77,6 +77,8 @@
         this->call.expected = expectedOf(script);
         this->call.startedMs = nowMs();
         this->promptTokens = standins::countTokens(promptOf(script));
+        const bool isChat = script.kind != CallKind::Payment;
+        this->call.mostTokens = isChat ? this->promptTokens + script.tokens : 0;
     }
 
     void takeHead(int status)
--- a/utilities/soak/round.cpp
+++ b/utilities/soak/round.cpp
@@ -181,6 +181,9 @@
             this->witness.fail(unaccounted.value_or(error.what()));
         }
         this->witness.checkBilling(state("letters"), state("fees"));
+        const int64_t version = this->operators.highestConfirmed();
+        this->witness.checkPurchase(state("letters"), chatTokensAt(version));
+        this->witness.checkPurchase(state("fees"), paymentTokensAt(version));
         this->witness.checkRuns();
         for (const Shutdown &shutdown : this->injector.shutdowns()) {
             this->witness.checkShutdown(shutdown);
--- a/utilities/soak/witness.cpp
+++ b/utilities/soak/witness.cpp
@@ -211,11 +211,17 @@
                 "a budget of {} tokens is accounted for as {}", budget.purchased, sumOf(budget)));
         }
     }
+    int64_t billableChats = 0;
     int64_t billable = 0;
     for (const auto &[key, calls] : this->callsPerKey) {
         const bool isPayment = calls.front().kind == CallKind::Payment;
         const bool isCertain = std::all_of(calls.begin(), calls.end(), isKnownNotRun);
         billable += isPayment && !isCertain ? this->paymentPrice : 0;
+        billableChats += isCertain ? 0 : calls.front().mostTokens;
+    }
+    if (chat.billed > billableChats) {
+        this->note(fmt::format(
+            "{} tokens are billed for chats of {} at most", chat.billed, billableChats));
     }
     if (payments.billed > billable) {
         this->note(fmt::format(
@@ -223,6 +229,16 @@
     }
 }
 
+void Witness::checkPurchase(const BudgetState &budget, int64_t purchased)
+{
+    const std::lock_guard lock(this->mutex);
+    if (budget.purchased != purchased) {
+        this->note(fmt::format("a budget holds {} purchased tokens; the manifest in force says {}",
+                               budget.purchased,
+                               purchased));
+    }
+}
+
 std::optional<std::string> Witness::unaccounted(const BudgetState &chat,
                                                 const BudgetState &payments) const
 {
--- a/utilities/soak/witness.h
+++ b/utilities/soak/witness.h
@@ -42,8 +42,8 @@
     std::string detail; // Of a refusal or a broken call, for people.
     std::string text; // What the answer said; of a stream as far as it came.
     std::string expected; // What a complete answer says.
-    int64_t tokens
-        = 0; // Of a chat: what the caller got, the prompt included; 0 if that is nothing.
+    int64_t tokens = 0; // Of a chat: what the caller got, the prompt included; or 0.
+    int64_t mostTokens = 0; // Of a chat: what a complete answer is billed for.
 };
 
 // Renders the call as one JSON object.
@@ -103,6 +103,9 @@
     // Checks the ledger against what was served, once all instances have reported.
     void checkBilling(const BudgetState &chat, const BudgetState &payments);
 
+    // Checks that the budgets hold what the manifest in force purchases.
+    void checkPurchase(const BudgetState &budget, int64_t purchased);
+
     // Tells what was served that the ledger does not account for, if anything; reports may still be
     // under way.
     [[nodiscard]] std::optional<std::string> unaccounted(const BudgetState &chat,
