transport: Wait until gRPC has let go of every call

Cause: a channel's destructor waited until each reply was handed over. gRPC lets go of a call later, on a thread of its own, and with it of the channel and of the last reference to the library, whose shutdown then ran beside the end of the process.

Which of the two parts, the counted calls or the blocking shutdown, would do alone was not tried.

--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -2,6 +2,7 @@
 
 #include "instance.grpc.pb.h"
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/transport/grpclifetime.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -54,9 +55,68 @@
                            status.error_message());
 }
 
-// Everything that one asynchronous call needs until it ends.
+// Counts the calls that gRPC still holds something of.
+class CallCounter
+{
+public:
+    void add()
+    {
+        const std::lock_guard lock(this->mutex);
+        ++this->count;
+    }
+
+    void remove()
+    {
+        // Told under the lock: who waits may destroy this object at once.
+        const std::lock_guard lock(this->mutex);
+        --this->count;
+        this->ended.notify_all();
+    }
+
+    void waitForNone()
+    {
+        std::unique_lock lock(this->mutex);
+        this->ended.wait(lock, [this] { return this->count == 0; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable ended;
+    size_t count = 0;
+};
+
+// One counted call.
+class CountedCall
+{
+public:
+    explicit CountedCall(CallCounter &callCounter)
+        : counter(callCounter)
+    {
+        this->counter.add();
+    }
+
+    ~CountedCall()
+    {
+        this->counter.remove();
+    }
+
+    CountedCall(const CountedCall &) = delete;
+    CountedCall &operator=(const CountedCall &) = delete;
+
+private:
+    CallCounter &counter;
+};
+
+// Everything that one asynchronous call needs until it ends. gRPC lets go of it some time after the
+// reply was handed over.
 template <typename Request, typename Reply>
 struct Call {
+    explicit Call(CallCounter &counter)
+        : counted(counter)
+    {
+    }
+
+    CountedCall counted; // First, so that it goes last: the context holds on to the channel.
     grpc::ClientContext context;
     Request request;
     Reply reply;
@@ -84,7 +144,7 @@
 
 } // namespace
 
-struct PeerChannel::State : public std::enable_shared_from_this<PeerChannel::State> {
+struct PeerChannel::State {
     State(std::string_view address, telemetry::Counters &processCounters)
         : counters(processCounters)
         , stub(proto::InstanceService::NewStub(grpc::CreateCustomChannel(
@@ -97,7 +157,7 @@
     void
     call(const Request &request, core::Duration timeout, OnReply<Reply> onReply, const Start &start)
     {
-        auto pending = std::make_shared<Call<Request, Reply>>();
+        auto pending = std::make_shared<Call<Request, Reply>>(this->calls);
         pending->request = request;
         pending->onReply = std::move(onReply);
         pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
@@ -106,14 +166,13 @@
             return;
         }
         this->countSent(request.ByteSizeLong());
-        auto self = this->shared_from_this();
-        start(this->stub->async(), pending.get(), [self, pending](const grpc::Status &status) {
+        start(this->stub->async(), pending.get(), [this, pending](const grpc::Status &status) {
             if (status.ok()) {
                 pending->onReply(std::move(pending->reply));
             } else {
                 pending->onReply(errorOf(status));
             }
-            self->end(pending->context);
+            this->end(pending->context);
         });
     }
 
@@ -138,24 +197,25 @@
     {
         const std::lock_guard lock(this->mutex);
         this->active.erase(&context);
-        this->ended.notify_all();
     }
 
-    // Cancels what is under way and waits until each call's end was told.
+    // Cancels what is under way and waits until gRPC has let go of every call.
     void close()
     {
-        std::unique_lock lock(this->mutex);
-        this->closed = true;
-        for (grpc::ClientContext *context : this->active) {
-            context->TryCancel();
+        {
+            const std::lock_guard lock(this->mutex);
+            this->closed = true;
+            for (grpc::ClientContext *context : this->active) {
+                context->TryCancel();
+            }
         }
-        this->ended.wait(lock, [this] { return this->active.empty(); });
+        this->calls.waitForNone();
     }
 
     // Sends what is queued unless a message is on its way.
     void sendNext()
     {
-        auto pending = std::make_shared<Call<proto::Envelope, proto::EnvelopeReply>>();
+        auto pending = std::make_shared<Call<proto::Envelope, proto::EnvelopeReply>>(this->calls);
         {
             const std::lock_guard lock(this->mutex);
             if (this->sending || this->closed || !this->hasQueued()) {
@@ -168,12 +228,11 @@
         }
         pending->context.set_deadline(std::chrono::system_clock::now() + DeliverTimeout);
         this->countSent(pending->request.ByteSizeLong());
-        auto self = this->shared_from_this();
         this->stub->async()->Deliver(&pending->context,
                                      &pending->request,
                                      &pending->reply,
-                                     [self, pending](const grpc::Status &status) {
-                                         self->onDelivered(status, pending->context);
+                                     [this, pending](const grpc::Status &status) {
+                                         this->onDelivered(status, pending->context);
                                      });
     }
 
@@ -186,7 +245,6 @@
             const std::lock_guard lock(this->mutex);
             this->sending = false;
             this->active.erase(&context);
-            this->ended.notify_all();
         }
         this->sendNext();
     }
@@ -198,18 +256,19 @@
                > 0;
     }
 
+    GrpcLifetime library; // First, so that it ends after the channel.
     telemetry::Counters &counters;
     std::unique_ptr<proto::InstanceService::Stub> stub;
+    CallCounter calls;
     std::mutex mutex;
     proto::Envelope queued;
-    std::condition_variable ended;
     std::set<grpc::ClientContext *> active;
     bool sending = false;
     bool closed = false;
 };
 
 PeerChannel::PeerChannel(std::string_view address, telemetry::Counters &counters)
-    : state(std::make_shared<State>(address, counters))
+    : state(std::make_unique<State>(address, counters))
 {
 }
 
--- a/source/samphirebridge/transport/peerchannel.h
+++ b/source/samphirebridge/transport/peerchannel.h
@@ -82,7 +82,7 @@
 
 private:
     struct State;
-    std::shared_ptr<State> state;
+    std::unique_ptr<State> state;
 };
 
 } // namespace samphirebridge::transport
--- a/source/samphirebridge/transport/rpcserver.cpp
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -2,6 +2,7 @@
 
 #include "instance.grpc.pb.h"
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/transport/grpclifetime.h"
 
 #include <fmt/format.h>
 #include <grpcpp/grpcpp.h>
@@ -134,6 +135,7 @@
     {
     }
 
+    GrpcLifetime library; // First, so that it ends after the server.
     Service service;
     std::unique_ptr<grpc::Server> server;
 };
--- a/tests/transport/transporttest.cpp
+++ b/tests/transport/transporttest.cpp
@@ -76,3 +76,15 @@
     const core::ErrorCode code = core::errorCodeOf(reply.status());
     CHECK((code == core::ErrorCode::Unreachable || code == core::ErrorCode::Timeout));
 }
+
+TEST_CASE("channels that go right after their reply leave nothing running in gRPC")
+{
+    constexpr int Rounds = 200;
+    telemetry::Counters counters;
+    for (int round = 0; round < Rounds; ++round) {
+        transport::PeerChannel channel("127.0.0.1:18463", counters);
+        std::promise<void> answered;
+        channel.submit({}, 2s, [&](const auto & /*reply*/) { answered.set_value(); });
+        answered.get_future().wait();
+    }
+}
