entry: Tell when a registration began, not when it got through

Cause: after a kill of the whole fleet an instance asks to be registered until a leader is elected. The ledger took the time until the command that got through for time in which its predecessor may have spent out of contact, and set the ramp of that time aside. The predecessor was over before the first command: its port was free.

Each command now carries the machine clock's reading of the first one.

Ruled out: the same for the leader's clock, which would need a second reading in the command; a change of leader is what a kill of all brings.

--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -3,7 +3,6 @@
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/core/rendezvous.h"
-#include "samphirebridge/ledger/clockreadings.h"
 
 #include <chrono>
 #include <string>
@@ -205,12 +204,8 @@
 void EntryNode::registerHolder()
 {
     this->registering = true;
-    proto::Command command;
-    proto::Holder *holder = command.mutable_register_holder()->mutable_holder();
-    holder->set_instance(this->options.holder.instance.value);
-    holder->set_incarnation(this->options.holder.incarnation);
-    *command.mutable_register_holder()->mutable_sent_at()
-        = ledger::protoOf(this->machineClock.read());
+    const proto::Command command
+        = this->registration.command(this->options.holder, this->machineClock.read());
     this->client.submit(command, RegistrationTimeout, [this](const auto &result) {
         this->registering = false;
         this->onRegistered(result);
@@ -256,6 +251,7 @@
 void EntryNode::renewIncarnation()
 {
     this->options.holder.incarnation += IncarnationStep;
+    this->registration.restart();
     this->escrowKeeper.setHolder(this->options.holder);
     this->fleetView.setIncarnation(this->options.holder.incarnation);
     this->logger.change("incarnation_renewed",
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -7,6 +7,7 @@
 #include "samphirebridge/entry/escrowkeeper.h"
 #include "samphirebridge/entry/fleetview.h"
 #include "samphirebridge/entry/manifestkeeper.h"
+#include "samphirebridge/entry/registration.h"
 
 #include <atomic>
 
@@ -90,6 +91,7 @@
     DeclarationKeeper declarationKeeper;
     core::TimePoint lastControlCheck;
     core::TimePoint lastLevels;
+    Registration registration;
     bool registering = false;
     bool registered = false;
     std::atomic<bool> draining = false;
--- /dev/null
+++ b/source/samphirebridge/entry/registration.cpp
@@ -0,0 +1,26 @@
+#include "samphirebridge/entry/registration.h"
+
+#include "samphirebridge/ledger/clockreadings.h"
+
+namespace samphirebridge::entry
+{
+
+proto::Command Registration::command(const core::HolderId &holder, const core::ClockReading &now)
+{
+    if (!this->firstSentAt) {
+        this->firstSentAt = now;
+    }
+    proto::Command command;
+    proto::RegisterHolder &registration = *command.mutable_register_holder();
+    registration.mutable_holder()->set_instance(holder.instance.value);
+    registration.mutable_holder()->set_incarnation(holder.incarnation);
+    *registration.mutable_sent_at() = ledger::protoOf(*this->firstSentAt);
+    return command;
+}
+
+void Registration::restart()
+{
+    this->firstSentAt.reset();
+}
+
+} // namespace samphirebridge::entry
--- /dev/null
+++ b/source/samphirebridge/entry/registration.h
@@ -0,0 +1,29 @@
+// How an instance asks to be registered as a holder of escrow.
+#pragma once
+
+#include "samphirebridge/core/bootclock.h"
+#include "samphirebridge/core/ids.h"
+
+#include <ledger.pb.h>
+
+#include <optional>
+
+namespace samphirebridge::entry
+{
+
+// One incarnation's registration. It may take many commands, while the control instances elect a
+// leader; the predecessors were over before the first of them, as the instance's port was free.
+class Registration
+{
+public:
+    // Returns the command to send now, at the machine clock's reading `now`.
+    proto::Command command(const core::HolderId &holder, const core::ClockReading &now);
+
+    // Begins again for another incarnation of the same process.
+    void restart();
+
+private:
+    std::optional<core::ClockReading> firstSentAt;
+};
+
+} // namespace samphirebridge::entry
--- /dev/null
+++ b/tests/entry/registrationtest.cpp
@@ -0,0 +1,50 @@
+// How an instance that starts anew asks to be registered.
+#include "samphirebridge/entry/registration.h"
+#include "samphirebridge/ledger/ledger.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphirebridge;
+
+namespace
+{
+
+const core::HolderId First{core::InstanceId("a"), 1};
+const core::HolderId Second{core::InstanceId("a"), 2};
+
+constexpr uint64_t MachineClock = 40;
+
+core::ClockReading machineAt(uint64_t ms)
+{
+    return {MachineClock, ms};
+}
+
+} // namespace
+
+TEST_CASE("all commands of one registration tell when it began")
+{
+    entry::Registration registration;
+    const proto::Command first = registration.command(Second, machineAt(1'000));
+    const proto::Command later = registration.command(Second, machineAt(1'700));
+    CHECK(first.register_holder().sent_at().at_ms() == 1'000);
+    CHECK(later.register_holder().sent_at().at_ms() == 1'000);
+    CHECK(later.register_holder().holder().incarnation() == 2);
+    registration.restart();
+    const proto::Command renewed = registration.command(Second, machineAt(2'000));
+    CHECK(renewed.register_holder().sent_at().at_ms() == 2'000);
+}
+
+TEST_CASE("after a kill of the whole fleet the election does not count as time out of contact")
+{
+    ledger::Ledger ledger;
+    entry::Registration predecessor;
+    ledger.apply(predecessor.command(First, machineAt(10'000)));
+    // The process ends at 10,050 ms; its successor asks from 10,400 ms on, and a leader answers 900
+    // ms later.
+    entry::Registration successor;
+    successor.command(Second, machineAt(10'400));
+    const proto::CommandResult result = ledger.apply(successor.command(Second, machineAt(11'300)));
+    REQUIRE(result.register_holder().isolation_bounded());
+    CHECK(result.register_holder().isolated_at_most_ms() >= 400);
+    CHECK(result.register_holder().isolated_at_most_ms() <= 420);
+}
