soak: Hold a departure against the target that left alone

The log has all four instances see it leave within 0.05 s and a new incarnation of the same name come 6 s later, which ran it. The check now ends with the process that left.

Run: test_soak, 12 cases. The new test was not run against the old check.

--- a/utilities/soak/injector.cpp
+++ b/utilities/soak/injector.cpp
@@ -318,7 +318,8 @@
         const int64_t from = trace.startedMs - QuietAroundDepartureMs;
         const int64_t to = trace.startedMs + LingerMs;
         if (trace.fault.kind == FaultKind::RetireTarget && this->isUndisturbed(trace, from, to)) {
-            found.push_back({targetName(this->shape, trace.fault.subject), trace.startedMs});
+            found.push_back(
+                {targetName(this->shape, trace.fault.subject), trace.startedMs, trace.endedMs});
         }
     }
     return found;
--- a/utilities/soak/witness.cpp
+++ b/utilities/soak/witness.cpp
@@ -159,7 +159,9 @@
     const std::lock_guard lock(this->mutex);
     for (const auto &[key, runs] : this->runsPerKey) {
         for (const Run &run : runs) {
-            if (run.target == departure.target && run.startedMs > departure.announcedMs + slackMs) {
+            const bool isLate = run.startedMs > departure.announcedMs + slackMs
+                                && run.startedMs < departure.endedMs;
+            if (run.target == departure.target && isLate) {
                 this->note(fmt::format("target {} was sent {} {} ms after it said that it leaves",
                                        run.target,
                                        key,
--- a/utilities/soak/witness.h
+++ b/utilities/soak/witness.h
@@ -60,6 +60,7 @@
 struct Departure {
     std::string target;
     int64_t announcedMs = 0;
+    int64_t endedMs = 0; // Its successor of the same name is no part of this.
 };
 
 // What one budget's ledger entry says.
