--- a/source/samphirebridge/storage/filestorage.cpp
+++ b/source/samphirebridge/storage/filestorage.cpp
@@ -253,8 +253,7 @@
         return descriptor.status();
     }
     std::this_thread::sleep_for(this->faults.syncDelay);
-    const absl::Status written = this->writeHeldBack(name, *descriptor);
-    if (!written.ok()) {
+    if (absl::Status written = this->writeHeldBack(name, *descriptor); !written.ok()) {
         return written;
     }
     if (::fdatasync(*descriptor) != 0) {
@@ -309,8 +308,7 @@
     if (!descriptor.ok()) {
         return descriptor.status();
     }
-    const absl::Status written = this->writeHeldBack(name, *descriptor);
-    if (!written.ok()) {
+    if (absl::Status written = this->writeHeldBack(name, *descriptor); !written.ok()) {
         return written;
     }
     if (::ftruncate(*descriptor, static_cast<off_t>(length)) != 0) {
