soak: Read versions all the time, and leave budgets for the recovery

One operator read the version each 0.6 s, so no read was late enough in a freeze, and no one compared a confirmed change with the version that it was given. Control instances are read every 50 ms now, with reads given up after 0.3 s, and confirmed versions compared.

--- a/utilities/soak/observer.cpp
+++ b/utilities/soak/observer.cpp
@@ -45,8 +45,8 @@
         this->readLog(targetName(this->shape, index));
     }
     // Read after the logs: what was spent was purchased by a version sent before.
-    const int64_t version = this->operators.highestSent();
-    this->witness.checkSpending(chatTokensAt(version), paymentTokensAt(version));
+    const Purchase most = this->operators.purchaseAt(this->operators.highestSent());
+    this->witness.checkSpending(most.chatTokens, most.paymentTokens);
 }
 
 void Observer::readLog(const std::string &target)
--- a/utilities/soak/operators.cpp
+++ b/utilities/soak/operators.cpp
@@ -15,10 +15,15 @@
 
 // Small at first, so that budgets run out within a round and grow again by changes.
 constexpr int64_t ChatStart = 6'000;
-constexpr int64_t ChatStep = 1'000;
+constexpr int64_t ChatStep = 500;
 constexpr int64_t PaymentStart = 3'000;
-constexpr int64_t PaymentStep = 400;
-constexpr std::chrono::milliseconds ChangeInterval{600};
+constexpr int64_t PaymentStep = 200;
+constexpr int64_t EnoughTokens = 1'000'000;
+constexpr std::chrono::milliseconds ChangeInterval{300};
+constexpr std::chrono::milliseconds WatchInterval{50};
+constexpr std::chrono::seconds ChangeTimeout{5};
+// Short, so that a frozen instance that wakes has reads of late before it.
+constexpr std::chrono::milliseconds ReadTimeout{300};
 constexpr int StatusOk = 200;
 
 std::string digestOf(std::string_view secret)
@@ -28,17 +33,7 @@
 
 } // namespace
 
-int64_t chatTokensAt(int64_t version)
-{
-    return ChatStart + ChatStep * version;
-}
-
-int64_t paymentTokensAt(int64_t version)
-{
-    return PaymentStart + PaymentStep * version;
-}
-
-std::string manifestOf(int64_t version)
+std::string manifestOf(const Purchase &purchase)
 {
     return fmt::format(R"(organisations:
   - {{id: letters, services: [chat], models: [letters]}}
@@ -64,8 +59,8 @@
   - {{id: engine, service: chat, announce_sha256: {}, checks_fencing: true}}
   - {{id: payments, service: payments, announce_sha256: {}, checks_fencing: false}}
 )",
-                       chatTokensAt(version),
-                       paymentTokensAt(version),
+                       purchase.chatTokens,
+                       purchase.paymentTokens,
                        digestOf(testing::CallerKeyA),
                        digestOf(testing::CallerKeyB),
                        PaymentPrice,
@@ -83,7 +78,7 @@
 void Operators::found()
 {
     this->sent = 1;
-    this->fleet.apply(0, manifestOf(1), 0);
+    this->fleet.apply(0, manifestOf(this->purchaseAt(1)), 0);
     this->confirmed = 1;
 }
 
@@ -93,22 +88,30 @@
         std::this_thread::sleep_for(ChangeInterval);
         const int first = round % this->shape.instances;
         const int second = (round + 1) % this->shape.instances;
-        const int64_t known = this->confirmed;
         const std::optional<int64_t> current = this->currentVersion(first);
         if (!current) {
             continue;
         }
-        if (*current < known) {
+        std::thread other(
+            [&] { this->change(second, *current + 1, fmt::format("second-{}", round)); });
+        this->change(first, *current + 1, fmt::format("first-{}", round));
+        other.join();
+    }
+}
+
+void Operators::watch(int instance, const std::atomic<bool> &stopping)
+{
+    while (!stopping) {
+        const int64_t known = this->confirmed;
+        const std::optional<int64_t> current = this->currentVersion(instance);
+        if (current && *current < known) {
             this->witness.fail(
                 fmt::format("version {} is read at instance {} after {} was confirmed",
                             *current,
-                            first,
+                            instance,
                             known));
         }
-        std::thread other(
-            [&] { this->change(second, *current + 1, fmt::format("second-{}", round)); });
-        this->change(first, *current + 1, fmt::format("first-{}", round));
-        other.join();
+        std::this_thread::sleep_for(WatchInterval);
     }
 }
 
@@ -124,24 +127,48 @@
 
 std::optional<int64_t> Operators::currentVersion(int instance)
 {
-    const auto answer = this->fleet.call(instance, "GET", "/v1/status", testing::OperatorToken);
+    http::ClientRequest request;
+    request.url = this->fleet.httpUrl(instance) + "/v1/status";
+    request.headers.set("Authorization", std::string("Bearer ") + testing::OperatorToken);
+    const auto answer = this->client.fetch(request, ReadTimeout);
     if (!answer.ok() || answer->status != StatusOk) {
         return std::nullopt;
     }
     return nlohmann::json::parse(answer->body).at("manifest_version").get<int64_t>();
 }
 
+void Operators::purchaseEnough()
+{
+    this->further = EnoughTokens;
+}
+
+Purchase Operators::purchaseAt(int64_t version) const
+{
+    return {ChatStart + ChatStep * version + this->further,
+            PaymentStart + PaymentStep * version + this->further};
+}
+
 bool Operators::change(int instance, int64_t version, const std::string &changeId)
 {
     int64_t highest = this->sent;
     while (highest < version && !this->sent.compare_exchange_weak(highest, version)) { }
     const std::string path
         = fmt::format("/v1/manifest?expected_version={}&change_id={}", version - 1, changeId);
-    const auto answer
-        = this->fleet.call(instance, "PUT", path, testing::OperatorToken, manifestOf(version));
+    http::ClientRequest request;
+    request.method = "PUT";
+    request.url = this->fleet.httpUrl(instance) + path;
+    request.headers.set("Authorization", std::string("Bearer ") + testing::OperatorToken);
+    request.body = manifestOf(this->purchaseAt(version));
+    const auto answer = this->client.fetch(request, ChangeTimeout);
     if (!answer.ok() || answer->status != StatusOk) {
         return false;
     }
+    const auto result = nlohmann::json::parse(answer->body, nullptr, false);
+    const int64_t given = result.is_object() ? result.value("version", int64_t{0}) : 0;
+    if (given != version) {
+        this->witness.fail(
+            fmt::format("the change to version {} was confirmed as version {}", version, given));
+    }
     int64_t known = this->confirmed;
     while (known < version && !this->confirmed.compare_exchange_weak(known, version)) { }
     return true;
--- a/utilities/soak/operators.h
+++ b/utilities/soak/operators.h
@@ -18,15 +18,17 @@
 namespace samphirebridge::soak
 {
 
-// The tokens that a manifest of this version purchases.
-int64_t chatTokensAt(int64_t version);
-int64_t paymentTokensAt(int64_t version);
+// The tokens that a manifest purchases for chats and for payments.
+struct Purchase {
+    int64_t chatTokens = 0;
+    int64_t paymentTokens = 0;
+};
 
 // The price of a payment, in tokens.
 inline constexpr int64_t PaymentPrice = 100;
 
-// Renders the manifest of a version: it differs from the one before by more tokens.
-std::string manifestOf(int64_t version);
+// Renders the manifest with these budgets.
+std::string manifestOf(const Purchase &purchase);
 
 class Operators
 {
@@ -38,6 +40,10 @@
 
     void run(const std::atomic<bool> &stopping);
 
+    // Reads the version at an instance again and again. What was confirmed before a read must be in
+    // it, also where a leader was frozen and has not learnt yet that another leads.
+    void watch(int instance, const std::atomic<bool> &stopping);
+
     // Returns the highest version that was sent, accepted or not.
     [[nodiscard]] int64_t highestSent() const;
 
@@ -50,12 +56,20 @@
     // Sends the manifest of the version as the next one. True: it was confirmed.
     bool change(int instance, int64_t version, const std::string &changeId);
 
+    // Lets the manifests from now on purchase enough for every call.
+    void purchaseEnough();
+
+    // Returns what the manifest of this version purchases: more than the one before.
+    [[nodiscard]] Purchase purchaseAt(int64_t version) const;
+
 private:
     testing::Fleet &fleet;
     Shape shape;
     Witness &witness;
+    http::Client client;
     std::atomic<int64_t> sent{0};
     std::atomic<int64_t> confirmed{0};
+    std::atomic<int64_t> further{0}; // Tokens beside those that grow with the version.
 };
 
 } // namespace samphirebridge::soak
--- a/utilities/soak/round.cpp
+++ b/utilities/soak/round.cpp
@@ -114,6 +114,10 @@
             });
         }
         threads.emplace_back([this, &stopping] { this->operators.run(stopping); });
+        for (int index = 0; index < this->settings.shape.control; ++index) {
+            threads.emplace_back(
+                [this, index, &stopping] { this->operators.watch(index, stopping); });
+        }
         this->injector.run(this->settings.faults);
     }
 
@@ -125,6 +129,7 @@
         for (int index = 0; index < shape.instances; ++index) {
             this->fleet.waitReady(index);
         }
+        this->operators.purchaseEnough();
         testing::Fleet::waitFor("a last manifest is accepted", [&] {
             version = this->operators.currentVersion(0).value_or(version) + 1;
             return this->operators.change(0, version, fmt::format("last-{}", version));
@@ -181,9 +186,9 @@
             this->witness.fail(unaccounted.value_or(error.what()));
         }
         this->witness.checkBilling(state("letters"), state("fees"));
-        const int64_t version = this->operators.highestConfirmed();
-        this->witness.checkPurchase(state("letters"), chatTokensAt(version));
-        this->witness.checkPurchase(state("fees"), paymentTokensAt(version));
+        const Purchase purchase = this->operators.purchaseAt(this->operators.highestConfirmed());
+        this->witness.checkPurchase(state("letters"), purchase.chatTokens);
+        this->witness.checkPurchase(state("fees"), purchase.paymentTokens);
         this->witness.checkRuns();
         for (const Shutdown &shutdown : this->injector.shutdowns()) {
             this->witness.checkShutdown(shutdown);
