budget: Put a request's escrow together from several loans in a cut

The more instances a deployment has, the thinner the escrow of each.

Now each of those asked may give a part, and three rounds of four follow one another before the pause. LoanSeeker paces this without I/O. Instances begin with different lenders.

--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -1,5 +1,6 @@
 #include "samphirebridge/entry/escrowkeeper.h"
 
+#include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/ledger/clockreadings.h"
 
@@ -22,15 +23,6 @@
 // The longest time that a request waits for tokens; grants take milliseconds while in contact.
 constexpr core::Duration MaximumWait = std::chrono::seconds(3);
 
-// What is borrowed beyond the request at hand: demand of so many seconds.
-constexpr double LoanSeconds = 1.5;
-
-// Instances that are asked for one loan at once.
-constexpr size_t LendersAsked = 4;
-
-// The pause after an ask that brought nothing.
-constexpr core::Duration AskLoanAgain = std::chrono::milliseconds(300);
-
 // What a caller is told to wait after its request waited for tokens in vain.
 constexpr core::Duration RetryAfterWait = std::chrono::seconds(2);
 
@@ -47,6 +39,7 @@
     , counters(processCounters)
     , logger(processLogger)
     , isolation(this->book.holder(), {})
+    , loanSeeker(core::checksumOf(this->book.holder().instance.value))
     , isolatedExposure(options.exposureLimit)
     , lastContact(this->clock.now())
 {
@@ -232,7 +225,7 @@
 
 void EscrowKeeper::setLenders(std::vector<core::InstanceId> instances)
 {
-    this->lenders = std::move(instances);
+    this->loanSeeker.setLenders(std::move(instances));
 }
 
 proto::LoanReply EscrowKeeper::lend(const proto::LoanRequest &request)
@@ -253,46 +246,39 @@
 
 bool EscrowKeeper::borrow(const ReservationRequest &request, core::TimePoint now)
 {
-    if (!this->askLoan || this->lenders.empty() || !this->isolation.isIsolated()) {
+    if (!this->askLoan || !this->isolation.isIsolated()) {
         return false;
     }
-    Borrowing &borrowing = this->borrowings[request.budget];
-    if (borrowing.unanswered > 0) {
+    if (this->loanSeeker.isAsking(request.budget)) {
         return true;
     }
-    if (now < borrowing.notBefore) {
-        return false;
-    }
-    const int64_t missing = request.tokens.count - this->book.freeTokens(request.budget).count;
-    if (missing <= 0) {
+    const core::Tokens missing{request.tokens.count - this->book.freeTokens(request.budget).count};
+    const double rate = this->book.tokensPerSecond(request.budget, now);
+    const auto ask = this->loanSeeker.seek(request.budget, missing, rate, now);
+    if (!ask) {
         return false;
     }
-    const double ahead = this->book.tokensPerSecond(request.budget, now) * LoanSeconds;
-    proto::LoanRequest ask;
-    ask.mutable_borrower()->set_instance(this->book.holder().instance.value);
-    ask.mutable_borrower()->set_incarnation(this->book.holder().incarnation);
-    ask.set_budget(request.budget.value);
-    ask.set_minimum_tokens(missing);
-    ask.set_wanted_tokens(missing + static_cast<int64_t>(ahead));
-    borrowing.unanswered = std::min(this->lenders.size(), LendersAsked);
-    borrowing.notBefore = now + AskLoanAgain;
-    for (size_t count = borrowing.unanswered; count > 0; --count) {
-        this->askLoan(this->lenders[this->lenderTurn++ % this->lenders.size()],
-                      ask,
-                      [this, budget = request.budget](const proto::LoanReply *reply) {
-                          this->onLoanReply(budget, reply);
-                      });
+    proto::LoanRequest message;
+    message.mutable_borrower()->set_instance(this->book.holder().instance.value);
+    message.mutable_borrower()->set_incarnation(this->book.holder().incarnation);
+    message.set_budget(request.budget.value);
+    message.set_minimum_tokens(ask->minimum.count);
+    message.set_wanted_tokens(ask->wanted.count);
+    for (const core::InstanceId &lender : ask->lenders) {
+        this->askLoan(
+            lender, message, [this, budget = request.budget](const proto::LoanReply *reply) {
+                this->onLoanReply(budget, reply);
+            });
     }
     return true;
 }
 
 void EscrowKeeper::onLoanReply(const core::BudgetId &budget, const proto::LoanReply *reply)
 {
-    Borrowing &borrowing = this->borrowings[budget];
-    --borrowing.unanswered;
-    if (reply != nullptr && reply->has_loan()) {
+    const bool isGiven = reply != nullptr && reply->has_loan();
+    this->loanSeeker.onReply(budget, isGiven);
+    if (isGiven) {
         this->book.takeLoan(reply->loan());
-        borrowing.notBefore = {};
         this->logger.change("loan_taken",
                             {{"lender", reply->loan().lender().instance()},
                              {"budget", budget.value},
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -3,6 +3,7 @@
 
 #include "samphirebridge/budget/escrowbook.h"
 #include "samphirebridge/budget/isolation.h"
+#include "samphirebridge/budget/loanseeker.h"
 #include "samphirebridge/budget/witnessbook.h"
 #include "samphirebridge/control/ledgerclient.h"
 #include "samphirebridge/core/bootclock.h"
@@ -120,12 +121,6 @@
     [[nodiscard]] std::string inputsOf(const ReservationRequest &request,
                                        core::TimePoint now) const;
     [[nodiscard]] bool servesOutOfContact(core::TimePoint now) const;
-    // An ask of several instances for one budget.
-    struct Borrowing {
-        size_t unanswered = 0;
-        core::TimePoint notBefore; // No ask before, since the last one brought nothing.
-    };
-
     // Returns the answer to a request that the escrow here does not cover: nothing while a loan is
     // asked for.
     bool borrow(const ReservationRequest &request, core::TimePoint now);
@@ -150,9 +145,7 @@
     budget::WitnessBook witnessBook;
     SendNotice sendNotice;
     AskLoan askLoan;
-    std::vector<core::InstanceId> lenders;
-    size_t lenderTurn = 0;
-    std::map<core::BudgetId, Borrowing> borrowings;
+    budget::LoanSeeker loanSeeker;
     std::optional<core::Tokens> contactExposure;
     core::Tokens isolatedExposure;
     core::HolderId sentWitness; // Named by the batch in flight.
