soak: Let targets break off answers of payments, and count what is in doubt

Now 5 in 100 payments ask their target to break off the answer.

The witness counts those in doubt as such.

Run: test_soak (12 cases).

--- a/utilities/soak/caller.cpp
+++ b/utilities/soak/caller.cpp
@@ -26,6 +26,8 @@
 // Of a caller's calls, in hundredths.
 constexpr uint64_t StreamShare = 45;
 constexpr uint64_t WholeShare = 20;
+// Of the payments, in hundredths.
+constexpr uint64_t BreakShare = 5;
 constexpr uint64_t Hundred = 100;
 
 std::string promptOf(const Script &script)
@@ -45,7 +47,8 @@
         request.url = url + "/v1/payments";
         request.headers.add("Authorization", "Bearer " + settings.paymentKey);
         request.headers.add("Idempotency-Key", script.name);
-        request.body = json{{"id", script.name}, {"amount", 1}}.dump();
+        const std::string note = script.breaks ? "[break]" : "";
+        request.body = json{{"id", script.name}, {"note", note}}.dump();
         return request;
     }
     request.url = url + "/v1/chat/completions";
@@ -280,6 +283,7 @@
     script.name = fmt::format("{}-{}", this->name, ++this->number);
     script.tokens = 1 + static_cast<int>(this->dice() % MostTokens);
     script.instance = this->instance;
+    script.breaks = script.kind == CallKind::Payment && this->dice() % Hundred < BreakShare;
     return script;
 }
 
--- a/utilities/soak/caller.h
+++ b/utilities/soak/caller.h
@@ -30,6 +30,7 @@
     std::string name;
     int tokens = 0; // Of a chat's answer.
     int instance = 0;
+    bool breaks = false; // The target runs a payment and breaks off its answer.
 };
 
 // Sends one call and follows it to its end.
--- a/utilities/soak/witness.cpp
+++ b/utilities/soak/witness.cpp
@@ -245,7 +245,9 @@
                                                 const BudgetState &payments) const
 {
     const std::lock_guard lock(this->mutex);
-    const int64_t paid = this->paymentRuns() * this->paymentPrice;
+    // What a payment in doubt may cost stays reserved until an operator resolves it.
+    const int64_t certain = this->paymentRuns() - this->paymentsInDoubt();
+    const int64_t paid = certain * this->paymentPrice;
     const bool isComplete = this->chatTokens <= chat.billed + chat.quarantined
                             && paid <= payments.billed + payments.quarantined;
     if (isComplete) {
@@ -297,6 +299,18 @@
     }
 }
 
+int64_t Witness::paymentsInDoubt() const
+{
+    return std::ranges::count_if(this->callsPerKey, [this](const auto &entry) {
+        const std::vector<Call> &calls = entry.second;
+        const auto isAnswered = [](const Call &call) {
+            return call.end == CallEnd::Answered;
+        };
+        return calls.front().kind == CallKind::Payment && this->runsPerKey.contains(entry.first)
+               && std::ranges::none_of(calls, isAnswered);
+    });
+}
+
 int64_t Witness::paymentRuns() const
 {
     int64_t runs = 0;
--- a/utilities/soak/witness.h
+++ b/utilities/soak/witness.h
@@ -129,6 +129,8 @@
     void checkRefusals(const std::string &key, std::span<const Call> calls);
     void note(std::string violation); // Under the mutex.
     [[nodiscard]] int64_t paymentRuns() const; // Under the mutex.
+    // Counts the payments that ran and whose callers do not know it. Under the mutex.
+    [[nodiscard]] int64_t paymentsInDoubt() const;
 
     int64_t paymentPrice;
     mutable std::mutex mutex;
