--- a/utilities/soak/injector.cpp
+++ b/utilities/soak/injector.cpp
@@ -67,11 +67,6 @@
                                   : fmt::format("payments-{}", index);
 }
 
-int targetPort(const Shape & /*shape*/, uint16_t basePort, int index)
-{
-    return basePort + TargetOffset + index;
-}
-
 Injector::Injector(testing::Fleet &fleet, const Shape &shape, uint16_t basePort)
     : fleet(fleet)
     , shape(shape)
@@ -82,7 +77,7 @@
 void Injector::startTarget(int index)
 {
     const std::string name = targetName(this->shape, index);
-    const int port = targetPort(this->shape, this->basePort, index);
+    const int port = this->basePort + TargetOffset + index;
     std::vector<int> all;
     for (int instance = 0; instance < this->shape.instances; ++instance) {
         all.push_back(instance);
@@ -165,10 +160,10 @@
 void Injector::endWhatIsDue()
 {
     for (size_t index = 0; index < this->running.size();) {
+        // Ending it removes it from the list.
         const Running candidate = this->running[index];
         if (candidate.ends > Clock::now() || !this->end(candidate)) {
             ++index;
-            continue;
         }
     }
 }
--- a/utilities/soak/injector.h
+++ b/utilities/soak/injector.h
@@ -22,9 +22,8 @@
 namespace samphirebridge::soak
 {
 
-// Returns the target's name and port, by the index that the plan uses.
+// Returns the target's name, by the index that the plan uses.
 std::string targetName(const Shape &shape, int index);
-int targetPort(const Shape &shape, uint16_t basePort, int index);
 
 // The most instances of a fleet.
 inline constexpr size_t MostInstances = 5;
