--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -35,7 +35,7 @@
     bool relays = false; // Put a relay into every link between two instances.
     int shutdownGraceMs = 20'000;
     int maximumBodyBytes = 1 << 20;
-    std::string furtherSettings; // Lines that end every instance's file.
+    std::string furtherSettings{}; // Lines that end every instance's file.
 };
 
 // The secrets of the test manifests.
