--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -121,8 +121,7 @@
     [[nodiscard]] std::string inputsOf(const ReservationRequest &request,
                                        core::TimePoint now) const;
     [[nodiscard]] bool servesOutOfContact(core::TimePoint now) const;
-    // Returns the answer to a request that the escrow here does not cover: nothing while a loan is
-    // asked for.
+    // Asks others for what the escrow here lacks for the request. True: replies are to come.
     bool borrow(const ReservationRequest &request, core::TimePoint now);
     void onLoanReply(const core::BudgetId &budget, const proto::LoanReply *reply);
     void followIsolation(core::TimePoint now);
--- a/tests/samphirectl/pagestest.cpp
+++ b/tests/samphirectl/pagestest.cpp
@@ -97,8 +97,14 @@
             names.insert(prefix + std::string(key));
         }
     }
-    for (const std::string section :
-         {"http", "rpc", "consensus", "escrow", "discovery", "interface", "retries"}) {
+    for (const std::string section : {"http",
+                                      "rpc",
+                                      "consensus",
+                                      "escrow",
+                                      "discovery",
+                                      "interface",
+                                      "retries",
+                                      "fault_injection"}) {
         CHECK(names.erase(section) == 1);
     }
     return names;
