budget: Do not record first what exceeds the exposure limit after all

Cause of the loss: a request that waits has its tokens recorded and so taken; when a cut begins, those of waiting requests are free for nobody until the report gets through.

test_budget passes (36 cases).

--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -26,18 +26,23 @@
     const bool byBatch = recording == Recording::Batch;
     BudgetAccount &account = this->accounts[budget];
     const int64_t limit = account.exposureLimit(now, this->options);
-    const auto recorded = byBatch ? this->takeRecordedFirst(budget, tokens) : std::nullopt;
-    if (recorded) {
-        ++this->counters.reserved;
-        return {.kind = DecisionKind::Reserved, .reservation = *recorded};
+    // On the ramp the ledger is out of contact: no record can come first.
+    const bool recordFirst = byBatch && tokens > limit && !this->options.exposureRamp;
+    if (recordFirst) {
+        const auto recorded = this->takeRecordedFirst(budget, tokens);
+        if (recorded) {
+            ++this->counters.reserved;
+            return {.kind = DecisionKind::Reserved, .reservation = *recorded};
+        }
     }
     if (tokens > account.freeTokens()) {
         return this->lacking(account, tokens, now);
     }
+    if (recordFirst) {
+        return this->reserveRecordedFirst(budget, tokens, now);
+    }
     if (byBatch && account.unrecordedTokens() + tokens > limit) {
-        // On the ramp the ledger is out of contact: no record can come first.
-        return this->options.exposureRamp ? this->awaitRamp(account, tokens, now)
-                                          : this->reserveRecordedFirst(budget, tokens, now);
+        return this->beyondExposure(account, tokens, now);
     }
     const RecordState record = byBatch ? RecordState::Unsent : RecordState::Claiming;
     const ReservationId reservation = this->openReservation(budget, tokens, record, now);
@@ -198,7 +203,7 @@
                                                             int64_t tokens)
 {
     const auto found = std::ranges::find_if(this->recordedFirst, [&](const RecordedFirst &entry) {
-        return entry.tokens == tokens && entry.budget == budget
+        return entry.budget == budget && entry.tokens == tokens
                && this->reservations.at(entry.reservation).record == RecordState::Recorded;
     });
     if (found == this->recordedFirst.end()) {
@@ -209,8 +214,7 @@
     return reservation;
 }
 
-// With these tokens the budget would have more open without a record than it may. As many are under
-// way for a budget and size as ask for one, so that all who wait go on with the next result.
+// As many are under way for a budget and size as ask for one.
 Decision
 EscrowState::reserveRecordedFirst(const core::BudgetId &budget, int64_t tokens, core::TimePoint now)
 {
@@ -219,7 +223,7 @@
     }
     const auto underWay
         = std::ranges::count_if(this->recordedFirst, [&](const RecordedFirst &entry) {
-              return entry.tokens == tokens && entry.budget == budget;
+              return entry.budget == budget && entry.tokens == tokens;
           });
     if (++this->recordAsks[{budget, tokens}] > underWay) {
         const ReservationId reservation
@@ -230,12 +234,21 @@
     return this->wait(WaitCause::Opening);
 }
 
-Decision EscrowState::awaitRamp(const BudgetAccount &account, int64_t tokens, core::TimePoint now)
+// With the tokens asked for the budget would have more open without a record than it may.
+Decision
+EscrowState::beyondExposure(const BudgetAccount &account, int64_t tokens, core::TimePoint now)
 {
-    const core::TimePoint latest = now + this->options.rampPatience;
-    const bool soon
-        = account.unrecordedTokens() + tokens <= account.exposureLimit(latest, this->options);
-    return soon ? this->wait(WaitCause::Ramp) : this->refuse(DecisionKind::Unconfirmed);
+    if (this->options.exposureRamp) {
+        const core::TimePoint latest = now + this->options.rampPatience;
+        const bool soon
+            = account.unrecordedTokens() + tokens <= account.exposureLimit(latest, this->options);
+        return soon ? this->wait(WaitCause::Ramp) : this->refuse(DecisionKind::Unconfirmed);
+    }
+    if (!this->inContact(now)) {
+        return this->refuse(DecisionKind::Unconfirmed);
+    }
+    this->openingWanted = true;
+    return this->wait(WaitCause::Opening);
 }
 
 Decision EscrowState::lacking(BudgetAccount &account, int64_t tokens, core::TimePoint now)
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -101,7 +101,7 @@
     std::optional<ReservationId> takeRecordedFirst(const core::BudgetId &budget, int64_t tokens);
     Decision
     reserveRecordedFirst(const core::BudgetId &budget, int64_t tokens, core::TimePoint now);
-    Decision awaitRamp(const BudgetAccount &account, int64_t tokens, core::TimePoint now);
+    Decision beyondExposure(const BudgetAccount &account, int64_t tokens, core::TimePoint now);
     Decision lacking(BudgetAccount &account, int64_t tokens, core::TimePoint now);
     Decision wait(WaitCause cause);
     Decision refuse(DecisionKind kind);
