ledger, telemetry: Tell where a budget's tokens are

A grant now carries what is billed, in escrow and quarantined, and a refusal's log line prints it with what is under way here; escrow_set_aside tells the part that recorded openings cover and the evidence that bounded the rest; gauges give the sums; log_lines_left_out counts by event.

Stranded escrow is ruled out.

--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -152,7 +152,13 @@
     if (!this->views.empty() && now - this->views.back().at > MostGaps * options.flushInterval) {
         this->views.clear();
     }
-    this->views.push_back({grant.pool_tokens() + grant.recallable_tokens(), now});
+    this->views.push_back(
+        {.reach = grant.pool_tokens() + grant.recallable_tokens(),
+         .at = now,
+         .whereabouts = {.pool = core::Tokens{grant.pool_tokens()},
+                         .billed = core::Tokens{grant.billed_tokens()},
+                         .escrow = core::Tokens{grant.escrow_tokens()},
+                         .quarantined = core::Tokens{grant.quarantined_tokens()}}});
     while (this->views.size() > 1 && now - this->views[1].at >= options.settlingTime) {
         this->views.pop_front();
     }
@@ -187,6 +193,11 @@
     return !this->views.empty() && now - this->views.front().at >= options.settlingTime;
 }
 
+BudgetWhereabouts BudgetAccount::whereabouts() const
+{
+    return this->views.empty() ? BudgetWhereabouts{} : this->views.back().whereabouts;
+}
+
 int64_t BudgetAccount::expectedRest() const
 {
     const double rest = static_cast<double>(this->reserved) * (1 - this->demand.usedShare());
--- a/source/samphirebridge/budget/budgetaccount.h
+++ b/source/samphirebridge/budget/budgetaccount.h
@@ -21,6 +21,7 @@
 struct LedgerView {
     int64_t reach = 0; // Tokens in the pool and free at other holders.
     core::TimePoint at;
+    BudgetWhereabouts whereabouts;
 };
 
 class BudgetAccount
@@ -81,6 +82,9 @@
     // reported before it has become visible since.
     [[nodiscard]] bool hasSettledView(core::TimePoint now, const EscrowOptions &options) const;
 
+    // Returns where the budget's tokens were by the ledger's last answer; all zero before one.
+    [[nodiscard]] BudgetWhereabouts whereabouts() const;
+
     // Returns what this holder's own open requests are expected to leave unused.
     [[nodiscard]] int64_t expectedRest() const;
 
--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -127,11 +127,15 @@
 {
     const BudgetAccount *account = this->state->account(budget);
     if (account == nullptr) {
-        return {.limit = exposureAt(this->state->options, 0, now)};
+        BudgetInputs inputs;
+        inputs.limit = exposureAt(this->state->options, 0, now);
+        return inputs;
     }
     return {.free = core::Tokens{account->freeTokens()},
             .unrecorded = core::Tokens{account->unrecordedTokens()},
-            .limit = core::Tokens{account->exposureLimit(now, this->state->options)}};
+            .limit = core::Tokens{account->exposureLimit(now, this->state->options)},
+            .underWay = core::Tokens{account->openTokens() + account->pendingTokens()},
+            .ledger = account->whereabouts()};
 }
 
 core::Tokens EscrowBook::largestUnrecorded() const
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -129,11 +129,22 @@
     double tokensPerSecond = 0; // Estimated demand.
 };
 
+// Where the ledger has the tokens of a budget.
+struct BudgetWhereabouts {
+    core::Tokens pool{};
+    core::Tokens billed{};
+    core::Tokens escrow{}; // Of all holders.
+    core::Tokens quarantined{};
+};
+
 // What a decision on a budget goes by.
 struct BudgetInputs {
     core::Tokens free{};
     core::Tokens unrecorded{}; // Open, used or lent without a confirmed record.
     core::Tokens limit{}; // Of the unrecorded.
+    core::Tokens
+        underWay{}; // Open, or left over by requests whose end the ledger has not confirmed.
+    BudgetWhereabouts ledger;
 };
 
 class EscrowState;
--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -61,6 +61,10 @@
             this->proceedJoining();
         }
         this->expireProposals();
+        if (now - this->lastLevels >= LevelsInterval) {
+            this->lastLevels = now;
+            this->updateLevels();
+        }
     }
 
     // Takes a Raft message from another member.
@@ -251,6 +255,9 @@
     // The time between two steps towards becoming a voter.
     static constexpr core::Duration JoinInterval = std::chrono::milliseconds(250);
 
+    // The time between two readings of the gauges, which sum over all budgets.
+    static constexpr core::Duration LevelsInterval = std::chrono::seconds(2);
+
     ControlNode(transport::PeerSet &peerSet,
                 telemetry::Counters &processCounters,
                 telemetry::Logger &processLogger)
@@ -470,6 +477,18 @@
                             {{"leader", leader}, {"term", std::to_string(raft.term())}});
     }
 
+    void updateLevels()
+    {
+        const proto::BudgetState total = this->machine.state().total();
+        const auto set = [this](telemetry::Level level, int64_t tokens) {
+            this->counters.set(level, static_cast<double>(tokens));
+        };
+        set(telemetry::Level::LedgerTokensBilled, total.billed_tokens());
+        set(telemetry::Level::LedgerTokensInEscrow, total.escrow_tokens());
+        set(telemetry::Level::LedgerTokensQuarantined, total.quarantined_tokens());
+        set(telemetry::Level::LedgerTokensInPool, total.pool_tokens());
+    }
+
     transport::PeerSet &peers;
     telemetry::Counters &counters;
     telemetry::Logger &logger;
@@ -478,6 +497,7 @@
     std::unique_ptr<Durable> durable;
     core::TimePoint now;
     core::TimePoint lastJoinStep;
+    core::TimePoint lastLevels;
     std::map<uint64_t, Proposal> proposals;
     std::map<consensus::ReadId, OnRead> reads;
     std::string knownLeader;
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -60,6 +60,18 @@
     return options;
 }
 
+std::string_view evidenceName(proto::IsolationEvidence evidence)
+{
+    switch (evidence) {
+    case proto::LEADER_CLOCK:
+        return "leader_clock";
+    case proto::MACHINE_CLOCK:
+        return "machine_clock";
+    default:
+        return "none";
+    }
+}
+
 } // namespace
 
 EntryNode::EntryNode(EntryOptions entryOptions,
@@ -237,13 +249,13 @@
     if (!result.predecessor_ended()) {
         return;
     }
-    this->logger.change(
-        "escrow_set_aside",
-        {{"predecessor", std::to_string(result.predecessor())},
-         {"tokens", std::to_string(result.set_aside_tokens())},
-         {"awaits_witness", result.awaits_witness() ? "true" : "false"},
-         {"isolated_at_most_ms",
-          result.isolation_bounded() ? std::to_string(result.isolated_at_most_ms()) : "unknown"}});
+    this->logger.change("escrow_set_aside",
+                        {{"predecessor", std::to_string(result.predecessor())},
+                         {"tokens", std::to_string(result.set_aside_tokens())},
+                         {"recorded", std::to_string(result.recorded_tokens())},
+                         {"awaits_witness", result.awaits_witness() ? "true" : "false"},
+                         {"evidence", std::string(evidenceName(result.evidence()))},
+                         {"isolated_at_most_ms", std::to_string(result.isolated_at_most_ms())}});
 }
 
 // The clock may have been set back since the life before this one began. Nothing was done under
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -202,12 +202,18 @@
 {
     const budget::BudgetInputs inputs = this->book.inputs(request.budget, now);
     return fmt::format(
-        "needed={} free={} unrecorded={} limit={} unheard_ms={}",
+        "needed={} free={} under_way={} unrecorded={} limit={} unheard_ms={} ledger_pool={} "
+        "ledger_escrow={} ledger_quarantined={} ledger_billed={}",
         request.tokens.count,
         inputs.free.count,
+        inputs.underWay.count,
         inputs.unrecorded.count,
         inputs.limit.count,
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastContact).count());
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastContact).count(),
+        inputs.ledger.pool.count,
+        inputs.ledger.escrow.count,
+        inputs.ledger.quarantined.count,
+        inputs.ledger.billed.count);
 }
 
 bool EscrowKeeper::servesOutOfContact(core::TimePoint now) const
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -278,7 +278,7 @@
     proto::CommandResult result;
     if (previous != NoIndex) {
         *result.mutable_register_holder() = endHolder(
-            state, previous, longestIsolationMs(state, previous, readingOf(command.sent_at())));
+            state, previous, longestIsolation(state, previous, readingOf(command.sent_at())));
     }
     return result;
 }
--- a/source/samphirebridge/ledger/escrowgrants.cpp
+++ b/source/samphirebridge/ledger/escrowgrants.cpp
@@ -226,6 +226,9 @@
     grant.set_granted_tokens(granted);
     grant.set_pool_tokens(record.pool());
     grant.set_recallable_tokens(recallable(record, holder));
+    grant.set_billed_tokens(record.billed);
+    grant.set_escrow_tokens(record.escrow);
+    grant.set_quarantined_tokens(record.quarantined);
     return grant;
 }
 
--- a/source/samphirebridge/ledger/ledger.cpp
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -123,6 +123,19 @@
     return states;
 }
 
+proto::BudgetState Ledger::total() const
+{
+    BudgetRecord sum;
+    for (const BudgetIndex index : this->state->budgets.ordered()) {
+        const BudgetRecord &record = this->state->budgets.at(index);
+        sum.declared += record.purchased();
+        sum.billed += record.billed;
+        sum.escrow += record.escrow;
+        sum.quarantined += record.quarantined;
+    }
+    return stateOf(sum);
+}
+
 std::vector<core::HolderId> Ledger::liveHolders() const
 {
     std::vector<core::HolderId> live;
--- a/source/samphirebridge/ledger/ledger.h
+++ b/source/samphirebridge/ledger/ledger.h
@@ -66,6 +66,9 @@
     [[nodiscard]] std::vector<proto::BudgetState> budgets(std::span<const core::BudgetId> ids
                                                           = {}) const;
 
+    // Returns the sums over all budgets, under no id.
+    [[nodiscard]] proto::BudgetState total() const;
+
     // Returns the holders that are not over, ordered.
     [[nodiscard]] std::vector<core::HolderId> liveHolders() const;
 
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -33,18 +33,19 @@
 int64_t unrecordedBound(const LedgerState &state,
                         const HolderRecord &record,
                         BudgetIndex budget,
-                        std::optional<uint64_t> isolatedMs)
+                        const IsolationBound &isolation)
 {
     const int64_t least = state.declaration.isolation_tokens_per_s();
     const int64_t contact = state.declaration.contact_exposure_tokens();
     const auto reported = record.isolationRates.find(budget);
     const int64_t rate
         = reported == record.isolationRates.end() ? least : std::max(least, reported->second);
-    if (!isolatedMs || least <= 0 || contact <= 0
-        || *isolatedMs > static_cast<uint64_t>(core::MaximumPurchase.count / rate)) {
+    const bool known = isolation.evidence != proto::NO_EVIDENCE;
+    if (!known || least <= 0 || contact <= 0
+        || isolation.ms > static_cast<uint64_t>(core::MaximumPurchase.count / rate)) {
         return record.exposure;
     }
-    const int64_t ramp = rate * static_cast<int64_t>(*isolatedMs) / MillisecondsPerSecond + 1;
+    const int64_t ramp = rate * static_cast<int64_t>(isolation.ms) / MillisecondsPerSecond + 1;
     return std::min(record.exposure, contact + ramp);
 }
 
@@ -120,16 +121,21 @@
 
 // The proposer's clock goes first: its id is drawn anew by every process, whereas a machine's is
 // what the machine says of itself.
-std::optional<uint64_t>
-longestIsolationMs(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy)
+IsolationBound
+longestIsolation(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy)
 {
     const HolderRecord &record = state.holders.at(holder);
-    const auto byProposer = elapsedMs(record.contactSince, state.proposedAt);
-    return byProposer ? byProposer : elapsedMs(record.reportSentAt, overBy);
+    if (const auto ms = elapsedMs(record.contactSince, state.proposedAt)) {
+        return {proto::LEADER_CLOCK, *ms};
+    }
+    if (const auto ms = elapsedMs(record.reportSentAt, overBy)) {
+        return {proto::MACHINE_CLOCK, *ms};
+    }
+    return {};
 }
 
 proto::RegisterHolderResult
-endHolder(LedgerState &state, HolderIndex holder, std::optional<uint64_t> isolatedMs)
+endHolder(LedgerState &state, HolderIndex holder, const IsolationBound &isolation)
 {
     HolderRecord &record = state.holders.at(holder);
     record.over = true;
@@ -142,12 +148,13 @@
     result.set_predecessor_ended(true);
     result.set_predecessor(record.id.incarnation);
     result.set_awaits_witness(record.awaitsWitness);
-    result.set_isolation_bounded(isolatedMs.has_value());
-    result.set_isolated_at_most_ms(isolatedMs.value_or(0));
+    result.set_evidence(isolation.evidence);
+    result.set_isolated_at_most_ms(isolation.ms);
     for (const BudgetIndex budget : state.budgets.budgetsOf(holder)) {
-        state.budgets.end(budget, holder, unrecordedBound(state, record, budget, isolatedMs));
+        state.budgets.end(budget, holder, unrecordedBound(state, record, budget, isolation));
         if (const Share *share = state.budgets.share(budget, holder)) {
             result.set_set_aside_tokens(result.set_aside_tokens() + share->tokens);
+            result.set_recorded_tokens(result.recorded_tokens() + share->open);
         }
     }
     forgetIfDone(state, holder);
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -52,17 +52,23 @@
 // Returns the exposure that the manifest in force states, or the declaration's if that is higher.
 int64_t exposureInForce(const LedgerState &state);
 
+// For how long at most a holder may have been out of contact before it ended.
+struct IsolationBound {
+    proto::IsolationEvidence evidence = proto::NO_EVIDENCE;
+    uint64_t ms = 0; // Set with evidence.
+};
+
 // Ends a holder: quarantines what is open and what may have been opened without a record, and
-// returns the rest to the pools. Without the longest time that it may have been out of contact all
-// of the exposure counts. Tells what it set aside and why.
+// returns the rest to the pools. Without evidence of the time that it may have been out of contact
+// all of the exposure counts. Tells what it set aside and why.
 proto::RegisterHolderResult
-endHolder(LedgerState &state, HolderIndex holder, std::optional<uint64_t> isolatedMs);
+endHolder(LedgerState &state, HolderIndex holder, const IsolationBound &isolation);
 
-// Returns for how long at most the holder may have been out of contact, or nothing where no clock
-// measured it: not the proposer's, since another leads now, nor the machine's, since it was
-// restarted. The holder is over, and was by the reading of its machine.
-std::optional<uint64_t>
-longestIsolationMs(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy);
+// Returns for how long at most the holder may have been out of contact. There is no evidence where
+// no clock measured it: not the proposer's, since another leads now, nor the machine's, since it
+// was restarted. The holder is over, and was by the reading of its machine.
+IsolationBound
+longestIsolation(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy);
 
 // Forgets a holder that is over, once nothing refers to it.
 void forgetIfDone(LedgerState &state, HolderIndex holder);
--- a/source/samphirebridge/ledger/operatorcommands.cpp
+++ b/source/samphirebridge/ledger/operatorcommands.cpp
@@ -60,7 +60,7 @@
     const absl::StatusOr<HolderIndex> live = liveHolder(state, command.holder());
     if (live.ok()) {
         // The holder may be cut off and still run: no time bounds what it spends.
-        endHolder(state, *live, std::nullopt);
+        endHolder(state, *live, {});
         return {};
     }
     if (core::errorCodeOf(live.status()) == core::ErrorCode::HolderRetired) {
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -53,6 +53,14 @@
     {Level::ManifestVersion, "manifest_version", "Version in force on this instance."},
     {Level::LedgerTerm, "ledger_term", "Term of the replicated log."},
     {Level::LedgerCommitIndex, "ledger_commit_index", "Index of the last committed entry."},
+    {Level::LedgerTokensBilled, "ledger_tokens_billed", "Tokens billed, over all budgets."},
+    {Level::LedgerTokensInEscrow,
+     "ledger_tokens_in_escrow",
+     "Tokens set aside for live holders, over all budgets."},
+    {Level::LedgerTokensQuarantined,
+     "ledger_tokens_quarantined",
+     "Tokens that holders which ended may have spent, over all budgets."},
+    {Level::LedgerTokensInPool, "ledger_tokens_in_pool", "Tokens left to grant, over all budgets."},
     {Level::OpenReservations, "open_reservations", "Reservations that are not settled yet."},
 };
 
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -49,6 +49,10 @@
     ManifestVersion,
     LedgerTerm,
     LedgerCommitIndex,
+    LedgerTokensBilled,
+    LedgerTokensInEscrow,
+    LedgerTokensQuarantined,
+    LedgerTokensInPool,
     OpenReservations,
 };
 
--- a/source/samphirebridge/telemetry/logger.cpp
+++ b/source/samphirebridge/telemetry/logger.cpp
@@ -8,8 +8,11 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <iterator>
+#include <map>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -86,17 +89,39 @@
         const std::lock_guard lock(this->mutex);
         if (!this->admit(importance) || this->queue.size() >= this->limits.queuedBytes) {
             ++this->leftOut;
+            this->noteLeftOut(event);
             return;
         }
-        if (this->leftOut > this->toldLeftOut) {
-            this->append("log_lines_left_out",
-                         {{"count", std::to_string(this->leftOut - this->toldLeftOut)}});
-            this->toldLeftOut = this->leftOut;
+        if (!this->leftOutByEvent.empty()) {
+            this->tellLeftOut();
         }
         this->append(event, fields);
         this->arrived.notify_one();
     }
 
+    void noteLeftOut(std::string_view event)
+    {
+        const auto found = this->leftOutByEvent.find(event);
+        if (found != this->leftOutByEvent.end()) {
+            ++found->second;
+        } else {
+            this->leftOutByEvent.emplace(event, 1);
+        }
+    }
+
+    void tellLeftOut()
+    {
+        uint64_t count = 0;
+        std::string events;
+        for (const auto &[event, lines] : this->leftOutByEvent) {
+            count += lines;
+            events += fmt::format("{}{}={}", events.empty() ? "" : " ", event, lines);
+        }
+        this->leftOutByEvent.clear();
+        this->append("log_lines_left_out",
+                     {{"count", std::to_string(count)}, {"events", std::move(events)}});
+    }
+
     void append(std::string_view event, std::initializer_list<Field> fields)
     {
         fmt::format_to(std::back_inserter(this->queue),
@@ -147,7 +172,8 @@
     size_t ordinaryLines = 0;
     size_t requestLines = 0;
     std::atomic<uint64_t> leftOut = 0;
-    uint64_t toldLeftOut = 0;
+    // Since the last line that told of them. Events are names in the code, so there are few.
+    std::map<std::string, uint64_t, std::less<>> leftOutByEvent;
     bool stopping = false;
     bool finished = false;
 };
--- a/tests/entry/registrationtest.cpp
+++ b/tests/entry/registrationtest.cpp
@@ -44,7 +44,7 @@
     entry::Registration successor;
     successor.command(Second, machineAt(10'400));
     const proto::CommandResult result = ledger.apply(successor.command(Second, machineAt(11'300)));
-    REQUIRE(result.register_holder().isolation_bounded());
+    REQUIRE(result.register_holder().evidence() == proto::MACHINE_CLOCK);
     CHECK(result.register_holder().isolated_at_most_ms() >= 400);
     CHECK(result.register_holder().isolated_at_most_ms() <= 420);
 }
--- a/tests/ledger/holderstest.cpp
+++ b/tests/ledger/holderstest.cpp
@@ -69,7 +69,7 @@
 {
     TestLedger ledger = ledgerWithRamp();
     const proto::CommandResult result = ledger.registerHolder("a", 2);
-    CHECK(result.register_holder().isolation_bounded());
+    CHECK(result.register_holder().evidence() == proto::LEADER_CLOCK);
     // 4 s, and a hundredth for the drift of clocks.
     CHECK(result.register_holder().isolated_at_most_ms() >= 4'040);
     CHECK(result.register_holder().isolated_at_most_ms() <= 4'050);
@@ -88,10 +88,42 @@
 {
     TestLedger ledger = ledgerWithRamp();
     ledger.proposerClock = 8;
-    CHECK_FALSE(ledger.registerHolder("a", 2).register_holder().isolation_bounded());
+    CHECK(ledger.registerHolder("a", 2).register_holder().evidence() == proto::NO_EVIDENCE);
     CHECK(ledger.budget().quarantined_tokens() == 90'000);
 }
 
+// Guards against set-aside tokens whose cause nobody can tell: openings that the ledger knew, or
+// what may have been spent out of contact.
+TEST_CASE("the end of a holder tells which of its tokens recorded openings cover")
+{
+    TestLedger ledger = ledgerWithRamp();
+    proto::HolderBatch batch = batchOf("a", 1);
+    batch.set_sequence(3);
+    addOpening(batch, 1, 700);
+    ledger.send(batch);
+    const proto::CommandResult result = ledger.registerHolder("a", 2);
+    CHECK(result.register_holder().recorded_tokens() == 700);
+    CHECK(result.register_holder().set_aside_tokens() > 700);
+}
+
+// Guards against a refusal that does not tell whether the budget was spent, set aside or held by
+// others.
+TEST_CASE("a grant tells where the rest of the budget is")
+{
+    TestLedger ledger = ledgerWithRamp(false, 40);
+    ledger.registerHolder("a", 2);
+    ledger.registerHolder("b", 1);
+    proto::HolderBatch batch = batchOf("b", 1);
+    addRequest(batch, 1'000, 1'000);
+    const proto::EscrowGrant grant = ledger.send(batch).holder_batch().grants(0);
+    const proto::BudgetState total = ledger.ledger.total();
+    CHECK(grant.escrow_tokens() == 1'000);
+    CHECK(grant.quarantined_tokens() == total.quarantined_tokens());
+    CHECK(grant.quarantined_tokens() > 0);
+    CHECK(grant.billed_tokens() == total.billed_tokens());
+    CHECK(grant.pool_tokens() == total.pool_tokens());
+}
+
 TEST_CASE("a holder's own rate of spending out of contact counts where it is above the least")
 {
     TestLedger ledger = ledgerWithRamp();
@@ -130,11 +162,11 @@
     TestLedger restarted = ledgerWithRamp(false, 40);
     restarted.proposerClock = 8;
     restarted.machineClock = 41;
-    CHECK_FALSE(restarted.registerHolder("a", 2).register_holder().isolation_bounded());
+    CHECK(restarted.registerHolder("a", 2).register_holder().evidence() == proto::NO_EVIDENCE);
     TestLedger back = ledgerWithRamp(false, 40);
     back.proposerClock = 8;
     back.nowMs -= 4'000;
-    CHECK_FALSE(back.registerHolder("a", 2).register_holder().isolation_bounded());
+    CHECK(back.registerHolder("a", 2).register_holder().evidence() == proto::NO_EVIDENCE);
 }
 
 TEST_CASE("by the machine's clock a report that could not hold everything counts as none")
