ledger, consensus: Bound by members' clocks what an outage sets aside

Cause: what proves that a holder was in contact (its witness, the leader's clock, its machine's clock) is in memory that the same loss takes, so that all escrow of every holder stayed set aside.

Each member now stores with its log entries when it stored them, by its machine's clocks. After a restart it reports the entries' ages. A holder that had an answer was in contact when a majority had acknowledged that entry; any majority of reports has a member in common with it, so the longest of their times bounds the silence. Entries before the last configuration are not reported, nor by members without a vote; ages of a machine whose time of day went back are not used. Reports may come after the holder's successor: what they prove unspent returns then. The time of day of one machine still proves nothing; that of a majority, by its longest time, is what leases rest on too.

A registration tells how long its process has been asking, which is no time out of contact.

--- a/source/samphirebridge/consensus/durablenode.h
+++ b/source/samphirebridge/consensus/durablenode.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "samphirebridge/consensus/datafolder.h"
+#include "samphirebridge/consensus/entrytimes.h"
 #include "samphirebridge/consensus/raftnode.h"
 #include "samphirebridge/consensus/statemachine.h"
 #include "samphirebridge/storage/hardstatestore.h"
@@ -15,6 +16,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <functional>
 #include <iterator>
 #include <memory>
 #include <string>
@@ -32,6 +34,15 @@
     storage::LogSettings log;
     // A snapshot is taken after this many applied entries.
     uint64_t snapshotEveryEntries = 100'000;
+    // Tells the time at which entries are stored; empty: none is kept with them.
+    std::function<core::MachineTime()> machineTime;
+};
+
+// What a member's log told of its past life when it was opened.
+struct RecoveredLog {
+    uint64_t lastIndex = 0;
+    std::vector<EntryTime> times; // Of one configuration, ordered by index.
+    proto::Configuration configuration; // The last one.
 };
 
 // What applying one command returned. The command that a host proposed at `index` in `term` was
@@ -120,6 +131,10 @@
     {
         return this->name;
     }
+    [[nodiscard]] const RecoveredLog &recovered() const
+    {
+        return this->recoveredLog;
+    }
     // Returns the index of the last applied entry.
     [[nodiscard]] uint64_t appliedIndex() const
     {
@@ -132,9 +147,10 @@
                 const DurableNodeSettings &settings,
                 storage::Log<Storage> log,
                 const RestoredState &restored,
+                std::vector<EntryTime> times,
                 core::TimePoint now);
 
-    absl::Status persist(const Ready &ready);
+    absl::Status persist(Ready &ready);
     absl::Status install(const Snapshot &snapshot, Output<Result> &output);
     void apply(const std::vector<proto::LogEntry> &committed, Output<Result> &output);
     void releaseReads(Output<Result> &output);
@@ -147,6 +163,7 @@
     storage::Log<Storage> log;
     RaftNode raft;
     std::string name;
+    RecoveredLog recoveredLog;
     uint64_t applied = 0;
     uint64_t snapshotIndex = 0;
     std::vector<ConfirmedRead> waitingReads;
@@ -158,6 +175,7 @@
                                            const DurableNodeSettings &settings,
                                            storage::Log<Storage> log,
                                            const RestoredState &restored,
+                                           std::vector<EntryTime> times,
                                            core::TimePoint now)
     : machine(machine)
     , settings(settings)
@@ -166,6 +184,7 @@
     , log(std::move(log))
     , raft(settings.raft, restored, now)
     , name(settings.raft.member)
+    , recoveredLog{this->log.lastIndex(), std::move(times), this->raft.configuration()}
     , applied(restored.snapshot.meta.index())
     , snapshotIndex(restored.snapshot.meta.index())
 {
@@ -203,8 +222,9 @@
             return status;
         }
     }
+    std::vector<EntryTime> times = takeEntryTimes(restored->entries);
     return std::unique_ptr<DurableNode>(new DurableNode(
-        storage, machine, std::move(settings), *std::move(log), *std::move(restored), now));
+        storage, machine, settings, *std::move(log), *std::move(restored), std::move(times), now));
 }
 
 template <storage::Storage Storage, StateMachine Machine>
@@ -240,7 +260,7 @@
 }
 
 template <storage::Storage Storage, StateMachine Machine>
-absl::Status DurableNode<Storage, Machine>::persist(const Ready &ready)
+absl::Status DurableNode<Storage, Machine>::persist(Ready &ready)
 {
     // The term comes first: entries of a term that the folder does not know would look damaged.
     if (ready.hardState) {
@@ -267,6 +287,9 @@
     if (ready.entries.empty()) {
         return absl::OkStatus();
     }
+    if (this->settings.machineTime) {
+        stampEntries(ready.entries, this->settings.machineTime());
+    }
     if (absl::Status status = this->log.append(ready.entries); !status.ok()) {
         return status;
     }
--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -6,6 +6,7 @@
 #include "samphirebridge/consensus/durablenode.h"
 #include "samphirebridge/control/joinplan.h"
 #include "samphirebridge/control/ledgermachine.h"
+#include "samphirebridge/control/outagereporter.h"
 #include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/ledger/clockreadings.h"
@@ -19,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -41,11 +43,18 @@
          core::TimePoint now)
     {
         std::unique_ptr<ControlNode> node(new ControlNode(peers, counters, logger));
+        settings.machineTime = [clock = core::MachineClock()] {
+            return clock.read();
+        };
         auto opened = Durable::open(storage, node->machine, std::move(settings), now);
         if (!opened.ok()) {
             return opened.status();
         }
         node->durable = std::move(*opened);
+        const std::string &member = node->durable->member();
+        node->outages.emplace(core::InstanceId(std::string(storage::instanceOf(member))),
+                              member,
+                              node->durable->recovered());
         return node;
     }
 
@@ -212,6 +221,15 @@
         return std::string(storage::instanceOf(this->durable->node().leader()));
     }
 
+    // Returns the report of an outage that the ledger should get now, if any.
+    std::optional<proto::ReportOutage> outageReport()
+    {
+        const AppliedLog applied{this->durable->appliedIndex(), this->machine.state().proposedAt()};
+        return this->outages->isDue(applied)
+                   ? this->outages->report(applied, this->machineClock.read())
+                   : std::nullopt;
+    }
+
     // Returns the version of the manifest that this member has applied.
     [[nodiscard]] uint64_t appliedManifestVersion() const
     {
@@ -494,7 +512,9 @@
     telemetry::Logger &logger;
     LedgerMachine machine;
     core::BootClock clock{core::drawClockId()};
+    core::MachineClock machineClock;
     std::unique_ptr<Durable> durable;
+    std::optional<OutageReporter> outages;
     core::TimePoint now;
     core::TimePoint lastJoinStep;
     core::TimePoint lastLevels;
--- a/source/samphirebridge/control/ledgermachine.cpp
+++ b/source/samphirebridge/control/ledgermachine.cpp
@@ -14,7 +14,7 @@
         result.set_error_message("the log entry is not a command");
         return result;
     }
-    return this->ledger.apply(command);
+    return this->ledger.apply(command, entry.index());
 }
 
 std::string LedgerMachine::snapshot() const
--- a/source/samphirebridge/core/bootclock.cpp
+++ b/source/samphirebridge/core/bootclock.cpp
@@ -2,6 +2,7 @@
 
 #include "samphirebridge/core/digest.h"
 
+#include <algorithm>
 #include <chrono>
 #include <ctime>
 #include <fstream>
@@ -16,6 +17,10 @@
 
 constexpr const char *BootIdFile = "/proc/sys/kernel/random/boot_id";
 
+// By how much the time of day may have been set back while a machine ran on. A clock since boot
+// that is further ahead of it was started anew under the same id.
+constexpr uint64_t LongestClockStepMs = 60'000;
+
 } // namespace
 
 BootClock::BootClock(uint64_t id)
@@ -36,6 +41,30 @@
     return {this->id, static_cast<uint64_t>(ms.count())};
 }
 
+MachineClock::MachineClock()
+    : bootClock(machineClockId())
+{
+}
+
+MachineTime MachineClock::read() const
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch);
+    return {this->bootClock.read(), static_cast<uint64_t>(ms.count())};
+}
+
+std::optional<uint64_t> elapsedMs(const MachineTime &from, const MachineTime &to)
+{
+    if (from.timeOfDayMs == 0 || to.timeOfDayMs < from.timeOfDayMs) {
+        return std::nullopt;
+    }
+    const uint64_t byTimeOfDay = to.timeOfDayMs - from.timeOfDayMs;
+    const bool sameBoot = from.sinceBoot.clock != 0 && from.sinceBoot.clock == to.sinceBoot.clock
+                          && to.sinceBoot.atMs >= from.sinceBoot.atMs;
+    const uint64_t byBoot = sameBoot ? to.sinceBoot.atMs - from.sinceBoot.atMs : 0;
+    return byBoot > byTimeOfDay + LongestClockStepMs ? byTimeOfDay : std::max(byBoot, byTimeOfDay);
+}
+
 uint64_t drawClockId()
 {
     std::random_device device;
--- a/source/samphirebridge/core/bootclock.h
+++ b/source/samphirebridge/core/bootclock.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace samphirebridge::core
 {
@@ -26,6 +27,29 @@
     uint64_t id;
 };
 
+// What a machine's clocks told at one moment.
+struct MachineTime {
+    ClockReading sinceBoot;
+    uint64_t timeOfDayMs = 0; // Since the Unix epoch.
+};
+
+// Reads the machine's clocks.
+class MachineClock
+{
+public:
+    MachineClock();
+
+    [[nodiscard]] MachineTime read() const;
+
+private:
+    BootClock bootClock;
+};
+
+// Returns the milliseconds between two readings on one machine, which may have been restarted in
+// between; nothing where its time of day went back. Never less than the time of day tells, and of a
+// machine that was not restarted never less than the clock that counts from its start.
+std::optional<uint64_t> elapsedMs(const MachineTime &from, const MachineTime &to);
+
 // Returns an id for a clock of this process alone, drawn at random.
 uint64_t drawClockId();
 
--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -398,6 +398,7 @@
                                                       this->parts->targetKeeper.get(),
                                                       this->parts->node,
                                                       this->parts->publisher,
+                                                      this->parts->client,
                                                       this->parts->logger);
     using Thread = runtime::ControlThread<ProcessHost, net::LoopWaiter>;
     this->parts->thread = std::make_unique<Thread>(
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -67,6 +67,8 @@
         return "leader_clock";
     case proto::MACHINE_CLOCK:
         return "machine_clock";
+    case proto::MEMBERS_CLOCKS:
+        return "members_clocks";
     default:
         return "none";
     }
--- a/source/samphirebridge/entry/registration.cpp
+++ b/source/samphirebridge/entry/registration.cpp
@@ -2,6 +2,8 @@
 
 #include "samphirebridge/ledger/clockreadings.h"
 
+#include <algorithm>
+
 namespace samphirebridge::entry
 {
 
@@ -15,6 +17,9 @@
     registration.mutable_holder()->set_instance(holder.instance.value);
     registration.mutable_holder()->set_incarnation(holder.incarnation);
     *registration.mutable_sent_at() = ledger::protoOf(*this->firstSentAt);
+    if (now.clock == this->firstSentAt->clock) {
+        registration.set_age_ms(now.atMs - std::min(now.atMs, this->firstSentAt->atMs));
+    }
     return command;
 }
 
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -239,14 +239,24 @@
     reported.witness = holderIdOf(batch.witness());
     if (!batch.partial()) {
         reported.contactSince = reported.lastReportAt;
+        reported.contactIndex = reported.lastReportIndex;
         reported.reportSentAt = readingOf(batch.sent_at());
     }
     reported.lastReportAt = state.proposedAt;
+    reported.lastReportIndex = state.index;
     reported.lastSequence = batch.sequence();
     reported.lastResult = result.holder_batch().SerializeAsString();
     return result;
 }
 
+// Returns when the predecessors of the registered holder were over, by the proposer's clock.
+core::ClockReading overAt(const LedgerState &state, const proto::RegisterHolder &command)
+{
+    core::ClockReading reading = state.proposedAt;
+    reading.atMs -= std::min(reading.atMs, withoutDrift(command.age_ms()));
+    return reading;
+}
+
 } // namespace
 
 proto::CommandResult applyBatch(LedgerState &state, const proto::HolderBatch &batch)
@@ -274,9 +284,12 @@
     record.exposure = exposureInForce(state);
     record.lastReportAt = state.proposedAt;
     record.contactSince = state.proposedAt;
+    record.lastReportIndex = state.index;
+    record.contactIndex = state.index;
     record.reportSentAt = readingOf(command.sent_at());
     proto::CommandResult result;
     if (previous != NoIndex) {
+        state.holders.at(previous).overAt = overAt(state, command);
         *result.mutable_register_holder() = endHolder(
             state, previous, longestIsolation(state, previous, readingOf(command.sent_at())));
     }
--- a/source/samphirebridge/ledger/commands.h
+++ b/source/samphirebridge/ledger/commands.h
@@ -12,6 +12,7 @@
 
 proto::CommandResult registerHolder(LedgerState &state, const proto::RegisterHolder &command);
 proto::CommandResult applyBatch(LedgerState &state, const proto::HolderBatch &batch);
+proto::CommandResult reportOutage(LedgerState &state, const proto::ReportOutage &command);
 proto::CommandResult applyClaim(LedgerState &state, const proto::Claim &claim);
 
 // The changes of operators. Each is accepted once under its change id.
--- a/source/samphirebridge/ledger/holderbook.h
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -54,6 +54,11 @@
     // had the answer to the report of the first time, and sent it at the second.
     core::ClockReading contactSince;
     core::ClockReading reportSentAt;
+    // The log's index of the last report, or the registration, and of the one of `contactSince`.
+    uint64_t lastReportIndex = 0;
+    uint64_t contactIndex = 0;
+    // When it was over, by the proposer's clock, as its successor proved; of no clock: it did not.
+    core::ClockReading overAt;
     std::string lastResult; // The serialised HolderBatchResult of the last sequence.
     absl::flat_hash_map<uint64_t, OpenItem> open;
     absl::flat_hash_map<BudgetIndex, Recall> recalls;
--- a/source/samphirebridge/ledger/ledger.cpp
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -47,6 +47,8 @@
         return numberOrder(state, command.number_order());
     case proto::Command::kReplaceDeclaration:
         return replaceDeclaration(state, command.replace_declaration());
+    case proto::Command::kReportOutage:
+        return reportOutage(state, command.report_outage());
     case proto::Command::VALUE_NOT_SET:
         break;
     }
@@ -64,8 +66,9 @@
 Ledger::Ledger(Ledger &&) noexcept = default;
 Ledger &Ledger::operator=(Ledger &&) noexcept = default;
 
-proto::CommandResult Ledger::apply(const proto::Command &command)
+proto::CommandResult Ledger::apply(const proto::Command &command, uint64_t index)
 {
+    this->state->index = index;
     this->state->timeMs = std::max(this->state->timeMs, command.proposed_at_ms());
     this->state->proposedAt = readingOf(command.proposed_at());
     expire(*this->state);
@@ -123,6 +126,11 @@
     return states;
 }
 
+core::ClockReading Ledger::proposedAt() const
+{
+    return this->state->proposedAt;
+}
+
 proto::BudgetState Ledger::total() const
 {
     BudgetRecord sum;
--- a/source/samphirebridge/ledger/ledger.h
+++ b/source/samphirebridge/ledger/ledger.h
@@ -5,6 +5,7 @@
 // highest `proposed_at_ms` that it has applied.
 #pragma once
 
+#include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/core/ids.h"
 #include "samphirebridge/core/tokens.h"
 
@@ -41,8 +42,13 @@
 
     // Applies a committed command. A refused command changes nothing but the ledger's time, and its
     // result carries a core::ErrorCode and a message; a late batch of a retired holder is the
-    // exception: it is answered with HolderRetired, and its settlements are taken.
-    proto::CommandResult apply(const proto::Command &command);
+    // exception: it is answered with HolderRetired, and its settlements are taken. The index is
+    // that of the command's entry in the log.
+    proto::CommandResult apply(const proto::Command &command, uint64_t index);
+
+    // Returns what the proposer's clock told of the last applied command; of no clock after a
+    // restore.
+    [[nodiscard]] core::ClockReading proposedAt() const;
 
     // Returns the whole state. Two ledgers that applied the same commands give equal snapshots.
     [[nodiscard]] proto::LedgerSnapshot snapshot() const;
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -12,11 +12,6 @@
 namespace
 {
 
-// By how much one clock may run ahead of another: a hundredth is far above the drift
-// of quartz clocks, and the constant covers the rounding to milliseconds.
-constexpr uint64_t ClockDriftDivisor = 100;
-constexpr uint64_t ClockRoundingMs = 2;
-
 constexpr int64_t MillisecondsPerSecond = 1'000;
 
 // Returns the time between two readings, at most, or nothing where they can't be compared.
@@ -25,8 +20,7 @@
     if (from.clock == 0 || from.clock != to.clock || to.atMs < from.atMs) {
         return std::nullopt;
     }
-    const uint64_t measured = to.atMs - from.atMs;
-    return measured + measured / ClockDriftDivisor + ClockRoundingMs;
+    return withDrift(to.atMs - from.atMs);
 }
 
 // Returns the most that the holder can have open in a budget without a record, its witness apart.
@@ -125,9 +119,12 @@
 longestIsolation(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy)
 {
     const HolderRecord &record = state.holders.at(holder);
-    if (const auto ms = elapsedMs(record.contactSince, state.proposedAt)) {
+    if (const auto ms = elapsedMs(record.contactSince, record.overAt)) {
         return {proto::LEADER_CLOCK, *ms};
     }
+    if (const auto ms = state.outages.longestSince(record.contactIndex, record.overAt)) {
+        return {proto::MEMBERS_CLOCKS, *ms};
+    }
     if (const auto ms = elapsedMs(record.reportSentAt, overBy)) {
         return {proto::MACHINE_CLOCK, *ms};
     }
@@ -161,6 +158,20 @@
     return result;
 }
 
+int64_t returnBeyondBound(LedgerState &state, HolderIndex holder, const IsolationBound &isolation)
+{
+    int64_t returned = 0;
+    for (const BudgetIndex budget : state.budgets.budgetsOf(holder)) {
+        const int64_t bound = unrecordedBound(state, state.holders.at(holder), budget, isolation);
+        const int64_t beyond
+            = std::max<int64_t>(state.budgets.share(budget, holder)->free() - bound, 0);
+        state.budgets.returnUnrecorded(budget, holder, beyond);
+        returned += beyond;
+    }
+    forgetIfDone(state, holder);
+    return returned;
+}
+
 void forgetIfDone(LedgerState &state, HolderIndex holder)
 {
     const HolderRecord &record = state.holders.at(holder);
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -10,6 +10,7 @@
 #include "samphirebridge/ledger/holderbook.h"
 #include "samphirebridge/ledger/loanbook.h"
 #include "samphirebridge/ledger/manifeststore.h"
+#include "samphirebridge/ledger/outagebook.h"
 
 #include <ledger.pb.h>
 
@@ -26,6 +27,7 @@
 struct LedgerState {
     uint64_t timeMs = 0;
     core::ClockReading proposedAt; // Of the command being applied.
+    uint64_t index = 0; // Of its entry in the log.
     HolderBook holders;
     BudgetBook budgets;
     ClaimBook claims;
@@ -34,6 +36,7 @@
     proto::Declaration declaration;
     ShortageBook shortages;
     LoanBook loans;
+    OutageBook outages;
     uint64_t lastOrderNumber = 0;
 };
 
@@ -64,12 +67,17 @@
 proto::RegisterHolderResult
 endHolder(LedgerState &state, HolderIndex holder, const IsolationBound &isolation);
 
-// Returns for how long at most the holder may have been out of contact. There is no evidence where
-// no clock measured it: not the proposer's, since another leads now, nor the machine's, since it
-// was restarted. The holder is over, and was by the reading of its machine.
+// Returns for how long at most the holder, whose end by the proposer's clock is noted, may have
+// been out of contact. There is no evidence where no clock measured it: not the proposer's, since
+// another leads now, nor its own machine's, since it was restarted, and a majority of the members
+// has not reported. The holder was over by the reading of its machine.
 IsolationBound
 longestIsolation(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy);
 
+// Returns to the pools what a holder that is over can't have spent in so long a time out of
+// contact, and how much that is.
+int64_t returnBeyondBound(LedgerState &state, HolderIndex holder, const IsolationBound &isolation);
+
 // Forgets a holder that is over, once nothing refers to it.
 void forgetIfDone(LedgerState &state, HolderIndex holder);
 
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -116,6 +116,9 @@
         *message->mutable_last_report_at() = protoOf(record.lastReportAt);
         *message->mutable_contact_since() = protoOf(record.contactSince);
         *message->mutable_report_sent_at() = protoOf(record.reportSentAt);
+        message->set_contact_index(record.contactIndex);
+        message->set_last_report_index(record.lastReportIndex);
+        *message->mutable_over_at() = protoOf(record.overAt);
         writeIsolationRates(state, record, *message);
         if (!record.lastResult.empty()) {
             message->mutable_last_result()->ParseFromString(record.lastResult);
@@ -210,6 +213,9 @@
         for (const proto::Loan &loan : this->snapshot.half_reported_loans()) {
             this->state.loans.report(loan);
         }
+        for (const proto::ReportOutage &report : this->snapshot.outages()) {
+            this->state.outages.take(report);
+        }
         status.Update(this->readHolders());
         if (status.ok()) {
             status = this->readBudgets();
@@ -259,6 +265,9 @@
             record.lastReportAt = readingOf(message.last_report_at());
             record.contactSince = readingOf(message.contact_since());
             record.reportSentAt = readingOf(message.report_sent_at());
+            record.contactIndex = message.contact_index();
+            record.lastReportIndex = message.last_report_index();
+            record.overAt = readingOf(message.over_at());
             for (const proto::IsolationRate &rate : message.isolation_rates()) {
                 record.isolationRates[this->state.budgets.intern(rate.budget())]
                     = rate.tokens_per_s();
@@ -434,6 +443,9 @@
     for (const proto::Loan &loan : state.loans.halfReported()) {
         *snapshot.add_half_reported_loans() = loan;
     }
+    for (const proto::ReportOutage &report : state.outages.reports()) {
+        *snapshot.add_outages() = report;
+    }
     if (state.declaration.version() > 0) {
         *snapshot.mutable_declaration() = state.declaration;
     }
--- a/tests/budget/fleetsimulation.cpp
+++ b/tests/budget/fleetsimulation.cpp
@@ -139,8 +139,9 @@
 proto::CommandResult FleetSimulation::apply(proto::Command command)
 {
     command.set_proposed_at_ms(this->nowMs - this->random(50));
-    proto::CommandResult result = this->ledger.apply(command);
-    if (result.SerializeAsString() != this->replica.apply(command).SerializeAsString()) {
+    const uint64_t index = ++this->lastIndex;
+    proto::CommandResult result = this->ledger.apply(command, index);
+    if (result.SerializeAsString() != this->replica.apply(command, index).SerializeAsString()) {
         this->fail("two replicas gave different results");
     }
     if (result.error_code() == static_cast<uint32_t>(core::ErrorCode::Internal)) {
--- a/tests/budget/fleetsimulation.h
+++ b/tests/budget/fleetsimulation.h
@@ -159,6 +159,7 @@
     uint64_t events = 0;
     std::map<std::pair<uint64_t, uint64_t>, std::function<void()>> queue;
     ledger::Ledger ledger;
+    uint64_t lastIndex = 0; // Of the ledger's commands.
     ledger::Ledger replica; // Applies the same commands and is never restarted.
     std::vector<Node> nodes;
     std::vector<Truth> truth;
--- a/tests/budget/isolationsimulation.cpp
+++ b/tests/budget/isolationsimulation.cpp
@@ -18,6 +18,12 @@
 constexpr uint64_t LongestRequestMs = 1'500;
 constexpr uint64_t AnswerTimeoutMs = 600;
 
+// The ledger's group; the time of day at the simulation's start, and by how much it is set back.
+constexpr size_t Members = 5;
+constexpr uint64_t EpochMs = 1'700'000'000'000;
+constexpr int64_t ClockStepMs = 1'000;
+constexpr uint64_t LongestLagMs = 1'500;
+
 proto::Holder protoOf(const core::HolderId &id)
 {
     proto::Holder holder;
@@ -31,11 +37,18 @@
 IsolationSimulation::IsolationSimulation(const IsolationScenario &simulated)
     : scenario(simulated)
     , generator(simulated.seed)
+    , memberGenerator(simulated.seed + 1)
 {
 }
 
 std::string IsolationSimulation::run()
 {
+    this->members.resize(Members);
+    for (Member &member : this->members) {
+        for (size_t number = 0; number < Members; ++number) {
+            member.log.configuration.add_voters(fmt::format("member-{}/0", number));
+        }
+    }
     proto::Command command;
     proto::Declaration *declaration = command.mutable_replace_declaration()->mutable_declaration();
     declaration->set_version(1);
@@ -56,6 +69,7 @@
         this->tick(node);
     }
     this->changeLeader();
+    this->lag();
     if (this->scenario.killAllAtMs > 0) {
         this->at(this->scenario.killAllAtMs, [this] {
             for (int node = 0; node < this->scenario.holders; ++node) {
@@ -65,6 +79,11 @@
     }
     if (this->scenario.powerLossAtMs > 0) {
         this->at(this->scenario.powerLossAtMs - this->nowMs, [this] { this->losePower(); });
+        if (this->scenario.powerLossAgainAfterMs > 0) {
+            this->at(this->scenario.powerLossAtMs + this->scenario.powerLossAgainAfterMs
+                         - this->nowMs,
+                     [this] { this->losePower(); });
+        }
     }
     const uint64_t endMs = this->nowMs + this->scenario.runMs;
     while (!this->queue.empty() && this->queue.begin()->first.first <= endMs
@@ -106,15 +125,9 @@
            && this->nowMs < this->scenario.cutFromMs + this->scenario.cutForMs;
 }
 
-bool IsolationSimulation::isDark() const
-{
-    return this->scenario.powerLossAtMs > 0 && this->nowMs >= this->scenario.powerLossAtMs
-           && this->nowMs < this->scenario.powerLossAtMs + this->scenario.darkMs;
-}
-
 bool IsolationSimulation::reachesLedger() const
 {
-    return !this->inCut() && !this->isDark();
+    return !this->inCut() && !this->ledgerDark;
 }
 
 void IsolationSimulation::fail(const std::string &what)
@@ -148,7 +161,9 @@
     timed.set_proposed_at_ms(this->nowMs);
     timed.mutable_proposed_at()->set_clock(this->leaderClock);
     timed.mutable_proposed_at()->set_at_ms(this->nowMs + this->leaderOffsetMs);
-    proto::CommandResult result = this->ledger.apply(timed);
+    proto::CommandResult result = this->ledger.apply(timed, ++this->index);
+    this->storeEntry();
+    this->reportOutages();
     const absl::Status status = this->ledger.checkInvariant();
     if (!status.ok()) {
         this->fail(std::string(core::messageOf(status)));
@@ -213,10 +228,27 @@
     this->leaderOffsetMs = this->random(20'000);
 }
 
-// All that was in memory is gone, and every machine's clock begins anew.
+// The ledger's machines lose their power, the holders' now or a little later.
 void IsolationSimulation::losePower()
 {
-    this->drawLeader();
+    this->ledgerDark = true;
+    for (size_t member = 0; member < this->members.size(); ++member) {
+        Member &lost = this->members[member];
+        if (member < static_cast<size_t>(this->scenario.wipedMembers)) {
+            lost.log.times.clear();
+        }
+        if (member + static_cast<size_t>(this->scenario.steppedMembers) >= this->members.size()) {
+            lost.timeOfDayOffsetMs -= ClockStepMs;
+        }
+    }
+    this->at(this->scenario.holdersOutliveMs, [this] { this->loseHolders(); });
+    this->at(this->scenario.darkMs, [this] { this->returnPower(); });
+}
+
+// All that was in memory is gone, and every machine's clock begins anew.
+void IsolationSimulation::loseHolders()
+{
+    this->holdersDark = true;
     for (int node = 0; node < this->scenario.holders; ++node) {
         for (const budget::BudgetShare &share : this->nodes[node]->book.shares()) {
             this->sums.openAtPowerLoss += share.open.count;
@@ -226,6 +258,79 @@
     }
 }
 
+void IsolationSimulation::returnPower()
+{
+    this->ledgerDark = false;
+    this->holdersDark = false;
+    this->drawLeader();
+    for (size_t number = 0; number < this->members.size(); ++number) {
+        Member &member = this->members[number];
+        const std::string name = fmt::format("member-{}/0", number);
+        member.reporter.emplace(
+            core::InstanceId(fmt::format("member-{}", number)), name, member.log);
+    }
+}
+
+// A majority has the entry before it is applied; a member that lags gets it with those behind it.
+void IsolationSimulation::storeEntry()
+{
+    for (Member &member : this->members) {
+        if (this->nowMs >= member.lagsUntilMs) {
+            this->catchUp(member);
+        }
+    }
+}
+
+void IsolationSimulation::catchUp(Member &member)
+{
+    if (this->ledgerDark || member.log.lastIndex >= this->index) {
+        return;
+    }
+    member.log.times.push_back({member.log.lastIndex + 1, this->memberTime(member)});
+    member.log.lastIndex = this->index;
+}
+
+// Cuts fewer than half of the members off from the leader.
+void IsolationSimulation::lag()
+{
+    const size_t first = this->memberGenerator() % Members;
+    for (size_t turn = 0; turn < Members / 2; ++turn) {
+        Member &member = this->members[(first + turn) % Members];
+        const uint64_t forMs = this->memberGenerator() % LongestLagMs;
+        member.lagsUntilMs = this->nowMs + forMs;
+        this->at(forMs, [this, &member] { this->catchUp(member); });
+    }
+    this->at(LongestLagMs, [this] { this->lag(); });
+}
+
+core::MachineTime IsolationSimulation::memberTime(const Member &member) const
+{
+    const auto sinceEpoch = static_cast<int64_t>(EpochMs + this->nowMs) + member.timeOfDayOffsetMs;
+    return {{}, static_cast<uint64_t>(sinceEpoch)};
+}
+
+void IsolationSimulation::reportOutages()
+{
+    for (size_t number = 0; number < this->members.size(); ++number) {
+        Member &member = this->members[number];
+        const control::AppliedLog applied{this->index, this->ledger.proposedAt()};
+        if (!member.reporter || !member.reporter->isDue(applied)) {
+            continue;
+        }
+        const auto report = member.reporter->report(applied, this->memberTime(member));
+        if (!report || this->chance(this->scenario.reportsLostPercent)) {
+            continue;
+        }
+        proto::Command command;
+        *command.mutable_report_outage() = *report;
+        this->at(1 + this->random(400), [this, command] {
+            if (!this->ledgerDark) {
+                this->apply(command);
+            }
+        });
+    }
+}
+
 // The process ends: what it knew is gone, also as a witness.
 void IsolationSimulation::kill(int node)
 {
@@ -278,7 +383,7 @@
     const uint64_t late = this->chance(2) ? this->random(3'000) : 0;
     if (!lost) {
         this->at(1 + this->random(15) + late, [this, node, id, command, answered] {
-            if (this->isDark()) {
+            if (this->ledgerDark) {
                 return;
             }
             const proto::CommandResult result = this->apply(command);
@@ -339,7 +444,7 @@
 
 void IsolationSimulation::arrive(int node)
 {
-    if (this->isDark()) {
+    if (this->holdersDark) {
         this->at(this->scenario.darkMs, [this, node] { this->arrive(node); });
         return;
     }
--- a/tests/budget/isolationsimulation.h
+++ b/tests/budget/isolationsimulation.h
@@ -5,6 +5,7 @@
 #include "samphirebridge/budget/escrowbook.h"
 #include "samphirebridge/budget/isolation.h"
 #include "samphirebridge/budget/witnessbook.h"
+#include "samphirebridge/control/outagereporter.h"
 #include "samphirebridge/ledger/ledger.h"
 
 #include <functional>
@@ -34,6 +35,11 @@
     // All machines lose power then, those of the ledger too, and are back after a while; 0: never.
     uint64_t powerLossAtMs = 0;
     uint64_t darkMs = 1'200;
+    uint64_t holdersOutliveMs = 0; // Holders lose their power so much later.
+    uint64_t powerLossAgainAfterMs = 0; // The same once more; 0: once only.
+    int wipedMembers = 0; // Members of the ledger that lose their disks with it.
+    int steppedMembers = 0; // Members whose time of day is set back by a second meanwhile.
+    int reportsLostPercent = 0; // Of the members' reports of the outage.
     int leaderChangesPercent = 0; // The chance of another proposer's clock, each 100 ms.
     int machineClockPercent = 0; // The chance that the machine's clock outlives the holder.
     int killsPercent = 2; // The chance that a holder ends, each 100 ms.
@@ -95,7 +101,6 @@
     bool chance(int percent);
     core::TimePoint now() const;
     bool inCut() const;
-    bool isDark() const;
     bool reachesLedger() const;
     void fail(const std::string &what);
     budget::EscrowOptions escrowOptions(const budget::Isolation *isolation) const;
@@ -107,6 +112,11 @@
     void changeLeader();
     void drawLeader();
     void losePower();
+    void returnPower();
+    void loseHolders();
+    void storeEntry();
+    void lag();
+    void reportOutages();
     void kill(int node);
     void follow(int node);
     void chooseWitness(int node);
@@ -119,11 +129,27 @@
 
     IsolationScenario scenario;
     std::mt19937_64 generator;
+    std::mt19937_64 memberGenerator; // Of its own: the holders' luck is the same without members.
     uint64_t nowMs = 1'000;
+    // A member of the ledger's group: what it has on disk, and its time of day.
+    struct Member {
+        consensus::RecoveredLog log;
+        int64_t timeOfDayOffsetMs = 0;
+        uint64_t lagsUntilMs = 0;
+        std::optional<control::OutageReporter> reporter;
+    };
+
+    core::MachineTime memberTime(const Member &member) const;
+    void catchUp(Member &member);
+
+    std::vector<Member> members;
+    bool ledgerDark = false;
+    bool holdersDark = false;
     std::vector<uint64_t> machineClocks;
     uint64_t leaderClock = 1;
     uint64_t leaderOffsetMs = 500; // Of its clock.
     uint64_t events = 0;
+    uint64_t index = 0; // Of the ledger's last command.
     std::map<std::pair<uint64_t, uint64_t>, std::function<void()>> queue;
     ledger::Ledger ledger;
     std::vector<std::unique_ptr<Node>> nodes;
--- a/tests/budget/isolationtest.cpp
+++ b/tests/budget/isolationtest.cpp
@@ -151,6 +151,32 @@
     CHECK(simulation.totals().quarantined <= most);
 }
 
+// Guards against overspend by tokens that came back after a loss of power: holders live on out of
+// contact while the ledger is dark, members lag, lose their disks or their time of day.
+TEST_CASE("nothing is spent beyond the budget when the whole fleet loses power")
+{
+    for (uint64_t seed = 1; seed <= 600; ++seed) {
+        IsolationScenario scenario;
+        scenario.seed = seed;
+        scenario.purchased = 100'000 + static_cast<int64_t>(seed % 9) * 100'000;
+        scenario.isolationPerSecond = 2'000 << (seed % 7);
+        scenario.killsPercent = seed % 5 == 0 ? 1 : 0;
+        scenario.lossPercent = static_cast<int>(seed % 4) * 6;
+        scenario.leaderChangesPercent = seed % 3 == 0 ? 3 : 0;
+        // Without a cut, before one, in it and after it.
+        scenario.cutForMs = seed % 4 == 0 ? 0 : 3'000;
+        scenario.powerLossAtMs = 2'500 + seed % 16 * 450;
+        scenario.darkMs = 700 + seed % 5 * 400;
+        scenario.holdersOutliveMs = seed % 2 == 0 ? 0 : seed % 13 * scenario.darkMs / 14;
+        scenario.powerLossAgainAfterMs = seed % 3 == 1 ? 3'000 + seed % 7 * 100 : 0;
+        scenario.wipedMembers = static_cast<int>(seed % 3);
+        scenario.steppedMembers = scenario.wipedMembers == 0 ? static_cast<int>(seed % 2) * 2 : 0;
+        scenario.reportsLostPercent = static_cast<int>(seed % 6) * 4;
+        IsolationSimulation simulation(scenario);
+        CHECK_THAT(simulation.run(), Catch::Equals(""));
+    }
+}
+
 TEST_CASE("in a cut the instance with most requests goes on with loans of the others")
 {
     IsolationScenario scenario;
--- a/tests/consensus/durablenodetest.cpp
+++ b/tests/consensus/durablenodetest.cpp
@@ -381,3 +381,49 @@
     REQUIRE(single.node->flush().ok());
     CHECK(single.node->propose("one more", single.now).ok());
 }
+
+// Guards against a restart that can't tell how long ago the member was in contact.
+TEST_CASE("a member recovers when it stored its entries, and sends the times to nobody")
+{
+    uint64_t timeOfDayMs = 1'000;
+    DurableNodeSettings settings;
+    settings.machineTime = [&timeOfDayMs] {
+        return core::MachineTime{{3, timeOfDayMs + 7}, timeOfDayMs};
+    };
+    Single single(settings);
+    for (const uint64_t stored : {2'000, 3'000}) {
+        timeOfDayMs = stored;
+        REQUIRE(single.node->propose("command", single.now).ok());
+        REQUIRE(single.node->flush().ok());
+    }
+    const uint64_t last = single.node->appliedIndex();
+    single.node.reset();
+    single.storage.crash();
+    single.open(settings);
+    const RecoveredLog &recovered = single.node->recovered();
+    CHECK(recovered.lastIndex == last);
+    CHECK(recovered.configuration.voters_size() == 1);
+    REQUIRE(recovered.times.size() == 3);
+    CHECK(recovered.times[1].index == last - 1);
+    CHECK(recovered.times[1].storedAt.timeOfDayMs == 2'000);
+    CHECK(recovered.times[2].storedAt.timeOfDayMs == 3'000);
+    CHECK(recovered.times[2].storedAt.sinceBoot.atMs == 3'007);
+}
+
+// Guards against evidence of members that had no vote when an entry was acknowledged.
+TEST_CASE("times before the last configuration are not recovered")
+{
+    std::vector<proto::LogEntry> entries(4);
+    for (size_t place = 0; place < entries.size(); ++place) {
+        entries[place].set_index(place + 1);
+        entries[place].set_kind(place == 2 ? proto::CONFIGURATION : proto::COMMAND);
+        stampEntries(std::span(entries).subspan(place, 1), {{1, 1}, 1'000 * (place + 1)});
+    }
+    const std::vector<EntryTime> times = takeEntryTimes(entries);
+    REQUIRE(times.size() == 2);
+    CHECK(times[0].index == 3);
+    CHECK(times[1].storedAt.timeOfDayMs == 4'000);
+    for (const proto::LogEntry &entry : entries) {
+        CHECK_FALSE(entry.has_stored_at());
+    }
+}
--- a/tests/entry/registrationtest.cpp
+++ b/tests/entry/registrationtest.cpp
@@ -38,12 +38,13 @@
 {
     ledger::Ledger ledger;
     entry::Registration predecessor;
-    ledger.apply(predecessor.command(First, machineAt(10'000)));
+    ledger.apply(predecessor.command(First, machineAt(10'000)), 1);
     // The process ends at 10,050 ms; its successor asks from 10,400 ms on, and a leader answers 900
     // ms later.
     entry::Registration successor;
     successor.command(Second, machineAt(10'400));
-    const proto::CommandResult result = ledger.apply(successor.command(Second, machineAt(11'300)));
+    const proto::CommandResult result
+        = ledger.apply(successor.command(Second, machineAt(11'300)), 2);
     REQUIRE(result.register_holder().evidence() == proto::MACHINE_CLOCK);
     CHECK(result.register_holder().isolated_at_most_ms() >= 400);
     CHECK(result.register_holder().isolated_at_most_ms() <= 420);
--- a/tests/ledger/holderstest.cpp
+++ b/tests/ledger/holderstest.cpp
@@ -63,6 +63,22 @@
     return ledger;
 }
 
+// Reports as one of three members that stored the first entry two seconds ago.
+proto::CommandResult reportOutage(TestLedger &ledger, const std::string &instance)
+{
+    proto::Command command;
+    proto::ReportOutage &report = *command.mutable_report_outage();
+    report.set_instance(instance);
+    report.set_voters(3);
+    report.set_last_index(ledger.index);
+    report.mutable_as_of()->set_clock(ledger.proposerClock);
+    report.mutable_as_of()->set_at_ms(ledger.nowMs);
+    proto::EntryAge *entry = report.add_entries();
+    entry->set_index(1);
+    entry->set_age_ms(2'000);
+    return ledger.apply(command);
+}
+
 } // namespace
 
 TEST_CASE("the time since its last report but one bounds what an unheard holder may have spent")
@@ -124,6 +140,39 @@
     CHECK(grant.pool_tokens() == total.pool_tokens());
 }
 
+// Guards against service that is lost again after a loss of power of the whole fleet, since the
+// escrow of all instances stays set aside.
+TEST_CASE("reports of a majority return what a holder can't have spent, and only those")
+{
+    TestLedger ledger = ledgerWithRamp();
+    ledger.proposerClock = 8;
+    ledger.registerHolder("a", 2);
+    REQUIRE(ledger.budget().quarantined_tokens() == 90'000);
+    CHECK(reportOutage(ledger, "x").report_outage().returned_size() == 0);
+    REQUIRE(ledger.ledger.restore(ledger.ledger.snapshot()).ok());
+    const proto::CommandResult result = reportOutage(ledger, "y");
+    REQUIRE(result.report_outage().returned_size() == 1);
+    // 50 in contact, and 1,000 for each of two seconds and a little drift.
+    CHECK(ledger.budget().quarantined_tokens() >= 2'050);
+    CHECK(ledger.budget().quarantined_tokens() <= 2'080);
+    CHECK(result.report_outage().returned(0).tokens()
+          == 90'000 - ledger.budget().quarantined_tokens());
+    CHECK(reportOutage(ledger, "z").report_outage().returned_size() == 0);
+}
+
+// Guards against tokens that return while the process that holds them lives on.
+TEST_CASE("what an operator retired stays set aside, whatever members report")
+{
+    TestLedger ledger = ledgerWithRamp();
+    ledger.proposerClock = 8;
+    ledger.retire("a", 1, "word");
+    REQUIRE(ledger.budget().quarantined_tokens() == 90'000);
+    for (const std::string instance : {"x", "y", "z"}) {
+        reportOutage(ledger, instance);
+    }
+    CHECK(ledger.budget().quarantined_tokens() == 90'000);
+}
+
 TEST_CASE("a holder's own rate of spending out of contact counts where it is above the least")
 {
     TestLedger ledger = ledgerWithRamp();
--- a/tests/ledger/testledger.cpp
+++ b/tests/ledger/testledger.cpp
@@ -28,7 +28,7 @@
     command.set_proposed_at_ms(this->nowMs);
     command.mutable_proposed_at()->set_clock(this->proposerClock);
     command.mutable_proposed_at()->set_at_ms(this->nowMs);
-    proto::CommandResult result = this->ledger.apply(command);
+    proto::CommandResult result = this->ledger.apply(command, ++this->index);
     const absl::Status status = this->ledger.checkInvariant();
     INFO(core::messageOf(status));
     REQUIRE(status.ok());
--- a/utilities/bench/ledgerbench.cpp
+++ b/utilities/bench/ledgerbench.cpp
@@ -48,7 +48,7 @@
         budget->set_organisation(fmt::format("organisation-{:03}", index % 400));
         budget->set_tokens(tokens);
     }
-    ledger.apply(command);
+    ledger.apply(command, 0);
 }
 
 proto::Holder holderOf(int index)
@@ -64,7 +64,7 @@
     for (int index = 0; index < count; ++index) {
         proto::Command command;
         *command.mutable_register_holder()->mutable_holder() = holderOf(index);
-        ledger.apply(command);
+        ledger.apply(command, 0);
     }
 }
 
@@ -81,7 +81,7 @@
             request->set_budget(budgetName(index));
             request->set_wanted_tokens(10'000);
         }
-        ledger.apply(command);
+        ledger.apply(command, 0);
     }
 }
 
@@ -102,7 +102,7 @@
     message->set_budget(budgetName(0));
     message->set_tokens(1);
     message->set_key_retention_s(900);
-    ledger.apply(command);
+    ledger.apply(command, 0);
 }
 
 void measureApplies()
@@ -137,7 +137,7 @@
     }
     const core::TimePoint start = core::SteadyClock().now();
     for (const proto::Command &command : commands) {
-        if (ledger.apply(command).error_code() != 0) {
+        if (ledger.apply(command, 0).error_code() != 0) {
             fmt::print("a batch was refused\n");
         }
     }
@@ -174,7 +174,7 @@
     proto::EscrowRequest *request = grant.mutable_holder_batch()->add_requests();
     request->set_budget(budgetName(0));
     request->set_minimum_tokens(Claims);
-    ledger.apply(grant);
+    ledger.apply(grant, 0);
     grant.Clear();
     const size_t beforeClaims = heapBytes();
     uint64_t sequence = 3;
@@ -191,7 +191,7 @@
         if (grant.holder_batch().settlements_size() == 1'000) {
             *grant.mutable_holder_batch()->mutable_holder() = holderOf(0);
             grant.mutable_holder_batch()->set_sequence(sequence++);
-            ledger.apply(grant);
+            ledger.apply(grant, 0);
             grant.Clear();
         }
     }
