budget, ledger: Begin the exposure ramp slowly

An outage of all holders costs that growth for each of them; a single cut needs it only when it lasts. The ramp now grows by half the rate for two seconds and has caught up after four. A holder names its shape when it registers, so that instances of two versions can run side by side. A rate that falls by a quarter is reported, where it had to fall by half.

--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -16,7 +16,7 @@
 // Answers further apart than this many flush intervals don't belong together.
 constexpr int MostGaps = 5;
 
-// A rate of the exposure ramp is reported when it has risen by this part, or has fallen to a half.
+// A rate of the exposure ramp is reported when it has risen or fallen by this part.
 constexpr int64_t RateReportPart = 4;
 
 double secondsOf(core::Duration duration)
@@ -100,7 +100,7 @@
     const int64_t rate
         = std::max(options.leastIsolationRate, static_cast<int64_t>(std::ceil(wanted)));
     const int64_t last = std::max(options.leastIsolationRate, this->reportedRate);
-    const bool far = rate > last + last / RateReportPart || rate < last / 2;
+    const bool far = rate > last + last / RateReportPart || rate < last - last / RateReportPart;
     if (options.leastIsolationRate == 0 || !far) {
         return std::nullopt;
     }
--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -14,11 +14,11 @@
         return options.exposureLimit;
     }
     const ExposureRamp &ramp = *options.exposureRamp;
-    const std::chrono::duration<double> elapsed = now - ramp.from;
-    const double grown = std::max(elapsed.count(), 0.0) * static_cast<double>(tokensPerSecond);
-    const double limit = std::min(static_cast<double>(ramp.base.count) + grown,
-                                  static_cast<double>(options.exposureLimit.count));
-    return core::Tokens{static_cast<int64_t>(limit)};
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - ramp.from);
+    const int64_t elapsedMs = std::max<int64_t>(elapsed.count(), 0);
+    const int64_t room = options.exposureLimit.count - ramp.base.count;
+    const int64_t grown = core::rampGrowth(ramp.shape, tokensPerSecond, elapsedMs);
+    return core::Tokens{ramp.base.count + std::min(grown, room)};
 }
 
 EscrowBook::EscrowBook(core::HolderId holder, EscrowOptions options)
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -5,6 +5,7 @@
 // the host sends the batches that nextBatch() hands out and feeds back what became of them.
 #pragma once
 
+#include "samphirebridge/core/exposureramp.h"
 #include "samphirebridge/core/ids.h"
 #include "samphirebridge/core/time.h"
 #include "samphirebridge/core/tokens.h"
@@ -28,6 +29,7 @@
 struct ExposureRamp {
     core::TimePoint from; // When the oldest report without an answer was sent.
     core::Tokens base; // At that time.
+    core::RampShape shape = core::RampShape::Linear; // As the holder registered with.
 };
 
 struct EscrowOptions {
--- /dev/null
+++ b/source/samphirebridge/core/exposureramp.cpp
@@ -0,0 +1,30 @@
+#include "samphirebridge/core/exposureramp.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace samphirebridge::core
+{
+
+namespace
+{
+
+constexpr int64_t MillisecondsPerSecond = 1'000;
+
+} // namespace
+
+int64_t rampGrowth(RampShape shape, int64_t tokensPerSecond, int64_t elapsedMs)
+{
+    int64_t weightedMs = elapsedMs;
+    if (shape == RampShape::SlowStart) {
+        const int64_t slow = elapsedMs / 2;
+        const int64_t catchingUp = elapsedMs + elapsedMs / 2 - SlowStartMs;
+        weightedMs = std::min(elapsedMs, std::max(slow, catchingUp));
+    }
+    if (tokensPerSecond > 0 && weightedMs > std::numeric_limits<int64_t>::max() / tokensPerSecond) {
+        return std::numeric_limits<int64_t>::max();
+    }
+    return tokensPerSecond * weightedMs / MillisecondsPerSecond;
+}
+
+} // namespace samphirebridge::core
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/entry/registration.h"
 #include "samphirebridge/ledger/clockreadings.h"
 
 #include <fmt/format.h>
@@ -328,8 +329,8 @@
     this->bookOptions.exposureLimit = limit;
     this->bookOptions.exposureRamp.reset();
     if (ramps) {
-        this->bookOptions.exposureRamp
-            = budget::ExposureRamp{.from = *silentSince, .base = *this->contactExposure};
+        this->bookOptions.exposureRamp = budget::ExposureRamp{
+            .from = *silentSince, .base = *this->contactExposure, .shape = HolderRamp};
     }
     this->book.setOptions(this->bookOptions);
     this->askWaitersAgain(now);
--- a/source/samphirebridge/entry/registration.cpp
+++ b/source/samphirebridge/entry/registration.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/entry/registration.h"
 
 #include "samphirebridge/ledger/clockreadings.h"
+#include "samphirebridge/ledger/isolationramps.h"
 
 #include <algorithm>
 
@@ -16,6 +17,7 @@
     proto::RegisterHolder &registration = *command.mutable_register_holder();
     registration.mutable_holder()->set_instance(holder.instance.value);
     registration.mutable_holder()->set_incarnation(holder.incarnation);
+    registration.set_ramp(ledger::protoOf(HolderRamp));
     *registration.mutable_sent_at() = ledger::protoOf(*this->firstSentAt);
     if (now.clock == this->firstSentAt->clock) {
         registration.set_age_ms(now.atMs - std::min(now.atMs, this->firstSentAt->atMs));
--- a/source/samphirebridge/entry/registration.h
+++ b/source/samphirebridge/entry/registration.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "samphirebridge/core/bootclock.h"
+#include "samphirebridge/core/exposureramp.h"
 #include "samphirebridge/core/ids.h"
 
 #include <ledger.pb.h>
@@ -11,6 +12,9 @@
 namespace samphirebridge::entry
 {
 
+// The ramp that holders of this version register with and go by.
+inline constexpr core::RampShape HolderRamp = core::RampShape::SlowStart;
+
 // One incarnation's registration. It may take many commands, while the control instances elect a
 // leader; the predecessors were over before the first of them, as the instance's port was free.
 class Registration
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -282,6 +282,7 @@
     const HolderIndex previous = state.holders.liveOf(id.instance);
     HolderRecord &record = state.holders.at(state.holders.add(id));
     record.exposure = exposureInForce(state);
+    record.ramp = rampOf(command.ramp());
     record.lastReportAt = state.proposedAt;
     record.contactSince = state.proposedAt;
     record.lastReportIndex = state.index;
--- a/source/samphirebridge/ledger/holderbook.h
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "samphirebridge/core/bootclock.h"
+#include "samphirebridge/core/exposureramp.h"
 #include "samphirebridge/core/ids.h"
 
 #include <absl/container/btree_map.h>
@@ -44,6 +45,7 @@
     // The highest exposure that was in force since it registered: it may not have heard of a lower
     // one yet.
     int64_t exposure = 0;
+    core::RampShape ramp = core::RampShape::Linear;
     core::HolderId witness; // Of no instance: none was named.
     bool awaitsWitness = false; // It is over, and its witness was not heard yet.
     // When the last batch, or the registration, was taken in, by the proposer's clock. The holder
--- /dev/null
+++ b/source/samphirebridge/ledger/isolationramps.h
@@ -0,0 +1,14 @@
+// Shapes of the exposure ramp as messages.
+#pragma once
+
+#include "samphirebridge/core/exposureramp.h"
+
+#include <ledger.pb.h>
+
+namespace samphirebridge::ledger
+{
+
+core::RampShape rampOf(proto::IsolationRamp ramp);
+proto::IsolationRamp protoOf(core::RampShape shape);
+
+} // namespace samphirebridge::ledger
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr int64_t MillisecondsPerSecond = 1'000;
-
 // Returns the time between two readings, at most, or nothing where they can't be compared.
 std::optional<uint64_t> elapsedMs(const core::ClockReading &from, const core::ClockReading &to)
 {
@@ -39,7 +37,8 @@
         || isolation.ms > static_cast<uint64_t>(core::MaximumPurchase.count / rate)) {
         return record.exposure;
     }
-    const int64_t ramp = rate * static_cast<int64_t>(isolation.ms) / MillisecondsPerSecond + 1;
+    const auto elapsedMs = static_cast<int64_t>(isolation.ms);
+    const int64_t ramp = core::rampGrowth(record.ramp, rate, elapsedMs) + 1;
     return std::min(record.exposure, contact + ramp);
 }
 
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -8,6 +8,7 @@
 #include "samphirebridge/ledger/clockreadings.h"
 #include "samphirebridge/ledger/escrowgrants.h"
 #include "samphirebridge/ledger/holderbook.h"
+#include "samphirebridge/ledger/isolationramps.h"
 #include "samphirebridge/ledger/loanbook.h"
 #include "samphirebridge/ledger/manifeststore.h"
 #include "samphirebridge/ledger/outagebook.h"
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -116,6 +116,7 @@
         *message->mutable_last_report_at() = protoOf(record.lastReportAt);
         *message->mutable_contact_since() = protoOf(record.contactSince);
         *message->mutable_report_sent_at() = protoOf(record.reportSentAt);
+        message->set_ramp(protoOf(record.ramp));
         message->set_contact_index(record.contactIndex);
         message->set_last_report_index(record.lastReportIndex);
         *message->mutable_over_at() = protoOf(record.overAt);
@@ -265,6 +266,7 @@
             record.lastReportAt = readingOf(message.last_report_at());
             record.contactSince = readingOf(message.contact_since());
             record.reportSentAt = readingOf(message.report_sent_at());
+            record.ramp = rampOf(message.ramp());
             record.contactIndex = message.contact_index();
             record.lastReportIndex = message.last_report_index();
             record.overAt = readingOf(message.over_at());
--- a/tests/budget/isolationsimulation.cpp
+++ b/tests/budget/isolationsimulation.cpp
@@ -1,6 +1,7 @@
 #include "tests/budget/isolationsimulation.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/ledger/isolationramps.h"
 
 #include <fmt/format.h>
 
@@ -150,7 +151,8 @@
     if (isolated && this->scenario.isolationPerSecond > 0) {
         options.exposureRamp
             = budget::ExposureRamp{.from = *isolation->silentSince(),
-                                   .base = core::Tokens{this->scenario.contactExposure}};
+                                   .base = core::Tokens{this->scenario.contactExposure},
+                                   .shape = this->scenario.ramp};
     }
     return options;
 }
@@ -198,6 +200,7 @@
         proto::Command command;
         *command.mutable_register_holder()->mutable_holder() = protoOf(state.id);
         *command.mutable_register_holder()->mutable_sent_at() = this->machineReading(node);
+        command.mutable_register_holder()->set_ramp(ledger::protoOf(this->scenario.ramp));
         state.registered = this->apply(command).error_code() == 0;
     }
     this->chooseWitness(node);
--- a/tests/budget/isolationsimulation.h
+++ b/tests/budget/isolationsimulation.h
@@ -26,6 +26,7 @@
     int64_t purchased = 400'000;
     int64_t contactExposure = 3'000;
     int64_t isolationPerSecond = 0; // At least; 0: a holder out of contact spends all it has.
+    core::RampShape ramp = core::RampShape::SlowStart;
     int64_t largestRequest = 2'000;
     int arrivalMs = 25; // The mean time between two requests at one holder.
     uint64_t cutFromMs = 4'000; // All holders lose the ledger.
