ledger, core: Believe a machine's boot clock only beside its time of day

A machine that keeps the id of its start over a loss of power tells a successor that it ran on.

Readings of a machine's clock now carry the time of day. They bound a silence only where both clocks agree within 0.5 s; otherwise the members' clocks decide, or nothing. Without the check the new test fails in the cases of 0.6 s and of 59 s less.

--- a/source/samphirebridge/core/bootclock.cpp
+++ b/source/samphirebridge/core/bootclock.cpp
@@ -21,6 +21,9 @@
 // that is further ahead of it was started anew under the same id.
 constexpr uint64_t LongestClockStepMs = 60'000;
 
+// By how much the two clocks of a machine that ran on may differ over some seconds.
+constexpr uint64_t LargestDisagreementMs = 500;
+
 } // namespace
 
 BootClock::BootClock(uint64_t id)
@@ -65,6 +68,20 @@
     return byBoot > byTimeOfDay + LongestClockStepMs ? byTimeOfDay : std::max(byBoot, byTimeOfDay);
 }
 
+std::optional<uint64_t> elapsedWithoutRestartMs(const MachineTime &from, const MachineTime &to)
+{
+    const bool sameBoot = from.sinceBoot.clock != 0 && from.sinceBoot.clock == to.sinceBoot.clock;
+    if (!sameBoot || to.sinceBoot.atMs < from.sinceBoot.atMs || from.timeOfDayMs == 0
+        || to.timeOfDayMs < from.timeOfDayMs) {
+        return std::nullopt;
+    }
+    const uint64_t byBoot = to.sinceBoot.atMs - from.sinceBoot.atMs;
+    const uint64_t byTimeOfDay = to.timeOfDayMs - from.timeOfDayMs;
+    const uint64_t apart = std::max(byBoot, byTimeOfDay) - std::min(byBoot, byTimeOfDay);
+    return apart <= LargestDisagreementMs ? std::optional(std::max(byBoot, byTimeOfDay))
+                                          : std::nullopt;
+}
+
 uint64_t drawClockId()
 {
     std::random_device device;
--- a/source/samphirebridge/core/bootclock.h
+++ b/source/samphirebridge/core/bootclock.h
@@ -50,6 +50,11 @@
 // machine that was not restarted never less than the clock that counts from its start.
 std::optional<uint64_t> elapsedMs(const MachineTime &from, const MachineTime &to);
 
+// Returns the milliseconds between two readings on one machine that was not restarted in between;
+// nothing where it may have been. Some machines keep the id of their start over a loss of power,
+// after which their clock begins at any value, so the time of day must agree with it.
+std::optional<uint64_t> elapsedWithoutRestartMs(const MachineTime &from, const MachineTime &to);
+
 // Returns an id for a clock of this process alone, drawn at random.
 uint64_t drawClockId();
 
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -83,7 +83,7 @@
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     core::SteadyClock clock;
-    core::BootClock machineClock{core::machineClockId()};
+    core::MachineClock machineClock;
     FleetView fleetView;
     EscrowKeeper escrowKeeper;
     ClaimKeeper claimKeeper;
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -139,7 +139,7 @@
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     core::SteadyClock clock;
-    core::BootClock machineClock{core::machineClockId()};
+    core::MachineClock machineClock;
     budget::Isolation isolation;
     budget::WitnessBook witnessBook;
     SendNotice sendNotice;
@@ -154,7 +154,7 @@
     bool registered = false;
     bool shuttingDown = false;
     uint64_t lastSequence = 0;
-    core::ClockReading lastSentAt; // When the batch of that sequence was sent first.
+    core::MachineTime lastSentAt; // When the batch of that sequence was sent first.
 };
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/registration.cpp
+++ b/source/samphirebridge/entry/registration.cpp
@@ -8,7 +8,7 @@
 namespace samphirebridge::entry
 {
 
-proto::Command Registration::command(const core::HolderId &holder, const core::ClockReading &now)
+proto::Command Registration::command(const core::HolderId &holder, const core::MachineTime &now)
 {
     if (!this->firstSentAt) {
         this->firstSentAt = now;
@@ -19,8 +19,9 @@
     registration.mutable_holder()->set_incarnation(holder.incarnation);
     registration.set_ramp(ledger::protoOf(HolderRamp));
     *registration.mutable_sent_at() = ledger::protoOf(*this->firstSentAt);
-    if (now.clock == this->firstSentAt->clock) {
-        registration.set_age_ms(now.atMs - std::min(now.atMs, this->firstSentAt->atMs));
+    const core::ClockReading &first = this->firstSentAt->sinceBoot;
+    if (now.sinceBoot.clock == first.clock) {
+        registration.set_age_ms(now.sinceBoot.atMs - std::min(now.sinceBoot.atMs, first.atMs));
     }
     return command;
 }
--- a/source/samphirebridge/entry/registration.h
+++ b/source/samphirebridge/entry/registration.h
@@ -20,14 +20,14 @@
 class Registration
 {
 public:
-    // Returns the command to send now, at the machine clock's reading `now`.
-    proto::Command command(const core::HolderId &holder, const core::ClockReading &now);
+    // Returns the command to send now, by the machine's clocks.
+    proto::Command command(const core::HolderId &holder, const core::MachineTime &now);
 
     // Begins again for another incarnation of the same process.
     void restart();
 
 private:
-    std::optional<core::ClockReading> firstSentAt;
+    std::optional<core::MachineTime> firstSentAt;
 };
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -240,7 +240,7 @@
     if (!batch.partial()) {
         reported.contactSince = reported.lastReportAt;
         reported.contactIndex = reported.lastReportIndex;
-        reported.reportSentAt = readingOf(batch.sent_at());
+        reported.reportSentAt = machineTimeOf(batch.sent_at());
     }
     reported.lastReportAt = state.proposedAt;
     reported.lastReportIndex = state.index;
@@ -287,12 +287,12 @@
     record.contactSince = state.proposedAt;
     record.lastReportIndex = state.index;
     record.contactIndex = state.index;
-    record.reportSentAt = readingOf(command.sent_at());
+    record.reportSentAt = machineTimeOf(command.sent_at());
     proto::CommandResult result;
     if (previous != NoIndex) {
         state.holders.at(previous).overAt = overAt(state, command);
         *result.mutable_register_holder() = endHolder(
-            state, previous, longestIsolation(state, previous, readingOf(command.sent_at())));
+            state, previous, longestIsolation(state, previous, machineTimeOf(command.sent_at())));
     }
     return result;
 }
--- a/source/samphirebridge/ledger/clockreadings.cpp
+++ b/source/samphirebridge/ledger/clockreadings.cpp
@@ -28,6 +28,18 @@
     return message;
 }
 
+core::MachineTime machineTimeOf(const proto::ClockReading &message)
+{
+    return {readingOf(message), message.time_of_day_ms()};
+}
+
+proto::ClockReading protoOf(const core::MachineTime &time)
+{
+    proto::ClockReading message = protoOf(time.sinceBoot);
+    message.set_time_of_day_ms(time.timeOfDayMs);
+    return message;
+}
+
 uint64_t withDrift(uint64_t ms)
 {
     return ms + ms / ClockDriftDivisor + ClockRoundingMs;
--- a/source/samphirebridge/ledger/holderbook.h
+++ b/source/samphirebridge/ledger/holderbook.h
@@ -55,7 +55,7 @@
     // of the oldest record that the ledger may not have. The holder sent the last batch after it
     // had the answer to the report of the first time, and sent it at the second.
     core::ClockReading contactSince;
-    core::ClockReading reportSentAt;
+    core::MachineTime reportSentAt;
     // The log's index of the last report, or the registration, and of the one of `contactSince`.
     uint64_t lastReportIndex = 0;
     uint64_t contactIndex = 0;
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -115,7 +115,7 @@
 // The proposer's clock goes first: its id is drawn anew by every process, whereas a machine's is
 // what the machine says of itself.
 IsolationBound
-longestIsolation(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy)
+longestIsolation(const LedgerState &state, HolderIndex holder, const core::MachineTime &overBy)
 {
     const HolderRecord &record = state.holders.at(holder);
     if (const auto ms = elapsedMs(record.contactSince, record.overAt)) {
@@ -124,8 +124,8 @@
     if (const auto ms = state.outages.longestSince(record.contactIndex, record.overAt)) {
         return {proto::MEMBERS_CLOCKS, *ms};
     }
-    if (const auto ms = elapsedMs(record.reportSentAt, overBy)) {
-        return {proto::MACHINE_CLOCK, *ms};
+    if (const auto ms = core::elapsedWithoutRestartMs(record.reportSentAt, overBy)) {
+        return {proto::MACHINE_CLOCK, withDrift(*ms)};
     }
     return {};
 }
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -73,7 +73,7 @@
 // another leads now, nor its own machine's, since it was restarted, and a majority of the members
 // has not reported. The holder was over by the reading of its machine.
 IsolationBound
-longestIsolation(const LedgerState &state, HolderIndex holder, const core::ClockReading &overBy);
+longestIsolation(const LedgerState &state, HolderIndex holder, const core::MachineTime &overBy);
 
 // Returns to the pools what a holder that is over can't have spent in so long a time out of
 // contact, and how much that is.
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -265,7 +265,7 @@
             record.awaitsWitness = message.awaits_witness();
             record.lastReportAt = readingOf(message.last_report_at());
             record.contactSince = readingOf(message.contact_since());
-            record.reportSentAt = readingOf(message.report_sent_at());
+            record.reportSentAt = machineTimeOf(message.report_sent_at());
             record.ramp = rampOf(message.ramp());
             record.contactIndex = message.contact_index();
             record.lastReportIndex = message.last_report_index();
--- a/tests/budget/isolationsimulation.cpp
+++ b/tests/budget/isolationsimulation.cpp
@@ -181,6 +181,7 @@
     if (this->scenario.machineClockPercent > 0) {
         reading.set_clock(1'000 + 100 * static_cast<uint64_t>(node) + this->machineClocks[node]);
         reading.set_at_ms(this->nowMs + 77 * this->machineClocks[node]);
+        reading.set_time_of_day_ms(EpochMs + this->nowMs);
     }
     return reading;
 }
--- a/tests/entry/registrationtest.cpp
+++ b/tests/entry/registrationtest.cpp
@@ -14,9 +14,11 @@
 
 constexpr uint64_t MachineClock = 40;
 
-core::ClockReading machineAt(uint64_t ms)
+constexpr uint64_t EpochMs = 1'700'000'000'000;
+
+core::MachineTime machineAt(uint64_t ms)
 {
-    return {MachineClock, ms};
+    return {{MachineClock, ms}, EpochMs + ms};
 }
 
 } // namespace
--- a/tests/ledger/holderstest.cpp
+++ b/tests/ledger/holderstest.cpp
@@ -218,6 +218,20 @@
     CHECK(back.registerHolder("a", 2).register_holder().evidence() == proto::NO_EVIDENCE);
 }
 
+// Guards against overspend where a machine keeps the id of its start over a loss of power, and its
+// clock begins a little after the holder's last report.
+TEST_CASE("a machine's clock that disagrees with the time of day tells nothing")
+{
+    for (const int64_t aheadMs : {-59'000, 600, 3'000'000}) {
+        TestLedger ledger = ledgerWithRamp(false, 40);
+        ledger.proposerClock = 8;
+        ledger.nowMs += 60'000;
+        ledger.machineClockAheadMs = aheadMs;
+        CHECK(ledger.registerHolder("a", 2).register_holder().evidence() == proto::NO_EVIDENCE);
+        CHECK(ledger.budget().quarantined_tokens() == 90'000);
+    }
+}
+
 TEST_CASE("by the machine's clock a report that could not hold everything counts as none")
 {
     TestLedger ledger = ledgerWithRamp(true, 40);
--- a/tests/ledger/testledger.cpp
+++ b/tests/ledger/testledger.cpp
@@ -39,7 +39,8 @@
 void TestLedger::stamp(proto::ClockReading &reading) const
 {
     reading.set_clock(this->machineClock);
-    reading.set_at_ms(this->nowMs);
+    reading.set_at_ms(this->nowMs + static_cast<uint64_t>(this->machineClockAheadMs));
+    reading.set_time_of_day_ms(this->nowMs);
 }
 
 proto::CommandResult TestLedger::registerHolder(const std::string &instance, uint64_t incarnation)
--- a/tests/ledger/testledger.h
+++ b/tests/ledger/testledger.h
@@ -52,6 +52,7 @@
     uint64_t nowMs = 1'000'000;
     uint64_t index = 0; // Of the last command.
     uint64_t proposerClock = 0; // That commands are stamped with; 0: none.
+    int64_t machineClockAheadMs = 0; // Of the time of day.
     uint64_t machineClock = 0; // That holders' messages are stamped with; 0: none.
 };
 
