--- a/source/samphirebridge/consensus/durablenode.h
+++ b/source/samphirebridge/consensus/durablenode.h
@@ -131,9 +131,10 @@
     {
         return this->name;
     }
-    [[nodiscard]] const RecoveredLog &recovered() const
+    // Moves out what open() found in the log.
+    RecoveredLog takeRecovered()
     {
-        return this->recoveredLog;
+        return std::exchange(this->recoveredLog, {});
     }
     // Returns the index of the last applied entry.
     [[nodiscard]] uint64_t appliedIndex() const
--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -54,7 +54,7 @@
         const std::string &member = node->durable->member();
         node->outages.emplace(core::InstanceId(std::string(storage::instanceOf(member))),
                               member,
-                              node->durable->recovered());
+                              node->durable->takeRecovered());
         return node;
     }
 
--- a/source/samphirebridge/control/outagereporter.cpp
+++ b/source/samphirebridge/control/outagereporter.cpp
@@ -24,12 +24,12 @@
 
 OutageReporter::OutageReporter(core::InstanceId reportingInstance,
                                std::string_view member,
-                               const consensus::RecoveredLog &recovered)
+                               consensus::RecoveredLog recovered)
     : instance(std::move(reportingInstance))
     , isVoter(std::ranges::count(recovered.configuration.voters(), member) > 0)
     , voters(static_cast<uint32_t>(recovered.configuration.voters_size()))
     , lastIndex(recovered.lastIndex)
-    , times(recovered.times)
+    , times(std::move(recovered.times))
 {
 }
 
--- a/source/samphirebridge/control/outagereporter.h
+++ b/source/samphirebridge/control/outagereporter.h
@@ -31,7 +31,7 @@
     // is never a report.
     OutageReporter(core::InstanceId instance,
                    std::string_view member,
-                   const consensus::RecoveredLog &recovered);
+                   consensus::RecoveredLog recovered);
 
     // Tells whether a report is to be sent now: one for each leader's clock that commands carry
     // after the restart.
--- a/tests/consensus/durablenodetest.cpp
+++ b/tests/consensus/durablenodetest.cpp
@@ -400,7 +400,7 @@
     single.node.reset();
     single.storage.crash();
     single.open(settings);
-    const RecoveredLog &recovered = single.node->recovered();
+    const RecoveredLog recovered = single.node->takeRecovered();
     CHECK(recovered.lastIndex == last);
     CHECK(recovered.configuration.voters_size() == 1);
     REQUIRE(recovered.times.size() == 3);
