telemetry, transport, entry: Tell what links between instances carry and lose

New counters control_bytes_failed_total, declaration_bytes_sent_total and declaration_bytes_received_total, histograms message_wait_seconds and message_delivery_seconds, and two log lines: messages_given_up, at most one a second, and declaration_spread, one a version and control instance. Calls that get no answer are counted as failed like messages. No decision changes.

--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -169,7 +169,7 @@
         , callers(gateway::DriverContext{
               this->node, this->queue, this->httpClient, this->counters, this->mustEnd})
         , targets(this->node, this->queue, this->counters)
-        , publisher(processSettings.instance, this->peers)
+        , publisher(processSettings.instance, this->peers, this->counters, this->logger)
     {
         this->queue.setOnPost([this] { this->loop.wake(); });
         this->node.escrow().setNoticeSender([this](const core::InstanceId &witness,
--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -54,6 +54,8 @@
 
 void DeclarationKeeper::take(const proto::Declaration &declaration)
 {
+    this->counters.count(telemetry::Event::DeclarationBytesReceived,
+                         static_cast<double>(declaration.ByteSizeLong()));
     if (!this->decoder || declaration.version() <= this->current->declaration().version) {
         return;
     }
--- a/source/samphirebridge/entry/declarationpublisher.cpp
+++ b/source/samphirebridge/entry/declarationpublisher.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/entry/declarationpublisher.h"
 
 #include <chrono>
+#include <string>
 #include <utility>
 
 namespace samphirebridge::entry
@@ -17,9 +18,14 @@
 
 } // namespace
 
-DeclarationPublisher::DeclarationPublisher(core::InstanceId ownId, transport::PeerSet &peerSet)
+DeclarationPublisher::DeclarationPublisher(core::InstanceId ownId,
+                                           transport::PeerSet &peerSet,
+                                           telemetry::Counters &processCounters,
+                                           telemetry::Logger &processLogger)
     : self(std::move(ownId))
     , peers(peerSet)
+    , counters(processCounters)
+    , logger(processLogger)
 {
 }
 
@@ -29,6 +35,8 @@
                                 core::TimePoint now)
 {
     if (committed.version() > this->version) {
+        this->reportSpread(this->lastBehind, now);
+        this->spread = {};
         this->version = committed.version();
         this->committedAt = now;
         this->toldAt.clear();
@@ -36,11 +44,13 @@
     if (this->version == 0 || (!leads && now - this->committedAt < LeaderFirst)) {
         return;
     }
+    size_t stillBehind = 0;
     for (const membership::InstanceView &view : instances.view(now)) {
         const std::string &id = view.record.id();
         const bool behind = view.record.serves()
                             && view.record.declaration_version() < this->version
                             && id != this->self.value;
+        stillBehind += behind && view.inContact ? 1 : 0;
         const auto told = this->toldAt.find(id);
         const bool due = told == this->toldAt.end() || now - told->second >= TellAgain;
         transport::PeerChannel *channel
@@ -52,8 +62,33 @@
         proto::Envelope envelope;
         envelope.set_from(this->self.value);
         *envelope.add_declarations() = committed;
+        const size_t bytes = envelope.ByteSizeLong();
+        this->counters.count(telemetry::Event::DeclarationBytesSent, static_cast<double>(bytes));
+        ++this->spread.messages;
+        this->spread.bytes += bytes;
         channel->deliver(envelope);
     }
+    this->lastBehind = stillBehind;
+    if (stillBehind == 0) {
+        this->reportSpread(stillBehind, now);
+    }
+}
+
+void DeclarationPublisher::reportSpread(size_t behind, core::TimePoint now)
+{
+    if (this->spread.isReported || this->spread.messages == 0) {
+        return;
+    }
+    this->spread.isReported = true;
+    const auto took
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->committedAt);
+    this->logger.change("declaration_spread",
+                        {{"version", std::to_string(this->version)},
+                         {"instances", std::to_string(this->toldAt.size())},
+                         {"behind", std::to_string(behind)},
+                         {"messages", std::to_string(this->spread.messages)},
+                         {"bytes", std::to_string(this->spread.bytes)},
+                         {"took_ms", std::to_string(took.count())}});
 }
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -4,6 +4,8 @@
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/core/rendezvous.h"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <string>
 #include <utility>
@@ -137,6 +139,7 @@
     if (now - this->lastLevels >= LevelsInterval) {
         this->lastLevels = now;
         this->updateLevels();
+        this->reportFailedMessages();
     }
 }
 
@@ -336,4 +339,18 @@
     this->counters.set(telemetry::Level::EscrowTokens, static_cast<double>(escrow.count));
 }
 
+void EntryNode::reportFailedMessages()
+{
+    const double messages = this->counters.total(telemetry::Event::ControlMessagesFailed);
+    const double bytes = this->counters.total(telemetry::Event::ControlBytesFailed);
+    if (messages <= this->reportedFailures) {
+        return;
+    }
+    this->logger.change("messages_given_up",
+                        {{"messages", fmt::format("{:.0f}", messages - this->reportedFailures)},
+                         {"bytes", fmt::format("{:.0f}", bytes - this->reportedFailedBytes)}});
+    this->reportedFailures = messages;
+    this->reportedFailedBytes = bytes;
+}
+
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -77,6 +77,7 @@
     [[nodiscard]] bool isConfigured() const;
     void chooseWitness(core::TimePoint now);
     void updateLevels();
+    void reportFailedMessages();
 
     EntryOptions options;
     control::LedgerClient &client;
@@ -91,6 +92,8 @@
     DeclarationKeeper declarationKeeper;
     core::TimePoint lastControlCheck;
     core::TimePoint lastLevels;
+    double reportedFailures = 0; // Messages given up that a log line told of.
+    double reportedFailedBytes = 0;
     Registration registration;
     bool registering = false;
     bool registered = false;
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -44,6 +44,15 @@
      "control_messages_failed_total",
      "Messages and calls that got no answer."},
     {Event::ControlBytesSent, "control_bytes_sent_total", "Payload bytes of what was sent."},
+    {Event::ControlBytesFailed,
+     "control_bytes_failed_total",
+     "Payload bytes of messages and calls that got no answer."},
+    {Event::DeclarationBytesSent,
+     "declaration_bytes_sent_total",
+     "Payload bytes sent to other instances to tell them of declarations."},
+    {Event::DeclarationBytesReceived,
+     "declaration_bytes_received_total",
+     "Payload bytes by which other instances told of declarations."},
 };
 
 constexpr Description<Level> Levels[] = {
@@ -79,6 +88,12 @@
     {Latency::QuorumRound,
      "quorum_round_seconds",
      "Time from taking a command in to its application, at the leader."},
+    {Latency::MessageWait,
+     "message_wait_seconds",
+     "Time from queueing a message for another instance to its leaving."},
+    {Latency::MessageDelivery,
+     "message_delivery_seconds",
+     "Time from a message's leaving to its answer, or to its being given up."},
 };
 
 // Boundaries of every latency, in seconds: from a decision in memory to the longest answer.
@@ -164,6 +179,11 @@
         std::chrono::duration<double>(took).count());
 }
 
+double Counters::total(Event event) const
+{
+    return this->events[static_cast<size_t>(event)]->Value();
+}
+
 std::string Counters::text() const
 {
     const prometheus::TextSerializer serializer;
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -39,6 +39,9 @@
     ControlMessagesSent,
     ControlMessagesFailed,
     ControlBytesSent,
+    ControlBytesFailed,
+    DeclarationBytesSent,
+    DeclarationBytesReceived,
 };
 
 // The current value of something.
@@ -64,6 +67,8 @@
     BudgetWait, // From asking for tokens to the decision.
     LedgerReport, // From sending a report to the ledger to its answer.
     QuorumRound, // From taking a command in to its application, at the leader.
+    MessageWait, // From queueing a message for another instance to its leaving.
+    MessageDelivery, // From a message's leaving to its answer, or to its being given up.
 };
 
 // Thread-safe; every counter exists from the start, at zero, so that alerts can rely on it.
@@ -80,6 +85,9 @@
 
     void observe(Latency latency, core::Duration took);
 
+    // Returns how often an event was counted, or the sum of its amounts.
+    [[nodiscard]] double total(Event event) const;
+
     // Returns everything in the Prometheus text format.
     [[nodiscard]] std::string text() const;
 
--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -165,15 +165,18 @@
             pending->onReply(core::makeError(core::ErrorCode::Unreachable, "shutting down"));
             return;
         }
-        this->countSent(request.ByteSizeLong());
-        start(this->stub->async(), pending.get(), [this, pending](const grpc::Status &status) {
-            if (status.ok()) {
-                pending->onReply(std::move(pending->reply));
-            } else {
-                pending->onReply(errorOf(status));
-            }
-            this->end(pending->context);
-        });
+        const size_t bytes = request.ByteSizeLong();
+        this->countSent(bytes);
+        start(
+            this->stub->async(), pending.get(), [this, pending, bytes](const grpc::Status &status) {
+                if (status.ok()) {
+                    pending->onReply(std::move(pending->reply));
+                } else {
+                    this->countFailed(bytes);
+                    pending->onReply(errorOf(status));
+                }
+                this->end(pending->context);
+            });
     }
 
     void countSent(size_t bytes)
@@ -182,6 +185,12 @@
         this->counters.count(telemetry::Event::ControlBytesSent, static_cast<double>(bytes));
     }
 
+    void countFailed(size_t bytes)
+    {
+        this->counters.count(telemetry::Event::ControlMessagesFailed);
+        this->counters.count(telemetry::Event::ControlBytesFailed, static_cast<double>(bytes));
+    }
+
     // Notes a call under way. False: the channel is closed.
     bool begin(grpc::ClientContext &context)
     {
@@ -225,22 +234,28 @@
             this->active.insert(&pending->context);
             pending->request.Swap(&this->queued);
             this->queued.set_from(pending->request.from());
+            this->counters.observe(telemetry::Latency::MessageWait,
+                                   this->clock.now() - this->queuedSince);
         }
         pending->context.set_deadline(std::chrono::system_clock::now() + DeliverTimeout);
-        this->countSent(pending->request.ByteSizeLong());
+        const size_t bytes = pending->request.ByteSizeLong();
+        this->countSent(bytes);
+        const core::TimePoint sentAt = this->clock.now();
         this->stub->async()->Deliver(&pending->context,
                                      &pending->request,
                                      &pending->reply,
-                                     [this, pending](const grpc::Status &status) {
-                                         this->onDelivered(status, pending->context);
+                                     [this, pending, bytes, sentAt](const grpc::Status &status) {
+                                         this->counters.observe(telemetry::Latency::MessageDelivery,
+                                                                this->clock.now() - sentAt);
+                                         if (!status.ok()) {
+                                             this->countFailed(bytes);
+                                         }
+                                         this->onDelivered(pending->context);
                                      });
     }
 
-    void onDelivered(const grpc::Status &status, grpc::ClientContext &context)
+    void onDelivered(grpc::ClientContext &context)
     {
-        if (!status.ok()) {
-            this->counters.count(telemetry::Event::ControlMessagesFailed);
-        }
         {
             const std::lock_guard lock(this->mutex);
             this->sending = false;
@@ -261,7 +276,9 @@
     std::unique_ptr<proto::InstanceService::Stub> stub;
     CallCounter calls;
     std::mutex mutex;
+    core::SteadyClock clock;
     proto::Envelope queued;
+    core::TimePoint queuedSince; // When the oldest of what is queued was put in.
     std::set<grpc::ClientContext *> active;
     bool sending = false;
     bool closed = false;
@@ -281,6 +298,9 @@
 {
     {
         const std::lock_guard lock(this->state->mutex);
+        if (!this->state->hasQueued()) {
+            this->state->queuedSince = this->state->clock.now();
+        }
         this->state->queued.MergeFrom(envelope);
         dropOldest(this->state->queued.mutable_raft());
         dropOldest(this->state->queued.mutable_updates());
