--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -25,6 +25,13 @@
 constexpr int RpcOffset = 10;
 constexpr int RelayOffset = 20;
 constexpr int MaximumRelayed = 5;
+constexpr int InterfaceOffset = 50;
+
+// What the ports of an instance's platform interface are for.
+constexpr int ControlUse = 0;
+constexpr int CallersUse = 1;
+constexpr int ReadinessUse = 2;
+constexpr int Uses = 3;
 
 std::string hexDigest(std::string_view secret)
 {
@@ -81,7 +88,10 @@
     const std::string base = fmt::format("{}/i{}", this->folder().string(), index);
     this->instances.erase(index);
     this->instances.emplace(
-        index, ChildProcess(SAMPHIREBRIDGED_PATH, {"--settings=" + base + ".yaml"}, base + ".log"));
+        index,
+        ChildProcess(this->options.platform ? platformProgram() : SAMPHIREBRIDGED_PATH,
+                     {"--settings=" + base + ".yaml"},
+                     base + ".log"));
 }
 
 ChildProcess &Fleet::instance(int index)
@@ -115,6 +125,13 @@
     this->forLinksOf(index, [time](Relay &relay) { relay.delay(time); });
 }
 
+void Fleet::limitLinks(size_t bytesPerSecond)
+{
+    for (auto &[link, relay] : this->relays) {
+        relay->limitRate(bytesPerSecond);
+    }
+}
+
 void Fleet::deafen(int index)
 {
     for (auto &[link, relay] : this->relays) {
@@ -260,6 +277,34 @@
     require(result.exitCode == 0, "the manifest is not accepted", result.output);
 }
 
+void Fleet::declare(int index, const std::string &content)
+{
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = fmt::format("http://127.0.0.1:{}/v1/Config.Replace",
+                              this->interfacePort(index, ControlUse));
+    request.body = content;
+    waitFor("a declaration is acknowledged", [&] {
+        const auto answer = this->httpClient.fetch(request, CallTimeout);
+        return answer.ok() && answer->status == 200;
+    });
+}
+
+void Fleet::waitDeclared(uint64_t version)
+{
+    for (int index = 0; index < this->options.instances; ++index) {
+        waitFor(fmt::format("version {} is in force at instance {}", version, index), [&] {
+            return this->metric(index, "samphirebridge_manifest_version")
+                   == static_cast<double>(version);
+        });
+    }
+}
+
+std::string Fleet::log(int index) const
+{
+    return readFile(this->folder() / fmt::format("i{}.log", index));
+}
+
 double Fleet::metric(int index, const std::string &name)
 {
     const auto answer = this->call(index, "GET", "/metrics", "");
@@ -327,6 +372,24 @@
     return this->options.basePort + index;
 }
 
+uint16_t Fleet::interfacePort(int index, int use) const
+{
+    return this->options.basePort + InterfaceOffset + index * Uses + use;
+}
+
+std::string Fleet::interfaceSettings(int index) const
+{
+    std::string text = fmt::format("interface:\n  callers: \"127.0.0.1:{}\"\n"
+                                   "  readiness: \"127.0.0.1:{}\"\n",
+                                   this->interfacePort(index, CallersUse),
+                                   this->interfacePort(index, ReadinessUse));
+    if (index < this->options.control) {
+        text
+            += fmt::format("  control: \"127.0.0.1:{}\"\n", this->interfacePort(index, ControlUse));
+    }
+    return text;
+}
+
 uint16_t Fleet::rpcPort(int index) const
 {
     return this->options.basePort + RpcOffset + index;
@@ -365,6 +428,9 @@
                                    hexDigest(OperatorToken),
                                    this->options.shutdownGraceMs);
     text += this->options.furtherSettings;
+    if (this->options.platform) {
+        text += this->interfaceSettings(index);
+    }
     if (index < this->options.control) {
         text += fmt::format("data_folder: {}\n", this->dataFolder(index).string());
     }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -35,6 +35,7 @@
     bool relays = false; // Put a relay into every link between two instances.
     int shutdownGraceMs = 20'000;
     int maximumBodyBytes = 1 << 20;
+    bool platform = false; // Run the platform's program, whose instances obey declarations.
     std::string furtherSettings{}; // Lines that end every instance's file.
 };
 
@@ -67,6 +68,8 @@
     void rejoin(int index);
     // Closes the instance's connections with all others.
     void resetLinks(int index);
+    // Lets every connection between two instances pass no more than so many bytes a second.
+    void limitLinks(size_t bytesPerSecond);
     // Lets nothing arrive that the instance asks of the others.
     void deafen(int index);
     // Lets all that passes between the instance and the others be late.
@@ -113,6 +116,14 @@
     // Applies a manifest through an instance and throws if that is refused.
     void apply(int index, const std::string &manifest, int expectedVersion);
 
+    // Sends a declaration to a control instance until it is acknowledged. Needs the platform.
+    void declare(int index, const std::string &content);
+    // Waits until every instance obeys the declaration of that version.
+    void waitDeclared(uint64_t version);
+
+    // Returns what the instance has logged.
+    [[nodiscard]] std::string log(int index) const;
+
     // Returns a counter's or gauge's value at an instance.
     double metric(int index, const std::string &name);
 
@@ -128,6 +139,8 @@
 
 private:
     [[nodiscard]] uint16_t httpPort(int index) const;
+    [[nodiscard]] uint16_t interfacePort(int index, int use) const;
+    [[nodiscard]] std::string interfaceSettings(int index) const;
     [[nodiscard]] uint16_t rpcPort(int index) const;
     [[nodiscard]] uint16_t relayPort(int from, int to) const;
     [[nodiscard]] std::filesystem::path dataFolder(int index) const;
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -81,6 +81,11 @@
     this->delayTime = time;
 }
 
+void Relay::limitRate(size_t bytesPerSecond)
+{
+    this->rate = bytesPerSecond;
+}
+
 void Relay::reset()
 {
     this->closeAll = true;
@@ -90,6 +95,7 @@
 {
     this->closeAll = true;
     this->delayTime = std::chrono::milliseconds(0);
+    this->rate = 0;
     this->silent = Silence::None;
 }
 
@@ -154,20 +160,29 @@
     this->links.push_back(link);
 }
 
-bool Relay::receive(int from, std::deque<Piece> &pieces) const
+bool Relay::receive(int from, Lane &lane) const
 {
     std::array<char, BufferBytes> buffer{};
     const ssize_t received = recv(from, buffer.data(), buffer.size(), 0);
     if (received <= 0) {
         return false;
     }
-    pieces.push_back({Clock::now() + this->delayTime.load(),
-                      std::string(buffer.data(), static_cast<size_t>(received))});
+    const Clock::time_point now = Clock::now();
+    const size_t limit = this->rate.load();
+    if (limit > 0) {
+        const std::chrono::duration<double> takes(static_cast<double>(received)
+                                                  / static_cast<double>(limit));
+        lane.freeAt
+            = std::max(lane.freeAt, now) + std::chrono::duration_cast<Clock::duration>(takes);
+    }
+    lane.pieces.push_back({std::max(now, limit > 0 ? lane.freeAt : now) + this->delayTime.load(),
+                           std::string(buffer.data(), static_cast<size_t>(received))});
     return true;
 }
 
-bool Relay::pass(std::deque<Piece> &pieces, int to, Clock::time_point now)
+bool Relay::pass(Lane &lane, int to, Clock::time_point now)
 {
+    std::deque<Piece> &pieces = lane.pieces;
     while (!pieces.empty() && pieces.front().due <= now) {
         std::string_view rest = pieces.front().bytes;
         while (!rest.empty()) {
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -31,11 +32,15 @@
     // Lets each piece pass this much later than it came.
     void delay(std::chrono::milliseconds time);
 
+    // Lets each connection pass no more than so many bytes a second in each direction; 0: any
+    // number.
+    void limitRate(size_t bytesPerSecond);
+
     // Closes every connection now; new ones are taken.
     void reset();
 
-    // Lets everything pass again, without delay. Connections from the silent time are closed, as a
-    // network that heals after its peers have timed out would see them.
+    // Lets everything pass again, without delay or limit. Connections from the silent time are
+    // closed, as a network that heals after its peers have timed out would see them.
     void heal();
 
 private:
@@ -52,11 +57,17 @@
         std::string bytes;
     };
 
+    // One direction of a connection.
+    struct Lane {
+        std::deque<Piece> pieces; // Oldest first.
+        Clock::time_point freeAt; // When the limited rate has let all of them through.
+    };
+
     struct Link {
         int near = -1;
         int far = -1;
-        std::deque<Piece> towardsFar; // Oldest first.
-        std::deque<Piece> towardsNear;
+        Lane towardsFar;
+        Lane towardsNear;
     };
 
     void run();
@@ -64,9 +75,9 @@
     void serveLinks();
     void accept();
     // Takes what is there at one end. False: the connection is over.
-    bool receive(int from, std::deque<Piece> &pieces) const;
+    bool receive(int from, Lane &lane) const;
     // Passes on what is due. False: the connection is over.
-    static bool pass(std::deque<Piece> &pieces, int to, Clock::time_point now);
+    static bool pass(Lane &lane, int to, Clock::time_point now);
     static void close(Link &link);
 
     int listener = -1;
@@ -74,6 +85,7 @@
     std::vector<Link> links; // Of the thread alone.
     std::atomic<Silence> silent = Silence::None;
     std::atomic<std::chrono::milliseconds> delayTime{std::chrono::milliseconds(0)};
+    std::atomic<size_t> rate = 0; // Bytes a second; 0: not limited.
     std::atomic<bool> closeAll = false;
     std::atomic<bool> stopping = false;
     std::thread thread;
