delta, ledger, control, entry: Send of a declaration what differs, part by part

Cause: each declaration was pushed whole to each entry instance, again every 0.4 s from five control instances, and given up after 1 s: 1.33 GB queued and 1.27 GB given up within 4.4 s for one change of 0.34 MB. Heartbeats and reports to the ledger shared the links (18,100 of them given up at entry instances).

Ruled out: the ledger. The change is committed 0.15 s after it was sent and the leader stays.

Now control instances propose, keep and serve what differs between versions. They send notices of some 40 bytes; entry instances fetch from who told them, one part of at most 16 KB at a time. Nothing is sent that the receiver did not ask for, a lost part costs itself, a transfer goes on elsewhere where it stopped, and 0.4 s pass between two versions that come into force.

--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -4,6 +4,7 @@
 
 #include "instance.pb.h"
 #include "samphirebridge/consensus/durablenode.h"
+#include "samphirebridge/control/declarationsource.h"
 #include "samphirebridge/control/joinplan.h"
 #include "samphirebridge/control/ledgermachine.h"
 #include "samphirebridge/control/outagereporter.h"
@@ -137,18 +138,35 @@
             });
     }
 
-    void readDeclaration(const proto::ReadDeclarationRequest & /*request*/,
+    void readDeclaration(const proto::ReadDeclarationRequest &request,
                          transport::Respond<proto::ReadDeclarationReply> respond)
     {
-        this->read([this, respond = std::move(respond)](bool confirmed) {
-            proto::ReadDeclarationReply reply;
-            reply.set_confirmed(confirmed);
-            reply.set_leader_instance(this->leaderInstance());
-            if (confirmed) {
-                *reply.mutable_declaration() = this->machine.state().declaration();
-            }
-            respond(std::move(reply));
-        });
+        this->read(
+            [this, known = request.known_version(), respond = std::move(respond)](bool confirmed) {
+                proto::ReadDeclarationReply reply;
+                reply.set_confirmed(confirmed);
+                reply.set_leader_instance(this->leaderInstance());
+                const proto::Declaration &newest = this->appliedDeclaration();
+                if (confirmed) {
+                    reply.set_version(newest.version());
+                }
+                if (confirmed && newest.version() > known) {
+                    *reply.mutable_declaration() = newest;
+                }
+                respond(std::move(reply));
+            });
+    }
+
+    // Answers out of what this member has applied, without a round of the quorum.
+    void fetchDeclaration(const proto::FetchDeclarationRequest &request,
+                          transport::Respond<proto::FetchDeclarationReply> respond)
+    {
+        proto::FetchDeclarationReply reply
+            = this->declarations.answer(request, this->machine.state());
+        this->counters.count(telemetry::Event::DeclarationBytesSent,
+                             static_cast<double>(reply.part().size()));
+        const auto answer = std::move(respond);
+        answer(std::move(reply));
     }
 
     void readBudgets(const proto::ReadBudgetsRequest &request,
@@ -511,6 +529,7 @@
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     LedgerMachine machine;
+    DeclarationSource declarations;
     core::BootClock clock{core::drawClockId()};
     core::MachineClock machineClock;
     std::unique_ptr<Durable> durable;
--- /dev/null
+++ b/source/samphirebridge/control/declarationsource.cpp
@@ -0,0 +1,75 @@
+#include "samphirebridge/control/declarationsource.h"
+
+#include "samphirebridge/core/digest.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace samphirebridge::control
+{
+
+namespace
+{
+
+// The bytes of one reply. Heartbeats and reports to the ledger share the connection, and must not
+// wait long behind it on a slow link.
+constexpr size_t PartBytes = size_t{16} * 1024;
+
+// Transfers that are kept for those who have begun them, in number and bytes.
+constexpr size_t MaximumTransfers = 32;
+constexpr size_t MaximumBytes = size_t{4} * 1024 * 1024;
+
+} // namespace
+
+proto::FetchDeclarationReply
+DeclarationSource::answer(const proto::FetchDeclarationRequest &request,
+                          const ledger::Ledger &ledger)
+{
+    proto::FetchDeclarationReply reply;
+    if (request.known_version() >= ledger.declaration().version()) {
+        reply.set_version(ledger.declaration().version());
+        return reply;
+    }
+    const Transfer &transfer = this->find(request, ledger);
+    const bool isContinued
+        = transfer.checksum == request.checksum() && request.offset() < transfer.bytes.size();
+    const size_t offset = isContinued ? request.offset() : 0;
+    const std::string_view part = std::string_view(transfer.bytes).substr(offset, PartBytes);
+    reply.set_version(transfer.version);
+    reply.set_checksum(transfer.checksum);
+    reply.set_total_bytes(transfer.bytes.size());
+    reply.set_offset(offset);
+    reply.set_part(part.data(), part.size());
+    return reply;
+}
+
+const DeclarationSource::Transfer &
+DeclarationSource::find(const proto::FetchDeclarationRequest &request, const ledger::Ledger &ledger)
+{
+    const uint64_t newest = ledger.declaration().version();
+    const auto found = std::find_if(
+        this->transfers.begin(), this->transfers.end(), [&](const Transfer &transfer) {
+            const bool isBegun = request.offset() > 0 && transfer.checksum == request.checksum();
+            return transfer.baseVersion == request.known_version()
+                   && (isBegun || transfer.version == newest);
+        });
+    if (found != this->transfers.end()) {
+        return *found;
+    }
+    Transfer transfer;
+    transfer.baseVersion = request.known_version();
+    transfer.version = newest;
+    transfer.bytes = ledger.declarationSince(request.known_version()).SerializeAsString();
+    transfer.checksum = core::checksumOf(transfer.bytes);
+    this->totalBytes += transfer.bytes.size();
+    this->transfers.push_back(std::move(transfer));
+    while (this->transfers.size() > 1
+           && (this->transfers.size() > MaximumTransfers || this->totalBytes > MaximumBytes)) {
+        this->totalBytes -= this->transfers.front().bytes.size();
+        this->transfers.pop_front();
+    }
+    return this->transfers.back();
+}
+
+} // namespace samphirebridge::control
--- a/source/samphirebridge/control/ledgerclient.cpp
+++ b/source/samphirebridge/control/ledgerclient.cpp
@@ -125,6 +125,11 @@
     this->local = std::move(localControl);
 }
 
+const std::vector<core::InstanceId> &LedgerClient::controlInstances() const
+{
+    return this->control;
+}
+
 void LedgerClient::setControl(std::vector<core::InstanceId> instances)
 {
     this->control = std::move(instances);
@@ -153,10 +158,13 @@
     this->start<ManifestProtocol>(std::move(request), timeout, std::move(onReply));
 }
 
-void LedgerClient::readDeclaration(core::Duration timeout,
+void LedgerClient::readDeclaration(uint64_t knownVersion,
+                                   core::Duration timeout,
                                    transport::OnReply<proto::ReadDeclarationReply> onReply)
 {
-    this->start<DeclarationProtocol>({}, timeout, std::move(onReply));
+    proto::ReadDeclarationRequest request;
+    request.set_known_version(knownVersion);
+    this->start<DeclarationProtocol>(std::move(request), timeout, std::move(onReply));
 }
 
 void LedgerClient::readBudgets(const proto::ReadBudgetsRequest &request,
@@ -172,6 +180,11 @@
     this->start<StatusProtocol>({}, timeout, std::move(onReply));
 }
 
+const proto::Declaration *LedgerClient::appliedDeclaration() const
+{
+    return this->local.appliedDeclaration ? &this->local.appliedDeclaration() : nullptr;
+}
+
 const core::InstanceId &LedgerClient::leader() const
 {
     return this->knownLeader;
--- a/source/samphirebridge/control/ledgerclient.h
+++ b/source/samphirebridge/control/ledgerclient.h
@@ -28,6 +28,8 @@
     std::function<void(const proto::ReadDeclarationRequest &,
                        transport::Respond<proto::ReadDeclarationReply>)>
         readDeclaration;
+    // Returns the declaration that the own voter has applied.
+    std::function<const proto::Declaration &()> appliedDeclaration;
     std::function<void(const proto::ReadBudgetsRequest &,
                        transport::Respond<proto::ReadBudgetsReply>)>
         readBudgets;
@@ -55,6 +57,9 @@
     // Gives the client the process's own voter, if it has one.
     void setLocal(LocalControl local);
 
+    // Returns the instances that are asked.
+    [[nodiscard]] const std::vector<core::InstanceId> &controlInstances() const;
+
     // Replaces the instances that are asked: those that are known to have the role.
     void setControl(std::vector<core::InstanceId> instances);
 
@@ -64,13 +69,19 @@
     void readManifest(uint64_t knownVersion,
                       core::Duration timeout,
                       transport::OnReply<proto::ReadManifestReply> onReply);
-    void readDeclaration(core::Duration timeout,
+    // The declaration comes along only if its version is above the known one.
+    void readDeclaration(uint64_t knownVersion,
+                         core::Duration timeout,
                          transport::OnReply<proto::ReadDeclarationReply> onReply);
     void readBudgets(const proto::ReadBudgetsRequest &request,
                      core::Duration timeout,
                      transport::OnReply<proto::ReadBudgetsReply> onReply);
     void readStatus(core::Duration timeout, transport::OnReply<proto::ReadStatusReply> onReply);
 
+    // Returns the declaration that the process's own voter has applied, which may not be the
+    // newest; null without a voter.
+    [[nodiscard]] const proto::Declaration *appliedDeclaration() const;
+
     // Returns the instance that led when it last answered, or an empty id.
     [[nodiscard]] const core::InstanceId &leader() const;
 
--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -38,6 +38,9 @@
 // The time that a lender gets to answer: a caller's request waits for it.
 constexpr core::Duration LoanTimeout = std::chrono::milliseconds(120);
 
+// The time that an instance gets to answer with a part of a declaration.
+constexpr core::Duration FetchTimeout = std::chrono::milliseconds(500);
+
 // The time that a witness gets to answer a notice.
 constexpr core::Duration NoticeTimeout = std::chrono::milliseconds(500);
 
@@ -181,6 +184,10 @@
             [this](const core::InstanceId &lender,
                    const proto::LoanRequest &request,
                    auto onReply) { this->askLoan(lender, request, std::move(onReply)); });
+        this->node.declaration().setAsker(
+            [this](const core::InstanceId &source,
+                   const proto::FetchDeclarationRequest &request,
+                   auto onReply) { this->askDeclaration(source, request, std::move(onReply)); });
     }
 
     void sendNotice(const core::InstanceId &witness,
@@ -189,6 +196,9 @@
     void askLoan(const core::InstanceId &lender,
                  const proto::LoanRequest &request,
                  std::function<void(const proto::LoanReply *)> onReply);
+    void askDeclaration(const core::InstanceId &source,
+                        const proto::FetchDeclarationRequest &request,
+                        std::function<void(absl::StatusOr<proto::FetchDeclarationReply>)> onReply);
     absl::Status openVoter();
     absl::Status listenRpc();
     absl::Status listenHttp();
@@ -254,6 +264,23 @@
     channel->lend(request, LoanTimeout, answer);
 }
 
+void Daemon::Parts::askDeclaration(
+    const core::InstanceId &source,
+    const proto::FetchDeclarationRequest &request,
+    std::function<void(absl::StatusOr<proto::FetchDeclarationReply>)> onReply)
+{
+    const auto answer = [&tasks = this->queue, onReply = std::move(onReply)](auto reply) {
+        tasks.post([onReply, reply = std::move(reply)] { onReply(reply); });
+    };
+    transport::PeerChannel *channel = this->peers.find(source);
+    if (channel == nullptr) {
+        answer(absl::StatusOr<proto::FetchDeclarationReply>(
+            core::makeError(core::ErrorCode::Unreachable, "not among the peers")));
+        return;
+    }
+    channel->fetchDeclaration(request, FetchTimeout, answer);
+}
+
 absl::Status Daemon::Parts::openVoter()
 {
     if (!this->settings.roles.control) {
@@ -278,6 +305,9 @@
     local.submit = onControlThread(this->queue, *this->voter, &Voter::submit);
     local.readManifest = onControlThread(this->queue, *this->voter, &Voter::readManifest);
     local.readDeclaration = onControlThread(this->queue, *this->voter, &Voter::readDeclaration);
+    local.appliedDeclaration = [this]() -> const proto::Declaration & {
+        return this->voter->appliedDeclaration();
+    };
     local.readBudgets = onControlThread(this->queue, *this->voter, &Voter::readBudgets);
     local.readStatus = onControlThread(this->queue, *this->voter, &Voter::readStatus);
     this->client.setLocal(std::move(local));
@@ -318,6 +348,8 @@
             = answerWithoutVoter<proto::ReadManifestRequest, proto::ReadManifestReply>;
         handlers.readDeclaration
             = answerWithoutVoter<proto::ReadDeclarationRequest, proto::ReadDeclarationReply>;
+        handlers.fetchDeclaration
+            = answerWithoutVoter<proto::FetchDeclarationRequest, proto::FetchDeclarationReply>;
         handlers.readBudgets
             = answerWithoutVoter<proto::ReadBudgetsRequest, proto::ReadBudgetsReply>;
         handlers.readStatus = answerWithoutVoter<proto::ReadStatusRequest, proto::ReadStatusReply>;
@@ -328,6 +360,8 @@
     handlers.submit = onControlThread(this->queue, *this->voter, &Voter::submit);
     handlers.readManifest = onControlThread(this->queue, *this->voter, &Voter::readManifest);
     handlers.readDeclaration = onControlThread(this->queue, *this->voter, &Voter::readDeclaration);
+    handlers.fetchDeclaration
+        = onControlThread(this->queue, *this->voter, &Voter::fetchDeclaration);
     handlers.readBudgets = onControlThread(this->queue, *this->voter, &Voter::readBudgets);
     handlers.readStatus = onControlThread(this->queue, *this->voter, &Voter::readStatus);
     handlers.changeVoters = onControlThread(this->queue, *this->voter, &Voter::changeVoters);
--- a/source/samphirebridge/daemon/processhost.h
+++ b/source/samphirebridge/daemon/processhost.h
@@ -48,10 +48,8 @@
         this->node.tick(now);
         if (this->voter != nullptr && now - this->lastPublished >= PublishInterval) {
             this->lastPublished = now;
-            this->publisher.tick(this->voter->appliedDeclaration(),
-                                 this->voter->leads(),
-                                 this->node.fleet().instances(),
-                                 now);
+            this->publisher.tick(
+                this->voter->appliedDeclaration().version(), this->node.fleet().instances(), now);
         }
     }
 
--- a/source/samphirebridge/entry/declarationkeeper.h
+++ b/source/samphirebridge/entry/declarationkeeper.h
@@ -1,9 +1,12 @@
-// The declaration in force on this instance: read through the quorum at the start, then taken from
-// whichever control instance tells of a newer one.
+// The declaration in force on this instance. The quorum names its version at the start; what it
+// says is fetched from control instances, as changes to what is held here.
 #pragma once
 
+#include "instance.pb.h"
 #include "ledger.pb.h"
 #include "samphirebridge/control/ledgerclient.h"
+#include "samphirebridge/core/time.h"
+#include "samphirebridge/entry/declarationfetch.h"
 #include "samphirebridge/forwarding/routetable.h"
 #include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/telemetry/logger.h"
@@ -12,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace samphirebridge::entry
 {
@@ -20,6 +24,12 @@
 using DeclarationDecoder
     = std::function<absl::StatusOr<forwarding::Declaration>(const proto::Declaration &)>;
 
+// Sends a question to an instance and hands its answer over on the control thread.
+using FetchAsker
+    = std::function<void(const core::InstanceId &,
+                         const proto::FetchDeclarationRequest &,
+                         std::function<void(absl::StatusOr<proto::FetchDeclarationReply>)>)>;
+
 // Receives each declaration that comes into force.
 using OnDeclaration = std::function<void(const forwarding::Declaration &)>;
 
@@ -27,7 +37,8 @@
 class DeclarationKeeper
 {
 public:
-    DeclarationKeeper(control::LedgerClient &client,
+    DeclarationKeeper(const core::InstanceId &self,
+                      control::LedgerClient &client,
                       telemetry::Counters &counters,
                       telemetry::Logger &logger,
                       OnDeclaration onDeclaration);
@@ -36,27 +47,41 @@
     void setDecoder(DeclarationDecoder decoder);
     [[nodiscard]] bool obeysDeclarations() const;
 
-    // Reads the declaration if none was confirmed yet.
+    // Says how other instances are asked.
+    void setAsker(FetchAsker asker);
+
+    // Has the quorum name the version if it did not yet, and asks for what is newer than held.
     void tick(core::TimePoint now);
 
-    // Takes a committed declaration that another instance told of.
-    void take(const proto::Declaration &declaration);
+    // Takes note of a version that another instance has applied.
+    void onNotice(const proto::DeclarationNotice &notice, core::TimePoint now);
 
     // Returns the routes in force; never null.
     [[nodiscard]] const std::shared_ptr<const forwarding::RouteTable> &table() const;
 
-    // Tells whether the quorum named the newest declaration since the start, and there is one.
+    // Tells whether the quorum named a declaration since the start, and that or a newer one is in
+    // force.
     [[nodiscard]] bool confirmed() const;
 
 private:
     void read();
-    void onReply(absl::StatusOr<proto::ReadDeclarationReply> reply);
+    void onRead(const absl::StatusOr<proto::ReadDeclarationReply> &reply);
+    void fetchNext(core::TimePoint now);
+    void onPart(const absl::StatusOr<proto::FetchDeclarationReply> &reply);
+    void take(const proto::DeclarationChange &change, core::TimePoint now);
+    absl::StatusOr<std::string> contentAfter(const proto::DeclarationChange &change) const;
+    void putInForce();
 
     control::LedgerClient &client;
     telemetry::Counters &counters;
     telemetry::Logger &logger;
     OnDeclaration onDeclaration;
     DeclarationDecoder decoder;
+    FetchAsker asker;
+    core::SteadyClock clock;
+    DeclarationFetch fetch;
+    proto::Declaration held; // Version and content alone.
+    uint64_t confirmedVersion = 0; // As the quorum named it.
     std::shared_ptr<const forwarding::RouteTable> current;
     core::TimePoint lastRead;
     bool reading = false;
--- a/source/samphirebridge/entry/declarationpublisher.h
+++ b/source/samphirebridge/entry/declarationpublisher.h
@@ -1,14 +1,15 @@
-// Tells the entry instances of each declaration that was committed, until all have it in force.
+// Tells the entry instances that a declaration was committed, until all have it in force. They
+// fetch it from who told them.
 #pragma once
 
 #include "instance.pb.h"
-#include "ledger.pb.h"
 #include "samphirebridge/membership/instancedirectory.h"
 #include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/telemetry/logger.h"
 #include "samphirebridge/transport/peerset.h"
 
 #include <map>
+#include <span>
 #include <string>
 
 namespace samphirebridge::entry
@@ -23,21 +24,23 @@
                          telemetry::Counters &counters,
                          telemetry::Logger &logger);
 
-    // Tells those behind the declaration. The leader does so at once; the others give it a moment
-    // first, since the same news from each would only cost traffic.
-    void tick(const proto::Declaration &committed,
-              bool leads,
+    // Tells those behind the version. Each entry instance has a home among the control instances in
+    // contact, which tells it at once; the others give the home a moment first.
+    void tick(uint64_t committedVersion,
               const membership::InstanceDirectory &instances,
               core::TimePoint now);
 
 private:
     // What it took to tell of one version.
     struct Spread {
-        size_t messages = 0;
-        size_t bytes = 0;
+        size_t notices = 0;
         bool isReported = false;
     };
 
+    // Tells whether this instance is the home among the control instances in contact.
+    [[nodiscard]] bool isHomeOf(const std::string &instance,
+                                std::span<const membership::InstanceView> views) const;
+
     // Writes one line about a version: all instances in contact have it, or a newer one came.
     void reportSpread(size_t behind, core::TimePoint now);
 
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -106,6 +106,7 @@
                      processLogger,
                      [this](const manifest::Catalogue &catalogue) { this->onManifest(catalogue); })
     , declarationKeeper(
+          this->options.holder.instance,
           ledgerClient,
           processCounters,
           processLogger,
@@ -156,8 +157,8 @@
     for (const proto::MembershipDigest &digest : envelope.digests()) {
         this->fleetView.onDigest(digest, now);
     }
-    for (const proto::Declaration &declaration : envelope.declarations()) {
-        this->declarationKeeper.take(declaration);
+    if (envelope.has_declaration_notice()) {
+        this->declarationKeeper.onNotice(envelope.declaration_notice(), now);
     }
     if (envelope.updates_size() > 0) {
         this->manifestKeeper.onVersionSeen(this->fleetView.newestVersion(now));
--- a/source/samphirebridge/entry/fleetcontrol.cpp
+++ b/source/samphirebridge/entry/fleetcontrol.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/entry/fleetcontrol.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/delta/contentdelta.h"
 #include "samphirebridge/forwarding/declarationcheck.h"
 
 #include <chrono>
@@ -16,12 +17,18 @@
 // How long a change or a read may take; an operator asks elsewhere after about as long.
 constexpr core::Duration ChangeTimeout = std::chrono::milliseconds(900);
 
-proto::Command commandOf(const forwarding::Declaration &declaration, std::string_view content)
+// The command carries what differs from the base, or the whole without one.
+proto::Command commandOf(const forwarding::Declaration &declaration,
+                         std::string_view content,
+                         const proto::Declaration *base)
 {
     proto::Command command;
-    proto::Declaration *message = command.mutable_replace_declaration()->mutable_declaration();
+    proto::ReplaceDeclaration *replace = command.mutable_replace_declaration();
+    replace->set_base_version(base != nullptr ? base->version() : 0);
+    *replace->mutable_content_delta()
+        = delta::makeDelta(base != nullptr ? base->content() : std::string_view(), content);
+    proto::Declaration *message = replace->mutable_declaration();
     message->set_version(declaration.version);
-    message->set_content(std::string(content));
     message->set_exposure_tokens(forwarding::DeclarationExposure.count);
     message->set_contact_exposure_tokens(forwarding::ContactExposure.count);
     message->set_isolation_tokens_per_s(forwarding::LeastIsolationRate);
@@ -69,19 +76,32 @@
                                       std::string_view content,
                                       OnChange onChange)
 {
-    const std::string version = std::to_string(declaration.version);
     const absl::Status checked = forwarding::checkDeclaration(declaration);
     if (!checked.ok()) {
-        this->logger.change(
-            "declaration_refused",
-            {{"version", version}, {"error", std::string(core::messageOf(checked))}});
+        this->logger.change("declaration_refused",
+                            {{"version", std::to_string(declaration.version)},
+                             {"error", std::string(core::messageOf(checked))}});
         onChange(checked);
         return;
     }
+    const proto::Declaration *base = this->client.appliedDeclaration();
+    const bool hasBase = base != nullptr && base->version() > 0;
+    this->propose(std::make_shared<const Change>(
+                      Change{declaration, std::string(content), std::move(onChange)}),
+                  hasBase ? base : nullptr);
+}
+
+void FleetControl::propose(const std::shared_ptr<const Change> &change,
+                           const proto::Declaration *base)
+{
     this->client.submit(
-        commandOf(declaration, content),
+        commandOf(change->declaration, change->content, base),
         ChangeTimeout,
-        [this, version, onChange = std::move(onChange)](const auto &result) {
+        [this, change](const auto &result) {
+            if (result.ok() && result->replace_declaration().base_differs()) {
+                this->propose(change, nullptr);
+                return;
+            }
             absl::Status status = result.status();
             if (result.ok() && result->error_code() != 0) {
                 status = core::makeError(static_cast<core::ErrorCode>(result->error_code()),
@@ -89,26 +109,32 @@
             }
             const bool replaced = status.ok() && result->replace_declaration().replaced();
             this->logger.change("declaration_change",
-                                {{"version", version},
+                                {{"version", std::to_string(change->declaration.version)},
                                  {"replaced", replaced ? "true" : "false"},
                                  {"error", std::string(core::messageOf(status))}});
-            onChange(status);
+            change->onChange(status);
         });
 }
 
 void FleetControl::readDeclaration(OnDeclarationRead onRead)
 {
-    this->client.readDeclaration(ChangeTimeout, [onRead = std::move(onRead)](auto reply) {
-        if (!reply.ok()) {
-            onRead(reply.status());
-            return;
-        }
-        if (reply->declaration().version() == 0) {
-            onRead(core::makeError(core::ErrorCode::NotFound, "no declaration was accepted yet"));
-            return;
-        }
-        onRead(std::move(*reply->mutable_declaration()));
-    });
+    const proto::Declaration *applied = this->client.appliedDeclaration();
+    const uint64_t known = applied != nullptr ? applied->version() : 0;
+    this->client.readDeclaration(
+        known, ChangeTimeout, [this, onRead = std::move(onRead)](auto reply) {
+            if (!reply.ok()) {
+                onRead(reply.status());
+                return;
+            }
+            if (reply->version() == 0) {
+                onRead(
+                    core::makeError(core::ErrorCode::NotFound, "no declaration was accepted yet"));
+                return;
+            }
+            // The quorum's is left out if the own voter had it when the read began.
+            const bool isOwn = !reply->has_declaration();
+            onRead(isOwn ? *this->client.appliedDeclaration() : reply->declaration());
+        });
 }
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/fleetcontrol.h
+++ b/source/samphirebridge/entry/fleetcontrol.h
@@ -11,6 +11,8 @@
 #include <absl/status/statusor.h>
 
 #include <functional>
+#include <memory>
+#include <string>
 #include <string_view>
 
 namespace samphirebridge::entry
@@ -43,6 +45,17 @@
     void readDeclaration(OnDeclarationRead onRead);
 
 private:
+    // A change on its way to the ledger.
+    struct Change {
+        forwarding::Declaration declaration;
+        std::string content;
+        OnChange onChange;
+    };
+
+    // Proposes what differs from the base. If another version is in force by then, or without a
+    // base, the whole is proposed.
+    void propose(const std::shared_ptr<const Change> &change, const proto::Declaration *base);
+
     EntryNode &node;
     control::LedgerClient &client;
     telemetry::Logger &logger;
--- a/source/samphirebridge/ledger/declarationcommands.cpp
+++ b/source/samphirebridge/ledger/declarationcommands.cpp
@@ -1,10 +1,14 @@
 #include "samphirebridge/core/tokens.h"
+#include "samphirebridge/delta/contentdelta.h"
 #include "samphirebridge/ledger/commands.h"
 #include "samphirebridge/ledger/ledgerstate.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
 
 namespace samphirebridge::ledger
 {
@@ -41,6 +45,33 @@
     state.budgets.declare(declared.budget(), tokens);
 }
 
+// Returns the content that the command gives.
+absl::StatusOr<std::string> contentOf(const LedgerState &state,
+                                      const proto::ReplaceDeclaration &command)
+{
+    if (!command.has_content_delta()) {
+        return command.declaration().content();
+    }
+    const bool isWhole = command.base_version() == 0;
+    return delta::applyDelta(isWhole ? std::string_view() : state.declaration.content(),
+                             command.content_delta());
+}
+
+void noteChange(LedgerState &state,
+                const proto::ReplaceDeclaration &command,
+                std::string_view content)
+{
+    const uint64_t base = state.declaration.version();
+    if (base == 0) {
+        return;
+    }
+    const bool isKnown = command.has_content_delta() && command.base_version() == base;
+    state.declarationHistory.add(base,
+                                 command.declaration().version(),
+                                 isKnown ? command.content_delta()
+                                         : delta::makeDelta(state.declaration.content(), content));
+}
+
 proto::CommandResult resultOf(const LedgerState &state, bool replaced)
 {
     proto::CommandResult result;
@@ -61,7 +92,19 @@
     if (const absl::Status status = checkDeclaration(declaration); !status.ok()) {
         return refusal(status);
     }
+    if (command.has_content_delta() && command.base_version() != 0
+        && command.base_version() != state.declaration.version()) {
+        proto::CommandResult result = resultOf(state, false);
+        result.mutable_replace_declaration()->set_base_differs(true);
+        return result;
+    }
+    auto content = contentOf(state, command);
+    if (!content.ok()) {
+        return refusal(content.status());
+    }
+    noteChange(state, command, *content);
     state.declaration = declaration;
+    state.declaration.set_content(*std::move(content));
     for (const proto::DeclaredBudget &budget : declaration.budgets()) {
         declareBudget(state, budget);
     }
--- /dev/null
+++ b/source/samphirebridge/ledger/declarationhistory.cpp
@@ -0,0 +1,78 @@
+#include "samphirebridge/ledger/declarationhistory.h"
+
+#include "samphirebridge/delta/contentdelta.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphirebridge::ledger
+{
+
+namespace
+{
+
+// What is remembered at most, in bytes and changes.
+constexpr size_t MaximumBytes = size_t{1} * 1024 * 1024;
+constexpr size_t MaximumChanges = 256;
+
+// Changes of fewer bytes are not worth compressing the whole to find out which is smaller.
+constexpr size_t WorthComparingBytes = size_t{16} * 1024;
+
+} // namespace
+
+void DeclarationHistory::add(uint64_t baseVersion, uint64_t version, proto::ContentDelta delta)
+{
+    if (!this->changes.empty() && this->changes.back().version != baseVersion) {
+        this->clear();
+    }
+    const size_t bytes = delta.ByteSizeLong();
+    this->changes.push_back({baseVersion, version, std::move(delta), bytes});
+    this->totalBytes += bytes;
+    while (this->changes.size() > MaximumChanges || this->totalBytes > MaximumBytes) {
+        this->totalBytes -= this->changes.front().bytes;
+        this->changes.pop_front();
+    }
+}
+
+void DeclarationHistory::clear()
+{
+    this->changes.clear();
+    this->totalBytes = 0;
+}
+
+proto::DeclarationChange
+DeclarationHistory::since(uint64_t knownVersion, uint64_t version, std::string_view content) const
+{
+    proto::DeclarationChange change;
+    change.set_version(version);
+    if (knownVersion >= version) {
+        change.set_base_version(version);
+        return change;
+    }
+    auto first = std::find_if(this->changes.begin(), this->changes.end(), [&](const Change &any) {
+        return any.baseVersion == knownVersion;
+    });
+    size_t bytes = 0;
+    for (auto next = first; next != this->changes.end(); ++next) {
+        bytes += next->bytes;
+    }
+    if (knownVersion != 0 && first != this->changes.end()) {
+        change.set_base_version(knownVersion);
+        for (; first != this->changes.end(); ++first) {
+            *change.add_deltas() = first->delta;
+        }
+    }
+    const bool covered = change.deltas_size() > 0;
+    if (covered && bytes < WorthComparingBytes) {
+        return change;
+    }
+    proto::ContentDelta whole = delta::makeDelta({}, content);
+    if (!covered || whole.ByteSizeLong() < bytes) {
+        change.set_base_version(0);
+        change.clear_deltas();
+        *change.add_deltas() = std::move(whole);
+    }
+    return change;
+}
+
+} // namespace samphirebridge::ledger
--- a/source/samphirebridge/ledger/ledger.cpp
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -108,6 +108,12 @@
     return this->state->declaration;
 }
 
+proto::DeclarationChange Ledger::declarationSince(uint64_t knownVersion) const
+{
+    const proto::Declaration &newest = this->state->declaration;
+    return this->state->declarationHistory.since(knownVersion, newest.version(), newest.content());
+}
+
 std::vector<proto::BudgetState> Ledger::budgets(std::span<const core::BudgetId> ids) const
 {
     std::vector<proto::BudgetState> states;
--- a/source/samphirebridge/ledger/ledger.h
+++ b/source/samphirebridge/ledger/ledger.h
@@ -67,6 +67,10 @@
     // Returns the declaration in force; its version is 0 when none was ever accepted.
     [[nodiscard]] const proto::Declaration &declaration() const;
 
+    // Returns what turns the declaration of the known version into the one in force; the whole when
+    // the known version is too old or unknown.
+    [[nodiscard]] proto::DeclarationChange declarationSince(uint64_t knownVersion) const;
+
     // Returns the state of the named budgets in the order of the ids, without those unknown. No id
     // means all budgets, ordered by id.
     [[nodiscard]] std::vector<proto::BudgetState> budgets(std::span<const core::BudgetId> ids
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -6,6 +6,7 @@
 #include "samphirebridge/ledger/changebook.h"
 #include "samphirebridge/ledger/claimbook.h"
 #include "samphirebridge/ledger/clockreadings.h"
+#include "samphirebridge/ledger/declarationhistory.h"
 #include "samphirebridge/ledger/escrowgrants.h"
 #include "samphirebridge/ledger/holderbook.h"
 #include "samphirebridge/ledger/isolationramps.h"
@@ -35,6 +36,7 @@
     ChangeBook changes;
     ManifestStore manifest;
     proto::Declaration declaration;
+    DeclarationHistory declarationHistory;
     ShortageBook shortages;
     LoanBook loans;
     OutageBook outages;
--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -133,15 +133,6 @@
     }
 }
 
-// Keeps only the last of the declarations: it replaces those before it.
-template <typename Field>
-void keepNewest(Field *field)
-{
-    if (field->size() > 1) {
-        field->DeleteSubrange(0, field->size() - 1);
-    }
-}
-
 } // namespace
 
 struct PeerChannel::State {
@@ -267,8 +258,8 @@
     [[nodiscard]] bool hasQueued() const
     {
         return this->queued.raft_size() + this->queued.updates_size() + this->queued.digests_size()
-                   + this->queued.declarations_size()
-               > 0;
+                   > 0
+               || this->queued.has_declaration_notice();
     }
 
     GrpcLifetime library; // First, so that it ends after the channel.
@@ -305,7 +296,6 @@
         dropOldest(this->state->queued.mutable_raft());
         dropOldest(this->state->queued.mutable_updates());
         dropOldest(this->state->queued.mutable_digests());
-        keepNewest(this->state->queued.mutable_declarations());
     }
     this->state->sendNext();
 }
@@ -340,6 +330,16 @@
         });
 }
 
+void PeerChannel::fetchDeclaration(const proto::FetchDeclarationRequest &request,
+                                   core::Duration timeout,
+                                   OnReply<proto::FetchDeclarationReply> onReply)
+{
+    this->state->call<proto::FetchDeclarationRequest, proto::FetchDeclarationReply>(
+        request, timeout, std::move(onReply), [](auto *async, auto *call, auto done) {
+            async->FetchDeclaration(&call->context, &call->request, &call->reply, std::move(done));
+        });
+}
+
 void PeerChannel::readBudgets(const proto::ReadBudgetsRequest &request,
                               core::Duration timeout,
                               OnReply<proto::ReadBudgetsReply> onReply)
--- a/source/samphirebridge/transport/peerchannel.h
+++ b/source/samphirebridge/transport/peerchannel.h
@@ -16,6 +16,8 @@
 class ChangeVotersReply;
 class ChangeVotersRequest;
 class Envelope;
+class FetchDeclarationReply;
+class FetchDeclarationRequest;
 class IsolationNotice;
 class IsolationReply;
 class LoanReply;
@@ -64,6 +66,9 @@
     void readDeclaration(const proto::ReadDeclarationRequest &request,
                          core::Duration timeout,
                          OnReply<proto::ReadDeclarationReply> onReply);
+    void fetchDeclaration(const proto::FetchDeclarationRequest &request,
+                          core::Duration timeout,
+                          OnReply<proto::FetchDeclarationReply> onReply);
     void readBudgets(const proto::ReadBudgetsRequest &request,
                      core::Duration timeout,
                      OnReply<proto::ReadBudgetsReply> onReply);
--- a/source/samphirebridge/transport/rpcserver.cpp
+++ b/source/samphirebridge/transport/rpcserver.cpp
@@ -87,6 +87,14 @@
         return carry(context, *request, reply, this->handlers.readDeclaration, this->counters);
     }
 
+    Reactor *
+    FetchDeclaration(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
+                     const proto::FetchDeclarationRequest *request,
+                     proto::FetchDeclarationReply *reply) override
+    {
+        return carry(context, *request, reply, this->handlers.fetchDeclaration, this->counters);
+    }
+
     Reactor *ReadBudgets(Context *context, // NOLINT(readability-identifier-naming): gRPC's name
                          const proto::ReadBudgetsRequest *request,
                          proto::ReadBudgetsReply *reply) override
--- a/source/samphirebridge/transport/rpcserver.h
+++ b/source/samphirebridge/transport/rpcserver.h
@@ -17,6 +17,8 @@
 class ChangeVotersReply;
 class ChangeVotersRequest;
 class Envelope;
+class FetchDeclarationReply;
+class FetchDeclarationRequest;
 class IsolationNotice;
 class IsolationReply;
 class LoanReply;
@@ -48,6 +50,9 @@
         readManifest;
     std::function<void(const proto::ReadDeclarationRequest &, Respond<proto::ReadDeclarationReply>)>
         readDeclaration;
+    std::function<void(const proto::FetchDeclarationRequest &,
+                       Respond<proto::FetchDeclarationReply>)>
+        fetchDeclaration;
     std::function<void(const proto::ReadBudgetsRequest &, Respond<proto::ReadBudgetsReply>)>
         readBudgets;
     std::function<void(const proto::ReadStatusRequest &, Respond<proto::ReadStatusReply>)>
