net, forwarding, ingress: Bound what targets may send that is no answer

What callers would see: a target in trouble sends bytes without end, as interim answers, as answers to other requests, as events without an id, or as a body. Requests waited for their deadline, garbage went to callers up to 16 MB, and each such body took as much of the process's memory.

Now the parser bounds what is neither head nor body, a connection the answers it skips, the relay what passes between two events with an id, and the process what its requests hold of answers that are not whole. A request that may be repeated goes to another target, others end at once.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -91,6 +91,13 @@
     host.relayBody(bytes);
     host.relayEnd();
     host.relayWhole(head, bytes);
+    // Notes that so many more bytes of an answer are held until it is whole. False: the process
+    // holds too many already.
+    {
+        host.holdAnswer(size_t{})
+        } -> std::same_as<bool>;
+    // What was held is given up.
+    host.dropAnswer();
     host.refuse(refusal);
     host.cutOff();
     // Calls onTimer() at the time; a later call replaces an earlier one.
@@ -190,7 +197,7 @@
     void onBody(std::string_view bytes)
     {
         if (!this->streaming) {
-            this->body += bytes;
+            this->holdBody(bytes);
             return;
         }
         std::string events;
@@ -385,6 +392,24 @@
         return this->request.body.empty() ? std::string_view(this->request.id) : std::string_view();
     }
 
+    void holdBody(std::string_view bytes)
+    {
+        if (!this->host.holdAnswer(bytes.size())) {
+            this->note(
+                "answer_too_long",
+                fmt::format("target={} held={}", this->choice.target.value, this->body.size()));
+            this->onFailed({core::RetryReason::ForeignAnswer, true});
+            return;
+        }
+        this->body += bytes;
+    }
+
+    void dropBody()
+    {
+        this->body.clear();
+        this->host.dropAnswer();
+    }
+
     void relayHeadOnce()
     {
         if (this->headRelayed) {
@@ -396,6 +421,13 @@
 
     void relayEvents(std::string_view events)
     {
+        const uint64_t seenBefore = std::exchange(this->eventsSeen, this->relay.relayedEvents());
+        if (this->eventsSeen == seenBefore) {
+            // Comments between events are passed on, but show no progress.
+            this->relayHeadOnce();
+            this->host.relayBody(events);
+            return;
+        }
         const core::TimePoint now = this->host.now();
         if (!std::exchange(this->firstToken, true)) {
             this->host.router().onFirstToken(this->choice.ticket, now);
@@ -458,7 +490,7 @@
               || (mayRunAgain(this->route) && this->runs < this->route.maximumTargets);
         if (timeLeft && mayRun && this->attempts < MostAttempts) {
             this->relay.beginNextAnswer();
-            this->body.clear();
+            this->dropBody();
             this->streaming = false;
             this->chooseTarget();
             return;
@@ -533,6 +565,7 @@
     void finish()
     {
         this->phase = Phase::Done;
+        this->dropBody();
         if (!std::exchange(this->reserved, false)) {
             return;
         }
@@ -599,6 +632,7 @@
     core::Duration longestGap{}; // Between events for the caller, whatever target made them.
     std::optional<net::ResponseHead> head;
     std::string body;
+    uint64_t eventsSeen = 0; // Relayed events at the last look.
     bool streaming = false;
     bool headRelayed = false;
 };
--- a/source/samphirebridge/forwarding/streamrelay.cpp
+++ b/source/samphirebridge/forwarding/streamrelay.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace samphirebridge::forwarding
@@ -13,16 +14,21 @@
 {
 
 // Longer events are no events of an engine.
-constexpr size_t LongestEventBytes = size_t{1} << 20U;
+constexpr size_t LongestEventBytes = size_t{256} * 1024;
+
+// What may pass between two events with an id: comments that keep the connection open, and fields
+// that the caller understands.
+constexpr size_t MostBytesWithoutId = size_t{256} * 1024;
 
 constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view CarriageEventEnd = "\r\n\r\n";
 
-// Returns the length of the first event, its empty line included; npos while it is incomplete.
-size_t eventLength(std::string_view bytes)
+// Returns the length of the first event, its empty line included; npos while it is incomplete. No
+// end of it lies before the position given.
+size_t eventLength(std::string_view bytes, size_t from)
 {
-    const size_t plain = bytes.find(EventEnd);
-    const size_t carriage = bytes.find(CarriageEventEnd);
+    const size_t plain = bytes.find(EventEnd, from);
+    const size_t carriage = bytes.find(CarriageEventEnd, from);
     if (plain == std::string_view::npos && carriage == std::string_view::npos) {
         return std::string_view::npos;
     }
@@ -67,17 +73,20 @@
 
 absl::Status StreamRelay::feed(std::string_view bytes, std::string &relayed)
 {
+    // An end may have begun with the last bytes that came before.
+    const size_t before = this->partial.size();
+    const size_t searched = before - std::min(before, CarriageEventEnd.size() - 1);
     this->partial += bytes;
     std::string_view rest = this->partial;
-    size_t length = eventLength(rest);
+    size_t length = eventLength(rest, searched);
     while (length != std::string_view::npos) {
         if (absl::Status status = this->takeEvent(rest.substr(0, length), relayed); !status.ok()) {
             return status;
         }
         rest.remove_prefix(length);
-        length = eventLength(rest);
+        length = eventLength(rest, 0);
     }
-    this->partial = std::string(rest);
+    this->partial.erase(0, this->partial.size() - rest.size());
     if (this->partial.size() > LongestEventBytes) {
         return core::makeError(core::ErrorCode::ConnectionBroken,
                                fmt::format("an event of more than {} bytes", LongestEventBytes));
@@ -89,9 +98,16 @@
 {
     const std::optional<uint64_t> id = idOf(event);
     if (!id) {
+        this->bytesWithoutId += event.size();
+        if (this->bytesWithoutId > MostBytesWithoutId) {
+            return core::makeError(
+                core::ErrorCode::ConnectionBroken,
+                fmt::format("more than {} bytes of events without an id", MostBytesWithoutId));
+        }
         relayed += event;
         return absl::OkStatus();
     }
+    this->bytesWithoutId = 0;
     if (this->lastId && *id <= *this->lastId) {
         return absl::OkStatus();
     }
@@ -108,6 +124,7 @@
 void StreamRelay::beginNextAnswer()
 {
     this->partial.clear();
+    this->bytesWithoutId = 0;
 }
 
 } // namespace samphirebridge::forwarding
--- a/source/samphirebridge/forwarding/streamrelay.h
+++ b/source/samphirebridge/forwarding/streamrelay.h
@@ -20,8 +20,8 @@
     explicit StreamRelay(std::optional<uint64_t> lastEventId = std::nullopt);
 
     // Takes bytes of the present answer and returns the whole events that the caller lacks, as they
-    // came. ConnectionBroken when an event is missing in between, is no event or is too long: the
-    // answer is of no use any more.
+    // came. ConnectionBroken when an event is missing in between, is no event or is too long, or
+    // when too much comes without an id: the answer is of no use any more.
     absl::Status feed(std::string_view bytes, std::string &relayed);
 
     // The present answer broke off: bytes of an unfinished event are dropped, and the next answer
@@ -50,6 +50,7 @@
     absl::Status takeEvent(std::string_view event, std::string &relayed);
 
     std::string partial;
+    size_t bytesWithoutId = 0; // Relayed since the last event with an id.
     std::optional<uint64_t> lastId;
     uint64_t relayedCount = 0;
 };
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -32,6 +32,7 @@
     telemetry::Logger &logger;
     const Interface &interface;
     core::SteadyClock clock;
+    size_t heldBytes = 0; // Of answers of all requests that wait to be whole.
 };
 
 // Where a request goes, by the declaration in force when it arrived.
@@ -187,6 +188,21 @@
         this->responder->sendWhole(this->callerHead(head), body);
     }
 
+    bool holdAnswer(size_t bytes)
+    {
+        if (this->context.heldBytes + bytes > MaximumHeldBytes) {
+            return false;
+        }
+        this->context.heldBytes += bytes;
+        this->heldBytes += bytes;
+        return true;
+    }
+
+    void dropAnswer()
+    {
+        this->context.heldBytes -= std::exchange(this->heldBytes, 0);
+    }
+
     void refuse(const forwarding::ForwardRefusal &refusal)
     {
         this->context.counters.refused(refusal.reason);
@@ -218,6 +234,9 @@
     static constexpr int PartOfObjective = 4;
     static constexpr core::Duration LeastTokenWait = std::chrono::milliseconds(350);
 
+    // What all requests of the process may hold of answers that are not whole yet.
+    static constexpr size_t MaximumHeldBytes = size_t{32} * 1024 * 1024;
+
     void observe(telemetry::Latency latency, core::TimePoint since)
     {
         this->context.counters.observe(latency, this->now() - since);
@@ -345,6 +364,7 @@
     std::shared_ptr<net::TargetPool::Pending> pending;
     net::TargetPool::Connection connection;
     budget::ReservationId reservation = 0;
+    size_t heldBytes = 0; // Of the answer that is not whole yet.
     bool toldDone = false;
     forwarding::ForwardMachine<ForwardSession> machine;
 };
--- a/source/samphirebridge/net/messageparser.cpp
+++ b/source/samphirebridge/net/messageparser.cpp
@@ -21,6 +21,11 @@
 constexpr int Stop = -1;
 constexpr int NoBody = 1;
 
+// What may come besides head and body: interim answers, and the framing of chunks, of which the
+// smallest take six times the space of what they hold.
+constexpr size_t LeastFramingBytes = size_t{64} * 1024;
+constexpr uint64_t FramingFactor = 8;
+
 bool isTokenCharacter(char letter)
 {
     constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
@@ -110,6 +115,7 @@
         this->readingValue = false;
         this->headBytes = 0;
         this->bodyBytes = 0;
+        this->readBytes = 0;
         this->headDone = false;
         this->begun = false;
         this->done = false;
@@ -127,6 +133,19 @@
         return this->fail(core::ErrorCode::InvalidRequest, message);
     }
 
+    // Counts what was read. False: too much of it was neither head nor body.
+    bool countRead(size_t bytes)
+    {
+        this->readBytes += bytes;
+        const uint64_t expected = 2 * this->limits.headBytes + FramingFactor * this->bodyBytes;
+        if (this->readBytes <= expected + LeastFramingBytes) {
+            return true;
+        }
+        this->fail(core::ErrorCode::TooLarge,
+                   fmt::format("{} bytes read for a body of {}", this->readBytes, this->bodyBytes));
+        return false;
+    }
+
     int countHead(size_t bytes)
     {
         this->headBytes += bytes;
@@ -314,6 +333,7 @@
     bool readingValue = false;
     size_t headBytes = 0;
     uint64_t bodyBytes = 0;
+    uint64_t readBytes = 0; // Of the present message, all told.
     bool answersHead = false;
     bool headDone = false;
     bool interim = false;
@@ -354,6 +374,9 @@
             = core::makeError(core::ErrorCode::InvalidRequest, http_errno_description(error));
         return *state.error;
     }
+    if (!state.countRead(read)) {
+        return *state.error;
+    }
     return read;
 }
 
--- a/source/samphirebridge/net/messageparser.h
+++ b/source/samphirebridge/net/messageparser.h
@@ -43,7 +43,8 @@
     ~MessageParser();
 
     // Reads bytes and returns how many belong to the message; it takes no byte behind its end.
-    // InvalidRequest for bytes that are no message, TooLarge for a head or body above the limits.
+    // InvalidRequest for bytes that are no message, TooLarge for a head or body above the limits or
+    // for too many bytes that are neither.
     // After an error, or once the message is complete, call nextMessage() first.
     absl::StatusOr<size_t> feed(std::string_view bytes);
 
--- a/source/samphirebridge/net/targetconnection.cpp
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// What is read at most of answers to other requests before the right one comes.
+constexpr size_t MaximumSkippedBytes = size_t{256} * 1024;
+
 // Reads the whole seconds of a Keep-Alive field's timeout.
 core::Duration keepAliveOf(const http::Headers &headers)
 {
@@ -74,6 +77,7 @@
     this->events = std::move(exchangeEvents);
     this->busy = true;
     this->skipping = false;
+    this->skippedBytes = 0;
     this->completed = false;
     this->answersHead = head.method == "HEAD";
     this->parser.nextMessage(this->answersHead);
@@ -118,6 +122,12 @@
             return;
         }
         this->buffered = pending.substr(*read);
+        this->skippedBytes += this->skipping ? *read : 0;
+        if (this->skippedBytes > MaximumSkippedBytes) {
+            this->fail(core::makeError(core::ErrorCode::TooLarge,
+                                       "too many bytes of answers to other requests"));
+            return;
+        }
         if (this->busy && std::exchange(this->completed, false)) {
             this->onComplete();
         }
--- a/source/samphirebridge/net/targetconnection.h
+++ b/source/samphirebridge/net/targetconnection.h
@@ -71,6 +71,7 @@
     bool completed = false;
     bool keepAlive = false;
     bool spoiled = false;
+    size_t skippedBytes = 0; // Read of answers that were not handed on, since the request was sent.
     bool outOfStep = false; // It carried an answer that nobody asked for.
     core::Duration keptFor{};
 };
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -89,6 +89,15 @@
         this->body = bytes;
         this->whole = true;
     }
+    bool holdAnswer(size_t bytes)
+    {
+        this->held += bytes;
+        return this->held <= this->mostHeld;
+    }
+    void dropAnswer()
+    {
+        this->held = 0;
+    }
     void refuse(const forwarding::ForwardRefusal &refusal)
     {
         this->refusal = refusal;
@@ -117,6 +126,8 @@
     int heads = 0;
     int status = 0;
     std::string body;
+    size_t held = 0;
+    size_t mostHeld = 1'000'000;
     bool whole = false;
     bool cut = false;
     std::optional<forwarding::ForwardRefusal> refusal;
@@ -403,3 +414,43 @@
     CHECK(request.host.abandoned > 0);
     CHECK(request.host.settled == core::Tokens{105});
 }
+
+// Guards against answers without end that fill the process's memory.
+TEST_CASE(
+    "an answer beyond what the process may hold is given up, and its target is not asked again")
+{
+    Fixture request(RequestKind::Repeatable);
+    request.host.mostHeld = 100;
+    request.start();
+    request.sent();
+    REQUIRE(request.head(200) == AnswerUse::Take);
+    request.machine->onBody(std::string(60, 'x'));
+    CHECK(request.host.held == 60);
+    request.machine->onBody(std::string(60, 'x'));
+    CHECK(request.host.held == 0);
+    REQUIRE(request.host.sentTo.size() == 2);
+    CHECK(request.host.sentTo[0] != request.host.sentTo[1]);
+    request.sent();
+    REQUIRE(request.head(200) == AnswerUse::Take);
+    request.machine->onBody("body");
+    request.machine->onAnswerEnd();
+    CHECK(request.host.body == "body");
+    CHECK(request.host.held == 0);
+}
+
+// Guards against a target that keeps a request waiting by bytes which are no events.
+TEST_CASE("a stream that brings comments alone makes no progress and goes on at another target")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.start();
+    request.sent();
+    REQUIRE(request.head(200) == AnswerUse::Take);
+    request.machine->onBody(Fixture::event(1));
+    while (request.host.sentTo.size() == 1) {
+        REQUIRE(request.host.time < core::TimePoint(104s));
+        request.host.time += 100ms;
+        request.machine->onBody(": wait\n\n");
+        request.machine->onTimer();
+    }
+    CHECK_FALSE(request.machine->done());
+}
--- a/tests/forwarding/streamrelaytest.cpp
+++ b/tests/forwarding/streamrelaytest.cpp
@@ -73,3 +73,46 @@
     CHECK(relayed == stream);
     CHECK(relay.lastEventId() == 2);
 }
+
+// Guards against a target that sends events which are none of an answer, without end.
+TEST_CASE("events without an id are passed on only so far between two with one")
+{
+    StreamRelay relay;
+    std::string relayed;
+    REQUIRE(relay.feed(event(1), relayed).ok());
+    const std::string filler = "data: " + std::string(1000, 'x') + "\n\n";
+    bool refused = false;
+    size_t fed = 0;
+    while (!refused && fed < size_t{4} * 1024 * 1024) {
+        refused = !relay.feed(filler, relayed).ok();
+        fed += filler.size();
+    }
+    CHECK(refused);
+    CHECK(relayed.size() < size_t{512} * 1024);
+}
+
+TEST_CASE("comments between events are passed on as long as events follow")
+{
+    StreamRelay relay;
+    std::string relayed;
+    for (int id = 1; id <= 2'000; ++id) {
+        REQUIRE(relay.feed(": " + std::string(1000, '-') + "\n\n" + event(id), relayed).ok());
+    }
+    CHECK(relay.relayedEvents() == 2'000);
+}
+
+// Guards against processor time that grows with the square of what has arrived.
+TEST_CASE("an event without end is refused after a bounded number of bytes")
+{
+    StreamRelay relay;
+    std::string relayed;
+    bool refused = false;
+    size_t fed = 0;
+    while (!refused && fed < size_t{4} * 1024 * 1024) {
+        refused = !relay.feed("data", relayed).ok();
+        fed += 4;
+    }
+    CHECK(refused);
+    CHECK(fed <= size_t{256} * 1024 + 4);
+    CHECK(relayed.empty());
+}
--- a/tests/net/exchangetest.cpp
+++ b/tests/net/exchangetest.cpp
@@ -197,3 +197,23 @@
     });
     CHECK(caller.pool.opened() > opened);
 }
+
+// Guards against a target that answers requests of others without end.
+TEST_CASE("answers to other requests are skipped only so far")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send("mine");
+    (void)target.readUntil("\r\n\r\n");
+    const std::string foreign
+        = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x');
+    for (int count = 0; count < 2'000 && !caller.complete; ++count) {
+        target.write(foreign);
+        caller.loop.runUntil(caller.clock.now());
+    }
+    REQUIRE(caller.complete);
+    CHECK_FALSE(*caller.complete);
+    CHECK(caller.body.empty());
+}
--- a/tests/net/messageparsertest.cpp
+++ b/tests/net/messageparsertest.cpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace samphirebridge;
 using net::BodyFraming;
@@ -165,3 +166,55 @@
     CHECK(open.parser.finish().ok());
     CHECK(open.completed == 1);
 }
+
+// Guards against targets whose bytes have no end: what is read for nothing is bounded.
+TEST_CASE("bytes without end that are no part of an answer are refused within a bound")
+{
+    struct Endless {
+        std::string what;
+        std::string beginning;
+        std::string repeated;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Endless> answers{
+        {"empty lines", "", "\r\n"},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"interim answers without a reason", "", "HTTP/1.1 102\r\n\r\n"},
+        {"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        {"one field", "HTTP/1.1 200 OK\r\nA: ", "b"},
+        {"a reason", "HTTP/1.1 200 ", "OK"},
+        {"spaces before a value", "HTTP/1.1 200 OK\r\nA:", "    "},
+        {"digits of a chunk's length", chunked, "0000"},
+        {"an extension of a chunk", chunked + "1;", "abcd"},
+        {"fields behind a chunked body", chunked + "0\r\n", "A: b\r\n"},
+    };
+    constexpr size_t Bound = size_t{512} * 1024;
+    for (const Endless &answer : answers) {
+        INFO(answer.what);
+        Reader reader(MessageKind::Response);
+        REQUIRE(reader.parser.feed(answer.beginning).ok());
+        std::string piece;
+        while (piece.size() < 1024) {
+            piece += answer.repeated;
+        }
+        size_t fed = 0;
+        bool refused = false;
+        while (!refused && fed < 2 * Bound) {
+            refused = !reader.parser.feed(piece).ok();
+            fed += piece.size();
+        }
+        CHECK(refused);
+        CHECK(fed <= Bound);
+    }
+}
+
+TEST_CASE("a body in the smallest chunks is no waste")
+{
+    Reader reader(MessageKind::Response);
+    REQUIRE(reader.parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok());
+    for (int count = 0; count < 200'000; ++count) {
+        REQUIRE(reader.parser.feed("1\r\nx\r\n").ok());
+    }
+    REQUIRE(reader.parser.feed("0\r\n\r\n").ok());
+    CHECK(reader.completed == 1);
+}
