transport: Bound what travels in one message

What callers would see: behind a slow link, or after a peer was out of reach, messages that waited were put together without bound. One that takes longer than its timeout of a second is given up as a whole, and what is queued behind it grows meanwhile: heartbeats and reports never get through.

The new test fails on the code before (one envelope of a megabyte). Now messages travel together up to 64 KB, 32 envelopes wait at most, and a larger message travels alone.

--- a/source/samphirebridge/transport/peerchannel.cpp
+++ b/source/samphirebridge/transport/peerchannel.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -21,8 +22,15 @@
 // Time after which a message is given up; Raft and anti-entropy send anew.
 constexpr std::chrono::milliseconds DeliverTimeout{1000};
 
-// Messages of one kind that wait for a peer that does not keep up.
-constexpr int MaximumQueuedMessages = 512;
+// Messages of one kind that travel together.
+constexpr int MaximumTogether = 512;
+
+// Messages travel together up to this size, in bytes; a larger one travels alone. What is sent must
+// get through a slow link well within the timeout, or it would be given up as a whole.
+constexpr size_t EnvelopeBytes = size_t{64} * 1024;
+
+// Envelopes that wait for a peer that does not keep up.
+constexpr size_t MaximumQueuedEnvelopes = 32;
 
 // An idle connection is probed after this silence, and given up when the probe stays unanswered
 // for as long again: a connection may fall silent without a reset.
@@ -127,7 +135,7 @@
 template <typename Field>
 void dropOldest(Field *field)
 {
-    const int surplus = field->size() - MaximumQueuedMessages;
+    const int surplus = field->size() - MaximumTogether;
     if (surplus > 0) {
         field->DeleteSubrange(0, surplus);
     }
@@ -218,15 +226,15 @@
         auto pending = std::make_shared<Call<proto::Envelope, proto::EnvelopeReply>>(this->calls);
         {
             const std::lock_guard lock(this->mutex);
-            if (this->sending || this->closed || !this->hasQueued()) {
+            if (this->sending || this->closed || this->queued.empty()) {
                 return;
             }
             this->sending = true;
             this->active.insert(&pending->context);
-            pending->request.Swap(&this->queued);
-            this->queued.set_from(pending->request.from());
+            pending->request.Swap(&this->queued.front().envelope);
             this->counters.observe(telemetry::Latency::MessageWait,
-                                   this->clock.now() - this->queuedSince);
+                                   this->clock.now() - this->queued.front().since);
+            this->queued.pop_front();
         }
         pending->context.set_deadline(std::chrono::system_clock::now() + DeliverTimeout);
         const size_t bytes = pending->request.ByteSizeLong();
@@ -255,21 +263,38 @@
         this->sendNext();
     }
 
-    [[nodiscard]] bool hasQueued() const
+    // Puts messages with those that wait, as far as they may travel together.
+    void enqueue(const proto::Envelope &envelope)
     {
-        return this->queued.raft_size() + this->queued.updates_size() + this->queued.digests_size()
-                   > 0
-               || this->queued.has_declaration_notice();
+        const size_t bytes = envelope.ByteSizeLong();
+        if (this->queued.empty() || this->queued.back().bytes + bytes > EnvelopeBytes) {
+            this->queued.push_back({{}, 0, this->clock.now()});
+        }
+        Waiting &last = this->queued.back();
+        last.bytes += bytes;
+        last.envelope.MergeFrom(envelope);
+        dropOldest(last.envelope.mutable_raft());
+        dropOldest(last.envelope.mutable_updates());
+        dropOldest(last.envelope.mutable_digests());
+        if (this->queued.size() > MaximumQueuedEnvelopes) {
+            this->queued.pop_front();
+        }
     }
 
+    // Messages that will travel together.
+    struct Waiting {
+        proto::Envelope envelope;
+        size_t bytes = 0; // Of all that was put in.
+        core::TimePoint since; // When the oldest was put in.
+    };
+
     GrpcLifetime library; // First, so that it ends after the channel.
     telemetry::Counters &counters;
     std::unique_ptr<proto::InstanceService::Stub> stub;
     CallCounter calls;
     std::mutex mutex;
     core::SteadyClock clock;
-    proto::Envelope queued;
-    core::TimePoint queuedSince; // When the oldest of what is queued was put in.
+    std::deque<Waiting> queued; // Oldest first.
     std::set<grpc::ClientContext *> active;
     bool sending = false;
     bool closed = false;
@@ -289,13 +314,7 @@
 {
     {
         const std::lock_guard lock(this->state->mutex);
-        if (!this->state->hasQueued()) {
-            this->state->queuedSince = this->state->clock.now();
-        }
-        this->state->queued.MergeFrom(envelope);
-        dropOldest(this->state->queued.mutable_raft());
-        dropOldest(this->state->queued.mutable_updates());
-        dropOldest(this->state->queued.mutable_digests());
+        this->state->enqueue(envelope);
     }
     this->state->sendNext();
 }
--- a/source/samphirebridge/transport/peerchannel.h
+++ b/source/samphirebridge/transport/peerchannel.h
@@ -43,7 +43,8 @@
 using OnReply = std::function<void(absl::StatusOr<Reply>)>;
 
 // Sends messages and calls to one instance. Messages that are put in while one is on its way
-// travel together with the next one, so that a busy link needs few of them. Thread-safe.
+// travel together with the next one, up to a size, so that a busy link needs few of them and a slow
+// one lets each through. Thread-safe.
 class PeerChannel
 {
 public:
--- a/tests/transport/transporttest.cpp
+++ b/tests/transport/transporttest.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <mutex>
+#include <vector>
 
 using namespace samphirebridge;
 using namespace std::chrono_literals;
@@ -56,6 +58,51 @@
     CHECK(received.get_future().get().updates_size() == 1);
 }
 
+// Guards against messages that are put together until no slow link lets them through in time.
+TEST_CASE("messages that wait travel in several envelopes of a bounded size, and in order")
+{
+    constexpr int Messages = 100;
+    constexpr size_t MessageBytes = 10'000;
+    std::mutex mutex;
+    std::vector<proto::Envelope> received;
+    std::promise<void> last;
+    std::promise<void> queued;
+    const std::shared_future<void> allQueued = queued.get_future().share();
+    transport::RpcHandlers handlers;
+    handlers.deliver = [&](const proto::Envelope &envelope) {
+        allQueued.wait();
+        const std::lock_guard lock(mutex);
+        received.push_back(envelope);
+        const auto &updates = envelope.updates();
+        if (updates.rbegin()->instances(0).heartbeat() == Messages) {
+            last.set_value();
+        }
+    };
+    telemetry::Counters counters;
+    auto server = transport::RpcServer::start("127.0.0.1:18464", handlers, counters);
+    REQUIRE(server.ok());
+    transport::PeerChannel channel("127.0.0.1:18464", counters);
+    for (int number = 1; number <= Messages; ++number) {
+        proto::Envelope envelope;
+        proto::InstanceRecord *record = envelope.add_updates()->add_instances();
+        record->set_heartbeat(number);
+        record->set_id(std::string(MessageBytes, 'x'));
+        channel.deliver(envelope);
+    }
+    queued.set_value();
+    last.get_future().wait();
+    const std::lock_guard lock(mutex);
+    uint64_t newest = 0;
+    for (const proto::Envelope &envelope : received) {
+        CHECK(envelope.ByteSizeLong() <= size_t{64} * 1024);
+        for (const proto::MembershipUpdate &update : envelope.updates()) {
+            CHECK(update.instances(0).heartbeat() > newest);
+            newest = update.instances(0).heartbeat();
+        }
+    }
+    CHECK(received.size() > 5);
+}
+
 TEST_CASE("an address that is taken is a typed error")
 {
     std::promise<proto::Envelope> received;
