core, budget, ledger: Let what may be open unseen follow the need, not a constant

Cause: what the ledger sets aside for a holder that ended unheard was 4,000 tokens and a ramp of 5,000 a second at least, for each of 82 holders and 24 budgets, whatever they need: 13.4 million tokens, of which recorded openings cover 2.3 million.

Ruled out: the start. Declarations are in force and holders registered within 0.5 s. Stranded escrow: where requests are refused nobody holds any.

Now the contact exposure of a pair is a second of the rate that it reports, at most 4,000, and the least rate is 2,500. Holder and ledger go by the same function; the holder by the lower of reported and confirmed rate. The two new tests fail without it: the ledger set the same aside whatever the rate, and the book let 4,000 open. A constant of 0.2 s in place of a second was tried in the simulations alone and dropped: most first requests would wait for their record.

--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -114,9 +114,14 @@
 }
 
 int64_t BudgetAccount::exposureLimit(core::TimePoint now, const EscrowOptions &options) const
+{
+    return exposureAt(options, this->isolationRate(options), now).count;
+}
+
+int64_t BudgetAccount::isolationRate(const EscrowOptions &options) const
 {
     const int64_t known = std::min(this->reportedRate, this->confirmedRate);
-    return exposureAt(options, std::max(options.leastIsolationRate, known), now).count;
+    return options.leastIsolationRate == 0 ? 0 : std::max(options.leastIsolationRate, known);
 }
 
 void BudgetAccount::addWaiter(int64_t tokens, core::TimePoint now)
--- a/source/samphirebridge/budget/budgetaccount.h
+++ b/source/samphirebridge/budget/budgetaccount.h
@@ -55,6 +55,9 @@
     // The ledger has the rate that was taken last.
     void confirmIsolationRate();
     // Returns the openings without a confirmed record that are allowed now.
+    // Returns the rate of the exposure ramp that the ledger is sure to know, in tokens a second; 0:
+    // there are no ramps.
+    [[nodiscard]] int64_t isolationRate(const EscrowOptions &options) const;
     [[nodiscard]] int64_t exposureLimit(core::TimePoint now, const EscrowOptions &options) const;
 
     // Notes a request that free tokens don't cover. Until forgetWaiters() it is part of the next
--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -11,14 +11,15 @@
 core::Tokens exposureAt(const EscrowOptions &options, int64_t tokensPerSecond, core::TimePoint now)
 {
     if (!options.exposureRamp) {
-        return options.exposureLimit;
+        return core::Tokens{core::contactExposure(options.exposureLimit.count, tokensPerSecond)};
     }
     const ExposureRamp &ramp = *options.exposureRamp;
+    const int64_t base = core::contactExposure(ramp.base.count, tokensPerSecond);
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - ramp.from);
     const int64_t elapsedMs = std::max<int64_t>(elapsed.count(), 0);
-    const int64_t room = options.exposureLimit.count - ramp.base.count;
+    const int64_t room = options.exposureLimit.count - base;
     const int64_t grown = core::rampGrowth(ramp.shape, tokensPerSecond, elapsedMs);
-    return core::Tokens{ramp.base.count + std::min(grown, room)};
+    return core::Tokens{base + std::min(grown, room)};
 }
 
 EscrowBook::EscrowBook(core::HolderId holder, EscrowOptions options)
@@ -128,7 +129,8 @@
     const BudgetAccount *account = this->state->account(budget);
     if (account == nullptr) {
         BudgetInputs inputs;
-        inputs.limit = exposureAt(this->state->options, 0, now);
+        inputs.limit
+            = exposureAt(this->state->options, this->state->options.leastIsolationRate, now);
         return inputs;
     }
     return {.free = core::Tokens{account->freeTokens()},
@@ -138,9 +140,9 @@
             .ledger = account->whereabouts()};
 }
 
-core::Tokens EscrowBook::largestUnrecorded() const
+bool EscrowBook::exceedsContactExposure(core::Tokens most) const
 {
-    return core::Tokens{this->state->largestUnrecorded()};
+    return this->state->exceedsContactExposure(most.count);
 }
 
 bool EscrowBook::isSettled() const
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -38,7 +38,8 @@
     // Openings without a confirmed record that a budget may have (policy `exposure_tokens`). Must
     // not exceed what the ledger's manifest states.
     core::Tokens exposureLimit{100'000};
-    // Bounds the limit further where it is set.
+    // Bounds the limit further where it is set. With ramps and without one, the limit is that in
+    // contact, and the rate bounds it, see core::contactExposure.
     std::optional<ExposureRamp> exposureRamp;
     // Time between two batches while there is something to report.
     core::Duration flushInterval = std::chrono::milliseconds(100);
@@ -229,8 +230,9 @@
     [[nodiscard]] core::Tokens freeTokens(const core::BudgetId &budget) const;
     [[nodiscard]] BudgetInputs inputs(const core::BudgetId &budget, core::TimePoint now) const;
 
-    // Returns the most that any budget has open, or used, without a record.
-    [[nodiscard]] core::Tokens largestUnrecorded() const;
+    // Tells whether any budget has more open, or used, without a record than it may in contact,
+    // where so much at most is allowed.
+    [[nodiscard]] bool exceedsContactExposure(core::Tokens most) const;
 
     // Tells whether nothing is open, unreported, held or in flight.
     [[nodiscard]] bool isSettled() const;
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -145,13 +145,13 @@
     return found == this->accounts.end() ? nullptr : &found->second;
 }
 
-int64_t EscrowState::largestUnrecorded() const
+bool EscrowState::exceedsContactExposure(int64_t most) const
 {
-    int64_t largest = 0;
-    for (const auto &[budget, account] : this->accounts) {
-        largest = std::max(largest, account.unrecordedTokens());
-    }
-    return largest;
+    return std::any_of(this->accounts.begin(), this->accounts.end(), [&](const auto &entry) {
+        const BudgetAccount &account = entry.second;
+        return account.unrecordedTokens()
+               > core::contactExposure(most, account.isolationRate(this->options));
+    });
 }
 
 bool EscrowState::isSettled() const
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -82,7 +82,7 @@
     void takeLoan(const proto::Loan &loan);
     [[nodiscard]] bool hasUnreportedLoans() const;
     [[nodiscard]] const BudgetAccount *account(const core::BudgetId &budget) const;
-    [[nodiscard]] int64_t largestUnrecorded() const;
+    [[nodiscard]] bool exceedsContactExposure(int64_t most) const;
     [[nodiscard]] bool isSettled() const;
     [[nodiscard]] bool inContact(core::TimePoint now) const;
     [[nodiscard]] std::vector<BudgetShare> shares() const;
--- a/source/samphirebridge/core/exposureramp.cpp
+++ b/source/samphirebridge/core/exposureramp.cpp
@@ -11,8 +11,19 @@
 
 constexpr int64_t MillisecondsPerSecond = 1'000;
 
+// Several reports of a holder to the ledger.
+constexpr int64_t ContactMs = 1'000;
+
 } // namespace
 
+int64_t contactExposure(int64_t most, int64_t tokensPerSecond)
+{
+    if (tokensPerSecond <= 0) {
+        return most;
+    }
+    return std::min(most, rampGrowth(RampShape::Linear, tokensPerSecond, ContactMs));
+}
+
 int64_t rampGrowth(RampShape shape, int64_t tokensPerSecond, int64_t elapsedMs)
 {
     int64_t weightedMs = elapsedMs;
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -299,7 +299,7 @@
     if (!this->contactExposure || !this->sendNotice) {
         return;
     }
-    const bool recorded = this->book.largestUnrecorded() <= *this->contactExposure
+    const bool recorded = !this->book.exceedsContactExposure(*this->contactExposure)
                           && !this->book.hasUnreportedLoans();
     if (const auto notice = this->isolation.next(now, recorded)) {
         this->logger.change(notice->isolated() ? "isolation_noticed" : "isolation_withdrawn",
--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -76,14 +76,14 @@
 inline constexpr core::Tokens DeclarationExposure = core::MaximumPurchase;
 
 // The same while the instance is in contact with the ledger: a few short requests. A larger one is
-// recorded before it is sent on, which takes a round trip to the quorum. It is what each budget
-// loses when an instance ends without a word.
+// recorded before it is sent on, which takes a round trip to the quorum. It is the most that each
+// budget loses when an instance ends without a word; less where the instance needs little of it.
 inline constexpr core::Tokens ContactExposure{4'000};
 
 // What each second without contact adds to it, in tokens, where requests reserve little; instances
 // report what they need beyond. An instance that ends unheard takes this much with it for each
 // second since its last report but one.
-inline constexpr int64_t LeastIsolationRate = 5'000;
+inline constexpr int64_t LeastIsolationRate = 2'500;
 
 struct Declaration {
     uint64_t version = 0;
--- a/source/samphirebridge/ledger/batchcommands.cpp
+++ b/source/samphirebridge/ledger/batchcommands.cpp
@@ -144,9 +144,9 @@
 // it had no more than the contact exposure open without a record.
 void returnBeyondContact(LedgerState &state, HolderIndex holder)
 {
-    const int64_t exposure = state.declaration.contact_exposure_tokens();
     for (const BudgetIndex budget : state.budgets.budgetsOf(holder)) {
         const int64_t free = state.budgets.share(budget, holder)->free();
+        const int64_t exposure = contactExposureOf(state, state.holders.at(holder), budget);
         state.budgets.returnUnrecorded(budget, holder, std::max<int64_t>(free - exposure, 0));
     }
     forgetIfDone(state, holder);
--- a/source/samphirebridge/ledger/ledgerstate.cpp
+++ b/source/samphirebridge/ledger/ledgerstate.cpp
@@ -21,6 +21,15 @@
     return withDrift(to.atMs - from.atMs);
 }
 
+// Returns the rate of the holder's ramp, in tokens a second; 0: there are no ramps.
+int64_t isolationRate(const LedgerState &state, const HolderRecord &record, BudgetIndex budget)
+{
+    const int64_t least = state.declaration.isolation_tokens_per_s();
+    const auto reported = record.isolationRates.find(budget);
+    const bool isKnown = least > 0 && reported != record.isolationRates.end();
+    return isKnown ? std::max(least, reported->second) : least;
+}
+
 // Returns the most that the holder can have open in a budget without a record, its witness apart.
 int64_t unrecordedBound(const LedgerState &state,
                         const HolderRecord &record,
@@ -29,9 +38,7 @@
 {
     const int64_t least = state.declaration.isolation_tokens_per_s();
     const int64_t contact = state.declaration.contact_exposure_tokens();
-    const auto reported = record.isolationRates.find(budget);
-    const int64_t rate
-        = reported == record.isolationRates.end() ? least : std::max(least, reported->second);
+    const int64_t rate = isolationRate(state, record, budget);
     const bool known = isolation.evidence != proto::NO_EVIDENCE;
     if (!known || least <= 0 || contact <= 0
         || isolation.ms > static_cast<uint64_t>(core::MaximumPurchase.count / rate)) {
@@ -39,11 +46,17 @@
     }
     const auto elapsedMs = static_cast<int64_t>(isolation.ms);
     const int64_t ramp = core::rampGrowth(record.ramp, rate, elapsedMs) + 1;
-    return std::min(record.exposure, contact + ramp);
+    return std::min(record.exposure, contactExposureOf(state, record, budget) + ramp);
 }
 
 } // namespace
 
+int64_t contactExposureOf(const LedgerState &state, const HolderRecord &record, BudgetIndex budget)
+{
+    return core::contactExposure(state.declaration.contact_exposure_tokens(),
+                                 isolationRate(state, record, budget));
+}
+
 proto::CommandResult refusal(core::ErrorCode code, std::string_view message)
 {
     proto::CommandResult result;
--- a/source/samphirebridge/ledger/ledgerstate.h
+++ b/source/samphirebridge/ledger/ledgerstate.h
@@ -77,6 +77,10 @@
 IsolationBound
 longestIsolation(const LedgerState &state, HolderIndex holder, const core::MachineTime &overBy);
 
+// Returns what the holder can have open in a budget without a record while it is in contact; 0: it
+// is not bounded.
+int64_t contactExposureOf(const LedgerState &state, const HolderRecord &record, BudgetIndex budget);
+
 // Returns to the pools what a holder that is over can't have spent in so long a time out of
 // contact, and how much that is.
 int64_t returnBeyondBound(LedgerState &state, HolderIndex holder, const IsolationBound &isolation);
--- a/tests/budget/escrowbooktest.cpp
+++ b/tests/budget/escrowbooktest.cpp
@@ -181,6 +181,23 @@
     CHECK(test.ask(60).kind == DecisionKind::Reserved);
 }
 
+TEST_CASE("in contact a budget may have a second of its ramp open without a record")
+{
+    TestBook test(4'000);
+    test.grant(10'000);
+    EscrowOptions options = TestBook::optionsWith(4'000);
+    options.leastIsolationRate = 200;
+    test.book.setOptions(options);
+    CHECK(test.ask(200).kind == DecisionKind::Reserved);
+    CHECK_FALSE(test.book.exceedsContactExposure(core::Tokens{4'000}));
+    // The next waits for the record of the one before, and a larger one for its own.
+    CHECK(test.ask(100).cause == WaitCause::Opening);
+    CHECK(test.ask(201).cause == WaitCause::Opening);
+    test.exchange();
+    CHECK(test.ask(100).kind == DecisionKind::Reserved);
+    CHECK(test.ask(201).kind == DecisionKind::Reserved);
+}
+
 TEST_CASE("out of contact the exposure limit rises with the time")
 {
     TestBook test(100);
--- a/tests/budget/isolationsimulation.cpp
+++ b/tests/budget/isolationsimulation.cpp
@@ -349,7 +349,7 @@
 {
     Node &state = *this->nodes[node];
     const bool recorded
-        = state.book.largestUnrecorded() <= core::Tokens{this->scenario.contactExposure}
+        = !state.book.exceedsContactExposure(core::Tokens{this->scenario.contactExposure})
           && !state.book.hasUnreportedLoans();
     if (const auto notice = state.isolation.next(this->now(), recorded)) {
         this->sendNotice(node, *notice);
--- a/tests/ledger/holderstest.cpp
+++ b/tests/ledger/holderstest.cpp
@@ -32,9 +32,10 @@
     REQUIRE(codeOf(ledger.apply(command)) == core::ErrorCode::None);
 }
 
-// A ledger with 100,000 tokens and a ramp of 1,000 a second on top of 50. Holder "a",
-// incarnation 1, has 90,000 and reported at 1,000 s, 1,001 s and 1,002 s; it is 1,005 s now.
-TestLedger ledgerWithRamp(bool partial = false, uint64_t machineClock = 0)
+// A ledger with 100,000 tokens and a ramp of 1,000 a second on top of the contact exposure. Holder
+// "a", incarnation 1, has 90,000 and reported at 1,000 s, 1,001 s and 1,002 s; it is 1,005 s now.
+TestLedger
+ledgerWithRamp(bool partial = false, uint64_t machineClock = 0, int64_t contactExposure = 50)
 {
     TestLedger ledger;
     ledger.machineClock = machineClock;
@@ -43,7 +44,7 @@
     proto::Declaration *declaration = command.mutable_replace_declaration()->mutable_declaration();
     declaration->set_version(1);
     declaration->set_exposure_tokens(core::MaximumPurchase.count);
-    declaration->set_contact_exposure_tokens(50);
+    declaration->set_contact_exposure_tokens(contactExposure);
     declaration->set_isolation_tokens_per_s(1'000);
     proto::DeclaredBudget *budget = declaration->add_budgets();
     budget->set_budget("letters");
@@ -189,6 +190,30 @@
     CHECK(ledger.budget().quarantined_tokens() <= 15'260);
 }
 
+// Guards against service that is lost after a loss of power of a large fleet: what was set aside
+// for each instance and budget was the same, however little it needed.
+TEST_CASE("a holder that needs little of a budget takes little with it")
+{
+    const auto setAside = [](int64_t contactExposure, int64_t rate) {
+        TestLedger ledger = ledgerWithRamp(false, 0, contactExposure);
+        if (rate > 0) {
+            proto::HolderBatch batch = batchOf("a", 1);
+            batch.set_sequence(3);
+            proto::IsolationRate *reported = batch.add_isolation_rates();
+            reported->set_budget("letters");
+            reported->set_tokens_per_s(rate);
+            ledger.send(batch);
+        }
+        ledger.registerHolder("a", 2);
+        return ledger.budget().quarantined_tokens();
+    };
+    // A second of its rate is the most that counts as open in contact.
+    CHECK(setAside(1'000, 0) - setAside(50, 0) == 950);
+    CHECK(setAside(4'000, 0) == setAside(1'000, 0));
+    CHECK(setAside(4'000, 3'000) == setAside(3'000, 3'000));
+    CHECK(setAside(4'000, 9'000) - setAside(3'000, 9'000) == 1'000);
+}
+
 TEST_CASE("where another leads, the machine's clock tells the time since the last report")
 {
     TestLedger ledger = ledgerWithRamp(false, 40);
