--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fleet.h"
 
+#include "platform/names.h"
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 
@@ -281,8 +282,9 @@
 {
     http::ClientRequest request;
     request.method = "POST";
-    request.url = fmt::format("http://127.0.0.1:{}/v1/Config.Replace",
-                              this->interfacePort(index, ControlUse));
+    request.url = fmt::format("http://127.0.0.1:{}{}",
+                              this->interfacePort(index, ControlUse),
+                              platform::call::ReplaceDeclaration);
     request.body = content;
     waitFor("a declaration is acknowledged", [&] {
         const auto answer = this->httpClient.fetch(request, CallTimeout);
