entry, forwarding: Log and count what is known of requests that crash targets

Callers saw nothing of it; an operator could not tell why one instance refused a request as crash_suspect and another sent it on. A failed attempt was logged without what makes a resend recognisable, since each resend has its own request id, and crash reports between instances were neither logged nor counted.

Added: the request's fingerprint in attempt_failed and no_target; a line crash_report for each report made here or first heard of, within the rate limit of request lines; crash_reports_made_total, crash_reports_received_total and the gauge crash_suspects.

No decision changes.

--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -1,5 +1,6 @@
 #include "samphirebridge/entry/fleetview.h"
 
+#include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 
 #include <algorithm>
@@ -91,6 +92,9 @@
     std::vector<membership::Outgoing> outgoing;
     const auto crashes = this->crashDirectory.merge(update, peers, now, outgoing);
     this->targetRouter.onCrashReports(crashes, now);
+    this->counters.count(telemetry::Event::CrashReportsReceived,
+                         static_cast<double>(crashes.size()));
+    this->logCrashReports(crashes, update.from());
     this->send(outgoing);
 }
 
@@ -131,6 +135,8 @@
         this->updateRetryShare(now);
         this->crashDirectory.tick(now);
         this->sendCrashReports(now);
+        this->counters.set(telemetry::Gauge::CrashSuspects,
+                           static_cast<double>(this->targetRouter.crashSuspects()));
     }
     this->counters.set(telemetry::Gauge::TargetsReady,
                        static_cast<double>(this->targetRouter.readyTargets()));
@@ -243,10 +249,26 @@
     if (reports.empty()) {
         return;
     }
+    this->counters.count(telemetry::Event::CrashReportsMade, static_cast<double>(reports.size()));
+    this->logCrashReports(reports, this->self.value);
     this->send(
         this->crashDirectory.addLocalReports(reports, this->instanceDirectory.peers(now), now));
 }
 
+void FleetView::logCrashReports(std::span<const proto::CrashReport> reports,
+                                std::string_view source)
+{
+    for (const proto::CrashReport &report : reports) {
+        this->logger.request(telemetry::Importance::Failure,
+                             "crash_report",
+                             {{"fingerprint", core::toHex(report.fingerprint())},
+                              {"target", report.target()},
+                              {"incarnation", std::to_string(report.target_incarnation())},
+                              {"cleared", report.cleared() ? "true" : "false"},
+                              {"source", std::string(source)}});
+    }
+}
+
 uint64_t FleetView::newestManifestVersion(core::TimePoint now) const
 {
     uint64_t newest = 0;
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -15,6 +15,7 @@
 
 #include <random>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace samphirebridge::entry
@@ -103,6 +104,8 @@
     void applyEffect(const membership::DirectoryEffect &effect, core::TimePoint now);
     // Divides the retry budget of the fleet among the entry instances.
     void updateRetryShare(core::TimePoint now);
+    // Logs reports that this instance made, or first heard of from the peer `source`.
+    void logCrashReports(std::span<const proto::CrashReport> reports, std::string_view source);
     // Sends a digest to a random peer; to a random control instance while no target is ready.
     void sendDigest(core::TimePoint now);
     void sendDigestTo(const core::InstanceId &peer);
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -345,7 +345,10 @@
         const core::TimePoint now = this->host.now();
         const routing::Decision decision = this->host.router().choose(this->routeRequest(), now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
-            this->logEvent("no_target", std::string(core::refusalName(refusal->reason)));
+            this->logEvent("no_target",
+                           fmt::format("reason={} fingerprint={}",
+                                       core::refusalName(refusal->reason),
+                                       core::toHex(this->fingerprint())));
             this->giveUp(refusal->reason, refusal->retryAfter);
             return;
         }
@@ -379,8 +382,7 @@
         if (this->organisation != nullptr) {
             query.organisation = this->organisation->id;
         }
-        query.fingerprint = core::fingerprintOf(
-            {this->request.target, this->request.key, this->request.body, this->fingerprintSalt()});
+        query.fingerprint = this->fingerprint();
         query.promptTokens = this->request.promptTokens;
         query.outputTokens
             = this->request.expectedOutputTokens.value_or(this->request.maximumOutputTokens);
@@ -400,6 +402,12 @@
         return query;
     }
 
+    [[nodiscard]] std::string fingerprint() const
+    {
+        return core::fingerprintOf(
+            {this->request.target, this->request.key, this->request.body, this->fingerprintSalt()});
+    }
+
     // Requests without a body may be equal in all else; their id makes their fingerprints differ.
     [[nodiscard]] std::string_view fingerprintSalt() const
     {
@@ -499,11 +507,12 @@
     void retryOrGiveUp(core::RetryReason reason)
     {
         this->logEvent("attempt_failed",
-                       fmt::format("target={} reason={} sent={} events={}",
+                       fmt::format("target={} reason={} sent={} events={} fingerprint={}",
                                    this->choice.target.value,
                                    core::retryName(reason),
                                    this->attemptSent,
-                                   this->relay.relayedEvents()));
+                                   this->relay.relayedEvents(),
+                                   core::toHex(this->fingerprint())));
         const bool timeLeft = this->host.now() < this->deadline;
         const bool mayRun
             = this->possibleRuns == 0
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -127,6 +127,12 @@
     // Returns the number of targets in state READY.
     [[nodiscard]] size_t readyTargets() const;
 
+    // Returns the number of requests that may have crashed a target.
+    [[nodiscard]] size_t crashSuspects() const
+    {
+        return this->suspects.openSuspects();
+    }
+
 private:
     struct Attempt {
         std::string target;
--- a/source/samphirebridge/routing/suspectlist.cpp
+++ b/source/samphirebridge/routing/suspectlist.cpp
@@ -139,6 +139,14 @@
     });
 }
 
+size_t SuspectList::openSuspects() const
+{
+    return static_cast<size_t>(
+        std::count_if(this->suspects.begin(), this->suspects.end(), [](const auto &item) {
+            return !item.second.cleared;
+        }));
+}
+
 size_t SuspectList::confirmedCrashes(const Suspect &suspect) const
 {
     return static_cast<size_t>(
--- a/source/samphirebridge/routing/suspectlist.h
+++ b/source/samphirebridge/routing/suspectlist.h
@@ -79,6 +79,9 @@
         return this->suspects.size();
     }
 
+    // Returns the number of suspects that are not cleared.
+    [[nodiscard]] size_t openSuspects() const;
+
 private:
     // A broken connection, or a crash once it is confirmed.
     struct Incident {
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -53,6 +53,12 @@
     {Event::DeclarationBytesReceived,
      "declaration_bytes_received_total",
      "Payload bytes by which other instances told of declarations."},
+    {Event::CrashReportsMade,
+     "crash_reports_made_total",
+     "Reports by this instance of a request that was in flight at a target that ended."},
+    {Event::CrashReportsReceived,
+     "crash_reports_received_total",
+     "The same, first heard of from another instance."},
 };
 
 constexpr Description<Gauge> Gauges[] = {
@@ -71,6 +77,7 @@
      "Tokens that holders which ended may have spent, over all budgets."},
     {Gauge::LedgerTokensInPool, "ledger_tokens_in_pool", "Tokens left to grant, over all budgets."},
     {Gauge::OpenReservations, "open_reservations", "Reservations that are not settled yet."},
+    {Gauge::CrashSuspects, "crash_suspects", "Requests that may have crashed a target."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -42,6 +42,8 @@
     ControlBytesFailed,
     DeclarationBytesSent,
     DeclarationBytesReceived,
+    CrashReportsMade,
+    CrashReportsReceived,
 };
 
 // Metrics whose value can rise and fall.
@@ -57,6 +59,7 @@
     LedgerTokensQuarantined,
     LedgerTokensInPool,
     OpenReservations,
+    CrashSuspects,
 };
 
 // Durations that are recorded in a histogram.
