--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -170,7 +170,8 @@
                                  const std::vector<int> &announceTo,
                                  const std::vector<std::string> &arguments)
 {
-    return this->startStandin("engine", name, port, EngineToken, announceTo, arguments);
+    return this->startStandin(
+        "engine", name, port, EngineToken, this->httpUrls(announceTo), arguments);
 }
 
 ChildProcess &Fleet::startPayments(const std::string &name,
@@ -178,22 +179,38 @@
                                    const std::vector<int> &announceTo,
                                    const std::vector<std::string> &arguments)
 {
-    return this->startStandin("payments", name, port, PaymentsToken, announceTo, arguments);
+    return this->startStandin(
+        "payments", name, port, PaymentsToken, this->httpUrls(announceTo), arguments);
+}
+
+ChildProcess &Fleet::startPlatformTarget(const std::string &name,
+                                         int port,
+                                         const std::string &service,
+                                         const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> urls;
+    for (int index = 0; index < this->options.controlInstances; ++index) {
+        urls.push_back(
+            fmt::format("http://127.0.0.1:{}", this->interfacePort(index, ControlInterface)));
+    }
+    std::vector<std::string> all{"--kind=" + service};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    return this->startStandin("platform", name, port, "", urls, all);
 }
 
 ChildProcess &Fleet::startStandin(const std::string &mode,
                                   const std::string &name,
                                   int port,
                                   const std::string &token,
-                                  const std::vector<int> &announceTo,
+                                  const std::vector<std::string> &announceTo,
                                   const std::vector<std::string> &arguments)
 {
     std::vector<std::string> commandLine{mode,
                                          fmt::format("--id={}", name),
                                          fmt::format("--port={}", port),
                                          fmt::format("--token={}", token)};
-    for (const int index : announceTo) {
-        commandLine.push_back(fmt::format("--announce-to={}", this->httpUrl(index)));
+    for (const std::string &url : announceTo) {
+        commandLine.push_back(fmt::format("--announce-to={}", url));
     }
     commandLine.insert(commandLine.end(), arguments.begin(), arguments.end());
     const std::string log = fmt::format("{}/{}.log", this->folder().string(), name);
@@ -240,6 +257,21 @@
     return this->httpClient.fetch(request, CallTimeout);
 }
 
+absl::StatusOr<http::Answer> Fleet::callPlatform(int index,
+                                                 const std::string &method,
+                                                 const std::string &path,
+                                                 const std::string &body,
+                                                 const http::Headers &headers)
+{
+    http::ClientRequest request;
+    request.method = method;
+    request.url
+        = fmt::format("http://127.0.0.1:{}{}", this->interfacePort(index, CallersInterface), path);
+    request.headers = headers;
+    request.body = body;
+    return this->httpClient.fetch(request, CallTimeout);
+}
+
 nlohmann::json Fleet::callJson(int index,
                                const std::string &method,
                                const std::string &path,
@@ -251,6 +283,15 @@
     return nlohmann::json::parse(answer->body);
 }
 
+std::vector<std::string> Fleet::httpUrls(const std::vector<int> &indices) const
+{
+    std::vector<std::string> urls;
+    for (const int index : indices) {
+        urls.push_back(this->httpUrl(index));
+    }
+    return urls;
+}
+
 std::string Fleet::httpUrl(int index) const
 {
     return fmt::format("http://127.0.0.1:{}", this->httpPort(index));
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -94,6 +94,12 @@
                                 int port,
                                 const std::vector<int> &announceTo,
                                 const std::vector<std::string> &arguments = {});
+    // Starts a stand-in target of a service of the declaration. It announces itself to all control
+    // instances. Needs FleetOptions::platform.
+    ChildProcess &startPlatformTarget(const std::string &name,
+                                      int port,
+                                      const std::string &service,
+                                      const std::vector<std::string> &arguments = {});
     // Waits until the instance counts exactly this many ready targets.
     void waitForTargets(int index, int count);
     [[nodiscard]] std::string standinUrl(int port) const;
@@ -109,6 +115,13 @@
                                       const std::string &token,
                                       const std::string &body = "",
                                       const http::Headers &headers = {});
+    // Sends one request to an instance's interface for callers, as call() does. Needs
+    // FleetOptions::platform.
+    absl::StatusOr<http::Answer> callPlatform(int index,
+                                              const std::string &method,
+                                              const std::string &path,
+                                              const std::string &body = "",
+                                              const http::Headers &headers = {});
     // Like call(), but throws if there is no answer, and parses its body as JSON.
     nlohmann::json callJson(int index,
                             const std::string &method,
@@ -161,8 +174,9 @@
                                const std::string &name,
                                int port,
                                const std::string &token,
-                               const std::vector<int> &announceTo,
+                               const std::vector<std::string> &announceTo,
                                const std::vector<std::string> &arguments);
+    [[nodiscard]] std::vector<std::string> httpUrls(const std::vector<int> &indices) const;
 
     FleetOptions options;
     TemporaryFolder temporary;
--- a/utilities/standins/announcer.cpp
+++ b/utilities/standins/announcer.cpp
@@ -13,9 +13,9 @@
 
 } // namespace
 
-Announcer::Announcer(AnnouncerSettings settings, std::function<nlohmann::json()> currentLoad)
+Announcer::Announcer(AnnouncerSettings settings, MakeAnnouncement makeAnnouncement)
     : settings(std::move(settings))
-    , currentLoad(std::move(currentLoad))
+    , makeAnnouncement(std::move(makeAnnouncement))
     , thread([this] { this->run(); })
 {
 }
@@ -43,10 +43,8 @@
     bool announcedLeaving = false;
     while (!this->stopping || (this->leaving && !announcedLeaving)) {
         announcedLeaving = this->leaving;
-        nlohmann::json body = this->settings.announcement;
-        body["state"] = announcedLeaving ? "leaving" : "ready";
         lock.unlock();
-        body["load"] = this->currentLoad();
+        const nlohmann::json body = this->makeAnnouncement(announcedLeaving);
         for (const std::string &url : this->settings.announceTo) {
             this->announce(url, body.dump());
         }
@@ -61,7 +59,7 @@
 {
     http::ClientRequest request;
     request.method = "POST";
-    request.url = url + "/v1/targets/announce";
+    request.url = url + this->settings.path;
     request.headers.add("Authorization", "Bearer " + this->settings.token);
     request.headers.add("Content-Type", "application/json");
     request.body = body;
--- a/utilities/standins/announcer.h
+++ b/utilities/standins/announcer.h
@@ -15,11 +15,11 @@
 namespace samphirebridge::standins
 {
 
-// Where a stand-in target announces itself and what it announces.
+// Where a stand-in target announces itself.
 struct AnnouncerSettings {
     std::vector<std::string> announceTo; // URLs of instances or of a load balancer; may be empty.
+    std::string path = "/v1/targets/announce"; // Appended to each URL.
     std::string token; // Sent as a bearer token.
-    nlohmann::json announcement; // Without `state` and `load`, which are added.
 };
 
 // Posts the announcement to each URL every second from a thread of its own, until destroyed. Failed
@@ -27,8 +27,11 @@
 class Announcer
 {
 public:
-    // `currentLoad` returns the `load` of an announcement; it is called from the thread.
-    Announcer(AnnouncerSettings settings, std::function<nlohmann::json()> currentLoad);
+    // Returns the body of the next announcement of a target that is or is not leaving.
+    using MakeAnnouncement = std::function<nlohmann::json(bool leaving)>;
+
+    // `makeAnnouncement` is called from the thread.
+    Announcer(AnnouncerSettings settings, MakeAnnouncement makeAnnouncement);
     ~Announcer();
     Announcer(const Announcer &) = delete;
     Announcer &operator=(const Announcer &) = delete;
@@ -42,7 +45,7 @@
     void announce(const std::string &url, const std::string &body);
 
     AnnouncerSettings settings;
-    std::function<nlohmann::json()> currentLoad;
+    MakeAnnouncement makeAnnouncement;
     http::Client client;
     std::mutex mutex;
     std::condition_variable stateChanged;
--- a/utilities/standins/main.cpp
+++ b/utilities/standins/main.cpp
@@ -2,7 +2,9 @@
 #include "utilities/standins/announcer.h"
 #include "utilities/standins/engine.h"
 #include "utilities/standins/payments.h"
+#include "utilities/standins/platformtarget.h"
 
+#include "platform/names.h"
 #include "samphirebridge/core/errors.h"
 
 #include <docopt/docopt.h>
@@ -29,14 +31,15 @@
 Usage:
   samphire-standin engine [--announce-to=URL]... [options]
   samphire-standin payments [--announce-to=URL]... [options]
+  samphire-standin platform [--announce-to=URL]... [options]
 
 Options:
   --announce-to=URL      Instance or balancer, http://host:port; may be repeated.
-  --id=ID                Name of the target; default: engine-1 or payments-1.
+  --id=ID                Name of the target; default: engine-1, payments-1 or target-1.
   --listen=ADDRESS       Address to listen on [default: 127.0.0.1].
   --port=PORT            Port; 0: any, told on standard output [default: 0].
   --advertise=ADDRESS    Address to announce, host:port; default: where it listens.
-  --kind=KIND            Announced kind; default: engine or payments.
+  --kind=KIND            Announced kind; default: engine, payments or platform.
   --token=TOKEN          Announce token of the kind [default: announce-token].
   --data-centre=ID       Announced data centre [default: dc-1].
   --model=ID             Announced model of an engine [default: letters].
@@ -57,7 +60,8 @@
 for the next requests by POST /standin/faults {"kind": "stall-after", "value": 3, "count": 1}; DELETE
 forgets these. Of an engine: crash, crash-after, stall-after, break-after, no-terminator, no-usage,
 wrong-attempt, wrong-length, refuse, error; [tokens=N] sets the answer's length. Of a payment service:
-crash-before, crash-after, break, wrong-length, wrong-attempt, refuse, delay (milliseconds).
+crash-before, crash-after, break, wrong-length, wrong-attempt, refuse, delay (milliseconds). Of a plain
+target of the users' platform: crash, crash-in (milliseconds), break, error.
 GET /standin/stats tells what was run.
 )";
 
@@ -108,15 +112,13 @@
     return settings;
 }
 
-AnnouncerSettings announcerSettings(const Arguments &arguments, uint16_t port)
+// Returns the announcement of an engine or a payment service, without `state` and `load`.
+nlohmann::json announcementOf(const Arguments &arguments, uint16_t port)
 {
     const bool isEngine = arguments.at("engine").asBool();
     const std::string kind = isEngine ? "engine" : "payments";
     const std::string address = arguments.at("--listen").asString() + ":" + std::to_string(port);
-    AnnouncerSettings settings;
-    settings.announceTo = arguments.at("--announce-to").asStringList();
-    settings.token = arguments.at("--token").asString();
-    nlohmann::json &announcement = settings.announcement;
+    nlohmann::json announcement;
     announcement["id"] = textOption(arguments, "--id", kind + "-1");
     announcement["incarnation"] = incarnationOf(arguments);
     announcement["address"] = textOption(arguments, "--advertise", address);
@@ -127,9 +129,51 @@
         announcement["models"].push_back(arguments.at("--model").asString());
     }
     announcement["checks_fencing"] = isEngine && !arguments.at("--ignore-fencing").asBool();
+    return announcement;
+}
+
+AnnouncerSettings announcerSettings(const Arguments &arguments)
+{
+    AnnouncerSettings settings;
+    settings.announceTo = arguments.at("--announce-to").asStringList();
+    settings.token = arguments.at("--token").asString();
     return settings;
 }
 
+template <typename Target>
+std::unique_ptr<Announcer> announce(Target &target, const Arguments &arguments, uint16_t port)
+{
+    return std::make_unique<Announcer>(
+        announcerSettings(arguments),
+        [&target, announcement = announcementOf(arguments, port)](bool leaving) {
+            nlohmann::json body = announcement;
+            body["state"] = leaving ? "leaving" : "ready";
+            body["load"] = target.load();
+            return body;
+        });
+}
+
+std::unique_ptr<Announcer>
+announce(PlatformTarget &target, const Arguments &arguments, uint16_t port)
+{
+    AnnouncerSettings settings = announcerSettings(arguments);
+    settings.path = std::string(platform::call::Heartbeat)
+                    + textOption(arguments, "--id", PlatformTargetSettings().id);
+    const std::string address = arguments.at("--listen").asString() + ":" + std::to_string(port);
+    const nlohmann::json announcement{
+        {"Service", textOption(arguments, "--kind", "platform")},
+        {"Address", textOption(arguments, "--advertise", address)},
+        {"Zone", arguments.at("--data-centre").asString()},
+        {"Version", "v1"},
+        {"born", incarnationOf(arguments)},
+    };
+    return std::make_unique<Announcer>(std::move(settings), [&target, announcement](bool leaving) {
+        nlohmann::json body = announcement;
+        body.update(target.heartbeat(leaving));
+        return body;
+    });
+}
+
 // Serves until SIGTERM or SIGINT, then announces `leaving`, serves for --linger-ms longer, waits
 // for running requests and returns the exit code.
 template <typename Target>
@@ -148,11 +192,10 @@
         return EXIT_FAILURE;
     }
     std::cout << (*server)->port() << std::endl;
-    Announcer announcer(announcerSettings(arguments, (*server)->port()),
-                        [&target] { return target.load(); });
+    const auto announcer = announce(target, arguments, (*server)->port());
     int signal = 0;
     ::sigwait(&signals, &signal);
-    announcer.leave();
+    announcer->leave();
     std::this_thread::sleep_for(std::chrono::milliseconds(numberOption(arguments, "--linger-ms")));
     (*server)->stop();
     return EXIT_SUCCESS;
@@ -175,6 +218,11 @@
         Engine engine(engineSettings(arguments));
         return serve(engine, arguments, signals);
     }
+    if (arguments.at("platform").asBool()) {
+        PlatformTarget target({textOption(arguments, "--id", PlatformTargetSettings().id),
+                               textOption(arguments, "--run-log", "")});
+        return serve(target, arguments, signals);
+    }
     Payments payments(paymentsSettings(arguments));
     return serve(payments, arguments, signals);
 }
--- /dev/null
+++ b/utilities/standins/platformtarget.h
@@ -0,0 +1,45 @@
+// A stand-in for a plain target of the users' platform.
+#pragma once
+
+#include "samphirebridge/http/server.h"
+#include "utilities/standins/faults.h"
+#include "utilities/standins/runlog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace samphirebridge::standins
+{
+
+struct PlatformTargetSettings {
+    std::string id = "target-1";
+    std::string runLog; // Path of the run log; empty: none is written.
+};
+
+// Runs every request that is meant for it and answers with a signature, like a plain service of the
+// platform. Faults, in the path or the body of a request: `crash` (the process ends), `crash-in=N`
+// (after N milliseconds), `break` (the connection ends within the answer, the process goes on),
+// `error` (500).
+class PlatformTarget
+{
+public:
+    explicit PlatformTarget(const PlatformTargetSettings &settings);
+
+    // Serves one request, as the handler of an http::Server. Called from many threads.
+    void serve(const http::Request &request, http::ResponseWriter &writer);
+
+    // Returns the body of an announcement in the platform's format, without where the target
+    // listens.
+    nlohmann::json heartbeat(bool leaving);
+
+private:
+    PlatformTargetSettings settings;
+    Faults faults;
+    RunLog log;
+    std::atomic<uint64_t> sequence{0};
+};
+
+} // namespace samphirebridge::standins
