forwarding: Recognise the resend of a request without a body

Cause: a request without a body got its id into the fingerprint, since two such requests may be equal in all else. A resend has an id of its own, so it was never recognised. On the platform all reads are of that kind, and by its examples also streams, whose prompt stands in headers.

The fingerprint is now of method, path, caller and body, as the platform says that such a request comes again. The caller is the organisation where there is one, since it may use several keys.

Ruled out: the router, which refuses what it recognises.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -402,16 +402,14 @@
         return query;
     }
 
+    // Returns the digest by which a resend is recognised: it has the same caller, path and body,
+    // and another id.
     [[nodiscard]] std::string fingerprint() const
     {
+        const std::string &caller
+            = this->organisation == nullptr ? this->request.key : this->organisation->id.value;
         return core::fingerprintOf(
-            {this->request.target, this->request.key, this->request.body, this->fingerprintSalt()});
-    }
-
-    // Requests without a body may be equal in all else; their id makes their fingerprints differ.
-    [[nodiscard]] std::string_view fingerprintSalt() const
-    {
-        return this->request.body.empty() ? std::string_view(this->request.id) : std::string_view();
+            {this->request.method, this->request.target, caller, this->request.body});
     }
 
     void bufferBody(std::string_view bytes)
