routing, membership: Share evidence of crashes at once, and keep it until refuted

The users' rule allows three.

Cause: only proved crashes were reported. A broken connection, the only evidence of the first seconds, counted at the instance that saw it. Proof is GONE, 5 s later and 16.7 s later with two of five control instances out of contact, while an unproved break was forgotten after 10 s. Reports were pushed once: an instance that starts or was out of contact was never told, since CrashDirectory::allReports had no caller. An error that a failing target answered cleared the request. The class: a decision for the whole fleet that waits for proof at each instance, with evidence that is neither shared, nor kept, nor repaired.

Now each report carries a finding. Of two findings about one request and one target the higher one holds, in whatever order they come: connection broken, target answered, target crashed, request cleared. Broken connections are told within 50 ms and count everywhere for 10 minutes, unless the target answers a request that was sent after the break was known, leaves as planned, or announces itself 20 s later. A target that comes back under its id had crashed even if it seemed to answer. Checksums in the digests repair losses and inform instances that start. An attempt that was cancelled, stalled or cut off counts once its target turns out to have crashed.

So that sound requests are not refused: a request like one that was answered of late is no suspect at any instance; two targets that fail within 250 ms, or two crashes that another request shares, prove nothing until there is a third; connections that are still open when a target is GONE are no evidence.

Bounded: 8,192 reports and suspects, 16 pushed reports a second after a burst of 512.

--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -2,6 +2,7 @@
 
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/membership/crashfinding.h"
 
 #include <algorithm>
 #include <chrono>
@@ -26,6 +27,9 @@
 
 constexpr core::Duration RouterTickInterval = std::chrono::seconds(1);
 
+// Crash reports are gathered for this time into one message.
+constexpr core::Duration CrashReportInterval = std::chrono::milliseconds(50);
+
 routing::RoutingOptions routingOptions(const core::DataCentreId &dataCentre)
 {
     routing::RoutingOptions options;
@@ -47,6 +51,22 @@
     }
 }
 
+std::string findingName(proto::CrashFinding finding)
+{
+    switch (finding) {
+    case proto::CONNECTION_BROKEN:
+        return "connection_broken";
+    case proto::TARGET_ANSWERED:
+        return "target_answered";
+    case proto::TARGET_CRASHED:
+        return "target_crashed";
+    case proto::REQUEST_CLEARED:
+        return "request_cleared";
+    default:
+        return "unspecified";
+    }
+}
+
 } // namespace
 
 FleetView::FleetView(core::InstanceId ownId,
@@ -94,15 +114,15 @@
     this->targetRouter.onCrashReports(crashes, now);
     this->counters.count(telemetry::Event::CrashReportsReceived,
                          static_cast<double>(crashes.size()));
-    this->logCrashReports(crashes, update.from());
     this->send(outgoing);
 }
 
-void FleetView::onDigest(const proto::MembershipDigest &digest, core::TimePoint /*now*/)
+void FleetView::onDigest(const proto::MembershipDigest &digest, core::TimePoint now)
 {
     const membership::DigestAnswer answer = this->targetDirectory.answer(digest);
+    const auto crashes = this->crashDirectory.answer(digest, now);
     transport::PeerChannel *channel = this->peerSet.channelTo(core::InstanceId(digest.from()));
-    if (channel == nullptr || (!answer.update && !answer.digest)) {
+    if (channel == nullptr || (!answer.update && !answer.digest && !crashes)) {
         return;
     }
     proto::Envelope envelope;
@@ -110,6 +130,9 @@
     if (answer.update) {
         *envelope.add_updates() = *answer.update;
     }
+    if (crashes) {
+        *envelope.add_updates() = *crashes;
+    }
     if (answer.digest) {
         *envelope.add_digests() = *answer.digest;
     }
@@ -134,10 +157,14 @@
         this->targetRouter.tick(now);
         this->updateRetryShare(now);
         this->crashDirectory.tick(now);
-        this->sendCrashReports(now);
+        this->countWithheldReports();
         this->counters.set(telemetry::Gauge::CrashSuspects,
                            static_cast<double>(this->targetRouter.crashSuspects()));
     }
+    if (now - this->lastCrashReports >= CrashReportInterval) {
+        this->lastCrashReports = now;
+        this->sendCrashReports(now);
+    }
     this->counters.set(telemetry::Gauge::TargetsReady,
                        static_cast<double>(this->targetRouter.readyTargets()));
 }
@@ -250,13 +277,21 @@
         return;
     }
     this->counters.count(telemetry::Event::CrashReportsMade, static_cast<double>(reports.size()));
-    this->logCrashReports(reports, this->self.value);
+    this->logCrashReports(reports);
     this->send(
         this->crashDirectory.addLocalReports(reports, this->instanceDirectory.peers(now), now));
 }
 
-void FleetView::logCrashReports(std::span<const proto::CrashReport> reports,
-                                std::string_view source)
+void FleetView::countWithheldReports()
+{
+    const uint64_t withheld
+        = this->crashDirectory.withheldReports() + this->crashDirectory.droppedReports();
+    this->counters.count(
+        telemetry::Event::CrashReportsWithheld,
+        static_cast<double>(withheld - std::exchange(this->countedWithheldReports, withheld)));
+}
+
+void FleetView::logCrashReports(std::span<const proto::CrashReport> reports)
 {
     for (const proto::CrashReport &report : reports) {
         this->logger.request(telemetry::Importance::Failure,
@@ -264,8 +299,8 @@
                              {{"fingerprint", core::toHex(report.fingerprint())},
                               {"target", report.target()},
                               {"incarnation", std::to_string(report.target_incarnation())},
-                              {"cleared", report.cleared() ? "true" : "false"},
-                              {"source", std::string(source)}});
+                              {"finding", findingName(membership::findingOf(report))},
+                              {"age_ms", std::to_string(report.age_ms())}});
     }
 }
 
@@ -330,9 +365,9 @@
     }
     for (const proto::TargetRecord &record : effect.renewed) {
         this->targetRouter.onLoad(record.id(), record.incarnation(), record.load(), now);
+        this->targetRouter.onAnnounced(record.id(), record.incarnation(), now);
     }
     this->send(effect.outgoing);
-    this->sendCrashReports(now);
 }
 
 void FleetView::sendDigest(core::TimePoint now)
@@ -361,7 +396,9 @@
     }
     proto::Envelope envelope;
     envelope.set_from(this->self.value);
-    *envelope.add_digests() = this->targetDirectory.digest();
+    proto::MembershipDigest &digest = *envelope.add_digests();
+    digest = this->targetDirectory.digest();
+    this->crashDirectory.addChecksums(digest);
     channel->deliver(envelope);
 }
 
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -15,7 +15,6 @@
 
 #include <random>
 #include <span>
-#include <string_view>
 #include <vector>
 
 namespace samphirebridge::entry
@@ -43,8 +42,8 @@
     // Processes a peer's membership update: merges its records of instances and targets and its
     // crash reports, and forwards what is new.
     void onUpdate(const proto::MembershipUpdate &update, core::TimePoint now);
-    // Answers a peer's digest with the target records that the peer lacks, and with a digest if
-    // this instance lacks some.
+    // Answers a peer's digest with the target records and crash reports that the peer lacks, and
+    // with a digest if this instance lacks some records.
     void onDigest(const proto::MembershipDigest &digest, core::TimePoint now);
 
     // Sends the heartbeats and digests that are due, declares silent targets gone, and runs the
@@ -104,8 +103,9 @@
     void applyEffect(const membership::DirectoryEffect &effect, core::TimePoint now);
     // Divides the retry budget of the fleet among the entry instances.
     void updateRetryShare(core::TimePoint now);
-    // Logs reports that this instance made, or first heard of from the peer `source`.
-    void logCrashReports(std::span<const proto::CrashReport> reports, std::string_view source);
+    // Logs reports that this instance made. Those of others stand in their logs.
+    void logCrashReports(std::span<const proto::CrashReport> reports);
+    void countWithheldReports();
     // Sends a digest to a random peer; to a random control instance while no target is ready.
     void sendDigest(core::TimePoint now);
     void sendDigestTo(const core::InstanceId &peer);
@@ -123,9 +123,11 @@
     double fleetRetryBurst = 0;
     uint64_t targetChangeCount = 0;
     uint64_t targetDepartureCount = 0;
+    uint64_t countedWithheldReports = 0;
     core::TimePoint lastSweep;
     core::TimePoint lastDigest;
     core::TimePoint lastRouterTick;
+    core::TimePoint lastCrashReports;
 };
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -315,6 +315,7 @@
     };
 
     static constexpr int StatusOk = 200;
+    static constexpr int FirstFailedStatus = 500;
 
     static int64_t millisecondsOf(core::Duration duration)
     {
@@ -489,7 +490,7 @@
         }
         // A target that answers with an error is reachable, so this is no failure for the router.
         if (reason == core::RetryReason::TargetError) {
-            this->host.router().onFinished(this->choice.ticket, {}, this->host.now());
+            this->host.router().onFinished(this->choice.ticket, {.failed = true}, this->host.now());
             return;
         }
         this->host.router().onFailed(this->choice.ticket, reason, this->host.now());
@@ -571,6 +572,7 @@
         }
         this->mayHaveRun = true;
         routing::FinishedAttempt finished;
+        finished.failed = this->head->status >= FirstFailedStatus;
         finished.outputTokens = static_cast<uint32_t>(std::max<int64_t>(this->outputTokens(), 1));
         this->host.router().onFinished(this->choice.ticket, finished, this->host.now());
     }
--- a/source/samphirebridge/membership/membershipoptions.h
+++ b/source/samphirebridge/membership/membershipoptions.h
@@ -33,8 +33,16 @@
     // Relays heartbeats in a fleet up to directPeerLimit too, so that instances that the settings
     // do not name are discovered.
     bool discoverPeers = false;
-    // How long crash reports are kept.
+    // How long crash reports are kept, and those of a broken connection of which it never became
+    // known whether the target had crashed.
     core::Duration crashReportRetention = std::chrono::hours(1);
+    core::Duration suspicionRetention = std::chrono::minutes(10);
+    // The most crash reports that are kept.
+    size_t crashReportLimit = 8'192;
+    // How many crash reports an instance pushes to its peers at most, per second and at once after
+    // a quiet time. When many targets end together, anti-entropy brings the rest.
+    double crashReportsPerSecond = 16;
+    double crashReportBurst = 512;
 };
 
 } // namespace samphirebridge::membership
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -19,6 +19,17 @@
 constexpr int32_t PriorityStep = 2;
 constexpr int32_t LongRequestStep = 1;
 
+// The most attempts without an answer that are kept for one target.
+constexpr size_t MaximumUnansweredAttempts = 64;
+
+// Tells whether the target ended the connection before its answer was complete, as a crash does.
+bool isCutOff(core::RetryReason reason)
+{
+    return reason == core::RetryReason::ConnectionBroken
+           || reason == core::RetryReason::MissingTerminator
+           || reason == core::RetryReason::WrongLength;
+}
+
 uint32_t totalTokens(const RouteRequest &request)
 {
     return request.promptTokens + request.outputTokens;
@@ -93,10 +104,9 @@
     }
     const bool successor = known != nullptr && record.incarnation() > known->record.incarnation();
     if (successor) {
-        this->onIncarnationEnded(*known, known->record.state() == proto::READY, now);
+        this->onIncarnationReplaced(*known, now);
     } else if (known != nullptr && record.state() == proto::GONE) {
-        this->onIncarnationEnded(
-            *known, known->record.state() == proto::READY && known->connectionBroken, now);
+        this->onTargetGone(*known, now);
     }
     RoutedTarget &target = this->pools.upsertTarget(record);
     if (successor) {
@@ -106,6 +116,10 @@
         target.attempts.clear();
         target.exclusiveTicket.reset();
         target.connectionBroken = false;
+        target.unanswered.clear();
+    }
+    if (record.state() == proto::LEAVING) {
+        this->suspects.onLeaving(target.targetIncarnation());
     }
     target.load.onReport(record.load(), now);
 }
@@ -141,6 +155,13 @@
     }
 }
 
+void Dispatcher::onAnnounced(std::string_view target,
+                             core::Incarnation incarnation,
+                             core::TimePoint now)
+{
+    this->suspects.onAnnounced({core::TargetId(std::string(target)), incarnation}, now);
+}
+
 bool Dispatcher::onCacheEvents(const CacheEvents &events)
 {
     RoutedTarget *known = this->pools.findTarget(events.target.value);
@@ -214,9 +235,7 @@
         target->load.onFirstToken(
             attempt.uncachedTokens, now - *attempt.sentAt, attempt.expectedWait);
         target->breaker.onSuccess();
-        if (std::exchange(target->connectionBroken, false)) {
-            this->suspects.onAnswered(target->targetIncarnation());
-        }
+        this->onTargetAnswered(*target, *attempt.sentAt, now);
     }
 }
 
@@ -233,8 +252,13 @@
         if (since) {
             ended->target->load.onAnswerCompleted(finished.outputTokens, now - *since);
         }
+        if (ended->attempt.sentAt) {
+            this->onTargetAnswered(*ended->target, *ended->attempt.sentAt, now);
+        }
+    }
+    if (!finished.failed) {
+        this->suspects.onFinished(ended->attempt.fingerprint, now);
     }
-    this->suspects.onFinished(ended->attempt.fingerprint);
 }
 
 void Dispatcher::onFailed(Ticket ticket, core::RetryReason reason, core::TimePoint now)
@@ -244,7 +268,9 @@
         return;
     }
     const Attempt &attempt = ended->attempt;
-    if (reason == core::RetryReason::ConnectionBroken && attempt.sentAt) {
+    const bool leaving
+        = ended->target != nullptr && ended->target->record.state() == proto::LEAVING;
+    if (attempt.sentAt && !leaving && isCutOff(reason)) {
         const TargetIncarnation targetIncarnation{core::TargetId(attempt.target),
                                                   attempt.incarnation};
         this->suspects.onConnectionBroken(attempt.fingerprint, targetIncarnation, now);
@@ -252,16 +278,20 @@
             ended->target->connectionBroken = true;
         }
     }
+    if (ended->target != nullptr && reason == core::RetryReason::Stalled) {
+        Dispatcher::keepUnanswered(*ended->target, attempt, now);
+    }
     if (ended->target != nullptr && reason != core::RetryReason::Takeover) {
         ended->target->breaker.onFailure(this->options.breaker, this->nextRandom(), now);
     }
 }
 
-void Dispatcher::onCancelled(Ticket ticket, core::TimePoint /*now*/)
+void Dispatcher::onCancelled(Ticket ticket, core::TimePoint now)
 {
     const auto ended = this->endAttempt(ticket);
     if (ended && ended->target != nullptr) {
         ended->target->breaker.onInconclusive();
+        Dispatcher::keepUnanswered(*ended->target, ended->attempt, now);
     }
 }
 
@@ -426,20 +456,64 @@
     return ended;
 }
 
-void Dispatcher::onIncarnationEnded(RoutedTarget &target, bool crashed, core::TimePoint now)
+void Dispatcher::onTargetAnswered(RoutedTarget &target, core::TimePoint sentAt, core::TimePoint now)
+{
+    target.connectionBroken = false;
+    std::erase_if(target.unanswered,
+                  [&](const UnansweredAttempt &attempt) { return attempt.endedAt < sentAt; });
+    this->suspects.onAnswered(target.targetIncarnation(), sentAt, now);
+}
+
+void Dispatcher::keepUnanswered(RoutedTarget &target, const Attempt &attempt, core::TimePoint now)
+{
+    if (!attempt.sentAt) {
+        return;
+    }
+    target.unanswered.push_back({attempt.fingerprint, now});
+    if (target.unanswered.size() > MaximumUnansweredAttempts) {
+        target.unanswered.pop_front();
+    }
+}
+
+std::vector<std::string> Dispatcher::unansweredRequests(const RoutedTarget &target,
+                                                        core::TimePoint now) const
+{
+    std::vector<std::string> fingerprints;
+    for (const UnansweredAttempt &attempt : target.unanswered) {
+        if (now - attempt.endedAt < this->options.suspect.confirmationTimeout) {
+            fingerprints.push_back(attempt.fingerprint);
+        }
+    }
+    return fingerprints;
+}
+
+void Dispatcher::onIncarnationReplaced(const RoutedTarget &target, core::TimePoint now)
 {
-    if (!crashed) {
+    if (target.record.state() != proto::READY) {
         return;
     }
     ++this->counts.crashes;
-    std::vector<std::string> inFlight;
+    std::vector<std::string> inFlight = this->unansweredRequests(target, now);
     for (const Ticket ticket : target.attempts) {
         const auto entry = this->attempts.find(ticket);
         if (entry != this->attempts.end() && entry->second.sentAt) {
             inFlight.push_back(entry->second.fingerprint);
         }
     }
-    this->suspects.onCrash(target.targetIncarnation(), inFlight, now);
+    this->suspects.onRestarted(target.targetIncarnation(), inFlight, now);
+}
+
+// Attempts that are still open are left out: the connections of a process end with it.
+void Dispatcher::onTargetGone(const RoutedTarget &target, core::TimePoint now)
+{
+    const TargetIncarnation targetIncarnation = target.targetIncarnation();
+    const bool likelyCrashed
+        = target.connectionBroken || this->suspects.mayHaveCrashed(targetIncarnation);
+    if (target.record.state() != proto::READY || !likelyCrashed) {
+        return;
+    }
+    ++this->counts.crashes;
+    this->suspects.onCrash(targetIncarnation, this->unansweredRequests(target, now), now);
 }
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -83,6 +83,9 @@
                 const proto::TargetLoad &load,
                 core::TimePoint now);
 
+    // Records that the target incarnation announced itself.
+    void onAnnounced(std::string_view target, core::Incarnation incarnation, core::TimePoint now);
+
     // Applies changes of a target's prefix cache. Returns false if the sequence has a gap: the
     // cached content is then unknown until a snapshot, which the host may request from the target.
     bool onCacheEvents(const CacheEvents &events);
@@ -98,11 +101,13 @@
     // call.
     void onFirstToken(Ticket ticket, core::TimePoint now);
 
-    // Ends an attempt whose answer is complete; clears the request if it was a crash suspect.
+    // Ends an attempt whose answer is complete; clears the request if it was a crash suspect and
+    // the target did not fail it.
     void onFinished(Ticket ticket, const FinishedAttempt &finished, core::TimePoint now);
 
-    // Ends an attempt that failed at the target. ConnectionBroken after onSent makes the request a
-    // crash suspect until it is known whether the target crashed.
+    // Ends an attempt that failed at the target. An answer that was cut off, or never began because
+    // the connection broke, makes the request a crash suspect until it is known that the target did
+    // not crash.
     void onFailed(Ticket ticket, core::RetryReason reason, core::TimePoint now);
 
     // Ends an attempt that shows nothing about its target: the caller left, or nothing was sent.
@@ -169,8 +174,18 @@
     [[nodiscard]] RoutedTarget *currentTarget(const Attempt &attempt) const;
     // Removes the attempt and its load. Returns nothing if the ticket is unknown.
     std::optional<EndedAttempt> endAttempt(Ticket ticket);
-    // Reports the requests in flight at the target as suspects if the incarnation crashed.
-    void onIncarnationEnded(RoutedTarget &target, bool crashed, core::TimePoint now);
+    // Records that the target answered an attempt that was sent at that time.
+    void onTargetAnswered(RoutedTarget &target, core::TimePoint sentAt, core::TimePoint now);
+    // Remembers an attempt that ended without an answer, in case its target turns out to have
+    // crashed.
+    static void keepUnanswered(RoutedTarget &target, const Attempt &attempt, core::TimePoint now);
+    // Returns the requests whose attempts at the target ended of late without an answer.
+    [[nodiscard]] std::vector<std::string> unansweredRequests(const RoutedTarget &target,
+                                                              core::TimePoint now) const;
+    // Makes suspects of the requests in flight at a target that ended without notice: a successor
+    // has its id, or it is gone and a connection to it broke.
+    void onIncarnationReplaced(const RoutedTarget &target, core::TimePoint now);
+    void onTargetGone(const RoutedTarget &target, core::TimePoint now);
 
     RoutingOptions options;
     RandomSource nextRandom;
--- a/source/samphirebridge/routing/routedtarget.h
+++ b/source/samphirebridge/routing/routedtarget.h
@@ -10,11 +10,19 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <deque>
 #include <optional>
+#include <string>
 
 namespace samphirebridge::routing
 {
 
+// An attempt that was sent and ended without an answer, though its connection did not break.
+struct UnansweredAttempt {
+    std::string fingerprint;
+    core::TimePoint endedAt;
+};
+
 struct RoutedTarget {
     explicit RoutedTarget(const RoutingOptions &options)
         : load(options.load)
@@ -35,6 +43,7 @@
     std::optional<Ticket> exclusiveTicket; // Of a crash suspect that runs alone here.
     core::TimePoint drainUntil; // Takes only crash suspects until then.
     bool connectionBroken = false; // Since the incarnation last answered.
+    std::deque<UnansweredAttempt> unanswered; // Since the incarnation last answered; bounded.
 };
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -69,8 +69,10 @@
 
 using Decision = std::variant<Choice, Refusal>;
 
-// The token counts of a complete answer.
+// A complete answer.
 struct FinishedAttempt {
+    // The target answered that it failed, which tells nothing about the request.
+    bool failed = false;
     uint32_t promptTokens = 0; // 0 if the target did not report it.
     uint32_t outputTokens = 0;
     uint32_t cachedTokens = 0; // Part of promptTokens, as the target reported.
--- a/source/samphirebridge/routing/routingoptions.h
+++ b/source/samphirebridge/routing/routingoptions.h
@@ -56,11 +56,24 @@
 struct SuspectOptions {
     // Distinct crashes after which a request is refused.
     size_t crashesToRefuse = 2;
-    // How long a broken connection counts against its request while it is not known whether the
-    // target crashed.
-    core::Duration confirmationTimeout = std::chrono::seconds(10);
-    // How long a suspect is kept after its last incident.
+    // The same if something else may be their common cause: another request that was in flight in
+    // each of them, or a failure that hit several targets within the coincidence window.
+    size_t ambiguousCrashesToRefuse = 3;
+    core::Duration coincidenceWindow = std::chrono::milliseconds(250);
+    // How long it takes at most until it is known whether a target whose connection broke has
+    // crashed. Above the time in which the target directory declares a target gone with two of five
+    // watchers out of contact, and above the delay of an announcement on its way.
+    core::Duration confirmationTimeout = std::chrono::seconds(20);
+    // How long a crash counts against a request, and how long a broken connection does while it is
+    // not known whether the target crashed.
     core::Duration retention = std::chrono::hours(1);
+    core::Duration suspicionRetention = std::chrono::minutes(10);
+    // The most suspects that are kept.
+    size_t suspectLimit = 8'192;
+    // How long, at least, a request that was answered successfully can't become a suspect, and how
+    // many such requests are remembered at least.
+    core::Duration completionLifetime = std::chrono::seconds(30);
+    size_t completionLimit = 8'192;
     // The retry-after time of a request that may not run on any of the targets at the moment, such
     // as a suspect that finds no idle target.
     core::Duration retryAfter = std::chrono::seconds(2);
--- a/source/samphirebridge/routing/suspectlist.cpp
+++ b/source/samphirebridge/routing/suspectlist.cpp
@@ -1,8 +1,11 @@
 #include "samphirebridge/routing/suspectlist.h"
 
 #include "samphirebridge/core/digest.h"
+#include "samphirebridge/membership/crashfinding.h"
 
 #include <algorithm>
+#include <chrono>
+#include <utility>
 
 namespace samphirebridge::routing
 {
@@ -10,27 +13,44 @@
 namespace
 {
 
+using membership::findingOf;
+using membership::isIncriminating;
+
 absl::string_view viewOf(std::string_view text)
 {
     return {text.data(), text.size()};
 }
 
+// Returns the value, or nullptr.
+template <typename Map, typename Key>
+const typename Map::mapped_type *findIn(const Map &map, const Key &key)
+{
+    const auto found = map.find(key);
+    return found == map.end() ? nullptr : &found->second;
+}
+
 } // namespace
 
 SuspectList::SuspectList(const SuspectOptions &options)
     : options(options)
+    , completed(options.completionLifetime, options.completionLimit)
 {
 }
 
 SuspectTreatment SuspectList::treatmentOf(std::string_view fingerprint, core::TimePoint now) const
 {
     const auto entry = this->suspects.find(viewOf(fingerprint));
-    if (entry == this->suspects.end() || entry->second.cleared) {
+    if (entry == this->suspects.end()) {
         return SuspectTreatment::Unrestricted;
     }
-    const size_t confirmed = this->confirmedCrashes(entry->second);
-    const size_t suspected = confirmed + this->unconfirmedIncidents(entry->second, now);
-    if (suspected >= this->options.crashesToRefuse) {
+    Incidents incidents = entry->second;
+    absl::erase_if(incidents, [&](const auto &item) { return this->isExpired(item.second, now); });
+    const size_t confirmed = SuspectList::countOf(incidents, proto::TARGET_CRASHED);
+    const size_t suspected = confirmed + SuspectList::countOf(incidents, proto::CONNECTION_BROKEN);
+    const bool refused = suspected >= this->options.ambiguousCrashesToRefuse
+                         || (suspected >= this->options.crashesToRefuse
+                             && !this->isAmbiguous(entry->first, incidents));
+    if (refused) {
         return confirmed >= this->options.crashesToRefuse ? SuspectTreatment::Refuse
                                                           : SuspectTreatment::RefuseUntilConfirmed;
     }
@@ -44,81 +64,114 @@
                                      const TargetIncarnation &targetIncarnation,
                                      core::TimePoint now)
 {
-    if (fingerprint.size() != core::FingerprintLength) {
-        return;
-    }
-    Suspect &suspect = this->suspects[std::string(fingerprint)];
-    suspect.incidents.try_emplace(targetIncarnation, Incident{now, false});
-    suspect.lastUpdatedAt = now;
+    this->incriminate(
+        std::string(fingerprint), targetIncarnation, {proto::CONNECTION_BROKEN, now, now, true});
+}
+
+void SuspectList::onCrash(const TargetIncarnation &targetIncarnation,
+                          std::span<const std::string> inFlight,
+                          core::TimePoint now)
+{
+    this->onCrash(targetIncarnation, inFlight, proto::CONNECTION_BROKEN, now);
+}
+
+void SuspectList::onRestarted(const TargetIncarnation &targetIncarnation,
+                              std::span<const std::string> inFlight,
+                              core::TimePoint now)
+{
+    this->onCrash(targetIncarnation, inFlight, proto::TARGET_ANSWERED, now);
 }
 
 void SuspectList::onCrash(const TargetIncarnation &targetIncarnation,
                           std::span<const std::string> inFlight,
+                          proto::CrashFinding highestPending,
                           core::TimePoint now)
 {
     std::vector<std::string> involved(inFlight.begin(), inFlight.end());
-    for (const auto &[fingerprint, suspect] : this->suspects) {
-        const auto incident = suspect.incidents.find(targetIncarnation);
-        const bool pending
-            = incident != suspect.incidents.end() && !incident->second.confirmed
-              && now - incident->second.recordedAt < this->options.confirmationTimeout;
-        if (pending && !suspect.cleared) {
+    for (const std::string &fingerprint : this->suspectsAt(targetIncarnation)) {
+        const Incident &incident = this->suspects.at(fingerprint).at(targetIncarnation);
+        if (incident.finding <= highestPending
+            && now - incident.learnedAt < this->options.confirmationTimeout) {
             involved.push_back(fingerprint);
         }
     }
+    // Every instance learns of the crash. Only those report it that saw a connection break.
     for (const std::string &fingerprint : involved) {
-        if (fingerprint.size() == core::FingerprintLength) {
-            this->report(fingerprint, targetIncarnation, false);
-            this->confirmCrash(fingerprint, targetIncarnation, now);
+        const auto entry = this->suspects.find(fingerprint);
+        const auto *known
+            = entry == this->suspects.end() ? nullptr : findIn(entry->second, targetIncarnation);
+        const bool own = known == nullptr || known->own;
+        this->incriminate(fingerprint, targetIncarnation, {proto::TARGET_CRASHED, now, now, own});
+    }
+    this->clearExplainedSuspects(involved, now);
+}
+
+void SuspectList::onAnswered(const TargetIncarnation &targetIncarnation,
+                             core::TimePoint sentAt,
+                             core::TimePoint now)
+{
+    for (const std::string &fingerprint : this->suspectsAt(targetIncarnation)) {
+        if (this->suspects.at(fingerprint).at(targetIncarnation).learnedAt < sentAt) {
+            this->conclude(fingerprint, targetIncarnation, proto::TARGET_ANSWERED, now);
         }
     }
 }
 
-void SuspectList::onAnswered(const TargetIncarnation &targetIncarnation)
+void SuspectList::onAnnounced(const TargetIncarnation &targetIncarnation, core::TimePoint now)
 {
-    absl::erase_if(this->suspects, [&](auto &item) {
-        Suspect &suspect = item.second;
-        const auto incident = suspect.incidents.find(targetIncarnation);
-        if (incident == suspect.incidents.end() || incident->second.confirmed) {
-            return false;
+    for (const std::string &fingerprint : this->suspectsAt(targetIncarnation)) {
+        const Incident &incident = this->suspects.at(fingerprint).at(targetIncarnation);
+        if (now - incident.learnedAt >= this->options.confirmationTimeout) {
+            this->conclude(fingerprint, targetIncarnation, proto::TARGET_ANSWERED, now);
         }
-        suspect.incidents.erase(incident);
-        return suspect.incidents.empty();
-    });
+    }
+}
+
+void SuspectList::onLeaving(const TargetIncarnation &targetIncarnation)
+{
+    for (const std::string &fingerprint : this->suspectsAt(targetIncarnation)) {
+        Incident incident = this->suspects.at(fingerprint).at(targetIncarnation);
+        incident.finding = proto::TARGET_ANSWERED;
+        this->store(fingerprint, targetIncarnation, incident);
+    }
 }
 
-void SuspectList::onFinished(std::string_view fingerprint)
+void SuspectList::onFinished(std::string_view fingerprint, core::TimePoint now)
 {
+    this->completed.add(fingerprint, now);
     const auto entry = this->suspects.find(viewOf(fingerprint));
     if (entry == this->suspects.end()) {
         return;
     }
-    if (this->confirmedCrashes(entry->second) == 0) {
-        this->suspects.erase(entry);
-        return;
+    std::vector<TargetIncarnation> counting;
+    for (const auto &[targetIncarnation, incident] : entry->second) {
+        if (isIncriminating(incident.finding)) {
+            counting.push_back(targetIncarnation);
+        }
     }
-    if (!entry->second.cleared) {
-        entry->second.cleared = true;
-        this->report(entry->first, entry->second.incidents.begin()->first, true);
+    for (const TargetIncarnation &targetIncarnation : counting) {
+        this->conclude(entry->first, targetIncarnation, proto::REQUEST_CLEARED, now);
     }
 }
 
 void SuspectList::onReports(std::span<const proto::CrashReport> received, core::TimePoint now)
 {
+    std::vector<std::string> crashSuspects;
     for (const proto::CrashReport &report : received) {
-        if (report.fingerprint().size() != core::FingerprintLength) {
-            continue;
-        }
-        if (report.cleared()) {
-            Suspect &suspect = this->suspects[report.fingerprint()];
-            suspect.cleared = true;
-            suspect.lastUpdatedAt = now;
-            continue;
-        }
         const TargetIncarnation targetIncarnation{core::TargetId(report.target()),
                                                   report.target_incarnation()};
-        this->confirmCrash(report.fingerprint(), targetIncarnation, now);
+        const Incident incident{
+            findingOf(report), now - std::chrono::milliseconds(report.age_ms()), now};
+        if (isIncriminating(incident.finding)) {
+            this->incriminate(report.fingerprint(), targetIncarnation, incident);
+        } else {
+            this->store(report.fingerprint(), targetIncarnation, incident);
+        }
+        if (incident.finding == proto::TARGET_CRASHED) {
+            crashSuspects.push_back(report.fingerprint());
+        }
     }
+    this->clearExplainedSuspects(crashSuspects, now);
 }
 
 std::vector<proto::CrashReport> SuspectList::takeReports()
@@ -126,86 +179,206 @@
     return std::exchange(this->reports, {});
 }
 
+bool SuspectList::mayHaveCrashed(const TargetIncarnation &targetIncarnation) const
+{
+    const std::vector<std::string> fingerprints = this->suspectsAt(targetIncarnation);
+    return std::any_of(
+        fingerprints.begin(), fingerprints.end(), [&](const std::string &fingerprint) {
+            return this->suspects.at(fingerprint).at(targetIncarnation).finding
+                   == proto::CONNECTION_BROKEN;
+        });
+}
+
 void SuspectList::tick(core::TimePoint now)
 {
+    this->completed.tick(now);
     absl::erase_if(this->suspects, [&](auto &item) {
-        Suspect &suspect = item.second;
-        absl::erase_if(suspect.incidents, [&](const auto &incident) {
-            const core::Duration age = now - incident.second.recordedAt;
-            return !incident.second.confirmed && age >= this->options.confirmationTimeout;
+        const std::string &fingerprint = item.first;
+        absl::erase_if(item.second, [&](const auto &incident) {
+            if (!this->isExpired(incident.second, now)) {
+                return false;
+            }
+            const auto known = this->suspectsByTarget.find(incident.first);
+            known->second.erase(fingerprint);
+            if (known->second.empty()) {
+                this->suspectsByTarget.erase(known);
+            }
+            return true;
         });
-        const bool expired = now - suspect.lastUpdatedAt > this->options.retention;
-        return expired || (suspect.incidents.empty() && !suspect.cleared);
+        return item.second.empty();
     });
 }
 
 size_t SuspectList::openSuspects() const
 {
     return static_cast<size_t>(
-        std::count_if(this->suspects.begin(), this->suspects.end(), [](const auto &item) {
-            return !item.second.cleared;
+        std::count_if(this->suspects.begin(), this->suspects.end(), [](const auto &suspect) {
+            return std::any_of(
+                suspect.second.begin(), suspect.second.end(), [](const auto &incident) {
+                    return isIncriminating(incident.second.finding);
+                });
         }));
 }
 
-size_t SuspectList::confirmedCrashes(const Suspect &suspect) const
+size_t SuspectList::countOf(const Incidents &incidents, proto::CrashFinding finding)
 {
     return static_cast<size_t>(
-        std::count_if(suspect.incidents.begin(), suspect.incidents.end(), [](const auto &incident) {
-            return incident.second.confirmed;
+        std::count_if(incidents.begin(), incidents.end(), [finding](const auto &incident) {
+            return incident.second.finding == finding;
         }));
 }
 
-size_t SuspectList::unconfirmedIncidents(const Suspect &suspect, core::TimePoint now) const
+bool SuspectList::isExpired(const Incident &incident, core::TimePoint now) const
 {
-    return static_cast<size_t>(std::count_if(
-        suspect.incidents.begin(), suspect.incidents.end(), [&](const auto &incident) {
-            return !incident.second.confirmed
-                   && now - incident.second.recordedAt < this->options.confirmationTimeout;
-        }));
+    const core::Duration retention = incident.finding == proto::CONNECTION_BROKEN
+                                         ? this->options.suspicionRetention
+                                         : this->options.retention;
+    return now - incident.happenedAt > retention;
+}
+
+std::vector<std::string> SuspectList::suspectsAt(const TargetIncarnation &targetIncarnation) const
+{
+    const auto known = this->suspectsByTarget.find(targetIncarnation);
+    if (known == this->suspectsByTarget.end()) {
+        return {};
+    }
+    return {known->second.begin(), known->second.end()};
+}
+
+bool SuspectList::isAmbiguous(const std::string &fingerprint, const Incidents &incidents) const
+{
+    std::vector<TargetIncarnation> targets;
+    core::TimePoint first = core::TimePoint::max();
+    core::TimePoint last = core::TimePoint::min();
+    for (const auto &[targetIncarnation, incident] : incidents) {
+        if (isIncriminating(incident.finding)) {
+            targets.push_back(targetIncarnation);
+            first = std::min(first, incident.happenedAt);
+            last = std::max(last, incident.happenedAt);
+        }
+    }
+    return last - first < this->options.coincidenceWindow || this->hasRival(fingerprint, targets);
+}
+
+bool SuspectList::hasRival(const std::string &fingerprint,
+                           std::span<const TargetIncarnation> targets) const
+{
+    const std::vector<std::string> others = this->suspectsAt(targets.front());
+    return std::any_of(others.begin(), others.end(), [&](const std::string &other) {
+        const Incidents &otherIncidents = this->suspects.at(other);
+        return other != fingerprint
+               && std::all_of(targets.begin(), targets.end(), [&](const auto &target) {
+                      const auto incident = otherIncidents.find(target);
+                      return incident != otherIncidents.end()
+                             && isIncriminating(incident->second.finding);
+                  });
+    });
+}
+
+bool SuspectList::store(const std::string &fingerprint,
+                        const TargetIncarnation &targetIncarnation,
+                        const Incident &incident)
+{
+    const bool isFull = this->suspects.size() >= this->options.suspectLimit
+                        && !this->suspects.contains(fingerprint);
+    if (fingerprint.size() != core::FingerprintLength || isFull) {
+        return false;
+    }
+    const auto [known, added]
+        = this->suspects[fingerprint].try_emplace(targetIncarnation, incident);
+    if (added) {
+        this->suspectsByTarget[targetIncarnation].insert(fingerprint);
+        return true;
+    }
+    if (incident.finding <= known->second.finding) {
+        return false;
+    }
+    known->second.finding = incident.finding;
+    known->second.own = known->second.own || incident.own;
+    return true;
+}
+
+void SuspectList::incriminate(const std::string &fingerprint,
+                              const TargetIncarnation &targetIncarnation,
+                              const Incident &incident)
+{
+    if (this->completed.contains(fingerprint)) {
+        // What only this instance knows need not be stored.
+        const bool isKnown = this->suspects.contains(fingerprint);
+        if (isKnown || !incident.own) {
+            this->conclude(
+                fingerprint, targetIncarnation, proto::REQUEST_CLEARED, incident.learnedAt);
+        }
+        return;
+    }
+    if (this->store(fingerprint, targetIncarnation, incident) && incident.own) {
+        this->report(fingerprint, targetIncarnation, incident.learnedAt);
+    }
+}
+
+void SuspectList::conclude(const std::string &fingerprint,
+                           const TargetIncarnation &targetIncarnation,
+                           proto::CrashFinding finding,
+                           core::TimePoint now)
+{
+    if (this->store(fingerprint, targetIncarnation, {finding, now, now})) {
+        this->report(fingerprint, targetIncarnation, now);
+    }
 }
 
-void SuspectList::confirmCrash(const std::string &fingerprint,
-                               const TargetIncarnation &targetIncarnation,
-                               core::TimePoint now)
+bool SuspectList::isCulprit(const std::string &fingerprint) const
 {
-    Suspect &suspect = this->suspects[fingerprint];
-    Incident &incident = suspect.incidents[targetIncarnation];
-    const bool isNew = !incident.confirmed;
-    incident.confirmed = true;
-    incident.recordedAt = now;
-    suspect.lastUpdatedAt = now;
-    // A crash not known before makes a cleared request a suspect again.
-    suspect.cleared = suspect.cleared && !isNew;
-    if (this->confirmedCrashes(suspect) == this->options.crashesToRefuse) {
-        this->clearExplainedSuspects(fingerprint);
+    const auto entry = this->suspects.find(fingerprint);
+    return entry != this->suspects.end()
+           && SuspectList::countOf(entry->second, proto::TARGET_CRASHED)
+                  >= this->options.crashesToRefuse
+           && !this->isAmbiguous(fingerprint, entry->second);
+}
+
+void SuspectList::clearExplainedSuspects(std::span<const std::string> fingerprints,
+                                         core::TimePoint now)
+{
+    for (const std::string &fingerprint : fingerprints) {
+        if (this->isCulprit(fingerprint)) {
+            this->clearSuspectsExplainedBy(fingerprint, now);
+        }
     }
 }
 
-void SuspectList::clearExplainedSuspects(const std::string &culprit)
+void SuspectList::clearSuspectsExplainedBy(const std::string &culprit, core::TimePoint now)
 {
-    const auto crashes = this->suspects[culprit].incidents;
-    for (auto &[fingerprint, suspect] : this->suspects) {
-        const bool refused = this->confirmedCrashes(suspect) >= this->options.crashesToRefuse;
-        const bool explained
-            = std::all_of(suspect.incidents.begin(),
-                          suspect.incidents.end(),
-                          [&](const auto &incident) { return crashes.contains(incident.first); });
-        if (!refused && explained && !suspect.cleared && !suspect.incidents.empty()) {
-            suspect.cleared = true;
-            this->report(fingerprint, suspect.incidents.begin()->first, true);
+    const Incidents culpritIncidents = this->suspects.at(culprit);
+    for (const auto &[targetIncarnation, incident] : culpritIncidents) {
+        for (const std::string &fingerprint : this->suspectsAt(targetIncarnation)) {
+            const Incidents &incidents = this->suspects.at(fingerprint);
+            const bool refused = SuspectList::countOf(incidents, proto::TARGET_CRASHED)
+                                 >= this->options.crashesToRefuse;
+            const bool explained
+                = std::all_of(incidents.begin(), incidents.end(), [&](const auto &item) {
+                      return !isIncriminating(item.second.finding)
+                             || culpritIncidents.contains(item.first);
+                  });
+            if (!refused && explained && isIncriminating(incidents.at(targetIncarnation).finding)) {
+                this->conclude(fingerprint, targetIncarnation, proto::REQUEST_CLEARED, now);
+            }
         }
     }
 }
 
 void SuspectList::report(const std::string &fingerprint,
                          const TargetIncarnation &targetIncarnation,
-                         bool cleared)
+                         core::TimePoint now)
 {
+    const Incident &incident = this->suspects.at(fingerprint).at(targetIncarnation);
+    const auto age
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now - incident.happenedAt);
     proto::CrashReport crashReport;
     crashReport.set_fingerprint(fingerprint);
     crashReport.set_target(targetIncarnation.target.value);
     crashReport.set_target_incarnation(targetIncarnation.incarnation);
-    crashReport.set_cleared(cleared);
+    crashReport.set_cleared(incident.finding == proto::REQUEST_CLEARED);
+    crashReport.set_finding(incident.finding);
+    crashReport.set_age_ms(static_cast<uint32_t>(age.count()));
     this->reports.push_back(std::move(crashReport));
 }
 
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -59,6 +59,9 @@
     {Event::CrashReportsReceived,
      "crash_reports_received_total",
      "The same, first heard of from another instance."},
+    {Event::CrashReportsWithheld,
+     "crash_reports_withheld_total",
+     "Reports that were too many to be pushed at once or to be stored."},
 };
 
 constexpr Description<Gauge> Gauges[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -44,6 +44,7 @@
     DeclarationBytesReceived,
     CrashReportsMade,
     CrashReportsReceived,
+    CrashReportsWithheld,
 };
 
 // Metrics whose value can rise and fall.
--- a/tests/membership/crashdirectorytest.cpp
+++ b/tests/membership/crashdirectorytest.cpp
@@ -1,11 +1,33 @@
 #include "samphirebridge/membership/crashdirectory.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <vector>
 
 using namespace samphirebridge;
 using namespace std::chrono_literals;
 using membership::CrashDirectory;
 
+namespace
+{
+
+const std::vector<core::InstanceId> Peers{core::InstanceId("b")};
+
+// Returns a report about a request and a target of that number.
+proto::CrashReport reportOf(int number, proto::CrashFinding finding)
+{
+    proto::CrashReport report;
+    report.set_fingerprint(fmt::format("{:016}", number));
+    report.set_target("t");
+    report.set_target_incarnation(1);
+    report.set_finding(finding);
+    return report;
+}
+
+} // namespace
+
 TEST_CASE(
     "a crash report is sent to every peer once, and a cleared report replaces one that is not")
 {
@@ -29,7 +51,96 @@
     const auto cleared = local.addLocalReports(std::vector{report}, peers, {});
     CHECK(remote.merge(cleared.at(0).update, peers, {}, relayed).size() == 1);
     CHECK(remote.merge(outgoing[0].update, peers, {}, relayed).empty());
-    CHECK(remote.allReports().crashes(0).cleared());
+    proto::MembershipDigest ofEmpty;
+    CrashDirectory(core::InstanceId("c"), {}).addChecksums(ofEmpty);
+    CHECK(remote.size() == 1);
+    CHECK_FALSE(remote.answer(ofEmpty, {}));
     remote.tick(core::TimePoint(2h));
-    CHECK(remote.allReports().crashes_size() == 0);
+    CHECK(remote.size() == 0);
+}
+
+// Guards against an instance that is never told what happened before its start, or while it was out
+// of contact.
+TEST_CASE("the answer to a digest brings all crash reports that the asking instance lacks")
+{
+    constexpr int Reports = 1'000;
+    CrashDirectory informed(core::InstanceId("a"), {});
+    CrashDirectory started(core::InstanceId("b"), {});
+    for (int index = 0; index < Reports; ++index) {
+        const auto finding = index % 2 == 0 ? proto::CONNECTION_BROKEN : proto::TARGET_CRASHED;
+        informed.addLocalReports(std::vector{reportOf(index, finding)}, {}, core::TimePoint(1s));
+    }
+    std::vector<membership::Outgoing> relayed;
+    int answers = 0;
+    while (started.size() < Reports
+           && answers < 2 * Reports / CrashDirectory::MaximumReportsPerAnswer) {
+        proto::MembershipDigest digest;
+        started.addChecksums(digest);
+        const auto answer = informed.answer(digest, core::TimePoint(2s));
+        REQUIRE(answer);
+        started.merge(*answer, {}, core::TimePoint(2s), relayed);
+        ++answers;
+    }
+    CHECK(started.size() == Reports);
+    proto::MembershipDigest digest;
+    started.addChecksums(digest);
+    CHECK_FALSE(informed.answer(digest, core::TimePoint(2s)));
+}
+
+// Guards against a late report that takes back what is known better.
+TEST_CASE("of two findings about one request and one target the higher one is kept in any order")
+{
+    const std::array findings{proto::CONNECTION_BROKEN,
+                              proto::TARGET_ANSWERED,
+                              proto::TARGET_CRASHED,
+                              proto::REQUEST_CLEARED};
+    for (const proto::CrashFinding first : findings) {
+        for (const proto::CrashFinding second : findings) {
+            CrashDirectory directory(core::InstanceId("a"), {});
+            CHECK(directory.addLocalReports(std::vector{reportOf(1, first)}, Peers, {}).size()
+                  == 1);
+            const auto sent
+                = directory.addLocalReports(std::vector{reportOf(1, second)}, Peers, {});
+            CHECK(sent.size() == (second > first ? 1 : 0));
+        }
+    }
+}
+
+// Guards against reports that instances hand to each other for ever.
+TEST_CASE("a crash report keeps its age on its way and expires everywhere at the same time")
+{
+    CrashDirectory first(core::InstanceId("a"), {});
+    CrashDirectory second(core::InstanceId("b"), {});
+    first.addLocalReports(std::vector{reportOf(1, proto::TARGET_CRASHED)}, {}, core::TimePoint(0s));
+    proto::MembershipDigest digest;
+    second.addChecksums(digest);
+    const auto answer = first.answer(digest, core::TimePoint(50min));
+    REQUIRE(answer);
+    std::vector<membership::Outgoing> relayed;
+    CHECK(second.merge(*answer, {}, core::TimePoint(50min), relayed).size() == 1);
+    second.tick(core::TimePoint(61min));
+    CHECK(second.size() == 0);
+    CHECK_FALSE(first.answer(digest, core::TimePoint(61min)));
+}
+
+// Guards against a flood of messages and unbounded memory when very many targets end at once.
+TEST_CASE("crash reports beyond the limits are neither pushed nor stored")
+{
+    membership::MembershipOptions options;
+    options.crashReportLimit = 100;
+    options.crashReportBurst = 10;
+    options.crashReportsPerSecond = 5;
+    CrashDirectory directory(core::InstanceId("a"), options);
+    std::vector<proto::CrashReport> reports;
+    for (int index = 0; index < 200; ++index) {
+        reports.push_back(reportOf(index, proto::CONNECTION_BROKEN));
+    }
+    const auto sent = directory.addLocalReports(reports, Peers, core::TimePoint(1s));
+    CHECK(sent.at(0).update.suspicions_size() == 10);
+    CHECK(directory.size() == 100);
+    CHECK(directory.droppedReports() == 100);
+    CHECK(directory.withheldReports() == 90);
+    const auto later = directory.addLocalReports(
+        std::vector(10, reportOf(0, proto::TARGET_CRASHED)), Peers, core::TimePoint(2s));
+    CHECK(later.at(0).update.crashes_size() == 1);
 }
