--- a/tests/membership/crashdirectorytest.cpp
+++ b/tests/membership/crashdirectorytest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -131,10 +132,11 @@
     options.crashReportBurst = 10;
     options.crashReportsPerSecond = 5;
     CrashDirectory directory(core::InstanceId("a"), options);
-    std::vector<proto::CrashReport> reports;
-    for (int index = 0; index < 200; ++index) {
-        reports.push_back(reportOf(index, proto::CONNECTION_BROKEN));
-    }
+    std::vector<proto::CrashReport> reports(200);
+    int number = 0;
+    std::generate(reports.begin(), reports.end(), [&] {
+        return reportOf(number++, proto::CONNECTION_BROKEN);
+    });
     const auto sent = directory.addLocalReports(reports, Peers, core::TimePoint(1s));
     CHECK(sent.at(0).update.suspicions_size() == 10);
     CHECK(directory.size() == 100);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -189,6 +189,7 @@
                                          const std::vector<std::string> &arguments)
 {
     std::vector<std::string> urls;
+    urls.reserve(this->options.controlInstances);
     for (int index = 0; index < this->options.controlInstances; ++index) {
         urls.push_back(
             fmt::format("http://127.0.0.1:{}", this->interfacePort(index, ControlInterface)));
@@ -286,6 +287,7 @@
 std::vector<std::string> Fleet::httpUrls(const std::vector<int> &indices) const
 {
     std::vector<std::string> urls;
+    urls.reserve(indices.size());
     for (const int index : indices) {
         urls.push_back(this->httpUrl(index));
     }
