routing, membership: Let cleared suspects make room for new ones

Callers would have seen a request crash targets without end for up to an hour: reports and suspects are bounded at 8,192, what was cleared or refuted was kept for an hour like a proved crash, and a full list takes no new suspect.

What speaks against no request is kept for 10 minutes, which digests every 2 s need to tell everyone, and for 20 s once half of the room is taken. Tests of both lists with small limits fail without it.

--- a/source/samphirebridge/membership/crashdirectory.cpp
+++ b/source/samphirebridge/membership/crashdirectory.cpp
@@ -124,8 +124,13 @@
 
 void CrashDirectory::tick(core::TimePoint now)
 {
-    absl::erase_if(this->entries,
-                   [&](const auto &item) { return this->isExpired(item.second, now); });
+    const bool crowded = this->entries.size() > this->options.crashReportLimit / 2;
+    absl::erase_if(this->entries, [&](const auto &item) {
+        const Entry &entry = item.second;
+        const bool dispensable = crowded && !isIncriminating(entry.finding)
+                                 && now - entry.happenedAt > this->options.crowdedReportRetention;
+        return dispensable || this->isExpired(entry, now);
+    });
 }
 
 bool CrashDirectory::store(const proto::CrashReport &report, core::TimePoint now)
@@ -156,9 +161,9 @@
 
 bool CrashDirectory::isExpired(const Entry &entry, core::TimePoint now) const
 {
-    const core::Duration retention = entry.finding == proto::CONNECTION_BROKEN
-                                         ? this->options.suspicionRetention
-                                         : this->options.crashReportRetention;
+    const core::Duration retention = entry.finding == proto::TARGET_CRASHED
+                                         ? this->options.crashReportRetention
+                                         : this->options.suspicionRetention;
     return now - entry.happenedAt > retention;
 }
 
--- a/source/samphirebridge/membership/crashdirectory.h
+++ b/source/samphirebridge/membership/crashdirectory.h
@@ -47,7 +47,7 @@
     std::optional<proto::MembershipUpdate> answer(const proto::MembershipDigest &digest,
                                                   core::TimePoint now);
 
-    // Removes reports that are older than their retention.
+    // Removes reports that are older than their retention. To be called about once a second.
     void tick(core::TimePoint now);
 
     [[nodiscard]] size_t size() const
--- a/source/samphirebridge/membership/membershipoptions.h
+++ b/source/samphirebridge/membership/membershipoptions.h
@@ -33,12 +33,13 @@
     // Relays heartbeats in a fleet up to directPeerLimit too, so that instances that the settings
     // do not name are discovered.
     bool discoverPeers = false;
-    // How long crash reports are kept, and those of a broken connection of which it never became
-    // known whether the target had crashed.
+    // How long reports of proved crashes are kept, and all others.
     core::Duration crashReportRetention = std::chrono::hours(1);
     core::Duration suspicionRetention = std::chrono::minutes(10);
-    // The most crash reports that are kept.
+    // The most crash reports that are kept. Above half of it, those that speak against no request
+    // are kept for the time that a report takes to every instance.
     size_t crashReportLimit = 8'192;
+    core::Duration crowdedReportRetention = std::chrono::seconds(20);
     // How many crash reports an instance pushes to its peers at most, per second and at once after
     // a quiet time. When many targets end together, anti-entropy brings the rest.
     double crashReportsPerSecond = 16;
--- a/source/samphirebridge/routing/routingoptions.h
+++ b/source/samphirebridge/routing/routingoptions.h
@@ -64,11 +64,12 @@
     // crashed. Above the time in which the target directory declares a target gone with two of five
     // watchers out of contact, and above the delay of an announcement on its way.
     core::Duration confirmationTimeout = std::chrono::seconds(20);
-    // How long a crash counts against a request, and how long a broken connection does while it is
-    // not known whether the target crashed.
+    // How long a proved crash counts against a request, and how long all else is kept that is known
+    // of it.
     core::Duration retention = std::chrono::hours(1);
     core::Duration suspicionRetention = std::chrono::minutes(10);
-    // The most suspects that are kept.
+    // The most suspects that are kept. Above half of it, what speaks against no request is kept for
+    // the confirmation timeout only.
     size_t suspectLimit = 8'192;
     // How long, at least, a request that was answered successfully can't become a suspect, and how
     // many such requests are remembered at least.
--- a/source/samphirebridge/routing/suspectlist.cpp
+++ b/source/samphirebridge/routing/suspectlist.cpp
@@ -192,10 +192,14 @@
 void SuspectList::tick(core::TimePoint now)
 {
     this->completed.tick(now);
+    const bool crowded = this->suspects.size() > this->options.suspectLimit / 2;
     absl::erase_if(this->suspects, [&](auto &item) {
         const std::string &fingerprint = item.first;
         absl::erase_if(item.second, [&](const auto &incident) {
-            if (!this->isExpired(incident.second, now)) {
+            const bool dispensable
+                = crowded && !isIncriminating(incident.second.finding)
+                  && now - incident.second.learnedAt > this->options.confirmationTimeout;
+            if (!dispensable && !this->isExpired(incident.second, now)) {
                 return false;
             }
             const auto known = this->suspectsByTarget.find(incident.first);
@@ -230,9 +234,9 @@
 
 bool SuspectList::isExpired(const Incident &incident, core::TimePoint now) const
 {
-    const core::Duration retention = incident.finding == proto::CONNECTION_BROKEN
-                                         ? this->options.suspicionRetention
-                                         : this->options.retention;
+    const core::Duration retention = incident.finding == proto::TARGET_CRASHED
+                                         ? this->options.retention
+                                         : this->options.suspicionRetention;
     return now - incident.happenedAt > retention;
 }
 
--- a/tests/membership/crashdirectorytest.cpp
+++ b/tests/membership/crashdirectorytest.cpp
@@ -124,6 +124,25 @@
     CHECK_FALSE(first.answer(digest, core::TimePoint(61min)));
 }
 
+// Guards against reports of cleared requests that leave no room for those of harmful ones.
+TEST_CASE("crash reports that speak against no request make room for new ones")
+{
+    membership::MembershipOptions options;
+    options.crashReportLimit = 100;
+    CrashDirectory directory(core::InstanceId("a"), options);
+    std::vector<proto::CrashReport> reports(100);
+    int number = 0;
+    std::generate(reports.begin(), reports.end(), [&] {
+        const bool cleared = number >= 10;
+        return reportOf(number++, cleared ? proto::REQUEST_CLEARED : proto::CONNECTION_BROKEN);
+    });
+    directory.addLocalReports(reports, {}, core::TimePoint(1s));
+    directory.tick(core::TimePoint(2s));
+    CHECK(directory.size() == 100);
+    directory.tick(core::TimePoint(30s));
+    CHECK(directory.size() == 10);
+}
+
 // Guards against a flood of messages and unbounded memory when very many targets end at once.
 TEST_CASE("crash reports beyond the limits are neither pushed nor stored")
 {
--- a/tests/routing/crashsuspectstest.cpp
+++ b/tests/routing/crashsuspectstest.cpp
@@ -394,6 +394,26 @@
     CHECK(std::holds_alternative<routing::Choice>(router.choose(requestOf('c'), Start + 3s)));
 }
 
+// Guards against cleared requests that leave no room for harmful ones.
+TEST_CASE("suspects that are cleared make room for new ones")
+{
+    routing::SuspectOptions options;
+    options.suspectLimit = 4;
+    SuspectList list(options);
+    for (const char name : {'p', 'q', 'r'}) {
+        list.onConnectionBroken(fingerprintOf(name), FirstTarget, Start);
+    }
+    list.onAnswered(FirstTarget, Later, Later);
+    list.onConnectionBroken(CrashingRequest, SecondTarget, Later);
+    list.onConnectionBroken(ConcurrentRequest, SecondTarget, Later);
+    CHECK(list.treatmentOf(ConcurrentRequest, Later) == SuspectTreatment::Unrestricted);
+    list.tick(Start + 30s);
+    list.onConnectionBroken(ConcurrentRequest, SecondTarget, Start + 30s);
+    CHECK(list.size() == 2);
+    CHECK(list.treatmentOf(CrashingRequest, Start + 30s) == SuspectTreatment::PreferExclusive);
+    CHECK(list.treatmentOf(ConcurrentRequest, Start + 30s) == SuspectTreatment::PreferExclusive);
+}
+
 // Guards against clearing a request because a failing target answered it with an error.
 TEST_CASE("an answer that states a failure of the target does not clear a suspect")
 {
