routing: Tell in the suspect list's code who reports a crash

Read as a newcomer: two functions of one name, a lookup template and unnamed members of a literal hid that only an instance that saw a connection break reports a crash. No behaviour changes; the cases of the suspect list pass.

--- a/source/samphirebridge/routing/suspectlist.cpp
+++ b/source/samphirebridge/routing/suspectlist.cpp
@@ -21,14 +21,6 @@
     return {text.data(), text.size()};
 }
 
-// Returns the value, or nullptr.
-template <typename Map, typename Key>
-const typename Map::mapped_type *findIn(const Map &map, const Key &key)
-{
-    const auto found = map.find(key);
-    return found == map.end() ? nullptr : &found->second;
-}
-
 } // namespace
 
 SuspectList::SuspectList(const SuspectOptions &options)
@@ -65,43 +57,45 @@
                                      core::TimePoint now)
 {
     this->incriminate(
-        std::string(fingerprint), targetIncarnation, {proto::CONNECTION_BROKEN, now, now, true});
+        std::string(fingerprint),
+        targetIncarnation,
+        {.finding = proto::CONNECTION_BROKEN, .happenedAt = now, .learnedAt = now, .own = true});
 }
 
 void SuspectList::onCrash(const TargetIncarnation &targetIncarnation,
                           std::span<const std::string> inFlight,
                           core::TimePoint now)
 {
-    this->onCrash(targetIncarnation, inFlight, proto::CONNECTION_BROKEN, now);
+    this->confirmCrash(targetIncarnation, inFlight, proto::CONNECTION_BROKEN, now);
 }
 
 void SuspectList::onRestarted(const TargetIncarnation &targetIncarnation,
                               std::span<const std::string> inFlight,
                               core::TimePoint now)
 {
-    this->onCrash(targetIncarnation, inFlight, proto::TARGET_ANSWERED, now);
+    this->confirmCrash(targetIncarnation, inFlight, proto::TARGET_ANSWERED, now);
 }
 
-void SuspectList::onCrash(const TargetIncarnation &targetIncarnation,
-                          std::span<const std::string> inFlight,
-                          proto::CrashFinding highestPending,
-                          core::TimePoint now)
+void SuspectList::confirmCrash(const TargetIncarnation &targetIncarnation,
+                               std::span<const std::string> inFlight,
+                               proto::CrashFinding highestFinding,
+                               core::TimePoint now)
 {
     std::vector<std::string> involved(inFlight.begin(), inFlight.end());
     for (const std::string &fingerprint : this->suspectsAt(targetIncarnation)) {
         const Incident &incident = this->suspects.at(fingerprint).at(targetIncarnation);
-        if (incident.finding <= highestPending
+        if (incident.finding <= highestFinding
             && now - incident.learnedAt < this->options.confirmationTimeout) {
             involved.push_back(fingerprint);
         }
     }
-    // Every instance learns of the crash. Only those report it that saw a connection break.
     for (const std::string &fingerprint : involved) {
-        const auto entry = this->suspects.find(fingerprint);
-        const auto *known
-            = entry == this->suspects.end() ? nullptr : findIn(entry->second, targetIncarnation);
-        const bool own = known == nullptr || known->own;
-        this->incriminate(fingerprint, targetIncarnation, {proto::TARGET_CRASHED, now, now, own});
+        this->incriminate(fingerprint,
+                          targetIncarnation,
+                          {.finding = proto::TARGET_CRASHED,
+                           .happenedAt = now,
+                           .learnedAt = now,
+                           .own = this->isOwn(fingerprint, targetIncarnation)});
     }
     this->clearExplainedSuspects(involved, now);
 }
@@ -160,8 +154,9 @@
     for (const proto::CrashReport &report : received) {
         const TargetIncarnation targetIncarnation{core::TargetId(report.target()),
                                                   report.target_incarnation()};
-        const Incident incident{
-            findingOf(report), now - std::chrono::milliseconds(report.age_ms()), now};
+        const Incident incident{.finding = findingOf(report),
+                                .happenedAt = now - std::chrono::milliseconds(report.age_ms()),
+                                .learnedAt = now};
         if (isIncriminating(incident.finding)) {
             this->incriminate(report.fingerprint(), targetIncarnation, incident);
         } else {
@@ -249,6 +244,17 @@
     return {known->second.begin(), known->second.end()};
 }
 
+bool SuspectList::isOwn(const std::string &fingerprint,
+                        const TargetIncarnation &targetIncarnation) const
+{
+    const auto entry = this->suspects.find(fingerprint);
+    if (entry == this->suspects.end()) {
+        return true;
+    }
+    const auto incident = entry->second.find(targetIncarnation);
+    return incident == entry->second.end() || incident->second.own;
+}
+
 bool SuspectList::isAmbiguous(const std::string &fingerprint, const Incidents &incidents) const
 {
     std::vector<TargetIncarnation> targets;
@@ -325,7 +331,8 @@
                            proto::CrashFinding finding,
                            core::TimePoint now)
 {
-    if (this->store(fingerprint, targetIncarnation, {finding, now, now})) {
+    const Incident incident{.finding = finding, .happenedAt = now, .learnedAt = now};
+    if (this->store(fingerprint, targetIncarnation, incident)) {
         this->report(fingerprint, targetIncarnation, now);
     }
 }
--- a/source/samphirebridge/routing/suspectlist.h
+++ b/source/samphirebridge/routing/suspectlist.h
@@ -41,7 +41,7 @@
 
 // An incident is one target incarnation that crashed, or whose connection broke, while the request
 // was in flight. A crash counts against its request for SuspectOptions::retention, a broken
-// connection for suspicionRetention, unless a higher proto::CrashFinding says otherwise.
+// connection for suspicionRetention, unless a higher proto::CrashFinding becomes known.
 class SuspectList
 {
 public:
@@ -110,7 +110,7 @@
         proto::CrashFinding finding = proto::CRASH_FINDING_UNSPECIFIED;
         core::TimePoint happenedAt;
         core::TimePoint learnedAt; // When this instance heard of the broken connection.
-        bool own = false; // Found by this instance, which reports its changes.
+        bool own = false; // This instance saw the connection break.
     };
     using Incidents = absl::btree_map<TargetIncarnation, Incident>;
     using Fingerprints = absl::flat_hash_set<std::string>;
@@ -126,10 +126,16 @@
     // Tells whether another request was in flight in every incident at these targets.
     [[nodiscard]] bool hasRival(const std::string &fingerprint,
                                 std::span<const TargetIncarnation> targets) const;
-    void onCrash(const TargetIncarnation &targetIncarnation,
-                 std::span<const std::string> inFlight,
-                 proto::CrashFinding highestPending,
-                 core::TimePoint now);
+    // Records the crash for the requests in flight, and for those with an incident at the target
+    // incarnation whose finding is not above the given one.
+    void confirmCrash(const TargetIncarnation &targetIncarnation,
+                      std::span<const std::string> inFlight,
+                      proto::CrashFinding highestFinding,
+                      core::TimePoint now);
+    // Tells whether this instance reports a crash for the request: it saw the connection break, or
+    // no instance did. The others learn of the crash by themselves.
+    [[nodiscard]] bool isOwn(const std::string &fingerprint,
+                             const TargetIncarnation &targetIncarnation) const;
     // Stores an incident or raises its finding. Returns whether that changed anything.
     bool store(const std::string &fingerprint,
                const TargetIncarnation &targetIncarnation,
