--- a/tests/membership/crashdirectorytest.cpp
+++ b/tests/membership/crashdirectorytest.cpp
@@ -50,7 +50,9 @@
     CHECK(relayed.empty());
     report.set_cleared(true);
     const auto cleared = local.addLocalReports(std::vector{report}, peers, {});
-    CHECK(remote.merge(cleared.at(0).update, peers, {}, relayed).size() == 1);
+    const auto changed = remote.merge(cleared.at(0).update, peers, {}, relayed);
+    REQUIRE(changed.size() == 1);
+    CHECK(changed[0].cleared());
     CHECK(remote.merge(outgoing[0].update, peers, {}, relayed).empty());
     proto::MembershipDigest ofEmpty;
     CrashDirectory(core::InstanceId("c"), {}).addChecksums(ofEmpty);
