forwarding: Add nothing of another answer to a stream that has begun

Callers saw: a stream that broke off and whose continuation was answered with an error (404, or 500 at the last allowed target) went on with the whole of that answer, head and body, inside the stream's own chunks, and then looked complete.

Cause: onAnswer() accepted any status after the stream's head had gone to the caller and relayed it as a whole answer.

Ruled out: an answer to another request (skipped by its id before this); a continuation with status 200, which goes on as before.

Now such an answer fails the attempt: the stream goes on at another target or is broken off.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -195,6 +195,12 @@
         case AnswerClass::Relay:
             break;
         }
+        // The caller already has the head of a stream, which only another stream can continue.
+        if (this->headRelayed && answerHead.status != StatusOk) {
+            this->endFailedAttempt(core::RetryReason::TargetError);
+            this->retryOrGiveUp(core::RetryReason::TargetError);
+            return AnswerHandling::Abandoned;
+        }
         this->head = answerHead;
         this->streaming = this->route.kind == RequestKind::Stream && answerHead.status == StatusOk;
         this->progressAt = this->host.now();
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -85,6 +85,7 @@
     }
     void relayWhole(const net::ResponseHead &head, std::string_view bytes)
     {
+        ++this->relayedHeads;
         this->status = head.status;
         this->body = bytes;
         this->answerEnded = true;
@@ -419,6 +420,29 @@
     CHECK(request.host.settled == core::Tokens{105});
 }
 
+// Guards against a second answer inside the first one: once the head of a stream has gone to the
+// caller, an error of the target that should continue it can't be relayed.
+TEST_CASE("a target that answers a stream's continuation with an error adds nothing to the stream")
+{
+    for (const int status : {404, 500}) {
+        Fixture request(RequestKind::Stream, true);
+        request.start();
+        request.reportSent();
+        REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(Fixture::event(1));
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        REQUIRE(request.host.sentTo.size() == 2);
+        request.reportSent();
+        CHECK(request.receiveHead(status) == AnswerHandling::Abandoned);
+        CHECK(request.machine->done());
+        CHECK(request.host.relayedHeads == 1);
+        CHECK(request.host.status == 200);
+        CHECK(request.host.body == Fixture::event(1));
+        CHECK(request.host.aborted);
+        CHECK_FALSE(request.host.answerEnded);
+    }
+}
+
 // Guards against endless answers that fill the memory of the process.
 TEST_CASE("an answer beyond the buffer limit is given up, and its target is not tried again")
 {
