net: Answer requests that arrived before the server stopped accepting

Callers saw: at a planned stop under load, connections were reset without an answer although the kernel had already received their requests.

Cause: stopAccepting() closed the listener, which resets every connection that is established and not accepted yet, and closed connections as idle whose next request lay unread in the socket, which resets them as well. A busy loop or a throttled processor makes both windows long.

Now the pending connections are accepted first; a connection with unread bytes is not idle, nor is one that was opened less than a second ago and has not sent its first request.

Ruled out: requests half read (the parser has begun, so these were not idle) and answers under way.

--- a/source/samphirebridge/net/httpserver.cpp
+++ b/source/samphirebridge/net/httpserver.cpp
@@ -61,6 +61,9 @@
 
 void HttpServer::stopAccepting()
 {
+    if (this->listener != nullptr) {
+        this->listener->acceptPending();
+    }
     this->listener.reset();
     std::vector<std::shared_ptr<ServerConnection>> idle;
     for (const auto &[raw, connection] : this->connections) {
--- a/source/samphirebridge/net/httpserver.h
+++ b/source/samphirebridge/net/httpserver.h
@@ -36,7 +36,8 @@
     // callers may be about to send a request.
     void beginDrain();
 
-    // Closes the listening socket and every idle connection.
+    // Closes the listening socket and every idle connection. Connections that the kernel has
+    // established stay open for their first request.
     void stopAccepting();
 
     // Tells whether no connection is reading or answering a request.
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -13,6 +13,10 @@
 // Bytes of pipelined requests to buffer while one is answered; beyond that reading is paused.
 constexpr size_t MaximumBufferedBytes = size_t{256} * 1024;
 
+// A caller sends its first request within this time after it opened a connection: a round trip and
+// a few retransmissions.
+constexpr core::Duration FirstRequestTime = std::chrono::seconds(1);
+
 constexpr int StatusBadRequest = 400;
 constexpr int StatusRequestTimeout = 408;
 constexpr int StatusContentTooLarge = 413;
@@ -34,6 +38,7 @@
                   this->messageReady = true;
               }})
     , timer(eventLoop, [this] { this->onTimeout(); })
+    , openedAt(this->clock.now())
 {
 }
 
@@ -57,7 +62,13 @@
 
 bool ServerConnection::idle() const
 {
-    return !this->answerPending && !this->parser.started() && this->buffered.empty();
+    return !this->answerPending && !this->parser.started() && this->buffered.empty()
+           && !this->expectsFirstRequest() && !this->stream->hasUnreadBytes();
+}
+
+bool ServerConnection::expectsFirstRequest() const
+{
+    return this->requestNumber == 0 && this->clock.now() - this->openedAt < FirstRequestTime;
 }
 
 void ServerConnection::close()
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -48,7 +48,8 @@
     // Starts reading requests.
     void start();
 
-    // Tells whether no request is being read or answered.
+    // Tells whether no request is being read or answered, has arrived unread, or is expected at
+    // once because the connection is new.
     [[nodiscard]] bool idle() const;
 
     // Closes the connection at once; calls the functions set by setOnCallerClosed and onClosed.
@@ -65,6 +66,8 @@
     [[nodiscard]] size_t queuedBytes() const;
 
 private:
+    // Tells whether the caller opened the connection just now and has not sent a request yet.
+    [[nodiscard]] bool expectsFirstRequest() const;
     void onData(std::string_view bytes);
     void readBuffered();
     void onHead(RequestHead requestHead);
@@ -79,6 +82,8 @@
     ServerContext &context;
     MessageParser parser;
     Timer timer;
+    core::SteadyClock clock;
+    core::TimePoint openedAt;
     std::string buffered; // Received but not parsed yet.
     IncomingRequest incoming;
     bool headRead = false;
--- a/source/samphirebridge/net/tcplistener.cpp
+++ b/source/samphirebridge/net/tcplistener.cpp
@@ -4,8 +4,10 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
+#include <sys/socket.h>
 #include <uv.h>
 
+#include <cerrno>
 #include <charconv>
 #include <string>
 #include <utility>
@@ -77,6 +79,27 @@
     return listener;
 }
 
+void TcpListener::acceptPending()
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t *>(this->handle), &descriptor) != 0) {
+        return;
+    }
+    for (;;) {
+        const int accepted = accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0 && errno != ECONNABORTED && errno != EINTR) {
+            return;
+        }
+        if (accepted < 0) {
+            continue; // This connection is gone; there may be others behind it.
+        }
+        auto stream = TcpStream::adopt(this->loop, accepted);
+        if (stream.ok()) {
+            this->onAccept(std::move(*stream));
+        }
+    }
+}
+
 int TcpListener::port() const
 {
     sockaddr_in bound{};
--- a/source/samphirebridge/net/tcplistener.h
+++ b/source/samphirebridge/net/tcplistener.h
@@ -32,6 +32,10 @@
     // Closes the listening socket; accepted connections stay open.
     ~TcpListener();
 
+    // Passes on every connection that the kernel has established and not handed out yet. Closing
+    // the listener resets those that are left.
+    void acceptPending();
+
     // Returns the bound port, also where the address asked for any free one; 0 on an error.
     [[nodiscard]] int port() const;
 
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include <array>
@@ -127,6 +128,18 @@
     return stream;
 }
 
+absl::StatusOr<std::shared_ptr<TcpStream>> TcpStream::adopt(EventLoop &loop, int descriptor)
+{
+    std::shared_ptr<TcpStream> stream(new TcpStream(loop));
+    const int opened = uv_tcp_open(stream->handle, descriptor);
+    if (opened != 0) {
+        ::close(descriptor);
+        return unreachable(opened);
+    }
+    stream->setOptions();
+    return stream;
+}
+
 void TcpStream::setOptions()
 {
     uv_tcp_nodelay(this->handle, 1);
@@ -242,14 +255,24 @@
 // When a hang-up arrives together with the last bytes, libuv reports the end of the stream without
 // another read, for a reset as for an orderly close. Only reading from the socket tells them apart.
 bool TcpStream::wasReset() const
+{
+    return this->peek() != 0;
+}
+
+bool TcpStream::hasUnreadBytes() const
+{
+    return this->peek() > 0;
+}
+
+ssize_t TcpStream::peek() const
 {
     uv_os_fd_t descriptor = -1;
     if (!this->isOpen()
         || uv_fileno(reinterpret_cast<const uv_handle_t *>(this->handle), &descriptor) != 0) {
-        return true;
+        return -1;
     }
     char next = 0;
-    return recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+    return recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
 void TcpStream::reportEnd(StreamEnd end)
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
 
 struct uv_stream_s;
 struct uv_tcp_s;
@@ -50,6 +51,10 @@
     static absl::StatusOr<std::shared_ptr<TcpStream>> accept(EventLoop &loop,
                                                              uv_stream_s *listener);
 
+    // Takes over the descriptor of an established connection. Unreachable, with the descriptor
+    // closed, if it can't be watched.
+    static absl::StatusOr<std::shared_ptr<TcpStream>> adopt(EventLoop &loop, int descriptor);
+
     TcpStream(const TcpStream &) = delete;
     TcpStream &operator=(const TcpStream &) = delete;
     ~TcpStream();
@@ -68,6 +73,10 @@
         return this->queued;
     }
 
+    // Tells whether the peer sent bytes that were not read yet. Closing the stream would reset the
+    // connection.
+    [[nodiscard]] bool hasUnreadBytes() const;
+
     // Closes at once; queued bytes are lost and no event follows.
     void close();
 
@@ -83,6 +92,9 @@
     explicit TcpStream(EventLoop &loop);
 
     void setOptions();
+    // Returns what reading one byte, without removing it, would return: as recv() does, -1 on any
+    // error.
+    [[nodiscard]] ssize_t peek() const;
     [[nodiscard]] bool wasReset() const;
     void reportEnd(StreamEnd end);
     void onWritten(size_t bytes, int status);
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -57,6 +57,24 @@
         });
     }
 
+    // Runs the loop on the calling thread, before start().
+    void runOnce()
+    {
+        this->loop.runUntil(core::SteadyClock().now() + 5ms);
+    }
+
+    // Begins to drain and closes the listener, before start().
+    void stopAccepting()
+    {
+        this->server->beginDrain();
+        this->server->stopAccepting();
+    }
+
+    [[nodiscard]] bool idle() const
+    {
+        return this->server->idle();
+    }
+
     void stop()
     {
         this->stopping = true;
@@ -207,3 +225,32 @@
     CHECK(caller.readToEnd().empty());
     CHECK(server.requests == 1);
 }
+
+// Guards against a stop under load: requests that the kernel has received, on connections that the
+// process has not accepted yet or not read since, were reset without an answer.
+TEST_CASE("a server that stops accepting answers the requests that have already arrived")
+{
+    Server server;
+    Peer kept = Peer::connect(static_cast<uint16_t>(server.port));
+    kept.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (server.requests == 0) {
+        server.runOnce();
+    }
+    (void)kept.readUntil("/first");
+    kept.write("GET /unread HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::vector<Peer> backlog;
+    for (int caller = 0; caller < 20; ++caller) {
+        backlog.push_back(Peer::connect(static_cast<uint16_t>(server.port)));
+        backlog.back().write("GET /backlog HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    Peer silent = Peer::connect(static_cast<uint16_t>(server.port));
+    server.stopAccepting();
+    CHECK_FALSE(server.idle());
+    silent.write("GET /after HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.start();
+    CHECK(kept.readUntil("/unread").ends_with("/unread"));
+    for (const Peer &caller : backlog) {
+        CHECK(caller.readUntil("/backlog").ends_with("/backlog"));
+    }
+    CHECK(silent.readUntil("/after").ends_with("/after"));
+}
