budget: Hold escrow for what requests reserve beyond their use

Cause: the escrow to hold was the demand's expected use over the horizon. Requests reserve their upper bound for as long as they run, and those that were recorded before the partition free nothing until the ledger confirms them, so the escrow ran dry by what is under way before the horizon was over.

Ruled out: tokens idle at other instances (this organisation's requests all came to this one); the exposure ramp (limit 1.5 million against 0.9 million used).

--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -289,7 +289,10 @@
 {
     const double used = this->demand.tokensPerSecond(now) * secondsOf(options.horizon);
     const double bounds = this->demand.boundsPerSecond(now) * RefillSeconds;
-    return static_cast<int64_t>(std::max(used, bounds));
+    // Out of contact, the requests of the horizon hold as much reserved at any time as those under
+    // way hold now, and the latter free nothing until the ledger has confirmed their settlement.
+    const auto heldReserved = static_cast<double>(this->reserved);
+    return static_cast<int64_t>(std::max(used + heldReserved, bounds));
 }
 
 int64_t BudgetAccount::idleTokens(core::TimePoint now, const EscrowOptions &options) const
