budget, entry: Tell callers refused in a partition to return when it is likely over

Callers saw: in a partition of all instances from the ledger, a refusal for want of tokens asked them to return after a constant 1 s, mostly into the same partition. One that had waited in vain while in contact was told 2 s, though grants take milliseconds there.

Cause: the Retry-After was a constant, whatever is known of the outage.

Now a partition is expected to last as long again as it has lasted so far, between 0.5 and 4 s, spread by a quarter each way, so that callers refused together don't return together. In contact it is 0.5 s.

Ruled out: a longer constant, which costs callers refused in a short outage.

--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -24,9 +24,6 @@
 // The longest that a request waits for tokens. Grants take milliseconds while in contact.
 constexpr core::Duration MaximumWait = std::chrono::seconds(3);
 
-// The Retry-After if a request has waited for tokens in vain, or out of contact for too long.
-constexpr core::Duration RetryAfterWait = std::chrono::seconds(2);
-
 } // namespace
 
 EscrowKeeper::EscrowKeeper(core::HolderId holder,
@@ -171,7 +168,7 @@
     ReservationAnswer answer;
     if (!this->mayReserve(now)) {
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
-        answer.retryAfter = RetryAfterWait;
+        answer.retryAfter = this->retryPacer.next(now - this->lastContact);
         answer.decisionInputs = this->describeInputs(request, now);
         return answer;
     }
@@ -187,9 +184,13 @@
         answer.decisionInputs = this->describeInputs(request, now);
         return answer;
     case budget::DecisionKind::Unconfirmed:
+        if (this->requestLoans(request, now)) {
+            return std::nullopt;
+        }
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
+        answer.retryAfter = this->retryPacer.next(now - this->lastContact);
         answer.decisionInputs = this->describeInputs(request, now);
-        return this->requestLoans(request, now) ? std::nullopt : std::optional(answer);
+        return answer;
     case budget::DecisionKind::Wait:
         if (decision.cause != budget::WaitCause::Ramp) {
             (void)this->requestLoans(request, now);
@@ -379,7 +380,7 @@
         ReservationAnswer answer;
         // Not BudgetExhausted: the ledger has not confirmed that too few tokens are left.
         answer.reason = core::RefusalReason::BudgetUnconfirmed;
-        answer.retryAfter = RetryAfterWait;
+        answer.retryAfter = this->retryPacer.next(now - this->lastContact);
         answer.decisionInputs = this->describeInputs(pending->request, now);
         this->counters.observe(telemetry::Latency::BudgetWait, now - pending->queuedAt);
         const OnReservation onAnswer = std::move(pending->onAnswer);
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -5,6 +5,7 @@
 #include "samphirebridge/budget/escrowbook.h"
 #include "samphirebridge/budget/isolation.h"
 #include "samphirebridge/budget/loanseeker.h"
+#include "samphirebridge/budget/retrypacer.h"
 #include "samphirebridge/budget/witnessbook.h"
 #include "samphirebridge/control/ledgerclient.h"
 #include "samphirebridge/core/bootclock.h"
@@ -159,6 +160,7 @@
     NoticeSender sendNotice;
     LoanRequestSender sendLoanRequest;
     budget::LoanSeeker loanSeeker;
+    budget::RetryPacer retryPacer;
     std::optional<core::Tokens> contactExposure;
     core::Tokens isolatedExposure; // The limit while isolated, from the policy.
     core::HolderId inFlightWitness; // The witness that the batch in flight names.
