entry: Answer waiting requests after the list of them was walked

Callers saw: one caller could end an entry instance. It pipelines requests on a connection; when the first of them and others were refused for want of tokens in the same moment, the process crashed (SIGSEGV), and with it everything under way on the instance.

Cause: the refusal is written at once, so that the pipelined request is read, reserves tokens and walks the list of waiting requests inside the walk that refused the first one. The inner walk erased the element at which the outer one went on.

Now the answers are collected and given after the walk, and a walk inside the deciding is left out.

Ruled out: the order of the answers (as before, by arrival); answers lost in the inner walk, since a retry follows with each tick while out of contact and with each answer of the ledger.

--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -357,35 +357,53 @@
 void EscrowKeeper::retryPendingRequests(core::TimePoint now)
 {
     // In the order of arrival, so that small requests don't starve a large one.
-    for (auto pending = this->pendingRequests.begin(); pending != this->pendingRequests.end();) {
-        const auto answer = this->decide(pending->request, now);
-        if (!answer) {
-            ++pending;
-            continue;
-        }
-        this->counters.observe(telemetry::Latency::BudgetWait, now - pending->queuedAt);
-        const OnReservation onAnswer = std::move(pending->onAnswer);
-        pending = this->pendingRequests.erase(pending);
-        onAnswer(*answer);
-    }
+    this->answerPendingRequests(now, [this, now](const PendingRequest &pending) {
+        return this->decide(pending.request, now);
+    });
 }
 
 void EscrowKeeper::expirePendingRequests(core::TimePoint now)
 {
+    this->answerPendingRequests(now, [this, now](const PendingRequest &pending) {
+        std::optional<ReservationAnswer> answer;
+        if (pending.request.deadline > now) {
+            return answer;
+        }
+        answer.emplace();
+        // Not BudgetExhausted: the ledger has not confirmed that too few tokens are left.
+        answer->reason = core::RefusalReason::BudgetUnconfirmed;
+        answer->retryAfter = this->retryPacer.next(now - this->lastContact);
+        answer->decisionInputs = this->describeInputs(pending.request, now);
+        return answer;
+    });
+}
+
+void EscrowKeeper::answerPendingRequests(
+    core::TimePoint now,
+    const std::function<std::optional<ReservationAnswer>(const PendingRequest &)> &decideOn)
+{
+    struct Answered {
+        OnReservation onAnswer;
+        ReservationAnswer answer;
+    };
+    if (std::exchange(this->decidesPendingRequests, true)) {
+        return;
+    }
+    std::vector<Answered> answered;
     for (auto pending = this->pendingRequests.begin(); pending != this->pendingRequests.end();) {
-        if (pending->request.deadline > now) {
+        auto answer = decideOn(*pending);
+        if (!answer) {
             ++pending;
             continue;
         }
-        ReservationAnswer answer;
-        // Not BudgetExhausted: the ledger has not confirmed that too few tokens are left.
-        answer.reason = core::RefusalReason::BudgetUnconfirmed;
-        answer.retryAfter = this->retryPacer.next(now - this->lastContact);
-        answer.decisionInputs = this->describeInputs(pending->request, now);
         this->counters.observe(telemetry::Latency::BudgetWait, now - pending->queuedAt);
-        const OnReservation onAnswer = std::move(pending->onAnswer);
+        answered.push_back({std::move(pending->onAnswer), *std::move(answer)});
         pending = this->pendingRequests.erase(pending);
-        onAnswer(answer);
+    }
+    this->decidesPendingRequests = false;
+    // Last, because an answer may make its caller's next request reserve at once.
+    for (const Answered &each : answered) {
+        each.onAnswer(each.answer);
     }
 }
 
--- a/source/samphirebridge/entry/escrowkeeper.h
+++ b/source/samphirebridge/entry/escrowkeeper.h
@@ -145,6 +145,11 @@
     void retryPendingRequests(core::TimePoint now);
     // Refuses the pending requests whose deadline has passed.
     void expirePendingRequests(core::TimePoint now);
+    // Calls the function for each pending request, in the order of arrival, and answers those for
+    // which it returns an answer. Does nothing inside such a call.
+    void answerPendingRequests(
+        core::TimePoint now,
+        const std::function<std::optional<ReservationAnswer>(const PendingRequest &)> &decideOn);
     void send(const proto::HolderBatch &batch);
     void onBatchAnswer(const absl::StatusOr<proto::CommandResult> &result, core::TimePoint now);
 
@@ -167,6 +172,7 @@
     core::Duration outOfContactServe{};
     core::TimePoint lastContact; // When the ledger last answered a batch.
     std::list<PendingRequest> pendingRequests; // In the order of arrival.
+    bool decidesPendingRequests = false; // Guards the list against changes while it is walked.
     bool registered = false;
     bool shuttingDown = false;
     uint64_t lastSequence = 0; // Of the last batch sent.
