membership: Exchange messages with few partners in a large fleet

Cause: work that grows with the square of the fleet. Each instance sent heartbeats, pushes and digests to others chosen anew each time, and a digest to each instance that it heard of, so that every process soon had a gRPC connection to and from every other. And per instance: absl's check of lock orders, which Debian's build has switched on; a walk over all instances each 10 ms; copies of all their records for a count.

Now an instance of a fleet above directPeerLimit has partners at distances of powers of two on a ring of hashed ids, 16 of 200; control instances still exchange digests with all. The check of lock orders is switched off, records are visited in place, and silent instances are looked for once a heartbeat.

Profiled on own processes on loopback, 90 entry and 3 control, 12 s after the start (perf, one run each): open files of an entry instance 202 to 80, the check of lock orders 7% of the time to none. Processor time of the start 33 s to 31 s beside other work on the machine: no gain shown by that run.

Ruled out as the main cost: the 10 ms tick (50 ms instead: 0.0150 to 0.0128 cores of an idle entry instance; not changed).

--- a/source/samphirebridge/daemon/processrunner.cpp
+++ b/source/samphirebridge/daemon/processrunner.cpp
@@ -4,6 +4,7 @@
 #include "samphirebridge/daemon/commandline.h"
 #include "samphirebridge/daemon/datafolder.h"
 
+#include <absl/synchronization/mutex.h>
 #include <fmt/format.h>
 
 #include <csignal>
@@ -77,6 +78,9 @@
 
 int runProcess(std::span<const char *const> arguments, const AttachInterface &attach)
 {
+    // Debian's build of absl checks the order of all locks for deadlocks, which takes a tenth of
+    // the processor time of a process that opens many connections.
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     const CommandLine commandLine = parseCommandLine(arguments);
     auto settings = settings::loadSettings(commandLine.settingsPath);
     if (!settings.ok()) {
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -243,10 +243,11 @@
 
 bool FleetView::isControlInContact(core::TimePoint now) const
 {
-    const auto views = this->instanceDirectory.view(now);
-    return std::any_of(views.begin(), views.end(), [](const membership::InstanceView &view) {
-        return view.record.votes() && view.inContact;
+    bool inContact = false;
+    this->instanceDirectory.visit(now, [&](const proto::InstanceRecord &record, bool isInContact) {
+        inContact = inContact || (record.votes() && isInContact);
     });
+    return inContact;
 }
 
 // The retries are divided among all instances that serve callers, also those out of contact: an
@@ -256,11 +257,10 @@
     if (this->fleetRetryBurst <= 0) {
         return;
     }
-    const auto views = this->instanceDirectory.view(now);
-    const auto serving
-        = std::count_if(views.begin(), views.end(), [](const membership::InstanceView &view) {
-              return view.record.serves();
-          });
+    size_t serving = 0;
+    this->instanceDirectory.visit(now, [&](const proto::InstanceRecord &record, bool) {
+        serving += record.serves() ? 1 : 0;
+    });
     const double instances = std::max<double>(1, static_cast<double>(serving));
     this->targetRouter.setRetryShare(this->retrySharePercent, this->fleetRetryBurst / instances);
 }
@@ -307,9 +307,9 @@
 uint64_t FleetView::newestManifestVersion(core::TimePoint now) const
 {
     uint64_t newest = 0;
-    for (const membership::InstanceView &view : this->instanceDirectory.view(now)) {
-        newest = std::max<uint64_t>(newest, view.record.manifest_version());
-    }
+    this->instanceDirectory.visit(now, [&](const proto::InstanceRecord &record, bool) {
+        newest = std::max<uint64_t>(newest, record.manifest_version());
+    });
     return newest;
 }
 
--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -86,15 +86,15 @@
 
 std::vector<Outgoing> InstanceDirectory::tick(core::TimePoint now)
 {
+    if (this->lastSentAt && now - *this->lastSentAt < this->options.heartbeatInterval) {
+        return {};
+    }
+    this->lastSentAt = now;
     const core::Duration retention = this->options.silentInstanceRetention * this->intervalFactor();
     absl::erase_if(this->entries, [&](const auto &item) {
         const Entry &entry = item.second;
         return !entry.isSeed && entry.heardAt && now - *entry.heardAt > retention;
     });
-    if (this->lastSentAt && now - *this->lastSentAt < this->options.heartbeatInterval) {
-        return {};
-    }
-    this->lastSentAt = now;
     const core::Duration interval = this->options.heartbeatInterval * this->intervalFactor();
     if (!this->lastIncrementAt || now - *this->lastIncrementAt >= interval) {
         this->lastIncrementAt = now;
@@ -115,7 +115,7 @@
 std::vector<core::InstanceId> InstanceDirectory::merge(const proto::MembershipUpdate &update,
                                                        core::TimePoint now)
 {
-    std::vector<core::InstanceId> nowInContact;
+    absl::btree_set<core::InstanceId> nowInContact;
     for (const proto::InstanceRecord &record : update.instances()) {
         if (record.id() == this->self.value || !core::checkName(record.id()).ok()) {
             continue;
@@ -128,13 +128,35 @@
             continue;
         }
         if (!this->inContact(entry, now)) {
-            nowInContact.emplace_back(record.id());
+            nowInContact.emplace(record.id());
         }
         entry.record = record;
         entry.heardAt = now;
         entry.relayCount = 0;
     }
-    return nowInContact;
+    return nowInContact.empty() ? std::vector<core::InstanceId>()
+                                : this->digestReceivers(nowInContact, now);
+}
+
+std::vector<core::InstanceId>
+InstanceDirectory::digestReceivers(const absl::btree_set<core::InstanceId> &instances,
+                                   core::TimePoint now) const
+{
+    std::vector<core::InstanceId> receivers;
+    for (const core::InstanceId &partner :
+         choosePartners(this->self, this->peers(now), this->options)) {
+        if (instances.contains(partner)) {
+            receivers.push_back(partner);
+        }
+    }
+    for (const core::InstanceId &instance : instances) {
+        const bool votes
+            = this->ownRecord.votes() || this->entries.at(instance.value).record.votes();
+        if (votes && std::ranges::count(receivers, instance) == 0) {
+            receivers.push_back(instance);
+        }
+    }
+    return receivers;
 }
 
 std::vector<core::InstanceId> InstanceDirectory::peers(core::TimePoint now) const
@@ -150,7 +172,8 @@
 
 std::vector<core::InstanceId> InstanceDirectory::digestPartners(core::TimePoint now) const
 {
-    std::vector<core::InstanceId> partners = this->peers(now);
+    std::vector<core::InstanceId> partners
+        = choosePartners(this->self, this->peers(now), this->options);
     if (!partners.empty()) {
         return partners;
     }
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -7,7 +7,9 @@
 #include "samphirebridge/membership/outgoing.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 
+#include <concepts>
 #include <optional>
 #include <span>
 #include <string>
@@ -59,8 +61,10 @@
     std::vector<Outgoing> tick(core::TimePoint now);
 
     // Merges a peer's instance records; one that is not newer by incarnation, then heartbeat, is
-    // ignored. Returns the instances that are in contact now and were not before: they missed the
-    // changes pushed meanwhile and need a digest.
+    // ignored. Returns the instances to send a digest to: those that are in contact now and were
+    // not before, and so missed the changes pushed meanwhile. In a large fleet only partners get
+    // one, and every control instance exchanges them with all, since targets announce themselves
+    // there.
     std::vector<core::InstanceId> merge(const proto::MembershipUpdate &update, core::TimePoint now);
 
     // Returns the instances in contact, ordered by id. Leaving ones are included, this one is not.
@@ -73,6 +77,17 @@
     // Returns all listed instances, this one included, ordered by id.
     [[nodiscard]] std::vector<InstanceView> view(core::TimePoint now) const;
 
+    // Calls visitor(record, inContact) for all listed instances, this one included, without copies
+    // and in no particular order.
+    template <std::invocable<const proto::InstanceRecord &, bool> Visitor>
+    void visit(core::TimePoint now, Visitor visitor) const
+    {
+        visitor(this->ownRecord, true);
+        for (const auto &[id, entry] : this->entries) {
+            visitor(entry.record, this->inContact(entry, now));
+        }
+    }
+
     // Returns the instances in contact, this one included, whose manifest is older than `version`.
     // An apply waits for them.
     [[nodiscard]] std::vector<core::InstanceId> withOlderManifest(uint64_t version,
@@ -86,6 +101,9 @@
         uint32_t relayCount = 0; // How many of our heartbeats have relayed this record.
     };
 
+    // Returns those of the instances that this one sends a digest to.
+    [[nodiscard]] std::vector<core::InstanceId>
+    digestReceivers(const absl::btree_set<core::InstanceId> &instances, core::TimePoint now) const;
     // The factor by which intervals and timeouts grow in a fleet above FullRateInstances.
     [[nodiscard]] int64_t intervalFactor() const;
     [[nodiscard]] bool inContact(const Entry &entry, core::TimePoint now) const;
