core, budget: Let a busy instance in contact open what a round trip needs

Cause: what may be open without a record was 4,000 tokens, whatever the rate: two or three short requests for each round trip to the ledger. The requests behind them waited 350 ms and were refused. The rate that is reported counted only requests that had been reserved, so those held up never showed in it.

Now the bound is 0.1 s of the ramp's rate where that is more than before, at most 200,000 tokens, and demand counts on arrival.

--- a/source/samphirebridge/budget/budgetaccount.cpp
+++ b/source/samphirebridge/budget/budgetaccount.cpp
@@ -26,12 +26,16 @@
 
 } // namespace
 
+void BudgetAccount::recordDemand(int64_t tokens, core::TimePoint now)
+{
+    this->demand.recordRequest(tokens, now);
+}
+
 void BudgetAccount::open(int64_t tokens, core::TimePoint now)
 {
     this->free -= tokens;
     this->reserved += tokens;
     this->lastUsedAt = now;
-    this->demand.recordRequest(tokens, now);
 }
 
 void BudgetAccount::cancel(int64_t tokens)
--- a/source/samphirebridge/budget/budgetaccount.h
+++ b/source/samphirebridge/budget/budgetaccount.h
@@ -28,6 +28,8 @@
 class BudgetAccount
 {
 public:
+    // Counts a request as demand.
+    void recordDemand(int64_t tokens, core::TimePoint now);
     // Moves free tokens to an open reservation.
     void open(int64_t tokens, core::TimePoint now);
     // Moves the tokens of an open reservation back, if its claim was not accepted.
--- a/source/samphirebridge/budget/escrowbook.cpp
+++ b/source/samphirebridge/budget/escrowbook.cpp
@@ -45,6 +45,13 @@
     return this->state->reserve(budget, tokens.count, now, recording);
 }
 
+void EscrowBook::recordDemand(const core::BudgetId &budget,
+                              core::Tokens tokens,
+                              core::TimePoint now)
+{
+    this->state->recordDemand(budget, tokens.count, now);
+}
+
 absl::Status EscrowBook::openClaimed(ReservationId reservation)
 {
     return this->state->openClaimed(reservation);
--- a/source/samphirebridge/budget/escrowbook.h
+++ b/source/samphirebridge/budget/escrowbook.h
@@ -65,6 +65,9 @@
     double isolationRateFactor = 2;
     // The longest that a request waits until the exposure ramp covers it.
     core::Duration maxRampWait = std::chrono::milliseconds(500);
+    // Whether the host reports each request by recordDemand() when it arrives. If not, a request
+    // counts as demand once it is reserved, so that those held up by a limit are not seen.
+    bool demandByArrival = false;
     // How long a refused caller is told to wait before it retries.
     core::Duration retryAfter = std::chrono::seconds(5);
 };
@@ -177,6 +180,9 @@
                      core::TimePoint now,
                      Recording recording = Recording::Batch);
 
+    // Counts a request of this many tokens as demand; see EscrowOptions::demandByArrival.
+    void recordDemand(const core::BudgetId &budget, core::Tokens tokens, core::TimePoint now);
+
     // Marks a reservation as recorded after its Claim command was answered with CLAIMED or
     // TAKEN_OVER. The host must retry a claim whose answer is lost, and release the reservation on
     // any other verdict. Returns UnknownReservation if the reservation is not open.
--- a/source/samphirebridge/budget/escrowstate.cpp
+++ b/source/samphirebridge/budget/escrowstate.cpp
@@ -53,6 +53,11 @@
     return {.kind = DecisionKind::Reserved, .reservation = reservation};
 }
 
+void EscrowState::recordDemand(const core::BudgetId &budget, int64_t tokens, core::TimePoint now)
+{
+    this->accounts[budget].recordDemand(tokens, now);
+}
+
 absl::Status EscrowState::openClaimed(ReservationId reservation)
 {
     const auto reservationEntry = this->reservations.find(reservation);
@@ -192,7 +197,11 @@
                                            core::TimePoint now)
 {
     const ReservationId reservation = ++this->lastReservation;
-    this->accounts[budget].open(tokens, now);
+    BudgetAccount &account = this->accounts[budget];
+    account.open(tokens, now);
+    if (!this->options.demandByArrival) {
+        account.recordDemand(tokens, now);
+    }
     this->reservations.emplace(reservation, Reservation{budget, tokens, record});
     if (record == RecordState::Unsent) {
         this->unsent.insert(reservation);
--- a/source/samphirebridge/budget/escrowstate.h
+++ b/source/samphirebridge/budget/escrowstate.h
@@ -68,6 +68,7 @@
 
     Decision
     reserve(const core::BudgetId &budget, int64_t tokens, core::TimePoint now, Recording recording);
+    void recordDemand(const core::BudgetId &budget, int64_t tokens, core::TimePoint now);
     absl::Status openClaimed(ReservationId reservation);
     absl::Status settle(ReservationId reservation,
                         int64_t used,
--- a/source/samphirebridge/core/exposureramp.h
+++ b/source/samphirebridge/core/exposureramp.h
@@ -20,8 +20,9 @@
 inline constexpr int64_t SlowStartMs = 2'000;
 
 // Returns the tokens of a budget that a holder may spend without a record while it is in contact:
-// its demand of one second at the rate of its ramp, at most `limit`. Returns `limit` if the rate is
-// 0, which means that ramps are disabled.
+// its demand of one second at the rate of its ramp, but no more than a few short requests need, or
+// than its demand during the round trip of a report if that is more; at most `limit`. Returns
+// `limit` if the rate is 0, which means that ramps are disabled.
 int64_t contactExposure(int64_t limit, int64_t tokensPerSecond);
 
 // Returns by how many tokens the exposure has grown after `elapsedMs` out of contact, rounded down.
--- a/source/samphirebridge/entry/escrowkeeper.cpp
+++ b/source/samphirebridge/entry/escrowkeeper.cpp
@@ -24,6 +24,13 @@
 // The longest that a request waits for tokens. Grants take milliseconds while in contact.
 constexpr core::Duration MaximumWait = std::chrono::seconds(3);
 
+// Returns the options with demand counted when requests arrive, as reserve() does.
+budget::EscrowOptions countingArrivals(budget::EscrowOptions options)
+{
+    options.demandByArrival = true;
+    return options;
+}
+
 } // namespace
 
 EscrowKeeper::EscrowKeeper(core::HolderId holder,
@@ -31,8 +38,8 @@
                            control::LedgerClient &ledgerClient,
                            telemetry::Counters &processCounters,
                            telemetry::Logger &processLogger)
-    : bookOptions(options)
-    , book(std::move(holder), options)
+    : bookOptions(countingArrivals(options))
+    , book(std::move(holder), this->bookOptions)
     , client(ledgerClient)
     , counters(processCounters)
     , logger(processLogger)
@@ -79,9 +86,9 @@
 
 void EscrowKeeper::setPolicy(const budget::EscrowOptions &options, core::Duration serveTime)
 {
-    this->bookOptions = options;
+    this->bookOptions = countingArrivals(options);
     this->isolatedExposure = options.exposureLimit;
-    this->book.setOptions(options);
+    this->book.setOptions(this->bookOptions);
     this->updateIsolation(this->clock.now());
     this->outOfContactServe = serveTime;
 }
@@ -90,6 +97,7 @@
                            core::TimePoint now,
                            OnReservation onAnswer)
 {
+    this->book.recordDemand(request.budget, request.tokens, now);
     if (const auto answer = this->decide(request, now)) {
         this->counters.observe(telemetry::Latency::BudgetWait, core::Duration::zero());
         onAnswer(*answer);
--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -75,11 +75,11 @@
 // declaration. Not limited further, so that an isolated instance goes on serving out of its escrow.
 inline constexpr core::Tokens MaximumExposure = core::MaximumPurchase;
 
-// The same while the instance is in contact with the ledger; enough for a few short requests. The
-// opening of a larger one is recorded before the request is sent on, which takes a round trip to
-// the quorum. This bounds what each budget loses when an instance ends without notice; the loss is
-// less if the instance needs little of the budget.
-inline constexpr core::Tokens ContactExposure{4'000};
+// The most that may be so while the instance is in contact with the ledger; core::contactExposure()
+// gives less to an instance that needs less. The opening of a larger request is recorded before the
+// request is sent on, which takes a round trip to the quorum. This bounds what each budget loses
+// when an instance ends without notice.
+inline constexpr core::Tokens ContactExposure{200'000};
 
 // How much each second out of contact adds to ContactExposure, in tokens, if requests reserve
 // little; instances report what they need beyond this. When an instance ends without notice, its
--- a/source/samphirebridge/membership/receivers.cpp
+++ b/source/samphirebridge/membership/receivers.cpp
@@ -87,8 +87,7 @@
     }
     // Half of an even ring is the same position in both directions.
     std::ranges::sort(positions);
-    const auto repeated = std::ranges::unique(positions);
-    positions.erase(repeated.begin(), repeated.end());
+    positions.erase(std::unique(positions.begin(), positions.end()), positions.end());
     std::vector<core::InstanceId> partners;
     partners.reserve(positions.size());
     for (const size_t position : positions) {
--- a/tests/budget/retrypacertest.cpp
+++ b/tests/budget/retrypacertest.cpp
@@ -103,10 +103,8 @@
 TEST_CASE("callers refused at the same moment are told evenly spread times")
 {
     RetryPacer pacer;
-    std::vector<core::Duration> times;
-    for (int refusal = 0; refusal < 50; ++refusal) {
-        times.push_back(pacer.next(2s));
-    }
+    std::vector<core::Duration> times(50);
+    std::ranges::generate(times, [&pacer] { return pacer.next(2s); });
     std::ranges::sort(times);
     // 50 callers over 1 s, one each 20 ms.
     for (size_t next = 1; next < times.size(); ++next) {
