tests/budget: Simulate busy holders whose bound in contact follows their rate

The new case declares 200,000 as the platform does, with four times as many requests.

Not simulated: demand that counts on arrival, which changes the rate that is reported but not how either side uses it.

--- a/tests/budget/isolationtest.cpp
+++ b/tests/budget/isolationtest.cpp
@@ -61,6 +61,26 @@
     }
 }
 
+// The declared exposure leaves room for the bound that follows the rate of a busy holder.
+TEST_CASE("budgets are not overspent when busy holders may have more unrecorded in contact")
+{
+    for (uint64_t seed = 1; seed <= 200; ++seed) {
+        IsolationScenario scenario;
+        scenario.seed = seed;
+        scenario.arrivalMs = 5;
+        scenario.contactExposure = 200'000;
+        scenario.isolationPerSecond = 2'500 << (seed % 7);
+        scenario.purchased = 300'000 + static_cast<int64_t>(seed % 9) * 300'000;
+        scenario.killsPercent = static_cast<int>(seed % 4);
+        scenario.lossPercent = static_cast<int>(seed % 4) * 6;
+        scenario.leaderChangesPercent = seed % 2 == 0 ? 0 : 3;
+        scenario.machineClockPercent = static_cast<int>(seed % 3) * 50;
+        scenario.killAllAtMs = 2'000 + seed % 16 * 900;
+        IsolationSimulation simulation(scenario);
+        CHECK_THAT(simulation.run(), Catch::Equals(""));
+    }
+}
+
 TEST_CASE("budgets are not overspent when one batch can't hold all records after a partition")
 {
     int64_t largestBatch = 0;
