forwarding, entry: Log what each request is billed and when purchases change

A refusal for want of tokens tells where the budget's tokens are, but nothing told which requests they had been billed for, or when a purchased total came into force.

The lines that end a request name the tokens billed; `purchase_changed` is logged once a declaration comes into force. No decision changes.

--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -4,9 +4,12 @@
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/delta/contentdelta.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <chrono>
 #include <limits>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace samphirebridge::entry
@@ -181,7 +184,11 @@
                              {"error", std::string(core::messageOf(decoded.status()))}});
         return;
     }
+    const std::shared_ptr<const forwarding::RouteTable> before = this->currentTable;
     this->currentTable = std::make_shared<const forwarding::RouteTable>(std::move(*decoded));
+    if (before != nullptr) {
+        this->logPurchases(before->declaration());
+    }
     this->counters.count(telemetry::Event::ManifestsInForce);
     this->counters.set(telemetry::Gauge::ManifestVersion,
                        static_cast<double>(this->heldDeclaration.version()));
@@ -192,4 +199,24 @@
     this->onDeclaration(this->currentTable->declaration());
 }
 
+void DeclarationKeeper::logPurchases(const forwarding::Declaration &before)
+{
+    absl::flat_hash_map<std::string_view, core::Tokens> tokensBefore;
+    for (const forwarding::Organisation &organisation : before.organisations) {
+        tokensBefore[organisation.id.value] = organisation.purchased.value_or(core::Tokens{});
+    }
+    for (const forwarding::Organisation &organisation :
+         this->currentTable->declaration().organisations) {
+        const auto known = tokensBefore.find(organisation.id.value);
+        const core::Tokens tokens = organisation.purchased.value_or(core::Tokens{});
+        if (known == tokensBefore.end() || known->second.count == tokens.count) {
+            continue;
+        }
+        this->logger.change("purchase_changed",
+                            {{"organisation", organisation.id.value},
+                             {"tokens", std::to_string(tokens.count)},
+                             {"before", std::to_string(known->second.count)}});
+    }
+}
+
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/declarationkeeper.h
+++ b/source/samphirebridge/entry/declarationkeeper.h
@@ -79,6 +79,8 @@
     // Decodes the held declaration and makes it current. If it can't be decoded, the current one
     // stays in force.
     void putInForce();
+    // Logs each organisation whose purchased tokens differ from those of the declaration before.
+    void logPurchases(const forwarding::Declaration &before);
 
     control::LedgerClient &client;
     telemetry::Counters &counters;
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -242,7 +242,7 @@
         this->logEvent(
             "answered",
             fmt::format("target={} status={} framing={} attempts={} events={} first_ms={} "
-                        "longest_gap_ms={} took_ms={}",
+                        "longest_gap_ms={} took_ms={} billed={}",
                         this->choice.target.value,
                         this->head->status,
                         net::framingName(this->head->framing),
@@ -250,7 +250,8 @@
                         this->relay.relayedEvents(),
                         millisecondsOf(this->firstEventAfter),
                         millisecondsOf(this->longestGap),
-                        millisecondsOf(this->host.now() - this->arrived)));
+                        millisecondsOf(this->host.now() - this->arrived),
+                        this->billedTokens()));
         this->finish();
     }
 
@@ -292,7 +293,9 @@
             this->host.abandonAttempt();
             this->closeCancelledTicket();
         }
-        this->logEvent("caller_gone", {});
+        this->logEvent(
+            "caller_gone",
+            fmt::format("events={} billed={}", this->relay.relayedEvents(), this->billedTokens()));
         this->finish();
     }
 
@@ -536,7 +539,11 @@
     void giveUp(core::RefusalReason reason, core::Duration retryAfter)
     {
         if (this->headRelayed) {
-            this->logEvent("cut_off", std::string(core::refusalName(reason)));
+            this->logEvent("cut_off",
+                           fmt::format("reason={} events={} billed={}",
+                                       core::refusalName(reason),
+                                       this->relay.relayedEvents(),
+                                       this->billedTokens()));
             this->host.abortAnswer();
             this->finish();
             return;
@@ -562,10 +569,11 @@
     void refuse(const ForwardRefusal &refusal)
     {
         this->logEvent("refused",
-                       fmt::format("reason={} outcome={} retry_after_ms={}",
+                       fmt::format("reason={} outcome={} retry_after_ms={} billed={}",
                                    core::refusalName(refusal.reason),
                                    core::outcomeName(refusal.outcome),
-                                   refusal.retryAfter.count() / MicrosecondsPerMs));
+                                   refusal.retryAfter.count() / MicrosecondsPerMs,
+                                   this->billedTokens()));
         this->host.refuse(refusal);
         this->finish();
     }
@@ -600,12 +608,24 @@
         return static_cast<int64_t>(this->relay.relayedEvents()) * perEvent;
     }
 
+    // Returns what the request is billed if it ends now: nothing if it can't have run, otherwise the
+    // prompt once, plus the events relayed to the caller.
+    [[nodiscard]] int64_t billedTokens() const
+    {
+        if (!this->reserved || !this->mayHaveRun) {
+            return 0;
+        }
+        const int64_t used = this->request.promptTokens + this->outputTokens();
+        return std::min(used, this->reservationBound());
+    }
+
     // Ends the machine. Reserved tokens are released if the request can't have run, and settled
-    // otherwise: the prompt once, plus the events relayed to the caller.
+    // otherwise.
     void finish()
     {
         this->phase = Phase::Done;
         this->discardBody();
+        const core::Tokens billed{this->billedTokens()};
         if (!std::exchange(this->reserved, false)) {
             return;
         }
@@ -613,8 +633,7 @@
             this->host.releaseTokens();
             return;
         }
-        const int64_t used = this->request.promptTokens + this->outputTokens();
-        this->host.settleTokens(core::Tokens{std::min(used, this->reservationBound())});
+        this->host.settleTokens(billed);
     }
 
     // Returns when an attempt without progress is given up for another target; nothing if no other
