--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -114,6 +115,7 @@
     void logEvent(const forwarding::ForwardLogEvent &event)
     {
         this->loggedEvents.emplace_back(event.event);
+        this->lastLogDetail = event.detail;
     }
 
     core::TimePoint time = core::TimePoint(100s);
@@ -134,6 +136,7 @@
     std::optional<forwarding::ForwardRefusal> refusal;
     core::TimePoint timer;
     std::vector<std::string> loggedEvents;
+    std::string lastLogDetail;
 };
 
 // A request with two targets and the machine that forwards it.
@@ -418,6 +421,53 @@
     request.machine->onCallerDisconnected();
     CHECK(request.host.abandoned > 0);
     CHECK(request.host.settled == core::Tokens{105});
+    CHECK_THAT(request.host.lastLogDetail, Catch::Contains("events=1 billed=105"));
+}
+
+// Guards against budgets that are used up by requests of which their callers got nothing: a caller
+// that left, or a target that failed, before the answer had begun.
+TEST_CASE("a request that ends before its answer has begun is billed nothing")
+{
+    using End = std::function<void(Fixture &)>;
+    const std::vector<End> ends{
+        [](Fixture &request) { request.machine->onCallerDisconnected(); },
+        [](Fixture &request) {
+            request.host.time += 10s;
+            request.machine->onTimer();
+        },
+        [](Fixture &request) {
+            request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        },
+        [](Fixture &request) {
+            (void)request.receiveHead(200);
+            request.machine->onCallerDisconnected();
+        },
+    };
+    for (const End &end : ends) {
+        Fixture request(RequestKind::Stream);
+        request.organisation = &request.limitedOrganisation;
+        request.start();
+        request.machine->onReservationResult({true});
+        request.reportSent();
+        end(request);
+        REQUIRE(request.machine->done());
+        CHECK(request.host.released);
+        CHECK_FALSE(request.host.settled);
+        CHECK_THAT(request.host.lastLogDetail, Catch::Contains("billed=0"));
+    }
+}
+
+TEST_CASE("a complete answer without events is billed its prompt")
+{
+    Fixture request(RequestKind::Repeatable);
+    request.organisation = &request.limitedOrganisation;
+    request.start();
+    request.machine->onReservationResult({true});
+    request.reportSent();
+    (void)request.receiveHead(200);
+    request.machine->onBody("body");
+    request.machine->onAnswerEnd();
+    CHECK(request.host.settled == core::Tokens{100});
 }
 
 // Guards against a second answer inside the first one: once the head of a stream has gone to the
