forwarding: Bill nothing for a request that ends before its answer begins

Cause: a request that might have reached a target was billed its whole prompt, 12,000 tokens on average for the longest kind, though its caller had left, its deadline had come or its target had failed before the first event. The class: what is uncertain was booked as spent, although it is known that the caller got nothing. The users count a request that began to run and what was delivered.

Ruled out: bills that are counted twice (the lines add up to the ledger's total), and top-ups that the ledger does not know (purchase_changed).

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -233,6 +233,7 @@
             return;
         }
         this->closeFinishedTicket();
+        this->answerComplete = true;
         if (this->streaming) {
             this->ensureHeadRelayed();
             this->host.relayEnd();
@@ -608,19 +609,20 @@
         return static_cast<int64_t>(this->relay.relayedEvents()) * perEvent;
     }
 
-    // Returns what the request is billed if it ends now: nothing if it can't have run, otherwise the
-    // prompt once, plus the events relayed to the caller.
+    // Returns what the request is billed if it ends now: the prompt once, plus the events relayed to
+    // the caller. A caller that got nothing of an answer is billed nothing: what a target may have
+    // done for it is the fleet's cost, as with every repeated attempt.
     [[nodiscard]] int64_t billedTokens() const
     {
-        if (!this->reserved || !this->mayHaveRun) {
+        const bool answered = this->answerComplete || this->relay.relayedEvents() > 0;
+        if (!this->reserved || !answered) {
             return 0;
         }
         const int64_t used = this->request.promptTokens + this->outputTokens();
         return std::min(used, this->reservationBound());
     }
 
-    // Ends the machine. Reserved tokens are released if the request can't have run, and settled
-    // otherwise.
+    // Ends the machine. Reserved tokens are released if nothing is billed, and settled otherwise.
     void finish()
     {
         this->phase = Phase::Done;
@@ -629,7 +631,7 @@
         if (!std::exchange(this->reserved, false)) {
             return;
         }
-        if (!this->mayHaveRun) {
+        if (billed.count == 0) {
             this->host.releaseTokens();
             return;
         }
@@ -696,6 +698,7 @@
     uint64_t countedEvents = 0; // The value of relay.relayedEvents() that was last processed.
     bool streaming = false;
     bool headRelayed = false;
+    bool answerComplete = false;
 };
 
 } // namespace samphirebridge::forwarding
