jsontext, requests: Refuse announcements and declarations that nest deeply before parsing

Here: an announcement or declaration of 16 MB of opening brackets, which the control interface accepts, made its parser take 1,235 MB where a control instance has 256 MB (a run of parseObject alone), so the process would end, and at each resend again.

The check for callers' chats moves from requests to jsontext, and parseObject() makes it before it parses; so does the reading of a whole answer's usage. Ruled out, with tests that passed before: numbers out of range and ports out of range are refused, directly and when another instance tells of the target. The test of deep nesting failed before: 100 levels were accepted.

--- a/source/samphirebridge/requests/nesting.cpp
+++ b/source/samphirebridge/jsontext/nesting.cpp
@@ -1,6 +1,6 @@
-#include "samphirebridge/requests/nesting.h"
+#include "samphirebridge/jsontext/nesting.h"
 
-namespace samphirebridge::requests
+namespace samphirebridge::jsontext
 {
 
 bool exceedsMaximumNesting(std::string_view text)
@@ -25,4 +25,4 @@
     return false;
 }
 
-} // namespace samphirebridge::requests
+} // namespace samphirebridge::jsontext
--- a/source/samphirebridge/requests/nesting.h
+++ b/source/samphirebridge/jsontext/nesting.h
@@ -1,10 +1,11 @@
 // Limits how deeply a JSON text may nest, before it is parsed: copying and serialising JSON values
-// recurse, so a deeply nested text would overflow the stack.
+// recurse, so a deeply nested text would overflow the stack, and each level costs far more memory than
+// the byte that opens it.
 #pragma once
 
 #include <string_view>
 
-namespace samphirebridge::requests
+namespace samphirebridge::jsontext
 {
 
 // The deepest nesting accepted, in levels of arrays and objects.
@@ -13,4 +14,4 @@
 // Tells whether the text nests deeper than MaximumNesting.
 bool exceedsMaximumNesting(std::string_view text);
 
-} // namespace samphirebridge::requests
+} // namespace samphirebridge::jsontext
--- a/source/samphirebridge/jsontext/parseobject.cpp
+++ b/source/samphirebridge/jsontext/parseobject.cpp
@@ -1,5 +1,7 @@
 #include "samphirebridge/jsontext/parseobject.h"
 
+#include "samphirebridge/jsontext/nesting.h"
+
 #include <set>
 #include <string>
 #include <vector>
@@ -9,6 +11,9 @@
 
 std::optional<nlohmann::json> parseObject(std::string_view text)
 {
+    if (exceedsMaximumNesting(text)) {
+        return std::nullopt;
+    }
     using Event = nlohmann::json::parse_event_t;
     // The names of the members read so far in each enclosing object, outermost first.
     std::vector<std::set<std::string>> members;
--- a/source/samphirebridge/requests/chatrequest.cpp
+++ b/source/samphirebridge/requests/chatrequest.cpp
@@ -1,7 +1,7 @@
 #include "samphirebridge/requests/chatrequest.h"
 
 #include "samphirebridge/core/errors.h"
-#include "samphirebridge/requests/nesting.h"
+#include "samphirebridge/jsontext/nesting.h"
 
 #include <fmt/format.h>
 
@@ -120,8 +120,8 @@
 
 absl::StatusOr<ChatRequest> ChatRequest::parse(std::string_view text, int64_t maximumOutputTokens)
 {
-    if (exceedsMaximumNesting(text)) {
-        return invalidRequest(fmt::format("the body nests deeper than {} levels", MaximumNesting));
+    if (jsontext::exceedsMaximumNesting(text)) {
+        return invalidRequest(fmt::format("the body nests deeper than {} levels", jsontext::MaximumNesting));
     }
     ChatRequest request;
     request.body = json::parse(text, nullptr, false);
--- a/source/samphirebridge/requests/chatstream.cpp
+++ b/source/samphirebridge/requests/chatstream.cpp
@@ -1,6 +1,6 @@
 #include "samphirebridge/requests/chatstream.h"
 
-#include "samphirebridge/requests/nesting.h"
+#include "samphirebridge/jsontext/nesting.h"
 
 #include <algorithm>
 #include <utility>
@@ -81,7 +81,7 @@
         this->terminated = true;
         return true;
     }
-    if (exceedsMaximumNesting(event)) {
+    if (jsontext::exceedsMaximumNesting(event)) {
         return false;
     }
     const json chunk = json::parse(event, nullptr, false);
@@ -285,6 +285,9 @@
 
 std::optional<core::Tokens> usageOfWholeAnswer(std::string_view body)
 {
+    if (jsontext::exceedsMaximumNesting(body)) {
+        return std::nullopt;
+    }
     const json answer = json::parse(body, nullptr, false);
     if (!answer.is_object() || !answer.contains("usage") || !answer["usage"].is_object()) {
         return std::nullopt;
--- a/tests/platform/heartbeatwiretest.cpp
+++ b/tests/platform/heartbeatwiretest.cpp
@@ -1,6 +1,7 @@
 #include "platform/heartbeatwire.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/membership/announcement.h"
 
 #include <catch2/catch.hpp>
 
@@ -60,3 +61,36 @@
         CHECK(errorOf(Heartbeat.substr(0, length)) == invalid);
     }
 }
+
+// Guards against one odd announcement that ends the control instances: deeply nested text takes
+// many times its length in memory.
+TEST_CASE("a heartbeat that is nested deeply or has a number out of range is refused")
+{
+    const auto invalid = core::ErrorCode::InvalidAnnouncement;
+    const auto nestedModels = [](size_t levels) {
+        const std::string value = std::string(levels, '[') + std::string(levels, ']');
+        return heartbeatWith("\"Zone\":", "\"Extra\":" + value + ",\"Zone\":");
+    };
+    CHECK(decodeHeartbeat("i-1", nestedModels(10)).ok());
+    CHECK(errorOf(nestedModels(100)) == invalid);
+    CHECK(errorOf(nestedModels(1'000'000)) == invalid);
+    CHECK(errorOf("{\"Service\":" + std::string(1'000'000, '[')) == invalid);
+    CHECK(errorOf(heartbeatWith("1700000000000", "1e400")) == invalid);
+    CHECK(errorOf(heartbeatWith("1700000000000", "18446744073709551616")) == invalid);
+    CHECK(errorOf(heartbeatWith("\"Slots\":128", "\"Slots\":4294967296")) == invalid);
+    CHECK(errorOf(heartbeatWith("\"Sequence\":4", "\"Sequence\":1e99")) == invalid);
+}
+
+TEST_CASE("a target whose port is out of range is refused, also if another instance tells of it")
+{
+    for (const char *address : {"10.128.0.9:0",
+                                "10.128.0.9:65536",
+                                "10.128.0.9:4294975376",
+                                "10.128.0.9:99999999999999999999",
+                                "10.128.0.9:-1"}) {
+        const auto record = decodeHeartbeat("i-1", heartbeatWith("10.128.0.9:8080", address));
+        REQUIRE(record.ok());
+        CHECK_FALSE(membership::checkTarget(*record).ok());
+        CHECK_FALSE(membership::checkRelayedTarget(*record).ok());
+    }
+}
