tests/forwarding: Check that a refusal written twice ends no other request

It can't happen here: the connection of a refused attempt is closed, and an answer with another request's id is skipped. Both were so before; nothing tested them together.

--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -424,6 +424,33 @@
     CHECK_THAT(request.host.lastLogDetail, Catch::Contains("events=1 billed=105"));
 }
 
+// Guards against a refusal that a target writes once more on a kept connection, and that would be
+// taken as the answer to the next request there: it would run and be refused as not run, or run at
+// a second target.
+TEST_CASE("a refusal of an earlier request does not end the next one on the connection")
+{
+    Fixture refused(RequestKind::Once);
+    refused.start();
+    refused.reportSent();
+    refused.receiveRefusal();
+    // The connection of a refused attempt is closed, so no later request uses it.
+    CHECK(refused.host.abandoned == 1);
+    Fixture next(RequestKind::Once);
+    next.start();
+    next.reportSent();
+    net::ResponseHead again;
+    for (const int status : {503, 429, 421, 408}) {
+        again.status = status;
+        CHECK(next.machine->onAnswer(again, {"id-0", false, true}) == AnswerHandling::Skip);
+    }
+    CHECK(next.receiveHead(200) == AnswerHandling::Accept);
+    next.machine->onBody("body");
+    next.machine->onAnswerEnd();
+    CHECK(next.host.status == 200);
+    CHECK(next.host.sentTo.size() == 1);
+    CHECK_FALSE(next.host.refusal);
+}
+
 // Guards against budgets that are used up by requests of which their callers got nothing: a caller
 // that left, or a target that failed, before the answer had begun.
 TEST_CASE("a request that ends before its answer has begun is billed nothing")
