routing, forwarding, platform: Act on what targets say of themselves in their answers

A target that says in its answer that it is leaving gets no new request from this instance in its incarnation, whatever announcements, peers or the targets' file say; one that answers 503 with Retry-After gets none for so long, 60 s at most, and a later answer may lengthen that. Before, neither header was read: a target that leaves while entry instances are cut off from the control instances was asked on until it refused.

One mechanism, in the selection of targets, so that first attempts, retries, resumes, probes and choices by prefix all obey it. Only the target's own answer counts: an answer with another request's id is skipped before, and one of the address's new occupant (421) says nothing of the target that was asked. A header that is given twice or with another value is ignored. If all targets that are left have asked for a pause, the request is refused at once (`targets_paused`) with the shortest rest and up to a quarter more, so that callers don't return together.

Open: other instances are not told, the product's own interface doesn't read it, and requests that wait for a connection when the answer comes are still sent.

--- a/source/samphirebridge/core/reasons.cpp
+++ b/source/samphirebridge/core/reasons.cpp
@@ -55,6 +55,8 @@
         return "retry_budget_exhausted";
     case RefusalReason::TargetsFailed:
         return "targets_failed";
+    case RefusalReason::TargetsPaused:
+        return "targets_paused";
     case RefusalReason::CrashSuspect:
         return "crash_suspect";
     case RefusalReason::AnswerBroken:
@@ -121,6 +123,7 @@
     case RefusalReason::AnswerBroken:
         return 502;
     case RefusalReason::BudgetUnconfirmed:
+    case RefusalReason::TargetsPaused:
     case RefusalReason::ClaimUnavailable:
     case RefusalReason::NoTarget:
     case RefusalReason::RetryBudgetExhausted:
--- a/source/samphirebridge/core/reasons.h
+++ b/source/samphirebridge/core/reasons.h
@@ -36,6 +36,7 @@
     DeadlineExceeded,
     RetryBudgetExhausted,
     TargetsFailed,
+    TargetsPaused, // Every target that is left has asked for no requests for a while.
     CrashSuspect, // The request was running on targets that crashed, and may have caused it.
     AnswerBroken, // The answer ended early, and the request must not be retried or resumed.
     Stopping, // The instance is shutting down.
@@ -74,6 +75,7 @@
     RefusalReason::DeadlineExceeded,
     RefusalReason::RetryBudgetExhausted,
     RefusalReason::TargetsFailed,
+    RefusalReason::TargetsPaused,
     RefusalReason::CrashSuspect,
     RefusalReason::AnswerBroken,
     RefusalReason::Stopping,
--- a/source/samphirebridge/forwarding/callerrequest.h
+++ b/source/samphirebridge/forwarding/callerrequest.h
@@ -52,6 +52,8 @@
     std::string requestId; // The echoed request id; empty: none.
     bool signedByTarget = false; // The head carries a target's signature.
     bool notRun = false; // The target has not run the request and never will.
+    bool leaving = false; // The target takes no more requests.
+    std::optional<core::Duration> retryAfter{}; // When the target wants requests again.
 };
 
 } // namespace samphirebridge::forwarding
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -174,7 +174,12 @@
     // The head of an answer arrived on the attempt's connection.
     AnswerHandling onAnswer(const net::ResponseHead &answerHead, const AnswerMetadata &metadata)
     {
-        switch (classifyAnswer(this->request.id, answerHead.status, metadata)) {
+        const AnswerClass answerClass
+            = classifyAnswer(this->request.id, answerHead.status, metadata);
+        if (answerClass != AnswerClass::Foreign) {
+            this->applyNotice(answerHead.status, metadata);
+        }
+        switch (answerClass) {
         case AnswerClass::Foreign:
             this->logEvent("foreign_answer_skipped", metadata.requestId);
             return AnswerHandling::Skip;
@@ -325,6 +330,8 @@
     };
 
     static constexpr int StatusOk = 200;
+    static constexpr int StatusMisdirected = 421;
+    static constexpr int StatusUnavailable = 503;
     static constexpr int FirstFailedStatus = 500;
 
     static int64_t millisecondsOf(core::Duration duration)
@@ -477,6 +484,27 @@
         this->armTimer();
     }
 
+    // Tells the router what the target says of itself. A misdirected request was answered by another
+    // target, which has the address now.
+    void applyNotice(int status, const AnswerMetadata &metadata)
+    {
+        if (status == StatusMisdirected) {
+            return;
+        }
+        routing::TargetNotice notice;
+        notice.leaving = metadata.leaving;
+        if (status == StatusUnavailable) {
+            notice.pause = metadata.retryAfter.value_or(core::Duration::zero());
+        }
+        if (this->host.router().onTargetNotice(this->choice.ticket, notice, this->host.now())) {
+            this->logEvent("target_notice",
+                           fmt::format("target={} leaving={} pause_ms={}",
+                                       this->choice.target.value,
+                                       notice.leaving,
+                                       millisecondsOf(notice.pause)));
+        }
+    }
+
     // The target refused without running the request, so the attempt doesn't count as sent.
     void onTargetRefused(int status)
     {
--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -87,6 +87,11 @@
         const bool admits = target->breaker.admits(this->options->breaker, now);
         target->load.decayReport(fleet, now);
         selection.anyBreakerAdmits = selection.anyBreakerAdmits || admits;
+        selection.anyStays = selection.anyStays || !target->saidLeaving;
+        if (!target->saidLeaving && now < target->pausedUntil) {
+            selection.nextPauseEnd = std::min(selection.nextPauseEnd.value_or(target->pausedUntil),
+                                              target->pausedUntil);
+        }
         const core::TimePoint probeAt = target->breaker.nextProbeAt();
         if (!admits && (!selection.nextProbeAt || probeAt < *selection.nextProbeAt)) {
             selection.nextProbeAt = probeAt;
@@ -158,7 +163,8 @@
 
 bool CandidateSelector::isUsable(const RoutedTarget &target, core::TimePoint now) const
 {
-    return target.record.state() == proto::READY && !target.exclusiveTicket
+    return target.record.state() == proto::READY && !target.saidLeaving
+           && now >= target.pausedUntil && !target.exclusiveTicket
            && target.breaker.admits(this->options->breaker, now);
 }
 
--- a/source/samphirebridge/routing/candidateselector.h
+++ b/source/samphirebridge/routing/candidateselector.h
@@ -44,6 +44,10 @@
     bool anyBreakerAdmits = false;
     // Whether a target that caches the beginning of the prompt was skipped because of its load.
     bool cachedTargetOverloaded = false;
+    // Whether any target has not said that it is leaving.
+    bool anyStays = false;
+    // The earliest end of the pauses that targets asked for.
+    std::optional<core::TimePoint> nextPauseEnd;
     // The earliest time at which a breaker that refuses requests now admits a probe.
     std::optional<core::TimePoint> nextProbeAt;
 };
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -14,6 +14,13 @@
 // The retry-after time of a refusal whose end can't be estimated.
 constexpr core::Duration DefaultRetryAfter = std::chrono::seconds(1);
 
+// The longest pause that a target gets by its answer; a longer one is likely a fault of the target.
+constexpr core::Duration MaximumPause = std::chrono::seconds(60);
+
+// Callers refused during a pause are told to return within this part of the rest of it after its
+// end, so that they don't return together.
+constexpr int PauseSpreadDivisor = 4;
+
 // What one step of the caller's priority, and being a long request, add to the priority sent to an
 // engine, where lower runs first.
 constexpr int32_t PriorityStep = 2;
@@ -117,6 +124,8 @@
         target.exclusiveTicket.reset();
         target.connectionBroken = false;
         target.unanswered.clear();
+        target.saidLeaving = false;
+        target.pausedUntil = core::TimePoint();
     }
     if (record.state() == proto::LEAVING) {
         this->suspects.onLeaving(target.targetIncarnation());
@@ -193,6 +202,9 @@
     const SelectionRules rules{idleRequirementOf(treatment), allowProbe};
     const Selection selection = this->selector.select(targets, request, rules, now);
     this->counts.prefixOverflows += selection.cachedTargetOverloaded ? 1 : 0;
+    if (auto refusal = this->refuseIfNoneAccepts(selection, now)) {
+        return *refusal;
+    }
     if (!selection.best && !selection.anyBreakerAdmits) {
         const core::Duration untilProbe
             = selection.nextProbeAt.value_or(now + DefaultRetryAfter) - now;
@@ -239,6 +251,25 @@
     }
 }
 
+bool Dispatcher::onTargetNotice(Ticket ticket, const TargetNotice &notice, core::TimePoint now)
+{
+    const auto entry = this->attempts.find(ticket);
+    RoutedTarget *target
+        = entry == this->attempts.end() ? nullptr : this->currentTarget(entry->second);
+    if (target == nullptr) {
+        return false;
+    }
+    const bool departs = notice.leaving && !std::exchange(target->saidLeaving, notice.leaving);
+    this->counts.departuresSaid += departs ? 1 : 0;
+    const core::TimePoint until = now + std::min(notice.pause, MaximumPause);
+    const bool pauses = notice.pause > core::Duration::zero() && until > target->pausedUntil;
+    if (pauses) {
+        target->pausedUntil = until;
+        ++this->counts.pausesSaid;
+    }
+    return departs || pauses;
+}
+
 void Dispatcher::onFinished(Ticket ticket, const FinishedAttempt &finished, core::TimePoint now)
 {
     const auto ended = this->endAttempt(ticket);
@@ -334,6 +365,9 @@
     case core::RefusalReason::Overloaded:
         ++this->counts.refusedOverloaded;
         break;
+    case core::RefusalReason::TargetsPaused:
+        ++this->counts.refusedPaused;
+        break;
     case core::RefusalReason::RetryBudgetExhausted:
         ++this->counts.refusedRetryBudget;
         break;
@@ -362,6 +396,24 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> Dispatcher::refuseIfNoneAccepts(const Selection &selection,
+                                                       core::TimePoint now)
+{
+    if (selection.best) {
+        return std::nullopt;
+    }
+    if (!selection.anyStays) {
+        return this->refuse(core::RefusalReason::NoTarget, DefaultRetryAfter);
+    }
+    if (!selection.nextPauseEnd) {
+        return std::nullopt;
+    }
+    const core::Duration rest = *selection.nextPauseEnd - now;
+    const auto spread = static_cast<uint64_t>((rest / PauseSpreadDivisor).count()) + 1;
+    const core::Duration extra(static_cast<core::Duration::rep>(this->nextRandom() % spread));
+    return this->refuse(core::RefusalReason::TargetsPaused, rest + extra);
+}
+
 std::optional<Refusal> Dispatcher::refuseIfOverloaded(const RouteRequest &request,
                                                       const Candidate &best,
                                                       core::TimePoint now)
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -35,6 +35,9 @@
     uint64_t probes = 0; // Choices of a target whose breaker was half open.
     uint64_t crashes = 0; // Target incarnations that this instance saw end in a crash.
     uint64_t cacheGaps = 0; // Cache events that were ignored because earlier ones are missing.
+    uint64_t departuresSaid = 0; // Target incarnations that said they are leaving.
+    uint64_t pausesSaid = 0; // Pauses that targets asked for.
+    uint64_t refusedPaused = 0;
     uint64_t refusedOverloaded = 0;
     uint64_t refusedRetryBudget = 0;
     uint64_t refusedSuspect = 0;
@@ -101,6 +104,12 @@
     // call.
     void onFirstToken(Ticket ticket, core::TimePoint now);
 
+    // Applies what the attempt's target said of itself in its answer; call it before the attempt
+    // ends. A target that is leaving gets no more attempts from this instance in its incarnation,
+    // whatever is announced; a pause may be lengthened by a later answer, not shortened. Returns
+    // whether anything changed.
+    bool onTargetNotice(Ticket ticket, const TargetNotice &notice, core::TimePoint now);
+
     // Ends an attempt whose answer is complete; clears the request if it was a crash suspect and
     // the target did not fail it.
     void onFinished(Ticket ticket, const FinishedAttempt &finished, core::TimePoint now);
@@ -161,6 +170,9 @@
     [[nodiscard]] Refusal refuse(core::RefusalReason reason, core::Duration retryAfter);
     // Returns a refusal if the treatment is to refuse the request, else nothing.
     [[nodiscard]] std::optional<Refusal> refuseSuspect(SuspectTreatment treatment);
+    // Refuses a request that no target accepts because of what all of them said of themselves.
+    [[nodiscard]] std::optional<Refusal> refuseIfNoneAccepts(const Selection &selection,
+                                                             core::TimePoint now);
     // Returns a refusal if even the best target can't meet the request's deadline, or if the
     // expected wait exceeds the admission limit; the limit does not apply to retries.
     [[nodiscard]] std::optional<Refusal>
--- a/source/samphirebridge/routing/routedtarget.h
+++ b/source/samphirebridge/routing/routedtarget.h
@@ -42,6 +42,9 @@
     absl::flat_hash_set<Ticket> attempts; // In flight at the present incarnation.
     std::optional<Ticket> exclusiveTicket; // Of a crash suspect that runs alone here.
     core::TimePoint drainUntil; // Takes only crash suspects until then.
+    // What the incarnation has said in its answers to this instance; announcements don't change it.
+    bool saidLeaving = false;
+    core::TimePoint pausedUntil; // It wants no requests from this instance until then.
     bool connectionBroken = false; // Since the incarnation last answered.
     std::deque<UnansweredAttempt> unanswered; // Since the incarnation last answered; bounded.
 };
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -61,7 +61,8 @@
 };
 
 // The request is not to be sent now. The reason is NoTarget, Overloaded, DeadlineExceeded,
-// RetryBudgetExhausted, TargetsFailed (every target's breaker refuses requests) or CrashSuspect.
+// RetryBudgetExhausted, TargetsFailed (every target's breaker refuses requests), TargetsPaused or
+// CrashSuspect.
 struct Refusal {
     core::RefusalReason reason = core::RefusalReason::NoTarget;
     core::Duration retryAfter{};
@@ -69,6 +70,12 @@
 
 using Decision = std::variant<Choice, Refusal>;
 
+// What a target says of itself in an answer.
+struct TargetNotice {
+    bool leaving = false; // It takes no more requests.
+    core::Duration pause{}; // It wants no requests from this instance for so long; 0: not said.
+};
+
 // A complete answer.
 struct FinishedAttempt {
     // The target answered that it failed, which tells nothing about the request.
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -451,6 +451,50 @@
     CHECK_FALSE(next.host.refusal);
 }
 
+// Guards against work for a target that has said in an answer that it leaves or wants a pause.
+TEST_CASE("what a target says of itself in its own answer holds for later requests")
+{
+    for (const bool leaving : {true, false}) {
+        Fixture request(RequestKind::Repeatable);
+        request.start();
+        request.reportSent();
+        const std::string target = request.host.sentTo.front();
+        net::ResponseHead answer;
+        answer.status = 503;
+        forwarding::AnswerMetadata metadata{"id-0", false, true};
+        metadata.leaving = leaving;
+        metadata.retryAfter = leaving ? std::nullopt : std::optional<core::Duration>(3s);
+        // A late copy of an answer to another request says nothing.
+        CHECK(request.machine->onAnswer(answer, metadata) == AnswerHandling::Skip);
+        CHECK(request.host.targets.counters().departuresSaid == 0);
+        CHECK(request.host.targets.counters().pausesSaid == 0);
+        metadata.requestId = "id-1";
+        CHECK(request.machine->onAnswer(answer, metadata) == AnswerHandling::Abandoned);
+        REQUIRE(request.host.sentTo.size() == 2);
+        CHECK(request.host.sentTo.back() != target);
+        for (int count = 0; count < 8; ++count) {
+            routing::RouteRequest next;
+            next.service = core::ServiceId("letters");
+            const auto decision = request.host.targets.choose(next, request.host.time + 1s);
+            REQUIRE(std::holds_alternative<routing::Choice>(decision));
+            CHECK(std::get<routing::Choice>(decision).target.value != target);
+        }
+    }
+}
+
+TEST_CASE("an answer of the address's new occupant says nothing of the target that was asked")
+{
+    Fixture request(RequestKind::Repeatable);
+    request.start();
+    request.reportSent();
+    net::ResponseHead answer;
+    answer.status = 421;
+    forwarding::AnswerMetadata metadata{"id-1", false, true};
+    metadata.leaving = true;
+    CHECK(request.machine->onAnswer(answer, metadata) == AnswerHandling::Abandoned);
+    CHECK(request.host.targets.counters().departuresSaid == 0);
+}
+
 // Guards against budgets that are used up by requests of which their callers got nothing: a caller
 // that left, or a target that failed, before the answer had begun.
 TEST_CASE("a request that ends before its answer has begun is billed nothing")
--- a/tests/platform/callerwiretest.cpp
+++ b/tests/platform/callerwiretest.cpp
@@ -134,3 +134,24 @@
     CHECK(metadata.notRun);
     CHECK_FALSE(metadata.signedByTarget);
 }
+
+TEST_CASE("what a target says of itself is decoded only if it is clear")
+{
+    net::ResponseHead answer;
+    const auto decode = [&answer](http::Headers headers) {
+        answer.headers = std::move(headers);
+        return CallerWire().decodeAnswer(answer);
+    };
+    CHECK(decode({{"Server-Leaving", "1"}}).leaving);
+    CHECK_FALSE(decode({}).leaving);
+    CHECK_FALSE(decode({{"Server-Leaving", "0"}}).leaving);
+    CHECK_FALSE(decode({{"Server-Leaving", "yes"}}).leaving);
+    CHECK_FALSE(decode({{"Server-Leaving", "1"}, {"Server-Leaving", "0"}}).leaving);
+    CHECK(decode({{"Retry-After", "2"}}).retryAfter == core::Duration(2s));
+    CHECK(decode({{"Retry-After", "0.25"}}).retryAfter == core::Duration(250ms));
+    CHECK(decode({{"Retry-After", "1e30"}}).retryAfter == core::Duration(86'400s));
+    for (const char *invalid : {"-1", "nan", "", "soon", "Fri, 31 Dec 2027 23:59:59 GMT"}) {
+        CHECK_FALSE(decode({{"Retry-After", invalid}}).retryAfter);
+    }
+    CHECK_FALSE(decode({{"Retry-After", "2"}, {"Retry-After", "3"}}).retryAfter);
+}
