--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -484,8 +484,8 @@
         this->armTimer();
     }
 
-    // Tells the router what the target says of itself. A misdirected request was answered by another
-    // target, which has the address now.
+    // Tells the router what the target says of itself. A misdirected request was answered by
+    // another target, which has the address now.
     void applyNotice(int status, const AnswerMetadata &metadata)
     {
         if (status == StatusMisdirected) {
@@ -637,9 +637,9 @@
         return static_cast<int64_t>(this->relay.relayedEvents()) * perEvent;
     }
 
-    // Returns what the request is billed if it ends now: the prompt once, plus the events relayed to
-    // the caller. A caller that got nothing of an answer is billed nothing: what a target may have
-    // done for it is the fleet's cost, as with every repeated attempt.
+    // Returns what the request is billed if it ends now: the prompt once, plus the events relayed
+    // to the caller. A caller that got nothing of an answer is billed nothing: what a target may
+    // have done for it is the fleet's cost, as with every repeated attempt.
     [[nodiscard]] int64_t billedTokens() const
     {
         const bool answered = this->answerComplete || this->relay.relayedEvents() > 0;
--- a/source/samphirebridge/jsontext/nesting.h
+++ b/source/samphirebridge/jsontext/nesting.h
@@ -1,6 +1,6 @@
 // Limits how deeply a JSON text may nest, before it is parsed: copying and serialising JSON values
-// recurse, so a deeply nested text would overflow the stack, and each level costs far more memory than
-// the byte that opens it.
+// recurse, so a deeply nested text would overflow the stack, and each level costs far more memory
+// than the byte that opens it.
 #pragma once
 
 #include <string_view>
--- a/source/samphirebridge/jsontext/parseobject.h
+++ b/source/samphirebridge/jsontext/parseobject.h
@@ -9,8 +9,8 @@
 namespace samphirebridge::jsontext
 {
 
-// Returns the object; nothing if the text is not a complete JSON object, if any object in it has two
-// members of the same name, or if it nests deeper than MaximumNesting.
+// Returns the object; nothing if the text is not a complete JSON object, if any object in it has
+// two members of the same name, or if it nests deeper than MaximumNesting.
 std::optional<nlohmann::json> parseObject(std::string_view text);
 
 } // namespace samphirebridge::jsontext
--- a/source/samphirebridge/requests/chatrequest.cpp
+++ b/source/samphirebridge/requests/chatrequest.cpp
@@ -121,7 +121,8 @@
 absl::StatusOr<ChatRequest> ChatRequest::parse(std::string_view text, int64_t maximumOutputTokens)
 {
     if (jsontext::exceedsMaximumNesting(text)) {
-        return invalidRequest(fmt::format("the body nests deeper than {} levels", jsontext::MaximumNesting));
+        return invalidRequest(
+            fmt::format("the body nests deeper than {} levels", jsontext::MaximumNesting));
     }
     ChatRequest request;
     request.body = json::parse(text, nullptr, false);
--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -163,9 +163,8 @@
 
 bool CandidateSelector::isUsable(const RoutedTarget &target, core::TimePoint now) const
 {
-    return target.record.state() == proto::READY && !target.saidLeaving
-           && now >= target.pausedUntil && !target.exclusiveTicket
-           && target.breaker.admits(this->options->breaker, now);
+    return target.record.state() == proto::READY && !target.saidLeaving && now >= target.pausedUntil
+           && !target.exclusiveTicket && target.breaker.admits(this->options->breaker, now);
 }
 
 std::vector<RoutedTarget *> CandidateSelector::usableTargets(std::span<RoutedTarget *const> targets,
--- a/tests/routing/targetnoticetest.cpp
+++ b/tests/routing/targetnoticetest.cpp
@@ -1,5 +1,5 @@
-// Tests what the router makes of a target that says in its answers that it is leaving, or that it wants
-// no requests for a while.
+// Tests what the router makes of a target that says in its answers that it is leaving, or that it
+// wants no requests for a while.
 #include "tests/routing/routerharness.h"
 
 #include <catch2/catch.hpp>
@@ -34,8 +34,8 @@
 
 } // namespace
 
-// Guards against new work for a target that has said it leaves, because announcements on the way, or
-// other instances, still call it ready.
+// Guards against new work for a target that has said it leaves, because announcements on the way,
+// or other instances, still call it ready.
 TEST_CASE("a target that said it leaves is not chosen again, whatever is announced of it")
 {
     TestRouter router = makeRouter();
