forwarding: Bill nothing for a request that its target failed

Cause: a complete answer was billed its whole prompt, whatever its status; a target that answers 500 had the caller pay 12,000 tokens for it.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -330,10 +330,16 @@
     };
 
     static constexpr int StatusOk = 200;
+    static constexpr int FirstRedirectStatus = 300;
     static constexpr int StatusMisdirected = 421;
     static constexpr int StatusUnavailable = 503;
     static constexpr int FirstFailedStatus = 500;
 
+    static bool isSuccess(int status)
+    {
+        return status >= StatusOk && status < FirstRedirectStatus;
+    }
+
     static int64_t millisecondsOf(core::Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -638,11 +644,12 @@
     }
 
     // Returns what the request is billed if it ends now: the prompt once, plus the events relayed
-    // to the caller. A caller that got nothing of an answer is billed nothing: what a target may
-    // have done for it is the fleet's cost, as with every repeated attempt.
+    // to the caller. A caller that got nothing of an answer, or a failure, is billed nothing: what
+    // a target may have done for it is the fleet's cost, as with every repeated attempt.
     [[nodiscard]] int64_t billedTokens() const
     {
-        const bool answered = this->answerComplete || this->relay.relayedEvents() > 0;
+        const bool succeeded = this->answerComplete && isSuccess(this->head->status);
+        const bool answered = succeeded || this->relay.relayedEvents() > 0;
         if (!this->reserved || !answered) {
             return 0;
         }
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -528,6 +528,25 @@
     }
 }
 
+// Guards against budgets that are used up by the failures of a target that answers its health
+// check.
+TEST_CASE("a request that its target failed is billed nothing")
+{
+    for (const int status : {400, 404, 500, 504}) {
+        Fixture request(RequestKind::Stream);
+        request.organisation = &request.limitedOrganisation;
+        request.start();
+        request.machine->onReservationResult({true});
+        request.reportSent();
+        REQUIRE(request.receiveHead(status) == AnswerHandling::Accept);
+        request.machine->onBody("no");
+        request.machine->onAnswerEnd();
+        CHECK(request.host.status == status);
+        CHECK(request.host.released);
+        CHECK_FALSE(request.host.settled);
+    }
+}
+
 TEST_CASE("a complete answer without events is billed its prompt")
 {
     Fixture request(RequestKind::Repeatable);
