tests/forwarding: Reproduce a stream that is given up because its target is silent

Callers of the users lose requests that were accepted. A resumable stream whose target sends nothing for 0.8 s is abandoned before another target has taken it. With one other target that is leaving, it is begun again at the same target; with the retry budget used up, it is cut off, though the target goes on.

--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -39,6 +40,14 @@
         record.set_kind("letters");
         record.set_state(proto::READY);
         record.mutable_load()->set_capacity(8);
+        this->records[id] = record;
+        this->targets.onTarget(record, this->time);
+    }
+
+    void setTargetState(const std::string &id, proto::TargetState state)
+    {
+        proto::TargetRecord record = this->records.at(id);
+        record.set_state(state);
         this->targets.onTarget(record, this->time);
     }
 
@@ -120,6 +129,7 @@
 
     core::TimePoint time = core::TimePoint(100s);
     routing::Router<std::mt19937_64> targets;
+    std::map<std::string, proto::TargetRecord> records;
     std::optional<core::Tokens> reserved;
     std::optional<core::Tokens> settled;
     bool released = false;
@@ -621,3 +631,33 @@
     }
     CHECK_FALSE(request.machine->done());
 }
+
+// Guards against a stream that is cut, or begun again, although its target only paused: the target
+// was given up before another had taken the stream, and there was no other.
+TEST_CASE("a stream stays at a silent target while no other can take it")
+{
+    const bool retryBudgetEmpty = GENERATE(false, true);
+    Fixture request(RequestKind::Stream, true);
+    request.start();
+    request.reportSent();
+    REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(1));
+    if (retryBudgetEmpty) {
+        request.host.targets.setRetryShare(0, 0);
+    } else {
+        const std::string other = request.host.sentTo.front() == "t1" ? "t2" : "t1";
+        request.host.setTargetState(other, proto::LEAVING);
+    }
+    for (int step = 0; step < 12; ++step) {
+        request.host.time += 100ms;
+        request.machine->onTimer();
+        REQUIRE_FALSE(request.machine->done());
+        CHECK(request.host.abandoned == 0);
+    }
+    request.machine->onBody(Fixture::event(2));
+    request.machine->onAnswerEnd();
+    CHECK(request.host.answerEnded);
+    CHECK_FALSE(request.host.aborted);
+    CHECK(request.host.sentTo.size() == 1);
+    CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
+}
