forwarding: Keep a request at a silent target until another one has answered

Callers lost streams that had been accepted and were sound: when a target sent nothing for 0.8 s, its connection was closed first, and only then was the router asked for another target. Where that refused (retry budget used up, all targets paused or failing), the stream was cut off; where the silent target was the only one left, the stream was begun again there, and what it had computed was lost.

Now a standby attempt is sent to another target while the first one stays open. The first of the two that answers goes on and the other is ended; a standby that is refused or fails ends nothing; where no target can be had, the request stays where it is and asks again every 600 ms. The silent target is let go as soon as the head of the standby's answer is there, so both don't work on the stream for longer than a head is on its way. RouteRequest::heldBy keeps the router from choosing the silent target again, since excluded targets are chosen where there is no other.

The line cut_off names the last failure, the attempts and the silence, and a cut at the end of a planned stop has the reason stopping; it was told as a deadline, like one at the request's own.

Ruled out: a longer stall timeout alone, which only moves the same cut.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -3,6 +3,9 @@
 //
 // The machine decides and its host carries out the decisions. Events may arrive in any order that a
 // network allows, but the host must drop events of an attempt that has ended.
+//
+// Silence of a target doesn't end its attempt: a standby attempt is sent to another target, and the
+// first of the two that answers goes on. A request that no other target can take stays where it is.
 #pragma once
 
 #include "samphirebridge/core/digest.h"
@@ -11,6 +14,7 @@
 #include "samphirebridge/forwarding/answercheck.h"
 #include "samphirebridge/forwarding/callerrequest.h"
 #include "samphirebridge/forwarding/declaration.h"
+#include "samphirebridge/forwarding/forwardattempt.h"
 #include "samphirebridge/forwarding/forwardpolicy.h"
 #include "samphirebridge/forwarding/streamrelay.h"
 #include "samphirebridge/net/httpmessage.h"
@@ -52,7 +56,7 @@
 
 // What the host does after it handed in the head of a target's answer.
 enum class AnswerHandling : uint8_t {
-    Accept, // Hand in its body and its end.
+    Accept, // Hand in its body and its end. A standby attempt has become the current one.
     Skip, // Read it to its end, discard it and hand in the head of the next one.
     Abandoned, // Nothing: the machine abandoned the attempt inside the call.
 };
@@ -87,9 +91,11 @@
         host.router()
         } -> std::convertible_to<routing::Dispatcher &>;
     // Begins an attempt; onSent(), onAnswer() and onFailed() follow, never inside the call.
-    host.send(choice, metadata);
+    host.send(AttemptRole{}, choice, metadata);
     // Closes the attempt's connection; no event of the attempt is handed in after that.
-    host.abandonAttempt();
+    host.abandonAttempt(AttemptRole{});
+    // Makes the standby attempt the current one, whose connection was closed.
+    host.promoteStandby();
     // Send the answer to the caller: as a stream in parts, or whole.
     host.relayHead(head);
     host.relayBody(bytes);
@@ -163,37 +169,38 @@
     }
 
     // The host began to send the attempt: from now on the target may run the request.
-    void onSent()
+    void onSent(AttemptRole role = AttemptRole::Current)
     {
-        this->attemptSent = true;
-        this->sentAt = this->host.now();
-        this->host.router().onSent(this->choice.ticket, this->sentAt);
+        ForwardAttempt &attempt = this->attemptOf(role);
+        attempt.sent = true;
+        attempt.sentAt = this->host.now();
+        this->host.router().onSent(attempt.choice.ticket, attempt.sentAt);
         this->armTimer();
     }
 
     // The head of an answer arrived on the attempt's connection.
-    AnswerHandling onAnswer(const net::ResponseHead &answerHead, const AnswerMetadata &metadata)
+    AnswerHandling onAnswer(const net::ResponseHead &answerHead,
+                            const AnswerMetadata &metadata,
+                            AttemptRole role = AttemptRole::Current)
     {
         const AnswerClass answerClass
             = classifyAnswer(this->request.id, answerHead.status, metadata);
         if (answerClass != AnswerClass::Foreign) {
-            this->applyNotice(answerHead.status, metadata);
+            this->applyNotice(answerHead.status, metadata, role);
         }
         switch (answerClass) {
         case AnswerClass::Foreign:
             this->logEvent("foreign_answer_skipped", metadata.requestId);
             return AnswerHandling::Skip;
         case AnswerClass::NotRun:
-            this->onTargetRefused(answerHead.status);
+            this->onTargetRefused(answerHead.status, role);
             return AnswerHandling::Abandoned;
         case AnswerClass::Unusable:
-            this->endFailedAttempt(core::RetryReason::ForeignAnswer);
-            this->retryOrGiveUp(core::RetryReason::ForeignAnswer);
+            this->failAttempt(core::RetryReason::ForeignAnswer, role);
             return AnswerHandling::Abandoned;
         case AnswerClass::Failed:
-            if (this->mayRetry()) {
-                this->endFailedAttempt(core::RetryReason::TargetError);
-                this->retryOrGiveUp(core::RetryReason::TargetError);
+            if (role == AttemptRole::Standby || this->mayRetry()) {
+                this->failAttempt(core::RetryReason::TargetError, role);
                 return AnswerHandling::Abandoned;
             }
             break;
@@ -202,14 +209,16 @@
         }
         // The caller already has the head of a stream, which only another stream can continue.
         if (this->headRelayed && answerHead.status != StatusOk) {
-            this->endFailedAttempt(core::RetryReason::TargetError);
-            this->retryOrGiveUp(core::RetryReason::TargetError);
+            this->failAttempt(core::RetryReason::TargetError, role);
             return AnswerHandling::Abandoned;
         }
+        if (role == AttemptRole::Standby) {
+            this->endFailedAttempt(core::RetryReason::Stalled, AttemptRole::Current);
+            this->promoteStandby();
+        }
         this->head = answerHead;
         this->streaming = this->route.kind == RequestKind::Stream && answerHead.status == StatusOk;
-        this->progressAt = this->host.now();
-        this->armTimer();
+        this->onProgress();
         return AnswerHandling::Accept;
     }
 
@@ -237,6 +246,7 @@
             this->onFailed({core::RetryReason::MissingTerminator, true});
             return;
         }
+        this->cancelStandby();
         this->closeFinishedTicket();
         this->answerComplete = true;
         if (this->streaming) {
@@ -249,7 +259,7 @@
             "answered",
             fmt::format("target={} status={} framing={} attempts={} events={} first_ms={} "
                         "longest_gap_ms={} took_ms={} billed={}",
-                        this->choice.target.value,
+                        this->current.choice.target.value,
                         this->head->status,
                         net::framingName(this->head->framing),
                         this->attempts,
@@ -261,12 +271,13 @@
         this->finish();
     }
 
-    // The attempt failed: retries it on another target or gives up.
-    void onFailed(const AttemptFailure &failure)
+    // The attempt failed. After the current one, the standby attempt goes on; without one, the
+    // request is retried on another target or given up.
+    void onFailed(const AttemptFailure &failure, AttemptRole role = AttemptRole::Current)
     {
-        this->attemptSent = this->attemptSent || failure.sent;
-        this->endFailedAttempt(failure.reason);
-        this->retryOrGiveUp(failure.reason);
+        ForwardAttempt &attempt = this->attemptOf(role);
+        attempt.sent = attempt.sent || failure.sent;
+        this->failAttempt(failure.reason, role);
     }
 
     // The time given to ForwardHost's setTimer() has come.
@@ -280,11 +291,13 @@
             this->onDeadline();
             return;
         }
+        const auto standbyTime = this->standbyDeadline();
+        if (standbyTime && now >= *standbyTime) {
+            this->failAttempt(core::RetryReason::Stalled, AttemptRole::Standby);
+        }
         const auto stallTime = this->stallDeadline();
         if (stallTime && now >= *stallTime) {
-            this->logEvent("target_stalled", this->choice.target.value);
-            this->onFailed({core::RetryReason::Stalled, true});
-            return;
+            this->seekStandby();
         }
         this->armTimer();
     }
@@ -295,20 +308,21 @@
         if (this->phase == Phase::Done) {
             return;
         }
-        if (this->phase == Phase::Attempting) {
-            this->host.abandonAttempt();
-            this->closeCancelledTicket();
-        }
+        this->cancelAttempts();
         this->logEvent(
             "caller_gone",
             fmt::format("events={} billed={}", this->relay.relayedEvents(), this->billedTokens()));
         this->finish();
     }
 
-    // The time for a graceful shutdown is up: the request ends as it does at its deadline.
+    // The time for a graceful shutdown is up: ends the request.
     void onShutdownDeadline()
     {
-        this->onDeadline();
+        if (this->phase == Phase::Done) {
+            return;
+        }
+        this->cancelAttempts();
+        this->giveUp(core::RefusalReason::Stopping, RetryAfterFailure);
     }
 
     [[nodiscard]] bool done() const
@@ -376,14 +390,43 @@
             this->giveUp(refusal->reason, refusal->retryAfter);
             return;
         }
-        this->choice = std::get<routing::Choice>(decision);
-        this->ticketOpen = true;
-        this->firstTokenSeen = false;
-        this->attemptSent = false;
-        this->sentAt = now;
+        this->current = ForwardAttempt();
+        this->sendAttempt(std::get<routing::Choice>(decision), AttemptRole::Current);
+    }
+
+    // Looks for another target because the current attempt's target is silent. The attempt is kept
+    // until another target has answered: the silent one may go on.
+    void seekStandby()
+    {
+        const core::TimePoint now = this->host.now();
+        this->nextSearch = now + MinimumStallTimeout;
+        const routing::Decision decision = this->host.router().choose(this->routeRequest(), now);
+        const auto *refusal = std::get_if<routing::Refusal>(&decision);
+        this->logEvent(
+            "target_stalled",
+            fmt::format("target={} silent_ms={} events={} standby={}",
+                        this->current.choice.target.value,
+                        millisecondsOf(now - this->silentSince()),
+                        this->relay.relayedEvents(),
+                        refusal == nullptr ? "chosen" : core::refusalName(refusal->reason)));
+        if (refusal != nullptr) {
+            return;
+        }
+        this->standby.emplace();
+        this->sendAttempt(std::get<routing::Choice>(decision), AttemptRole::Standby);
+    }
+
+    // Begins the attempt with that role at the chosen target.
+    void sendAttempt(const routing::Choice &choice, AttemptRole role)
+    {
+        const core::TimePoint now = this->host.now();
+        ForwardAttempt &attempt = this->attemptOf(role);
+        attempt.choice = choice;
+        attempt.ticketOpen = true;
+        attempt.sentAt = now;
         ++this->attempts;
         AttemptMetadata metadata;
-        metadata.targetId = this->choice.target.value;
+        metadata.targetId = choice.target.value;
         metadata.organisation = this->organisation == nullptr ? "" : this->organisation->id.value;
         metadata.timeout = this->deadline - now;
         metadata.priority = this->priority();
@@ -391,11 +434,17 @@
         metadata.lastEventId = this->relay.lastEventId();
         this->logEvent("target_chosen",
                        fmt::format("target={} attempt={} cached_tokens={} expected_ms={}",
-                                   this->choice.target.value,
+                                   choice.target.value,
                                    this->attempts,
-                                   this->choice.cachedTokens,
-                                   this->choice.expectedFirstToken.count() / MicrosecondsPerMs));
-        this->host.send(this->choice, metadata);
+                                   choice.cachedTokens,
+                                   choice.expectedFirstToken.count() / MicrosecondsPerMs));
+        this->host.send(role, choice, metadata);
+    }
+
+    // The standby attempt must exist where its role is given.
+    [[nodiscard]] ForwardAttempt &attemptOf(AttemptRole role)
+    {
+        return role == AttemptRole::Standby ? *this->standby : this->current;
     }
 
     [[nodiscard]] routing::RouteRequest routeRequest() const
@@ -414,6 +463,9 @@
         query.deadline = this->deadline;
         query.attempt = this->attempts + 1;
         query.excluded = this->failedTargets;
+        if (this->current.ticketOpen) {
+            query.heldBy = this->current.choice.target;
+        }
         uint64_t prefixHash = 0;
         for (const PromptPart &part : this->request.prompt) {
             prefixHash = core::checksumOf(fmt::format("{:x}:{:x}", prefixHash, part.id));
@@ -439,13 +491,15 @@
     void bufferBody(std::string_view bytes)
     {
         if (!this->host.bufferAnswer(bytes.size())) {
-            this->logEvent(
-                "answer_too_long",
-                fmt::format("target={} held={}", this->choice.target.value, this->body.size()));
+            this->logEvent("answer_too_long",
+                           fmt::format("target={} held={}",
+                                       this->current.choice.target.value,
+                                       this->body.size()));
             this->onFailed({core::RetryReason::ForeignAnswer, true});
             return;
         }
         this->body += bytes;
+        this->onProgress();
     }
 
     void discardBody()
@@ -475,8 +529,8 @@
             return;
         }
         const core::TimePoint now = this->host.now();
-        if (!std::exchange(this->firstTokenSeen, true)) {
-            this->host.router().onFirstToken(this->choice.ticket, now);
+        if (!std::exchange(this->current.firstTokenSeen, true)) {
+            this->host.router().onFirstToken(this->current.choice.ticket, now);
         }
         if (this->headRelayed) {
             this->longestGap = std::max(this->longestGap, now - this->relayedAt);
@@ -484,15 +538,22 @@
             this->firstEventAfter = now - this->arrived;
         }
         this->relayedAt = now;
-        this->progressAt = now;
         this->ensureHeadRelayed();
         this->host.relayBody(events);
+        this->onProgress();
+    }
+
+    // The current attempt's target sent a part of the answer, so no other is needed.
+    void onProgress()
+    {
+        this->current.progressAt = this->host.now();
+        this->cancelStandby();
         this->armTimer();
     }
 
     // Tells the router what the target says of itself. A misdirected request was answered by
     // another target, which has the address now.
-    void applyNotice(int status, const AnswerMetadata &metadata)
+    void applyNotice(int status, const AnswerMetadata &metadata, AttemptRole role)
     {
         if (status == StatusMisdirected) {
             return;
@@ -502,42 +563,124 @@
         if (status == StatusUnavailable) {
             notice.pause = metadata.retryAfter.value_or(core::Duration::zero());
         }
-        if (this->host.router().onTargetNotice(this->choice.ticket, notice, this->host.now())) {
+        const routing::Choice &choice = this->attemptOf(role).choice;
+        if (this->host.router().onTargetNotice(choice.ticket, notice, this->host.now())) {
             this->logEvent("target_notice",
                            fmt::format("target={} leaving={} pause_ms={}",
-                                       this->choice.target.value,
+                                       choice.target.value,
                                        notice.leaving,
                                        millisecondsOf(notice.pause)));
         }
     }
 
     // The target refused without running the request, so the attempt doesn't count as sent.
-    void onTargetRefused(int status)
+    void onTargetRefused(int status, AttemptRole role)
     {
-        this->attemptSent = false;
+        ForwardAttempt &attempt = this->attemptOf(role);
+        attempt.sent = false;
         this->logEvent("target_refused",
-                       fmt::format("target={} status={}", this->choice.target.value, status));
-        this->endFailedAttempt(core::RetryReason::TargetRefused);
-        this->retryOrGiveUp(core::RetryReason::TargetRefused);
+                       fmt::format("target={} status={}", attempt.choice.target.value, status));
+        this->failAttempt(core::RetryReason::TargetRefused, role);
+    }
+
+    // Ends an attempt that failed, and goes on with the other one or with a new one. A request
+    // whose current attempt is open does not end because its standby attempt fails.
+    void failAttempt(core::RetryReason reason, AttemptRole role)
+    {
+        this->endFailedAttempt(reason, role);
+        if (role == AttemptRole::Standby) {
+            this->standby.reset();
+            this->armTimer();
+            return;
+        }
+        if (this->standby) {
+            this->promoteStandby();
+            this->armTimer();
+            return;
+        }
+        this->retryOrGiveUp();
     }
 
     // Ends an attempt that failed: closes its connection, reports the failure to the router and
     // excludes the target from further attempts of the request.
-    void endFailedAttempt(core::RetryReason reason)
+    void endFailedAttempt(core::RetryReason reason, AttemptRole role)
     {
-        this->host.abandonAttempt();
-        this->mayHaveRun = this->mayHaveRun || this->attemptSent;
-        this->possibleRuns += this->attemptSent ? 1 : 0;
-        this->failedTargets.push_back(this->choice.target);
-        if (!std::exchange(this->ticketOpen, false)) {
+        ForwardAttempt &attempt = this->attemptOf(role);
+        this->logEvent("attempt_failed",
+                       fmt::format("target={} reason={} sent={} events={} fingerprint={}",
+                                   attempt.choice.target.value,
+                                   core::retryName(reason),
+                                   attempt.sent,
+                                   this->relay.relayedEvents(),
+                                   core::toHex(this->fingerprint())));
+        this->lastFailure = reason;
+        this->host.abandonAttempt(role);
+        this->countPossibleRun(attempt);
+        this->failedTargets.push_back(attempt.choice.target);
+        if (!std::exchange(attempt.ticketOpen, false)) {
             return;
         }
         // A target that answers with an error is reachable, so this is no failure for the router.
         if (reason == core::RetryReason::TargetError) {
-            this->host.router().onFinished(this->choice.ticket, {.failed = true}, this->host.now());
+            this->host.router().onFinished(
+                attempt.choice.ticket, {.failed = true}, this->host.now());
+            return;
+        }
+        this->host.router().onFailed(attempt.choice.ticket, reason, this->host.now());
+    }
+
+    // Makes the standby attempt the current one, which has ended.
+    void promoteStandby()
+    {
+        this->host.promoteStandby();
+        this->current = *std::exchange(this->standby, std::nullopt);
+        this->beginNextAnswer();
+    }
+
+    // Forgets the parts of the last attempt's answer that the caller doesn't have.
+    void beginNextAnswer()
+    {
+        this->relay.continueWithNextAnswer();
+        this->discardBody();
+        this->streaming = false;
+    }
+
+    // Ends the standby attempt because the current one goes on.
+    void cancelStandby()
+    {
+        if (!this->standby) {
             return;
         }
-        this->host.router().onFailed(this->choice.ticket, reason, this->host.now());
+        this->logEvent("standby_cancelled", this->standby->choice.target.value);
+        this->cancelAttempt(AttemptRole::Standby);
+        this->standby.reset();
+    }
+
+    // Ends all attempts for a reason other than their targets.
+    void cancelAttempts()
+    {
+        if (this->phase != Phase::Attempting) {
+            return;
+        }
+        this->cancelStandby();
+        this->cancelAttempt(AttemptRole::Current);
+    }
+
+    void cancelAttempt(AttemptRole role)
+    {
+        ForwardAttempt &attempt = this->attemptOf(role);
+        this->host.abandonAttempt(role);
+        this->countPossibleRun(attempt);
+        if (std::exchange(attempt.ticketOpen, false)) {
+            this->host.router().onCancelled(attempt.choice.ticket, this->host.now());
+        }
+    }
+
+    // Counts an attempt that has ended if its target may have run the request.
+    void countPossibleRun(const ForwardAttempt &attempt)
+    {
+        this->mayHaveRun = this->mayHaveRun || attempt.sent;
+        this->possibleRuns += attempt.sent ? 1 : 0;
     }
 
     // Tells whether the request may run on another target even if the current attempt has run.
@@ -546,24 +689,15 @@
         return mayRetryAfterRun(this->route) && this->possibleRuns + 1 < this->route.maximumTargets;
     }
 
-    // Logs the failed attempt and begins the next one if time, limits and route allow it.
-    void retryOrGiveUp(core::RetryReason reason)
+    // Begins the next attempt if time, limits and route allow it.
+    void retryOrGiveUp()
     {
-        this->logEvent("attempt_failed",
-                       fmt::format("target={} reason={} sent={} events={} fingerprint={}",
-                                   this->choice.target.value,
-                                   core::retryName(reason),
-                                   this->attemptSent,
-                                   this->relay.relayedEvents(),
-                                   core::toHex(this->fingerprint())));
         const bool timeLeft = this->host.now() < this->deadline;
         const bool mayRun
             = this->possibleRuns == 0
               || (mayRetryAfterRun(this->route) && this->possibleRuns < this->route.maximumTargets);
         if (timeLeft && mayRun && this->attempts < MaximumAttempts) {
-            this->relay.continueWithNextAnswer();
-            this->discardBody();
-            this->streaming = false;
+            this->beginNextAnswer();
             this->chooseTarget();
             return;
         }
@@ -574,11 +708,18 @@
     void giveUp(core::RefusalReason reason, core::Duration retryAfter)
     {
         if (this->headRelayed) {
-            this->logEvent("cut_off",
-                           fmt::format("reason={} events={} billed={}",
-                                       core::refusalName(reason),
-                                       this->relay.relayedEvents(),
-                                       this->billedTokens()));
+            this->logEvent(
+                "cut_off",
+                fmt::format(
+                    "reason={} last_failure={} attempts={} events={} "
+                    "silent_ms={} took_ms={} billed={}",
+                    core::refusalName(reason),
+                    this->lastFailure ? core::retryName(*this->lastFailure) : "none",
+                    this->attempts,
+                    this->relay.relayedEvents(),
+                    millisecondsOf(this->host.now() - std::max(this->relayedAt, this->arrived)),
+                    millisecondsOf(this->host.now() - this->arrived),
+                    this->billedTokens()));
             this->host.abortAnswer();
             this->finish();
             return;
@@ -593,11 +734,7 @@
         if (this->phase == Phase::Done) {
             return;
         }
-        if (this->phase == Phase::Attempting) {
-            this->host.abandonAttempt();
-            this->mayHaveRun = this->mayHaveRun || this->attemptSent;
-            this->closeCancelledTicket();
-        }
+        this->cancelAttempts();
         this->giveUp(core::RefusalReason::DeadlineExceeded, RetryAfterFailure);
     }
 
@@ -616,23 +753,14 @@
     // Reports the attempt's complete answer to the router.
     void closeFinishedTicket()
     {
-        if (!std::exchange(this->ticketOpen, false)) {
+        if (!std::exchange(this->current.ticketOpen, false)) {
             return;
         }
         this->mayHaveRun = true;
         routing::FinishedAttempt finished;
         finished.failed = this->head->status >= FirstFailedStatus;
         finished.outputTokens = static_cast<uint32_t>(std::max<int64_t>(this->outputTokens(), 1));
-        this->host.router().onFinished(this->choice.ticket, finished, this->host.now());
-    }
-
-    // Reports to the router that the attempt ended for a reason other than its target.
-    void closeCancelledTicket()
-    {
-        this->mayHaveRun = this->mayHaveRun || this->attemptSent;
-        if (std::exchange(this->ticketOpen, false)) {
-            this->host.router().onCancelled(this->choice.ticket, this->host.now());
-        }
+        this->host.router().onFinished(this->current.choice.ticket, finished, this->host.now());
     }
 
     // Returns an upper bound of the output tokens in the events relayed so far.
@@ -673,29 +801,53 @@
         this->host.settleTokens(billed);
     }
 
-    // Returns when an attempt without progress is given up for another target; nothing if no other
-    // target may be tried.
+    // Returns since when the current attempt's target has sent nothing that counts as progress.
+    [[nodiscard]] core::TimePoint silentSince() const
+    {
+        return std::max(this->current.sentAt, this->current.progressAt);
+    }
+
+    // Returns the silence after which an attempt counts as stalled.
+    [[nodiscard]] core::Duration stallTimeout(const ForwardAttempt &attempt) const
+    {
+        if (this->route.kind == RequestKind::Stream && attempt.firstTokenSeen) {
+            return std::max(MinimumStallTimeout, EventGapTimeoutFactor * this->route.gapObjective);
+        }
+        const core::Duration firstAnswerTimeout = std::max(
+            MinimumStallTimeout, FirstAnswerTimeoutFactor * this->route.latencyObjective);
+        return firstAnswerTimeout + attempt.choice.expectedFirstToken;
+    }
+
+    // Returns when a standby is looked for because the current attempt's target is silent; nothing
+    // if there is one or no other target may be tried.
     [[nodiscard]] std::optional<core::TimePoint> stallDeadline() const
     {
-        const bool attempting = this->phase == Phase::Attempting && this->attemptSent;
-        if (!attempting || !this->mayRetry()) {
+        const bool waiting = this->phase == Phase::Attempting && this->current.sent;
+        const bool mayTry = this->mayRetry() && this->attempts < MaximumAttempts;
+        if (!waiting || this->standby || !mayTry) {
             return std::nullopt;
         }
-        if (this->route.kind == RequestKind::Stream && this->firstTokenSeen) {
-            return this->progressAt
-                   + std::max(MinimumStallTimeout,
-                              EventGapTimeoutFactor * this->route.gapObjective);
+        return std::max(this->silentSince() + this->stallTimeout(this->current), this->nextSearch);
+    }
+
+    // Returns when a silent standby is given up for another target; nothing if there is none or no
+    // other target may be tried.
+    [[nodiscard]] std::optional<core::TimePoint> standbyDeadline() const
+    {
+        // The current attempt and the standby may both have run.
+        const bool mayTryAnother = this->possibleRuns + 2 < this->route.maximumTargets
+                                   && this->attempts < MaximumAttempts;
+        if (!this->standby || !this->standby->sent || !mayTryAnother) {
+            return std::nullopt;
         }
-        const core::Duration firstAnswerTimeout = std::max(
-            MinimumStallTimeout, FirstAnswerTimeoutFactor * this->route.latencyObjective);
-        return this->sentAt + firstAnswerTimeout + this->choice.expectedFirstToken;
+        return this->standby->sentAt + this->stallTimeout(*this->standby);
     }
 
     void armTimer()
     {
         core::TimePoint due = this->deadline;
-        if (const auto stallTime = this->stallDeadline()) {
-            due = std::min(due, *stallTime);
+        for (const auto &time : {this->stallDeadline(), this->standbyDeadline()}) {
+            due = std::min(due, time.value_or(due));
         }
         this->host.setTimer(due);
     }
@@ -715,16 +867,14 @@
     StreamRelay relay;
     Phase phase = Phase::NotStarted;
     bool reserved = false;
-    routing::Choice choice;
-    bool ticketOpen = false;
-    bool attemptSent = false;
-    bool firstTokenSeen = false;
+    ForwardAttempt current;
+    std::optional<ForwardAttempt> standby;
+    core::TimePoint nextSearch; // The earliest time to look for a standby again.
     bool mayHaveRun = false;
     uint32_t attempts = 0;
-    uint32_t possibleRuns = 0; // Attempts that may have run, without the current one.
+    uint32_t possibleRuns = 0; // Attempts that have ended and may have run.
     std::vector<core::TargetId> failedTargets;
-    core::TimePoint sentAt;
-    core::TimePoint progressAt;
+    std::optional<core::RetryReason> lastFailure; // Of the last attempt that failed.
     core::TimePoint relayedAt; // When the last events went to the caller.
     core::Duration firstEventAfter{}; // From the arrival to the first events for the caller.
     core::Duration longestGap{}; // Between events for the caller, over all attempts.
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -145,36 +145,46 @@
         return this->context.node.fleet().router();
     }
 
-    void send(const routing::Choice &choice, const forwarding::AttemptMetadata &metadata)
+    void send(forwarding::AttemptRole role,
+              const routing::Choice &choice,
+              const forwarding::AttemptMetadata &metadata)
     {
-        this->endpoint = {choice.address, choice.incarnation};
-        const uint64_t attempt = ++this->currentAttempt;
+        AttemptChannel &channel = this->channelOf(role);
+        channel.endpoint = {choice.address, choice.incarnation};
+        channel.number = ++this->lastAttempt;
+        const uint64_t number = channel.number;
         const net::RequestHead head
             = this->context.interface.encodeAttempt(this->request, metadata);
         const std::weak_ptr<ForwardSession> weak = this->weak_from_this();
         this->context.counters.count(telemetry::Event::AttemptsStarted);
         // TargetPool::acquire() may call back at once, but the machine expects no event inside
         // send(): the timer calls connect() after the machine has returned.
-        this->connectTimer
-            = std::make_unique<net::Timer>(this->context.loop, [weak, attempt, head] {
+        channel.connectTimer
+            = std::make_unique<net::Timer>(this->context.loop, [weak, number, head] {
                   const auto session = weak.lock();
-                  if (session != nullptr && session->currentAttempt == attempt) {
-                      session->connect(attempt, head);
+                  if (session != nullptr && session->roleOf(number)) {
+                      session->connect(number, head);
                   }
               });
-        this->connectTimer->start(core::Duration::zero());
+        channel.connectTimer->start(core::Duration::zero());
     }
 
-    void abandonAttempt()
+    void abandonAttempt(forwarding::AttemptRole role)
     {
-        ++this->currentAttempt;
-        this->pendingConnection.reset();
-        if (this->connection != nullptr) {
-            this->connection->close();
-            this->connection.reset();
+        AttemptChannel &channel = this->channelOf(role);
+        channel.number = 0;
+        channel.pendingConnection.reset();
+        if (channel.connection != nullptr) {
+            channel.connection->close();
+            channel.connection.reset();
         }
     }
 
+    void promoteStandby()
+    {
+        this->current = std::exchange(this->standby, AttemptChannel());
+    }
+
     void relayHead(const net::ResponseHead &head)
     {
         this->relayedAt = this->now();
@@ -243,6 +253,17 @@
     }
 
 private:
+    using AttemptRole = forwarding::AttemptRole;
+
+    // The connection of an attempt, and what opens it.
+    struct AttemptChannel {
+        uint64_t number = 0; // Zero if no attempt is open, so that late events are dropped.
+        net::TargetEndpoint endpoint;
+        std::unique_ptr<net::Timer> connectTimer;
+        std::shared_ptr<net::TargetPool::Pending> pendingConnection;
+        net::TargetPool::Connection connection;
+    };
+
     // How long a request waits for its reservation: a quarter of the route's latency objective, and
     // at least the time in which the instance detects that it can't reach the ledger and notifies a
     // witness.
@@ -275,48 +296,71 @@
         this->reportIfDone();
     }
 
+    AttemptChannel &channelOf(AttemptRole role)
+    {
+        return role == AttemptRole::Standby ? this->standby : this->current;
+    }
+
+    // Returns the role that the attempt has now; nothing if the attempt or the request has ended.
+    [[nodiscard]] std::optional<AttemptRole> roleOf(uint64_t number) const
+    {
+        if (this->machine.done()) {
+            return std::nullopt;
+        }
+        if (this->current.number == number) {
+            return AttemptRole::Current;
+        }
+        return this->standby.number == number ? std::optional(AttemptRole::Standby) : std::nullopt;
+    }
+
     // Acquires a connection to the chosen target, then sends the request on it.
-    void connect(uint64_t attempt, const net::RequestHead &head)
+    void connect(uint64_t number, const net::RequestHead &head)
     {
         const std::weak_ptr<ForwardSession> weak = this->weak_from_this();
-        this->pendingConnection = this->context.pool.acquire(
-            this->endpoint,
-            [weak, attempt, head](absl::StatusOr<net::TargetPool::Connection> acquired) {
+        auto pending = this->context.pool.acquire(
+            this->channelOf(*this->roleOf(number)).endpoint,
+            [weak, number, head](absl::StatusOr<net::TargetPool::Connection> acquired) {
                 const auto session = weak.lock();
-                if (session == nullptr || session->currentAttempt != attempt) {
+                const auto role = session == nullptr ? std::nullopt : session->roleOf(number);
+                if (!role) {
                     return;
                 }
-                session->pendingConnection.reset();
+                session->channelOf(*role).pendingConnection.reset();
                 if (!acquired.ok()) {
-                    session->machine.onFailed({core::RetryReason::ConnectFailed, false});
+                    session->machine.onFailed({core::RetryReason::ConnectFailed, false}, *role);
                     session->reportIfDone();
                     return;
                 }
-                session->sendRequest(*acquired, attempt, head);
+                session->sendRequest(*acquired, number, head);
             });
+        if (const auto role = this->roleOf(number)) {
+            this->channelOf(*role).pendingConnection = std::move(pending);
+        }
     }
 
+    // The attempt must be open.
     void sendRequest(const net::TargetPool::Connection &acquired,
-                     uint64_t attempt,
+                     uint64_t number,
                      const net::RequestHead &head)
     {
-        this->connection = acquired;
+        const AttemptRole sentAs = *this->roleOf(number);
+        this->channelOf(sentAs).connection = acquired;
         const std::weak_ptr<ForwardSession> weak = this->weak_from_this();
         // Hands an event to the machine, unless the attempt or the request has ended.
-        const auto runIfCurrent = [weak, attempt](const auto &step) {
+        const auto runIfOpen = [weak, number](const auto &step) {
             const auto session = weak.lock();
-            if (session != nullptr && session->currentAttempt == attempt
-                && !session->machine.done()) {
-                step(*session);
+            const auto role = session == nullptr ? std::nullopt : session->roleOf(number);
+            if (role) {
+                step(*session, *role);
                 session->reportIfDone();
             }
         };
         net::ExchangeEvents events;
-        events.onHead = [runIfCurrent](const net::ResponseHead &answer) {
+        events.onHead = [runIfOpen](const net::ResponseHead &answer) {
             bool accepted = true;
-            runIfCurrent([&answer, &accepted](ForwardSession &session) {
+            runIfOpen([&answer, &accepted](ForwardSession &session, AttemptRole role) {
                 const auto metadata = session.context.interface.decodeAnswer(answer);
-                accepted = session.machine.onAnswer(answer, metadata)
+                accepted = session.machine.onAnswer(answer, metadata, role)
                            != forwarding::AnswerHandling::Skip;
                 if (!accepted) {
                     session.context.counters.count(telemetry::Event::ForeignAnswersDropped);
@@ -324,24 +368,27 @@
             });
             return accepted;
         };
-        events.onBody = [runIfCurrent](std::string_view bytes) {
-            runIfCurrent([bytes](ForwardSession &session) { session.machine.onBody(bytes); });
+        // Only the current attempt has an accepted answer.
+        events.onBody = [runIfOpen](std::string_view bytes) {
+            runIfOpen([bytes](ForwardSession &session, AttemptRole /*role*/) {
+                session.machine.onBody(bytes);
+            });
         };
-        events.onEnd = [runIfCurrent] {
-            runIfCurrent([](ForwardSession &session) {
-                const auto used = std::exchange(session.connection, nullptr);
-                session.context.pool.release(session.endpoint, used);
+        events.onEnd = [runIfOpen] {
+            runIfOpen([](ForwardSession &session, AttemptRole role) {
+                AttemptChannel &channel = session.channelOf(role);
+                const auto used = std::exchange(channel.connection, nullptr);
+                session.context.pool.release(channel.endpoint, used);
                 session.machine.onAnswerEnd();
             });
         };
-        events.onFailed = [runIfCurrent](const absl::Status & /*error*/) {
-            runIfCurrent([](ForwardSession &session) {
-                session.machine.onFailed({core::RetryReason::ConnectionBroken, true});
+        events.onFailed = [runIfOpen](const absl::Status & /*error*/) {
+            runIfOpen([](ForwardSession &session, AttemptRole role) {
+                session.machine.onFailed({core::RetryReason::ConnectionBroken, true}, role);
             });
         };
-        const net::TargetPool::Connection used = this->connection;
-        used->send(head, this->request.body, std::move(events));
-        this->machine.onSent();
+        acquired->send(head, this->request.body, std::move(events));
+        this->machine.onSent(sentAs);
     }
 
     void onTimer()
@@ -367,7 +414,8 @@
     {
         if (this->machine.done() && !std::exchange(this->doneReported, true)) {
             this->timer.stop();
-            this->abandonAttempt();
+            this->abandonAttempt(AttemptRole::Standby);
+            this->abandonAttempt(AttemptRole::Current);
             this->onDone(this);
         }
     }
@@ -379,13 +427,10 @@
     OnDone onDone;
     RequestLogFields logFields;
     net::Timer timer;
-    std::unique_ptr<net::Timer> connectTimer;
-    net::TargetEndpoint endpoint;
     core::TimePoint relayedAt; // When the last part of the answer was sent to the caller.
-    uint64_t currentAttempt
-        = 0; // Changes when an attempt ends, so that its late events are dropped.
-    std::shared_ptr<net::TargetPool::Pending> pendingConnection;
-    net::TargetPool::Connection connection;
+    uint64_t lastAttempt = 0; // The number of the last attempt that was begun.
+    AttemptChannel current;
+    AttemptChannel standby;
     budget::ReservationId reservation = 0;
     size_t bufferedBytes = 0; // Of this request's incomplete answer.
     bool doneReported = false;
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -191,7 +191,7 @@
     if (auto refusal = this->refuseSuspect(treatment)) {
         return *refusal;
     }
-    const auto targets = this->pools.candidates(request.service, request.model);
+    const std::vector<RoutedTarget *> targets = this->candidatesFor(request);
     if (targets.empty()) {
         return this->refuse(core::RefusalReason::NoTarget, DefaultRetryAfter);
     }
@@ -227,6 +227,18 @@
     return this->startAttempt(request, *selection.best, treatment, now);
 }
 
+std::vector<RoutedTarget *> Dispatcher::candidatesFor(const RouteRequest &request)
+{
+    const auto known = this->pools.candidates(request.service, request.model);
+    std::vector<RoutedTarget *> targets(known.begin(), known.end());
+    if (request.heldBy) {
+        std::erase_if(targets, [&held = request.heldBy->value](const RoutedTarget *target) {
+            return target->record.id() == held;
+        });
+    }
+    return targets;
+}
+
 void Dispatcher::onSent(Ticket ticket, core::TimePoint now)
 {
     const auto entry = this->attempts.find(ticket);
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -6,6 +6,7 @@
 #include "samphirebridge/core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -45,6 +46,8 @@
     uint32_t attempt = 1;
     // Targets that already failed this request; chosen only if there is no other.
     std::vector<core::TargetId> excluded;
+    // The target at which another attempt of the request is open; never chosen.
+    std::optional<core::TargetId> heldBy;
 };
 
 struct Choice {
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -14,6 +14,7 @@
 using namespace samphirebridge;
 using namespace std::chrono_literals;
 using forwarding::AnswerHandling;
+using forwarding::AttemptRole;
 
 namespace
 {
@@ -71,14 +72,21 @@
     {
         return this->targets;
     }
-    void send(const routing::Choice &choice, const forwarding::AttemptMetadata &metadata)
+    void send(AttemptRole role,
+              const routing::Choice &choice,
+              const forwarding::AttemptMetadata &metadata)
     {
+        this->lastRole = role;
         this->sentTo.push_back(choice.target.value);
         this->metadata = metadata;
     }
-    void abandonAttempt()
+    void abandonAttempt(AttemptRole role)
     {
-        ++this->abandoned;
+        ++(role == AttemptRole::Standby ? this->abandonedStandbys : this->abandoned);
+    }
+    void promoteStandby()
+    {
+        ++this->promoted;
     }
     void relayHead(const net::ResponseHead &head)
     {
@@ -135,7 +143,10 @@
     bool released = false;
     std::vector<std::string> sentTo;
     forwarding::AttemptMetadata metadata;
+    AttemptRole lastRole = AttemptRole::Current;
     int abandoned = 0;
+    int abandonedStandbys = 0;
+    int promoted = 0;
     int relayedHeads = 0;
     int status = 0;
     std::string body;
@@ -189,6 +200,29 @@
         return this->machine->onAnswer(answer, {id, signedByTarget, false});
     }
 
+    // The standby's target answers.
+    AnswerHandling receiveStandbyHead(int status)
+    {
+        net::ResponseHead answer;
+        answer.status = status;
+        return this->machine->onAnswer(answer, {"id-1", true, false}, AttemptRole::Standby);
+    }
+
+    // Starts the request, relays the first event of its stream and lets its target be silent until
+    // a standby is sent.
+    void startAndFallSilent()
+    {
+        this->start();
+        this->reportSent();
+        REQUIRE(this->receiveHead(200) == AnswerHandling::Accept);
+        this->machine->onBody(event(1));
+        this->host.time += 1s;
+        this->machine->onTimer();
+        REQUIRE(this->host.sentTo.size() == 2);
+        REQUIRE(this->host.lastRole == AttemptRole::Standby);
+        this->machine->onSent(AttemptRole::Standby);
+    }
+
     void receiveRefusal()
     {
         net::ResponseHead answer;
@@ -661,3 +695,120 @@
     CHECK(request.host.sentTo.size() == 1);
     CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
 }
+
+TEST_CASE("a silent target keeps its stream until another one has answered")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.startAndFallSilent();
+    CHECK(request.host.sentTo[0] != request.host.sentTo[1]);
+    CHECK(request.host.metadata.lastEventId == 1);
+    CHECK(request.host.abandoned == 0);
+    CHECK(request.receiveStandbyHead(200) == AnswerHandling::Accept);
+    CHECK(request.host.abandoned == 1);
+    CHECK(request.host.promoted == 1);
+    request.machine->onBody(Fixture::event(2));
+    request.machine->onAnswerEnd();
+    CHECK(request.host.relayedHeads == 1);
+    CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
+    CHECK(request.host.answerEnded);
+}
+
+TEST_CASE("a silent target that goes on keeps its stream, and the standby is cancelled")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.startAndFallSilent();
+    request.machine->onBody(Fixture::event(2));
+    CHECK(request.host.abandoned == 0);
+    CHECK(request.host.abandonedStandbys == 1);
+    request.machine->onAnswerEnd();
+    CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
+    CHECK(request.host.answerEnded);
+    CHECK(request.host.promoted == 0);
+}
+
+TEST_CASE("a standby that fails does not end the stream of a silent target")
+{
+    using Failure = std::function<void(Fixture &)>;
+    const std::vector<Failure> failures{
+        [](Fixture &request) {
+            request.machine->onFailed({core::RetryReason::ConnectFailed, false},
+                                      AttemptRole::Standby);
+        },
+        [](Fixture &request) {
+            request.machine->onFailed({core::RetryReason::ConnectionBroken, true},
+                                      AttemptRole::Standby);
+        },
+        [](Fixture &request) {
+            net::ResponseHead full;
+            full.status = 503;
+            CHECK(request.machine->onAnswer(full, {"id-1", false, true}, AttemptRole::Standby)
+                  == AnswerHandling::Abandoned);
+        },
+        [](Fixture &request) {
+            CHECK(request.receiveStandbyHead(500) == AnswerHandling::Abandoned);
+        },
+    };
+    for (const Failure &fail : failures) {
+        Fixture request(RequestKind::Stream, true);
+        request.startAndFallSilent();
+        fail(request);
+        REQUIRE_FALSE(request.machine->done());
+        CHECK(request.host.abandoned == 0);
+        CHECK(request.host.abandonedStandbys == 1);
+        request.machine->onBody(Fixture::event(2));
+        request.machine->onAnswerEnd();
+        CHECK(request.host.answerEnded);
+        CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
+    }
+}
+
+TEST_CASE("a stream whose silent target breaks off goes on at the standby")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.startAndFallSilent();
+    request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    REQUIRE_FALSE(request.machine->done());
+    CHECK(request.host.promoted == 1);
+    CHECK(request.host.sentTo.size() == 2);
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(2));
+    request.machine->onAnswerEnd();
+    CHECK(request.host.answerEnded);
+    CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
+}
+
+TEST_CASE("a request runs at no more targets than its route allows, its standbys included")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.host.addTarget("t3");
+    request.startAndFallSilent();
+    request.machine->onBody(Fixture::event(2));
+    for (int step = 0; step < 20; ++step) {
+        request.host.time += 100ms;
+        request.machine->onTimer();
+    }
+    CHECK(request.host.sentTo.size() == 2);
+    CHECK_FALSE(request.machine->done());
+}
+
+TEST_CASE("a caller that leaves ends the attempt and the standby")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.startAndFallSilent();
+    request.machine->onCallerDisconnected();
+    CHECK(request.host.abandoned == 1);
+    CHECK(request.host.abandonedStandbys == 1);
+    CHECK(request.machine->done());
+}
+
+TEST_CASE("a request that is cut at the end of a planned stop is told apart from one out of time")
+{
+    Fixture request(RequestKind::Stream);
+    request.start();
+    request.reportSent();
+    (void)request.receiveHead(200);
+    request.machine->onBody(Fixture::event(1));
+    request.machine->onShutdownDeadline();
+    CHECK(request.host.aborted);
+    CHECK_THAT(request.host.lastLogDetail, Catch::Contains("reason=stopping"));
+}
