--- a/utilities/standins/main.cpp
+++ b/utilities/standins/main.cpp
@@ -61,7 +61,8 @@
 forgets these. Of an engine: crash, crash-after, stall-after, break-after, no-terminator, no-usage,
 wrong-attempt, wrong-length, refuse, error; [tokens=N] sets the answer's length. Of a payment service:
 crash-before, crash-after, break, wrong-length, wrong-attempt, refuse, delay (milliseconds). Of a plain
-target of the users' platform: crash, crash-in (milliseconds), break, error.
+target of the users' platform: crash, crash-in (milliseconds), break, error, stream (events), silent
+(milliseconds after the first event).
 GET /standin/stats tells what was run.
 )";
 
--- a/utilities/standins/platformtarget.cpp
+++ b/utilities/standins/platformtarget.cpp
@@ -16,6 +16,7 @@
 
 constexpr int64_t AnnouncedSlots = 16; // Not enforced.
 constexpr std::string_view AnswerText = "done";
+constexpr std::chrono::milliseconds EventInterval{20};
 
 } // namespace
 
@@ -45,6 +46,11 @@
         std::_Exit(EXIT_FAILURE);
     }
     headers.add(std::string(header::TargetSignature), this->settings.id);
+    if (const auto events = this->faults.consume("stream", text)) {
+        const std::chrono::milliseconds silence(this->faults.consume("silent", text).value_or(0));
+        sendEvents(request, writer, headers, *events, silence);
+        return;
+    }
     const bool failed = this->faults.consume("error", text).has_value();
     if (this->faults.consume("break", text)) {
         headers.add("Content-Length", std::to_string(2 * AnswerText.size()));
@@ -55,6 +61,25 @@
     writer.send(failed ? 500 : 200, headers, AnswerText);
 }
 
+void PlatformTarget::sendEvents(const http::Request &request,
+                                http::ResponseWriter &writer,
+                                const http::Headers &headers,
+                                int64_t count,
+                                std::chrono::milliseconds silence)
+{
+    const std::string lastId(request.headers.find(header::LastEvent).value_or("0"));
+    const int64_t first = std::strtoll(lastId.c_str(), nullptr, 10) + 1;
+    writer.begin(200, headers);
+    for (int64_t id = first; id <= count; ++id) {
+        writer.write("id: " + std::to_string(id) + "\ndata: x\n\n");
+        std::this_thread::sleep_for(id == first ? silence : EventInterval);
+        if (writer.callerDisconnected()) {
+            return;
+        }
+    }
+    writer.end();
+}
+
 nlohmann::json PlatformTarget::heartbeat(bool leaving)
 {
     return {{"State", leaving ? "draining" : "ready"},
--- a/utilities/standins/platformtarget.h
+++ b/utilities/standins/platformtarget.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -20,9 +21,10 @@
 };
 
 // Runs every request that is meant for it and answers with a signature, like a plain service of the
-// platform. Faults, in the path or the body of a request: `crash` (the process ends), `crash-in=N`
-// (after N milliseconds), `break` (the connection ends within the answer, the process goes on),
-// `error` (500).
+// platform, or with a stream of events. Faults, in the path or the body of a request: `crash` (the
+// process ends), `crash-in=N` (after N milliseconds), `break` (the connection ends within the
+// answer, the process goes on), `error` (500), `stream=N` (a stream of N events, or of those after
+// Last-Event-Id), `silent=N` (nothing is sent for N milliseconds after the first event).
 class PlatformTarget
 {
 public:
@@ -36,6 +38,13 @@
     nlohmann::json heartbeat(bool leaving);
 
 private:
+    // Answers with the events up to the given number.
+    static void sendEvents(const http::Request &request,
+                           http::ResponseWriter &writer,
+                           const http::Headers &headers,
+                           int64_t count,
+                           std::chrono::milliseconds silence);
+
     PlatformTargetSettings settings;
     Faults faults;
     RunLog log;
