tests/net, tests/forwarding: End an answer's connection at each of its bytes

Operators reported a worker that stopped inside its answer's head and closed, after which callers got a 200 with an empty or short body, framed as whole. Whether that can happen here was not known: no test ended a connection at every byte of an answer.

Now twelve answers (a length, chunks with and without a trailer, no length, an event stream without one, 100 and 103 in front, HEAD, 204, 304, heads with bare LF) end after each of their bytes: in the parser, whole and byte by byte, and on real connections by a close and by a reset, alone and behind an answer to another request. An event stream is cut at each byte in front of the machine that forwards it.

These tests are guards, not the mark of a fault. They don't tell an orderly close of a stream without a length, between two events, from its end: no reader can.

--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -264,6 +264,51 @@
     CHECK(request.machine->done());
 }
 
+// Guards against a stream cut inside an event, or by a reset, that looks whole to its caller.
+TEST_CASE("a stream that ends at any of its bytes is relayed as whole only at the end of an event")
+{
+    const bool framed = GENERATE(false, true); // The connection's end is the end of the answer.
+    const std::string stream = Fixture::event(1) + ": comment\n\n" + Fixture::event(2);
+    for (size_t bytes = 0; bytes <= stream.size(); ++bytes) {
+        INFO(stream.substr(0, bytes));
+        Fixture request(RequestKind::Stream);
+        request.start();
+        request.reportSent();
+        CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(stream.substr(0, bytes));
+        if (framed) {
+            request.machine->onAnswerEnd();
+        } else {
+            request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        }
+        const size_t relayed = bytes < 2 ? 0 : stream.rfind("\n\n", bytes - 2);
+        const size_t whole = relayed == std::string::npos || bytes < 2 ? 0 : relayed + 2;
+        CHECK(request.host.body == stream.substr(0, whole));
+        CHECK(request.host.answerEnded == (framed && whole == bytes));
+        CHECK(request.host.aborted == (!request.host.answerEnded && whole > 0));
+        CHECK(request.host.refusal.has_value() == (!request.host.answerEnded && whole == 0));
+        CHECK(request.machine->done());
+    }
+}
+
+// Guards against a 200 with an empty or short body for an answer that broke off.
+TEST_CASE("an answer that breaks off at any of its bytes is refused and nothing of it is relayed")
+{
+    for (const std::string body : {"", "b", "bod"}) {
+        Fixture request(RequestKind::Once);
+        request.start();
+        request.reportSent();
+        CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(body);
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        CHECK_FALSE(request.host.answerEnded);
+        CHECK(request.host.relayedHeads == 0);
+        CHECK(request.host.body.empty());
+        REQUIRE(request.host.refusal);
+        CHECK(request.host.refusal->outcome == core::Outcome::Unknown);
+    }
+}
+
 TEST_CASE("a request that may run at most once is not sent again once it may have run")
 {
     for (const bool sent : {true, false}) {
--- a/tests/net/exchangetest.cpp
+++ b/tests/net/exchangetest.cpp
@@ -1,6 +1,7 @@
 // Requests to a target over real connections: which answers count as complete, and which
 // connections are reused.
 #include "samphirebridge/net/targetpool.h"
+#include "tests/http/brokenanswer.h"
 #include "tests/http/peer.h"
 
 #include <catch2/catch.hpp>
@@ -43,15 +44,16 @@
     }
 
     // Sends a request; with an id given, accepts only the answer that carries it in X-Id.
-    void send(std::string_view wantedId = {})
+    void send(std::string_view wantedId = {}, std::string_view method = "GET")
     {
         net::RequestHead head;
-        head.method = "GET";
+        head.method = method;
         head.target = "/";
         head.headers.set("Host", "target");
         net::ExchangeEvents events;
         events.onHead = [this, wanted = std::string(wantedId)](const net::ResponseHead &answer) {
             this->status = answer.status;
+            ++this->heads;
             return wanted.empty() || answer.headers.find("X-Id").value_or("") == wanted;
         };
         events.onBody = [this](std::string_view bytes) {
@@ -88,12 +90,73 @@
     std::shared_ptr<net::TargetPool::Pending> pending;
     net::TargetPool::Connection connection;
     int status = 0;
+    int heads = 0;
     std::string body;
     std::optional<bool> complete;
 };
 
+// Lets a target send the first `bytes` of the answer after `inFront`, and end the
+// connection at once. Checks what the caller gets.
+void checkBrokenAnswer(const http::BreakableAnswer &answer,
+                       const std::string &inFront,
+                       size_t bytes,
+                       bool reset)
+{
+    const std::string sent = answer.text.substr(0, bytes);
+    INFO(inFront << sent << (reset ? " (reset)" : " (closed)"));
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send("mine", answer.toHead ? "HEAD" : "GET");
+    (void)target.readUntil("\r\n\r\n");
+    target.write(inFront + sent);
+    target.close(reset);
+    const bool complete = caller.waitForEnd();
+    // A reset may overtake bytes, so it may make a complete answer fail, but never the reverse.
+    CHECK((complete == answer.isComplete(bytes, reset) || (reset && !complete)));
+    const int heads = (inFront.empty() ? 0 : 1) + (bytes >= answer.headBytes ? 1 : 0);
+    CHECK((caller.heads == heads || (reset && caller.heads < heads)));
+    CHECK((!complete || caller.status == answer.status));
+}
+
 } // namespace
 
+// Guards against a 200 with an empty or short body, framed as whole, that callers get of a target
+// which stopped inside its answer's head or body.
+TEST_CASE(
+    "an answer whose target ends the connection at any of its bytes is complete only if whole")
+{
+    const bool reset = GENERATE(false, true);
+    const std::string inFront = GENERATE(
+        as<std::string>{}, "", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nother");
+    for (const http::BreakableAnswer &answer : http::breakableAnswers()) {
+        // The answer in front of one to a HEAD request would need a body that such answers lack.
+        if (answer.toHead && !inFront.empty()) {
+            continue;
+        }
+        for (size_t bytes = 0; bytes <= answer.text.size(); ++bytes) {
+            checkBrokenAnswer(answer, inFront, bytes, reset);
+        }
+    }
+}
+
+// Guards against the end of the connection being taken for the end of the caller's own answer.
+TEST_CASE("an answer to another request that ends with the connection is no answer")
+{
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send("mine");
+    (void)target.readUntil("\r\n\r\n");
+    target.write("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n");
+    target.close();
+    CHECK_FALSE(caller.waitForEnd());
+    CHECK(caller.heads == 1);
+    CHECK(caller.body.empty());
+}
+
 TEST_CASE("an answer without a length is complete when the target closes the connection")
 {
     const Listener listener;
--- a/tests/net/messageparsertest.cpp
+++ b/tests/net/messageparsertest.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/net/messageparser.h"
 
 #include "samphirebridge/core/errors.h"
+#include "tests/http/brokenanswer.h"
 
 #include <catch2/catch.hpp>
 
@@ -169,6 +170,26 @@
 }
 
 // Guards against a target that sends bytes without end which belong to no body.
+// Guards against a part of a head that is taken for an answer, and a short body for a whole one.
+TEST_CASE("an answer that ends at any of its bytes is complete only where its framing says so")
+{
+    const bool slowly = GENERATE(false, true);
+    for (const http::BreakableAnswer &answer : http::breakableAnswers()) {
+        for (size_t bytes = 0; bytes <= answer.text.size(); ++bytes) {
+            const std::string sent = answer.text.substr(0, bytes);
+            INFO(sent);
+            Reader reader(MessageKind::Response);
+            reader.parser.nextMessage(answer.toHead);
+            CHECK((slowly ? reader.feedSlowly(sent) == core::ErrorCode::None
+                          : reader.parser.feed(sent).ok()));
+            CHECK(reader.response.has_value() == (bytes >= answer.headBytes));
+            CHECK(reader.parser.finish().ok() == answer.isComplete(bytes, false));
+            CHECK(reader.completed == (answer.isComplete(bytes, false) ? 1 : 0));
+            CHECK(reader.parser.complete() == answer.isComplete(bytes, false));
+        }
+    }
+}
+
 TEST_CASE("endless bytes that belong to no body are refused within a bound")
 {
     struct Endless {
