http: Take no bytes for a body before the head of their answer is complete

Callers of the product's own interface got a failure, or an outcome in doubt where a request may not be repeated, for a whole answer whose head ends its lines with a bare LF; the platform's ingress takes such answers. libcurl ends the head there, but takeHeaderLine() knew only CR LF: the exchange handed on Data without Headers and then failed. The same came of a 101, and of an empty line with further bytes.

The consumers of Data without Headers: RequestMachine ignores it and Client::fetch drops it with the error that follows, so no caller got a 200 of it; RequestDriver told the router of a first token that wasn't one. Now a bare LF ends a head too, and bytes before a complete head fail the exchange at once.

Ruled out, at every byte by a close and by a reset: libcurl ends a transfer with CURLE_OK inside a head, but headComplete turns that into an error; a length or chunks cut short are WrongLength; a reset of an answer without a length is an error. Known and harmless: libcurl takes chunks as complete when only the last LF after the last chunk is missing, which RFC 9112, section 8, allows; the test says so.

--- a/source/samphirebridge/http/exchange.cpp
+++ b/source/samphirebridge/http/exchange.cpp
@@ -17,7 +17,6 @@
 
 constexpr size_t MaximumQueuedBytes = size_t{256} << 10U;
 constexpr int FirstFinalStatus = 200;
-constexpr std::string_view LineEnd = "\r\n";
 
 struct SlistDeleter {
     void operator()(curl_slist *list) const
@@ -54,6 +53,13 @@
     return list;
 }
 
+// Tells whether the line is the empty one that ends a head. Like the parser of the other HTTP stack
+// this accepts a bare LF (RFC 9112, section 2.2).
+bool endsHead(std::string_view line)
+{
+    return line == "\r\n" || line == "\n";
+}
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view Space = " \t\r\n";
@@ -212,7 +218,7 @@
     if (this->headComplete) {
         return; // A trailer field.
     }
-    if (line == LineEnd) {
+    if (endsHead(line)) {
         this->headComplete = this->head.status >= FirstFinalStatus;
         if (this->headComplete) {
             this->head.kind = ExchangeEventKind::Headers;
@@ -231,8 +237,13 @@
     }
 }
 
+// libcurl calls this also for what follows a head that it takes as complete and takeHeaderLine
+// doesn't. Such bytes are no body: the transfer fails.
 size_t Exchange::Implementation::takeBody(std::string_view bytes)
 {
+    if (!this->headComplete) {
+        return 0;
+    }
     if (this->queuedBytes >= MaximumQueuedBytes) {
         this->paused = true;
         return CURL_WRITEFUNC_PAUSE;
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/http/client.h"
 
 #include "samphirebridge/core/errors.h"
+#include "tests/http/brokenanswer.h"
 #include "tests/http/peer.h"
 
 #include <catch2/catch.hpp>
@@ -45,8 +46,75 @@
     return exchange.next(Long);
 }
 
+// Lets a target send the first `bytes` of the answer and end the connection, and checks the events.
+void checkBrokenAnswer(const BreakableAnswer &answer, size_t bytes, bool reset)
+{
+    const std::string sent = answer.text.substr(0, bytes);
+    INFO(sent << (reset ? " (reset)" : " (closed)"));
+    const Listener listener;
+    Client client;
+    ClientRequest request;
+    request.method = answer.toHead ? "HEAD" : "GET";
+    request.url = listener.url() + "/";
+    std::thread target([&listener, &sent, reset] {
+        Peer peer = listener.accept();
+        static_cast<void>(peer.readUntil("\r\n\r\n"));
+        peer.write(sent);
+        peer.close(reset);
+    });
+    Exchange exchange = client.start(request);
+    int heads = 0;
+    ExchangeEvent event = nextEvent(exchange);
+    while (!exchange.finished()) {
+        heads += event.kind == ExchangeEventKind::Headers ? 1 : 0;
+        // Body data comes only after the status that tells what it is.
+        CHECK((event.kind != ExchangeEventKind::Data || heads == 1));
+        CHECK((event.kind != ExchangeEventKind::Headers || event.status == answer.status));
+        event = nextEvent(exchange);
+    }
+    target.join();
+    const bool complete = event.kind == ExchangeEventKind::End;
+    // libcurl does without the last byte of the empty line that follows the last chunk.
+    const bool hasWholeBody = bytes >= answer.bodyBytes && bytes < answer.completeBytes;
+    // A reset may overtake bytes, so it may make a complete answer fail, but never the reverse.
+    CHECK((complete == answer.isComplete(bytes, reset) || hasWholeBody || (reset && !complete)));
+    const int headsSent = bytes >= answer.headBytes ? 1 : 0;
+    CHECK((heads == headsSent || (reset && heads < headsSent)));
+}
+
 } // namespace
 
+// Guards against a 200 with an empty or short body, framed as whole, that callers get of a target
+// which stopped inside its answer's head or body.
+TEST_CASE("an answer whose target ends the connection at any of its bytes ends only if it is whole")
+{
+    const bool reset = GENERATE(false, true);
+    for (const BreakableAnswer &answer : breakableAnswers()) {
+        for (size_t bytes = 0; bytes <= answer.text.size(); ++bytes) {
+            checkBrokenAnswer(answer, bytes, reset);
+        }
+    }
+}
+
+// Guards against bytes of a body, with a head that was never complete, that a consumer could take
+// for an answer.
+TEST_CASE("bytes that follow no complete head are no body, and the exchange fails")
+{
+    const std::string sent = GENERATE(as<std::string>{},
+                                      "HTTP/1.1 101 Switching Protocols\r\n\r\nbytes",
+                                      "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\rX: 1\nbytes",
+                                      "bytes that are no answer\r\n\r\nbytes");
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.write(sent);
+    target.close();
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::ConnectionBroken);
+}
+
 TEST_CASE("a chunk is passed on before the answer is complete")
 {
     const Listener listener;
