net: Say why a caller's connection is closed

Every place that closes a caller's connection now gives a core::CloseReason. HttpServer reports it to its owner with the request that was open, the bytes that had arrived unread (buffered here or in the kernel) and the age of the connection. The ingress counts it in samphirebridge_caller_connections_closed_total{reason=...}, and writes the line caller_connection_closed where a request was open or bytes were unread. The age of the version in force tells whether a declaration changed in the life of the connection.

A request that is rejected closed its stream twice, the first time by closeWhenDrained(); the second closed it in any case, so only that one is left, and the unread bytes can be counted before it.

The line itself was not seen from a running process.

--- a/source/samphirebridge/core/reasons.cpp
+++ b/source/samphirebridge/core/reasons.cpp
@@ -94,6 +94,31 @@
     return "unknown";
 }
 
+std::string_view closeName(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::CallerClosed:
+        return "caller_closed";
+    case CloseReason::CallerReset:
+        return "caller_reset";
+    case CloseReason::IdleTimeout:
+        return "idle_timeout";
+    case CloseReason::HeadTimeout:
+        return "head_timeout";
+    case CloseReason::BodyTimeout:
+        return "body_timeout";
+    case CloseReason::Rejected:
+        return "rejected";
+    case CloseReason::AnswerCutOff:
+        return "answer_cut_off";
+    case CloseReason::LastAnswer:
+        return "last_answer";
+    case CloseReason::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
 int refusalStatus(RefusalReason reason)
 {
     switch (reason) {
--- a/source/samphirebridge/core/reasons.h
+++ b/source/samphirebridge/core/reasons.h
@@ -1,5 +1,5 @@
-// The reasons for which a request is refused or retried. Each has a counter of its own and an entry
-// in the documentation.
+// The reasons for which a request is refused or retried, or a caller's connection is closed. Each
+// has a counter of its own and an entry in the documentation.
 #pragma once
 
 #include <array>
@@ -56,6 +56,19 @@
     Takeover, // The holder that first claimed the request key has ended.
 };
 
+// Why a connection with a caller ended.
+enum class CloseReason : uint8_t {
+    CallerClosed, // The caller closed it in order.
+    CallerReset, // The caller reset it, or left sent bytes unacknowledged for too long.
+    IdleTimeout, // No request came in time.
+    HeadTimeout, // The head of a request did not go on in time.
+    BodyTimeout, // The body of a request did not go on in time.
+    Rejected, // What the caller sent is no acceptable request.
+    AnswerCutOff, // An answer that had begun could not be completed.
+    LastAnswer, // An answer was complete that closes its connection.
+    Stopping, // The instance is shutting down.
+};
+
 inline constexpr std::array AllRefusalReasons{
     RefusalReason::Unauthenticated,
     RefusalReason::Forbidden,
@@ -94,10 +107,23 @@
     RetryReason::Takeover,
 };
 
+inline constexpr std::array AllCloseReasons{
+    CloseReason::CallerClosed,
+    CloseReason::CallerReset,
+    CloseReason::IdleTimeout,
+    CloseReason::HeadTimeout,
+    CloseReason::BodyTimeout,
+    CloseReason::Rejected,
+    CloseReason::AnswerCutOff,
+    CloseReason::LastAnswer,
+    CloseReason::Stopping,
+};
+
 // Return the stable snake_case names for JSON and counters.
 std::string_view outcomeName(Outcome outcome);
 std::string_view refusalName(RefusalReason reason);
 std::string_view retryName(RetryReason reason);
+std::string_view closeName(CloseReason reason);
 
 // Returns the HTTP status code of the response to a refused request.
 int refusalStatus(RefusalReason reason);
--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -84,6 +84,11 @@
     return this->currentTable;
 }
 
+core::TimePoint DeclarationKeeper::inForceSince() const
+{
+    return this->currentSince;
+}
+
 bool DeclarationKeeper::isConfirmed() const
 {
     const uint64_t version = this->currentTable->declaration().version;
@@ -186,6 +191,7 @@
     }
     const std::shared_ptr<const forwarding::RouteTable> before = this->currentTable;
     this->currentTable = std::make_shared<const forwarding::RouteTable>(std::move(*decoded));
+    this->currentSince = this->clock.now();
     if (before != nullptr) {
         this->logPurchases(before->declaration());
     }
--- a/source/samphirebridge/entry/declarationkeeper.h
+++ b/source/samphirebridge/entry/declarationkeeper.h
@@ -62,6 +62,9 @@
     // Returns the routes in force; never null.
     [[nodiscard]] const std::shared_ptr<const forwarding::RouteTable> &routeTable() const;
 
+    // Returns when the routes in force came into force.
+    [[nodiscard]] core::TimePoint inForceSince() const;
+
     // Returns whether the quorum has answered a read since the start, and a declaration of the
     // version that it named, or of a newer one, is in force.
     [[nodiscard]] bool isConfirmed() const;
@@ -93,6 +96,7 @@
     proto::Declaration heldDeclaration; // Only version and content are set.
     uint64_t confirmedVersion = 0; // Read through the quorum; 0: none yet.
     std::shared_ptr<const forwarding::RouteTable> currentTable;
+    core::TimePoint currentSince; // When the current table came into force.
     core::TimePoint lastReadAt;
     bool isReading = false;
     bool quorumAnswered = false;
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -43,7 +43,8 @@
             [this] { return this->limits(); },
             [this](net::IncomingRequest incoming, std::shared_ptr<net::Responder> responder) {
                 this->onRequest(std::move(incoming), std::move(responder));
-            });
+            },
+            [this](const net::ClosedConnection &closed) { this->onClosed(closed); });
         if (!httpServer.ok()) {
             return httpServer.status();
         }
@@ -125,6 +126,26 @@
         session->start();
     }
 
+    // Counts a caller's connection that ended, and logs it if a request may be without its answer.
+    void onClosed(const net::ClosedConnection &closed)
+    {
+        this->context.counters.countClosedConnection(closed.reason);
+        if (!closed.requestOpen && closed.unreadBytes == 0) {
+            return;
+        }
+        RequestLogFields fields;
+        if (closed.head != nullptr) {
+            const auto request = this->context.interface.decodeRequest({*closed.head, {}});
+            fields.id = request.ok() ? request->id : "";
+        }
+        const entry::DeclarationKeeper &declarations = this->context.node.declaration();
+        fields.declarationVersion = declarations.routeTable()->declaration().version;
+        logClosedConnection(this->context.logger,
+                            fields,
+                            closed,
+                            this->context.clock.now() - declarations.inForceSince());
+    }
+
     // Sets the route, service and organisation of the request, or returns why it is refused.
     std::optional<forwarding::ForwardRefusal> resolveRoute(const forwarding::CallerRequest &request,
                                                            ResolvedRoute &resolved)
--- a/source/samphirebridge/ingress/requestlog.cpp
+++ b/source/samphirebridge/ingress/requestlog.cpp
@@ -1,5 +1,7 @@
 #include "samphirebridge/ingress/requestlog.h"
 
+#include <chrono>
+
 namespace samphirebridge::ingress
 {
 
@@ -13,6 +15,11 @@
     return name == "target_chosen" || name == "answered";
 }
 
+std::string milliseconds(core::Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace
 
 void logRequestEvent(telemetry::Logger &logger,
@@ -30,4 +37,20 @@
                     {"detail", event.detail}});
 }
 
+void logClosedConnection(telemetry::Logger &logger,
+                         const RequestLogFields &fields,
+                         const net::ClosedConnection &closed,
+                         core::Duration versionAge)
+{
+    logger.request(telemetry::Importance::Failure,
+                   "caller_connection_closed",
+                   {{"request", fields.id},
+                    {"version", std::to_string(fields.declarationVersion)},
+                    {"version_age_ms", milliseconds(versionAge)},
+                    {"reason", std::string(core::closeName(closed.reason))},
+                    {"request_open", closed.requestOpen ? "true" : "false"},
+                    {"unread_bytes", std::to_string(closed.unreadBytes)},
+                    {"age_ms", milliseconds(closed.age)}});
+}
+
 } // namespace samphirebridge::ingress
--- a/source/samphirebridge/ingress/requestlog.h
+++ b/source/samphirebridge/ingress/requestlog.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "samphirebridge/forwarding/forwardmachine.h"
+#include "samphirebridge/net/serverconnection.h"
 #include "samphirebridge/telemetry/logger.h"
 
 #include <string>
@@ -23,4 +24,12 @@
                      const RequestLogFields &fields,
                      const forwarding::ForwardLogEvent &event);
 
+// Writes one log line about a caller's connection that ended while a request was being read or
+// answered, or had arrived unread. The id is empty if it is not known. The age of the version in
+// force tells whether a declaration changed in the life of the connection.
+void logClosedConnection(telemetry::Logger &logger,
+                         const RequestLogFields &fields,
+                         const net::ClosedConnection &closed,
+                         core::Duration versionAge);
+
 } // namespace samphirebridge::ingress
--- a/source/samphirebridge/net/httpserver.cpp
+++ b/source/samphirebridge/net/httpserver.cpp
@@ -20,20 +20,25 @@
         open.push_back(connection);
     }
     for (const auto &connection : open) {
-        connection->close();
+        connection->close(core::CloseReason::Stopping);
     }
 }
 
 absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop,
                                                                std::string_view address,
                                                                std::function<ServerLimits()> limits,
-                                                               OnRequest onRequest)
+                                                               OnRequest onRequest,
+                                                               OnClosed onClosed)
 {
     std::unique_ptr<HttpServer> server(new HttpServer(loop));
     HttpServer *raw = server.get();
     server->context.onRequest = std::move(onRequest);
     server->context.limits = std::move(limits);
-    server->context.onClosed = [raw](ServerConnection *connection) {
+    server->context.onClosed = [raw, onClosed = std::move(onClosed)](
+                                   ServerConnection *connection, const ClosedConnection &closed) {
+        if (onClosed) {
+            onClosed(closed);
+        }
         raw->connections.erase(connection);
     };
     auto listener = TcpListener::listen(loop, address, [raw](std::shared_ptr<TcpStream> stream) {
@@ -72,7 +77,7 @@
         }
     }
     for (const auto &connection : idle) {
-        connection->close();
+        connection->close(core::CloseReason::Stopping);
     }
 }
 
--- a/source/samphirebridge/net/httpserver.h
+++ b/source/samphirebridge/net/httpserver.h
@@ -19,6 +19,8 @@
 class HttpServer
 {
 public:
+    // Called once for each connection that ends.
+    using OnClosed = std::function<void(const ClosedConnection &)>;
     using OnRequest = std::function<void(IncomingRequest, std::shared_ptr<Responder>)>;
 
     // Starts to listen on an IPv4 address "host:port". `limits` is called again for each request,
@@ -26,7 +28,8 @@
     static absl::StatusOr<std::unique_ptr<HttpServer>> listen(EventLoop &loop,
                                                               std::string_view address,
                                                               std::function<ServerLimits()> limits,
-                                                              OnRequest onRequest);
+                                                              OnRequest onRequest,
+                                                              OnClosed onClosed = nullptr);
 
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/source/samphirebridge/net/responder.cpp
+++ b/source/samphirebridge/net/responder.cpp
@@ -51,7 +51,7 @@
 void Responder::cutOff()
 {
     if (const auto owner = this->currentConnection()) {
-        owner->close();
+        owner->close(core::CloseReason::AnswerCutOff);
     }
 }
 
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -50,9 +50,9 @@
                                      connection->onData(bytes);
                                  }
                              },
-                             [weak](StreamEnd /*end*/) {
+                             [weak](StreamEnd end) {
                                  if (const auto connection = weak.lock()) {
-                                     connection->onEnd();
+                                     connection->onEnd(end);
                                  }
                              },
                              nullptr});
@@ -71,11 +71,12 @@
     return this->requestNumber == 0 && this->clock.now() - this->openedAt < FirstRequestTime;
 }
 
-void ServerConnection::close()
+void ServerConnection::close(core::CloseReason reason)
 {
     if (std::exchange(this->isClosed, true)) {
         return;
     }
+    const ClosedConnection closed = this->describe(reason);
     this->timer.stop();
     this->stream->close();
     const auto callback = std::exchange(this->onCallerClosed, nullptr);
@@ -83,7 +84,7 @@
     if (callback) {
         callback();
     }
-    this->context.onClosed(this);
+    this->context.onClosed(this, closed);
 }
 
 bool ServerConnection::isAnswering(uint64_t number) const
@@ -207,26 +208,30 @@
     head.framing = BodyFraming::Length;
     head.keepAlive = false;
     this->stream->write(formatHead(head));
-    this->stream->closeWhenDrained();
-    this->close();
+    this->close(core::CloseReason::Rejected);
 }
 
-void ServerConnection::onEnd()
+void ServerConnection::onEnd(StreamEnd end)
 {
-    this->close();
+    this->close(end == StreamEnd::Closed ? core::CloseReason::CallerClosed
+                                         : core::CloseReason::CallerReset);
 }
 
 void ServerConnection::onTimeout()
 {
     const auto self = this->shared_from_this();
-    if (this->parser.started() && !this->headRead) {
+    auto reason = core::CloseReason::IdleTimeout;
+    if (this->headRead) {
+        reason = core::CloseReason::BodyTimeout;
+    } else if (this->parser.started()) {
+        reason = core::CloseReason::HeadTimeout;
         ResponseHead head;
         head.status = StatusRequestTimeout;
         head.framing = BodyFraming::Length;
         head.keepAlive = false;
         this->stream->write(formatHead(head));
     }
-    this->close();
+    this->close(reason);
 }
 
 void ServerConnection::finishAnswer()
@@ -244,11 +249,12 @@
         // The stream outlives this connection until its queued bytes are sent.
         const auto lingering = this->stream;
         this->isClosed = true;
+        const ClosedConnection closed = this->describe(core::CloseReason::LastAnswer);
         this->timer.stop();
         lingering->setEvents(
             {nullptr, [lingering](StreamEnd /*end*/) { lingering->close(); }, nullptr});
         lingering->closeWhenDrained();
-        this->context.onClosed(this);
+        this->context.onClosed(this, closed);
         return;
     }
     this->stream->startReading();
@@ -265,4 +271,15 @@
     this->timer.start(reading ? limits.headTimeout : limits.idleTimeout);
 }
 
+ClosedConnection ServerConnection::describe(core::CloseReason reason) const
+{
+    ClosedConnection closed;
+    closed.reason = reason;
+    closed.requestOpen = this->answerPending || this->parser.started();
+    closed.head = this->headRead ? &this->incoming.head : nullptr;
+    closed.unreadBytes = this->buffered.size() + this->stream->unreadBytes();
+    closed.age = this->clock.now() - this->openedAt;
+    return closed;
+}
+
 } // namespace samphirebridge::net
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -1,6 +1,7 @@
 // One accepted connection, whose requests are read one after the other and answered in order.
 #pragma once
 
+#include "samphirebridge/core/reasons.h"
 #include "samphirebridge/core/time.h"
 #include "samphirebridge/net/messageparser.h"
 #include "samphirebridge/net/responder.h"
@@ -30,11 +31,20 @@
     std::string body;
 };
 
+// What is known of a connection with a caller when it ends.
+struct ClosedConnection {
+    core::CloseReason reason = core::CloseReason::CallerClosed;
+    bool requestOpen = false; // A request was being read or answered.
+    const RequestHead *head = nullptr; // Of that request; null if it was not read whole.
+    size_t unreadBytes = 0; // Arrived, and belong to no request that was answered.
+    core::Duration age{};
+};
+
 // Callbacks and state that the connections of a server share.
 struct ServerContext {
     std::function<void(IncomingRequest, std::shared_ptr<Responder>)> onRequest;
     std::function<ServerLimits()> limits;
-    std::function<void(ServerConnection *)> onClosed;
+    std::function<void(ServerConnection *, const ClosedConnection &)> onClosed;
     bool draining = false; // Each response closes its connection.
 };
 
@@ -53,7 +63,7 @@
     [[nodiscard]] bool idle() const;
 
     // Closes the connection at once; calls the functions set by setOnCallerClosed and onClosed.
-    void close();
+    void close(core::CloseReason reason);
 
     // Tells whether the request with that number is waiting for its response. Called by its
     // Responder, as are the functions below, which are documented there.
@@ -73,10 +83,11 @@
     void onHead(RequestHead requestHead);
     void dispatchRequest();
     void rejectMessage(const absl::Status &error);
-    void onEnd();
+    void onEnd(StreamEnd end);
     void onTimeout();
     void finishAnswer();
     void armTimer();
+    [[nodiscard]] ClosedConnection describe(core::CloseReason reason) const;
 
     std::shared_ptr<TcpStream> stream;
     ServerContext &context;
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -4,10 +4,12 @@
 
 #include <fmt/format.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <uv.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -264,6 +266,18 @@
     return this->peek() > 0;
 }
 
+size_t TcpStream::unreadBytes() const
+{
+    uv_os_fd_t descriptor = -1;
+    int count = 0;
+    if (!this->isOpen()
+        || uv_fileno(reinterpret_cast<const uv_handle_t *>(this->handle), &descriptor) != 0
+        || ioctl(descriptor, FIONREAD, &count) != 0) {
+        return 0;
+    }
+    return static_cast<size_t>(std::max(count, 0));
+}
+
 ssize_t TcpStream::peek() const
 {
     uv_os_fd_t descriptor = -1;
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -77,6 +77,9 @@
     // connection.
     [[nodiscard]] bool hasUnreadBytes() const;
 
+    // Returns how many bytes the peer sent that were not read yet.
+    [[nodiscard]] size_t unreadBytes() const;
+
     // Closes at once; queued bytes are lost and no event follows.
     void close();
 
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -137,6 +137,13 @@
         this->retries[static_cast<size_t>(reason)]
             = &retryFamily.Add({{"reason", std::string(core::retryName(reason))}});
     }
+    auto &closedFamily = counterFamily(this->registry,
+                                       "caller_connections_closed_total",
+                                       "Connections with callers that ended, by reason.");
+    for (const core::CloseReason reason : core::AllCloseReasons) {
+        this->closedConnections[static_cast<size_t>(reason)]
+            = &closedFamily.Add({{"reason", std::string(core::closeName(reason))}});
+    }
     for (const auto &event : Events) {
         this->events[static_cast<size_t>(event.key)]
             = &counterFamily(this->registry, event.name, event.help).Add({});
@@ -169,6 +176,11 @@
     this->retries[static_cast<size_t>(reason)]->Increment();
 }
 
+void Counters::countClosedConnection(core::CloseReason reason)
+{
+    this->closedConnections[static_cast<size_t>(reason)]->Increment();
+}
+
 void Counters::count(Event event, double amount)
 {
     this->events[static_cast<size_t>(event)]->Increment(amount);
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -82,9 +82,10 @@
 public:
     Counters();
 
-    // Count one refusal or one retry under its reason.
+    // Count one refusal, one retry or one closed connection of a caller under its reason.
     void countRefusal(core::RefusalReason reason);
     void countRetry(core::RetryReason reason);
+    void countClosedConnection(core::CloseReason reason);
     // Adds the amount, which must not be negative, to the event's counter.
     void count(Event event, double amount = 1);
     void set(Gauge gauge, double value);
@@ -104,6 +105,7 @@
     prometheus::Registry registry;
     std::array<prometheus::Counter *, core::AllRefusalReasons.size()> refusals{};
     std::array<prometheus::Counter *, core::AllRetryReasons.size()> retries{};
+    std::array<prometheus::Counter *, core::AllCloseReasons.size()> closedConnections{};
     std::array<prometheus::Counter *, 32> events{};
     std::array<prometheus::Gauge *, 16> gauges{};
     prometheus::Counter *billed = nullptr;
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -16,6 +17,14 @@
 namespace
 {
 
+// How a connection ended, with the path of the request that was open then.
+struct Closed {
+    core::CloseReason reason;
+    bool requestOpen;
+    size_t unreadBytes;
+    std::string path; // Empty if no head was read.
+};
+
 // A server whose loop runs on a thread of its own. The path of a request selects how it is
 // answered: /hold never, /stream with a body that ends when a drain begins, /cut with one that is
 // cut off, any other at once with its path and body.
@@ -27,10 +36,15 @@
         auto listening = net::HttpServer::listen(
             this->loop,
             "127.0.0.1:0",
-            [] { return net::ServerLimits{.message = {.headBytes = 2048, .bodyBytes = 16}}; },
+            [this] {
+                return net::ServerLimits{.message = {.headBytes = 2048, .bodyBytes = 16},
+                                         .headTimeout = this->limit,
+                                         .idleTimeout = this->limit};
+            },
             [this](const net::IncomingRequest &request, std::shared_ptr<net::Responder> responder) {
                 this->onRequest(request, std::move(responder));
-            });
+            },
+            [this](const net::ClosedConnection &closed) { this->onClosed(closed); });
         REQUIRE(listening.ok());
         this->server = std::move(*listening);
         this->port = this->server->port();
@@ -63,6 +77,20 @@
         this->loop.runUntil(core::SteadyClock().now() + 5ms);
     }
 
+    // Waits until a connection has ended, and returns how the first did.
+    Closed firstClosed()
+    {
+        for (;;) {
+            {
+                const std::lock_guard lock(this->closedMutex);
+                if (!this->closed.empty()) {
+                    return this->closed.front();
+                }
+            }
+            std::this_thread::sleep_for(1ms);
+        }
+    }
+
     // Begins to drain and closes the listener, before start().
     void stopAccepting()
     {
@@ -84,6 +112,7 @@
     }
 
     int port = 0;
+    std::atomic<core::Duration> limit{30s}; // Of every wait for a caller's bytes.
     std::atomic<bool> drain = false;
     std::atomic<int> callersClosed = 0;
     std::atomic<int> requests = 0;
@@ -114,6 +143,15 @@
         responder->sendWhole(head, request.head.target + request.body);
     }
 
+    void onClosed(const net::ClosedConnection &ended)
+    {
+        const std::lock_guard lock(this->closedMutex);
+        this->closed.push_back({ended.reason,
+                                ended.requestOpen,
+                                ended.unreadBytes,
+                                ended.head == nullptr ? "" : ended.head->target});
+    }
+
     void endStreams()
     {
         for (const auto &responder : this->openStreams) {
@@ -123,6 +161,8 @@
     }
 
     net::EventLoop loop;
+    std::mutex closedMutex;
+    std::vector<Closed> closed;
     std::unique_ptr<net::HttpServer> server;
     std::vector<std::shared_ptr<net::Responder>> heldResponders;
     std::vector<std::shared_ptr<net::Responder>> openStreams; // Ended when a drain begins.
@@ -254,3 +294,91 @@
     }
     CHECK(silent.readUntil("/after").ends_with("/after"));
 }
+
+TEST_CASE("each end of a connection is reported once with its reason and the request that was open")
+{
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    SECTION("closed by the caller while it waits for an answer")
+    {
+        caller.write("GET /hold HTTP/1.1\r\nHost: h\r\n\r\nGET /next");
+        while (server.requests == 0) {
+            std::this_thread::sleep_for(1ms);
+        }
+        caller.close();
+        const Closed closed = server.firstClosed();
+        CHECK(closed.reason == core::CloseReason::CallerClosed);
+        CHECK(closed.requestOpen);
+        CHECK(closed.path == "/hold");
+        CHECK(closed.unreadBytes == std::string_view("GET /next").size());
+    }
+    SECTION("reset by the caller")
+    {
+        caller.write("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+        while (server.requests == 0) {
+            std::this_thread::sleep_for(1ms);
+        }
+        caller.close(true);
+        CHECK(server.firstClosed().reason == core::CloseReason::CallerReset);
+    }
+    SECTION("a request that is not acceptable")
+    {
+        caller.write("BAD\r\n\r\n");
+        CHECK(server.firstClosed().reason == core::CloseReason::Rejected);
+    }
+    SECTION("an answer that is cut off")
+    {
+        caller.write("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n");
+        const Closed closed = server.firstClosed();
+        CHECK(closed.reason == core::CloseReason::AnswerCutOff);
+        CHECK(closed.path == "/cut");
+    }
+    SECTION("an answer after which the caller wants the connection closed")
+    {
+        caller.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const Closed closed = server.firstClosed();
+        CHECK(closed.reason == core::CloseReason::LastAnswer);
+        CHECK_FALSE(closed.requestOpen);
+        CHECK(closed.unreadBytes == 0);
+    }
+    SECTION("a server that ends")
+    {
+        caller.write("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+        while (server.requests == 0) {
+            std::this_thread::sleep_for(1ms);
+        }
+        server.stop();
+        CHECK(server.firstClosed().reason == core::CloseReason::Stopping);
+    }
+}
+
+TEST_CASE("a connection that is closed for its silence says what the caller left unfinished")
+{
+    Server server;
+    server.limit = 10ms;
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    SECTION("nothing")
+    {
+        server.start();
+        CHECK(server.firstClosed().reason == core::CloseReason::IdleTimeout);
+        CHECK(caller.readToEnd().empty());
+    }
+    SECTION("a head")
+    {
+        caller.write("GET /half");
+        server.start();
+        CHECK(server.firstClosed().reason == core::CloseReason::HeadTimeout);
+        CHECK(caller.readToEnd().starts_with("HTTP/1.1 408"));
+    }
+    SECTION("a body")
+    {
+        caller.write("POST /half HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+        server.start();
+        const Closed closed = server.firstClosed();
+        CHECK(closed.reason == core::CloseReason::BodyTimeout);
+        CHECK(closed.requestOpen);
+        CHECK(closed.path == "/half");
+        CHECK(caller.readToEnd().empty());
+    }
+}
--- a/tests/telemetry/counterstest.cpp
+++ b/tests/telemetry/counterstest.cpp
@@ -5,7 +5,7 @@
 
 using namespace samphirebridge;
 
-TEST_CASE("every reason for a refusal or a retry has a counter from the start")
+TEST_CASE("every reason for a refusal, a retry or a closed connection has a counter from the start")
 {
     const telemetry::Counters counters;
     const std::string text = counters.text();
@@ -19,6 +19,12 @@
                                              core::retryName(reason));
         CHECK(text.find(line) != std::string::npos);
     }
+    for (const core::CloseReason reason : core::AllCloseReasons) {
+        const std::string line
+            = fmt::format("samphirebridge_caller_connections_closed_total{{reason=\"{}\"}} 0",
+                          core::closeName(reason));
+        CHECK(text.find(line) != std::string::npos);
+    }
 }
 
 TEST_CASE("latencies have a histogram from the start, and an observation is counted in its bucket")
@@ -37,10 +43,14 @@
           != std::string::npos);
 }
 
-TEST_CASE("a counted refusal appears in the metrics text")
+TEST_CASE("a counted refusal and a closed connection appear in the metrics text")
 {
     telemetry::Counters counters;
     counters.countRefusal(core::RefusalReason::Overloaded);
+    counters.countClosedConnection(core::CloseReason::CallerReset);
+    CHECK(counters.text().find(
+              "samphirebridge_caller_connections_closed_total{reason=\"caller_reset\"} 1")
+          != std::string::npos);
     CHECK(counters.text().find("samphirebridge_refusals_total{reason=\"overloaded\"} 1")
           != std::string::npos);
 }
