net: Read what has arrived before a connection counts as silent

A caller that sent a request on a kept connection during a pause of the event loop, as when a large declaration is applied, found the connection closed without an answer if the pause had gone beyond the idle limit. The same held for the rest of a head or a body.

Cause: libuv runs due timers before it reads sockets, and ServerConnection::onTimeout() closed without a look at the socket. It now waits once more if bytes are there; they are read in the same turn of the loop. A caller that has closed its connection leaves no bytes, so its end is not put off.

Not shown: that this is what the users saw.

--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -219,6 +219,11 @@
 
 void ServerConnection::onTimeout()
 {
+    // Due timers run before the sockets are read, so after a pause of the loop bytes may wait there.
+    if (this->stream->hasUnreadBytes()) {
+        this->armTimer();
+        return;
+    }
     const auto self = this->shared_from_this();
     auto reason = core::CloseReason::IdleTimeout;
     if (this->headRead) {
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -77,6 +77,20 @@
         this->loop.runUntil(core::SteadyClock().now() + 5ms);
     }
 
+    // The same, for what is due: timers first, then sockets.
+    void runDue()
+    {
+        this->loop.runUntil({});
+    }
+
+    // The same, until the first request was answered.
+    void runUntilRequest()
+    {
+        while (this->requests == 0) {
+            this->runDue();
+        }
+    }
+
     // Waits until a connection has ended, and returns how the first did.
     Closed firstClosed()
     {
@@ -382,3 +396,33 @@
         CHECK(caller.readToEnd().empty());
     }
 }
+
+// Guards against a request that is thrown away after a pause of the loop, as when a large
+// declaration is applied: due timers run before the sockets are read.
+TEST_CASE("a request that has arrived in a pause of the loop is answered, however long the pause")
+{
+    Server server;
+    server.limit = 10ms;
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    SECTION("a whole request")
+    {
+        server.runUntilRequest();
+        caller.write("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    SECTION("the rest of a head")
+    {
+        caller.write("GET /ne");
+        server.runUntilRequest();
+        caller.write("xt HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    SECTION("the rest of a body")
+    {
+        caller.write("POST /next HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+        server.runUntilRequest();
+        caller.write("y");
+    }
+    std::this_thread::sleep_for(3 * server.limit.load());
+    server.start();
+    CHECK(caller.readUntil("/next").find("/next") != std::string::npos);
+}
