forwarding, routing: Let a standby take nothing from the request it stands by for

Now RouteRequest::heldBy names targets with their incarnation, and several; a standby of a stream that is cancelled before its head doesn't count as a run; the last attempt is kept for a failure; a silent standby is kept until another target is chosen. A confirmed crash suspect gets no standby while it runs. Two older tests, of streams that pause and of streams of comments, counted sent attempts, which a standby alone now satisfies: they now also demand that the other target goes on.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -291,10 +291,6 @@
             this->onDeadline();
             return;
         }
-        const auto standbyTime = this->standbyDeadline();
-        if (standbyTime && now >= *standbyTime) {
-            this->failAttempt(core::RetryReason::Stalled, AttemptRole::Standby);
-        }
         const auto stallTime = this->stallDeadline();
         if (stallTime && now >= *stallTime) {
             this->seekStandby();
@@ -394,8 +390,9 @@
         this->sendAttempt(std::get<routing::Choice>(decision), AttemptRole::Current);
     }
 
-    // Looks for another target because the current attempt's target is silent. The attempt is kept
-    // until another target has answered: the silent one may go on.
+    // Looks for another target because those that have the request are silent. The current attempt
+    // is kept until another target has answered: the silent one may go on. A silent standby is kept
+    // until another is to be had.
     void seekStandby()
     {
         const core::TimePoint now = this->host.now();
@@ -412,6 +409,7 @@
         if (refusal != nullptr) {
             return;
         }
+        this->cancelStandby();
         this->standby.emplace();
         this->sendAttempt(std::get<routing::Choice>(decision), AttemptRole::Standby);
     }
@@ -464,7 +462,11 @@
         query.attempt = this->attempts + 1;
         query.excluded = this->failedTargets;
         if (this->current.ticketOpen) {
-            query.heldBy = this->current.choice.target;
+            query.heldBy.push_back({this->current.choice.target, this->current.choice.incarnation});
+        }
+        if (this->standby) {
+            query.heldBy.push_back(
+                {this->standby->choice.target, this->standby->choice.incarnation});
         }
         uint64_t prefixHash = 0;
         for (const PromptPart &part : this->request.prompt) {
@@ -670,7 +672,11 @@
     {
         ForwardAttempt &attempt = this->attemptOf(role);
         this->host.abandonAttempt(role);
-        this->countPossibleRun(attempt);
+        // A stream starts to run with its first token, and a standby that has sent its head is the
+        // current attempt.
+        if (role == AttemptRole::Current || this->route.kind != RequestKind::Stream) {
+            this->countPossibleRun(attempt);
+        }
         if (std::exchange(attempt.ticketOpen, false)) {
             this->host.router().onCancelled(attempt.choice.ticket, this->host.now());
         }
@@ -818,38 +824,34 @@
         return firstAnswerTimeout + attempt.choice.expectedFirstToken;
     }
 
-    // Returns when a standby is looked for because the current attempt's target is silent; nothing
-    // if there is one or no other target may be tried.
+    // Returns when another target is looked for because those that have the request are silent;
+    // nothing if no other may be tried.
     [[nodiscard]] std::optional<core::TimePoint> stallDeadline() const
     {
         const bool waiting = this->phase == Phase::Attempting && this->current.sent;
-        const bool mayTry = this->mayRetry() && this->attempts < MaximumAttempts;
-        if (!waiting || this->standby || !mayTry) {
+        // The last attempt is kept for a failure of the target.
+        if (!waiting || !this->mayTryAnother() || this->attempts + 1 >= MaximumAttempts) {
             return std::nullopt;
         }
-        return std::max(this->silentSince() + this->stallTimeout(this->current), this->nextSearch);
+        core::TimePoint due = this->silentSince() + this->stallTimeout(this->current);
+        if (this->standby) {
+            due = std::max(due, this->standby->sentAt + this->stallTimeout(*this->standby));
+        }
+        return std::max(due, this->nextSearch);
     }
 
-    // Returns when a silent standby is given up for another target; nothing if there is none or no
-    // other target may be tried.
-    [[nodiscard]] std::optional<core::TimePoint> standbyDeadline() const
+    // Tells whether the request may run at another target, though it may run at those that have it.
+    [[nodiscard]] bool mayTryAnother() const
     {
-        // The current attempt and the standby may both have run.
-        const bool mayTryAnother = this->possibleRuns + 2 < this->route.maximumTargets
-                                   && this->attempts < MaximumAttempts;
-        if (!this->standby || !this->standby->sent || !mayTryAnother) {
-            return std::nullopt;
-        }
-        return this->standby->sentAt + this->stallTimeout(*this->standby);
+        const uint32_t open = this->standby ? 2 : 1;
+        return mayRetryAfterRun(this->route)
+               && this->possibleRuns + open < this->route.maximumTargets;
     }
 
     void armTimer()
     {
-        core::TimePoint due = this->deadline;
-        for (const auto &time : {this->stallDeadline(), this->standbyDeadline()}) {
-            due = std::min(due, time.value_or(due));
-        }
-        this->host.setTimer(due);
+        this->host.setTimer(
+            std::min(this->deadline, this->stallDeadline().value_or(this->deadline)));
     }
 
     void logEvent(std::string_view event, std::string detail)
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -42,6 +42,16 @@
     return request.promptTokens + request.outputTokens;
 }
 
+// Tells whether the target's present incarnation has an open attempt of the request.
+bool isOpenAt(const RouteRequest &request, const RoutedTarget &target)
+{
+    return std::any_of(
+        request.heldBy.begin(), request.heldBy.end(), [&target](const OpenAttempt &open) {
+            return open.target.value == target.record.id()
+                   && open.incarnation == target.record.incarnation();
+        });
+}
+
 IdleRequirement idleRequirementOf(SuspectTreatment treatment)
 {
     switch (treatment) {
@@ -192,6 +202,9 @@
         return *refusal;
     }
     const std::vector<RoutedTarget *> targets = this->candidatesFor(request);
+    if (treatment == SuspectTreatment::RequireExclusive && this->isOpenElsewhere(request)) {
+        return this->refuse(core::RefusalReason::CrashSuspect, this->options.suspect.retryAfter);
+    }
     if (targets.empty()) {
         return this->refuse(core::RefusalReason::NoTarget, DefaultRetryAfter);
     }
@@ -231,14 +244,20 @@
 {
     const auto known = this->pools.candidates(request.service, request.model);
     std::vector<RoutedTarget *> targets(known.begin(), known.end());
-    if (request.heldBy) {
-        std::erase_if(targets, [&held = request.heldBy->value](const RoutedTarget *target) {
-            return target->record.id() == held;
-        });
-    }
+    std::erase_if(targets,
+                  [&request](const RoutedTarget *target) { return isOpenAt(request, *target); });
     return targets;
 }
 
+bool Dispatcher::isOpenElsewhere(const RouteRequest &request) const
+{
+    return std::any_of(
+        request.heldBy.begin(), request.heldBy.end(), [this, &request](const OpenAttempt &open) {
+            const RoutedTarget *target = this->pools.findTarget(open.target.value);
+            return target != nullptr && isOpenAt(request, *target);
+        });
+}
+
 void Dispatcher::onSent(Ticket ticket, core::TimePoint now)
 {
     const auto entry = this->attempts.find(ticket);
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -182,8 +182,10 @@
                                       const Candidate &best,
                                       SuspectTreatment treatment,
                                       core::TimePoint now);
-    // Returns the targets that serve the request's model, without the one that holds the request.
+    // Returns the targets that serve the request's model, without those that hold the request.
     [[nodiscard]] std::vector<RoutedTarget *> candidatesFor(const RouteRequest &request);
+    // Tells whether an attempt of the request is open at a target that has not been replaced.
+    [[nodiscard]] bool isOpenElsewhere(const RouteRequest &request) const;
     // Returns the attempt's target, or nullptr if it was erased or is in another incarnation.
     [[nodiscard]] RoutedTarget *currentTarget(const Attempt &attempt) const;
     // Removes the attempt and its load. Returns nothing if the ticket is unknown.
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -6,7 +6,6 @@
 #include "samphirebridge/core/time.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -17,6 +16,12 @@
 // A hash of a prompt's leading blocks, up to and including one of them.
 using BlockFingerprint = uint64_t;
 
+// A target that has an open attempt of a request.
+struct OpenAttempt {
+    core::TargetId target;
+    core::Incarnation incarnation = 0;
+};
+
 // Identifies one attempt from the router's choice until its end is reported.
 using Ticket = uint64_t;
 
@@ -46,8 +51,9 @@
     uint32_t attempt = 1;
     // Targets that already failed this request; chosen only if there is no other.
     std::vector<core::TargetId> excluded;
-    // The target at which another attempt of the request is open; never chosen.
-    std::optional<core::TargetId> heldBy;
+    // The targets at which other attempts of the request are open. They are never chosen, but a
+    // later incarnation of one may be.
+    std::vector<OpenAttempt> heldBy;
 };
 
 struct Choice {
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -52,6 +52,13 @@
         this->targets.onTarget(record, this->time);
     }
 
+    void restartTarget(const std::string &id)
+    {
+        proto::TargetRecord &record = this->records.at(id);
+        record.set_incarnation(record.incarnation() + 1);
+        this->targets.onTarget(record, this->time);
+    }
+
     core::TimePoint now()
     {
         return this->time;
@@ -230,6 +237,15 @@
         CHECK(this->machine->onAnswer(answer, {"id-1", false, true}) == AnswerHandling::Abandoned);
     }
 
+    // Lets the time pass in steps in which no target sends anything.
+    void beSilent(core::Duration time)
+    {
+        for (const core::TimePoint end = this->host.time + time; this->host.time < end;) {
+            this->host.time += 100ms;
+            this->machine->onTimer();
+        }
+    }
+
     static std::string event(int id)
     {
         return "id: " + std::to_string(id) + "\ndata: x\n\n";
@@ -428,7 +444,16 @@
         request.machine->onBody(Fixture::event(1));
         request.host.time += 2s;
         request.machine->onTimer();
-        CHECK(request.host.sentTo.size() == (resumable ? 2 : 1));
+        REQUIRE(request.host.sentTo.size() == (resumable ? 2 : 1));
+        if (resumable) {
+            request.machine->onSent(AttemptRole::Standby);
+            REQUIRE(request.receiveStandbyHead(200) == AnswerHandling::Accept);
+        }
+        request.machine->onBody(Fixture::event(2));
+        request.machine->onAnswerEnd();
+        CHECK(request.host.promoted == (resumable ? 1 : 0));
+        CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
+        CHECK(request.host.answerEnded);
     }
 }
 
@@ -708,6 +733,10 @@
         request.machine->onBody(": wait\n\n");
         request.machine->onTimer();
     }
+    request.machine->onSent(AttemptRole::Standby);
+    REQUIRE(request.receiveStandbyHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(2));
+    CHECK(request.host.promoted == 1);
     CHECK_FALSE(request.machine->done());
 }
 
@@ -823,17 +852,101 @@
 }
 
 TEST_CASE("a request runs at no more targets than its route allows, its standbys included")
+{
+    Fixture stream(RequestKind::Stream, true);
+    stream.host.addTarget("t3");
+    stream.startAndFallSilent();
+    REQUIRE(stream.receiveStandbyHead(200) == AnswerHandling::Accept);
+    stream.machine->onBody(Fixture::event(2));
+    stream.beSilent(2s);
+    CHECK(stream.host.sentTo.size() == 2);
+    CHECK_FALSE(stream.machine->done());
+
+    Fixture plain(RequestKind::Repeatable);
+    plain.host.addTarget("t3");
+    plain.start();
+    plain.reportSent();
+    plain.beSilent(2s);
+    REQUIRE(plain.host.sentTo.size() == 2);
+    plain.machine->onSent(AttemptRole::Standby);
+    // The answer to a standby that is cancelled may already be on its way.
+    REQUIRE(plain.receiveHead(200) == AnswerHandling::Accept);
+    plain.beSilent(2s);
+    CHECK(plain.host.sentTo.size() == 2);
+    CHECK_FALSE(plain.machine->done());
+}
+
+// Guards against a pause that takes away the one continuation which the route allows.
+TEST_CASE("a stream whose target paused is continued by another target if it breaks off later")
 {
     Fixture request(RequestKind::Stream, true);
-    request.host.addTarget("t3");
     request.startAndFallSilent();
     request.machine->onBody(Fixture::event(2));
-    for (int step = 0; step < 20; ++step) {
-        request.host.time += 100ms;
-        request.machine->onTimer();
+    CHECK(request.host.abandonedStandbys == 1);
+    request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    REQUIRE_FALSE(request.machine->done());
+    CHECK(request.host.sentTo.size() == 3);
+    CHECK(request.host.metadata.lastEventId == 2);
+}
+
+// Guards against standbys that are refused and leave no attempt for a target that breaks off.
+TEST_CASE("refused standbys leave an attempt for a target that breaks off")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.host.addTarget("t3");
+    request.host.addTarget("t4");
+    request.host.addTarget("t5");
+    request.startAndFallSilent();
+    net::ResponseHead full;
+    full.status = 503;
+    for (int step = 0; step < 30; ++step) {
+        if (request.host.lastRole == AttemptRole::Standby) {
+            (void)request.machine->onAnswer(full, {"id-1", false, true}, AttemptRole::Standby);
+            request.host.lastRole = AttemptRole::Current;
+        }
+        request.beSilent(100ms);
     }
+    const size_t sent = request.host.sentTo.size();
+    request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    REQUIRE_FALSE(request.machine->done());
+    CHECK(request.host.sentTo.size() == sent + 1);
+}
+
+// Guards against a standby that is closed, and begun again at the same target, because it is
+// silent too.
+TEST_CASE("a silent standby is replaced only once another target is to be had")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.route.maximumTargets = 4;
+    request.startAndFallSilent();
+    request.beSilent(2s);
+    CHECK(request.host.abandonedStandbys == 0);
     CHECK(request.host.sentTo.size() == 2);
-    CHECK_FALSE(request.machine->done());
+    request.host.addTarget("t3");
+    request.beSilent(1s);
+    CHECK(request.host.abandonedStandbys == 1);
+    REQUIRE(request.host.sentTo.size() == 3);
+    CHECK(request.host.sentTo.back() == "t3");
+    CHECK(request.host.abandoned == 0);
+}
+
+// Guards against a stream that waits for a target which has ended and come back under its id.
+TEST_CASE("a stream goes on at a later incarnation of its silent target")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.start();
+    request.reportSent();
+    REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(1));
+    const std::string target = request.host.sentTo.front();
+    request.host.setTargetState(target == "t1" ? "t2" : "t1", proto::LEAVING);
+    request.beSilent(1s);
+    REQUIRE(request.host.sentTo.size() == 1);
+    request.host.restartTarget(target);
+    request.beSilent(1s);
+    REQUIRE(request.host.sentTo.size() == 2);
+    CHECK(request.host.sentTo.back() == target);
+    CHECK(request.host.lastRole == AttemptRole::Standby);
 }
 
 TEST_CASE("a caller that leaves ends the attempt and the standby")
