net: Send nothing on a pooled connection whose end has arrived unread

A request that may run once ended as 502 in doubt where its connection had been closed, or written to, by the target before the event loop read that, as after a pause of the loop: the pool looked at what had been read only. It now asks the socket (TcpStream::isQuiet).

--- a/source/samphirebridge/net/targetconnection.cpp
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -98,7 +98,7 @@
 bool TargetConnection::reusable() const
 {
     return !this->busy && !this->unusable && !this->foreignAnswerSeen && this->keepAlive
-           && this->buffered.empty() && this->stream->isOpen() && this->stream->queuedBytes() == 0;
+           && this->buffered.empty() && this->stream->queuedBytes() == 0 && this->stream->isQuiet();
 }
 
 void TargetConnection::setOnUnusable(std::function<void()> callback)
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
@@ -266,6 +267,11 @@
     return this->peek() > 0;
 }
 
+bool TcpStream::isQuiet() const
+{
+    return this->isOpen() && this->peek() < 0 && errno == EAGAIN;
+}
+
 size_t TcpStream::unreadBytes() const
 {
     uv_os_fd_t descriptor = -1;
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -76,6 +76,8 @@
     // Tells whether the peer sent bytes that were not read yet. Closing the stream would reset the
     // connection.
     [[nodiscard]] bool hasUnreadBytes() const;
+    // Tells whether the stream is open and neither bytes nor its end have arrived unread.
+    [[nodiscard]] bool isQuiet() const;
 
     // Returns how many bytes the peer sent that were not read yet.
     [[nodiscard]] size_t unreadBytes() const;
--- a/tests/net/exchangetest.cpp
+++ b/tests/net/exchangetest.cpp
@@ -263,6 +263,30 @@
     CHECK(caller.pool.opened() > opened);
 }
 
+// Guards against a request that is lost because it is sent on a connection which its target has
+// closed, or written to, before the event loop has read that.
+TEST_CASE("a connection whose end has arrived unread is not reused")
+{
+    const bool closed = GENERATE(true, false);
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send();
+    (void)target.readUntil("\r\n\r\n");
+    target.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(caller.waitForEnd());
+    caller.pool.release(caller.endpoint, std::exchange(caller.connection, nullptr));
+    const uint64_t opened = caller.pool.opened();
+    if (closed) {
+        target.close();
+    } else {
+        target.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+    caller.connect();
+    CHECK(caller.pool.opened() == opened + 1);
+}
+
 // Guards against a target that sends answers to other requests without end.
 TEST_CASE("an exchange fails after too many bytes of answers to other requests")
 {
