net: Hold a longer idle limit at once for the connections that wait

A caller may reuse a connection by the newest limit that a declaration gave it, up to four fifths of it. A connection that was waiting when the limit was raised kept the old one: the request that came after it met a closed connection.

Cause: the limit was read when a wait began. Now ServerConnection compares with the limit in force when the timer fires, and waits for the rest. The same holds for the limit of a head. A shorter limit takes effect with the next wait, so a connection may stay open for longer than it asks, which harms no request.

--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -219,11 +219,17 @@
 
 void ServerConnection::onTimeout()
 {
-    // Due timers run before the sockets are read, so after a pause of the loop bytes may wait there.
+    // Due timers run before the sockets are read, so after a pause of the loop bytes may wait
+    // there.
     if (this->stream->hasUnreadBytes()) {
         this->armTimer();
         return;
     }
+    const core::Duration rest = this->waitLimit() - (this->clock.now() - this->waitingSince);
+    if (rest > core::Duration::zero()) {
+        this->timer.start(rest);
+        return;
+    }
     const auto self = this->shared_from_this();
     auto reason = core::CloseReason::IdleTimeout;
     if (this->headRead) {
@@ -270,10 +276,16 @@
 }
 
 void ServerConnection::armTimer()
+{
+    this->waitingSince = this->clock.now();
+    this->timer.start(this->waitLimit());
+}
+
+core::Duration ServerConnection::waitLimit() const
 {
     const ServerLimits limits = this->context.limits();
     const bool reading = this->parser.started() && !this->headRead;
-    this->timer.start(reading ? limits.headTimeout : limits.idleTimeout);
+    return reading ? limits.headTimeout : limits.idleTimeout;
 }
 
 ClosedConnection ServerConnection::describe(core::CloseReason reason) const
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -87,6 +87,8 @@
     void onTimeout();
     void finishAnswer();
     void armTimer();
+    // Returns for how long the caller's next bytes are waited for, by the limits in force.
+    [[nodiscard]] core::Duration waitLimit() const;
     [[nodiscard]] ClosedConnection describe(core::CloseReason reason) const;
 
     std::shared_ptr<TcpStream> stream;
@@ -95,6 +97,7 @@
     Timer timer;
     core::SteadyClock clock;
     core::TimePoint openedAt;
+    core::TimePoint waitingSince; // For the caller's next bytes.
     std::string buffered; // Received but not parsed yet.
     IncomingRequest incoming;
     bool headRead = false;
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -426,3 +426,28 @@
     server.start();
     CHECK(caller.readUntil("/next").find("/next") != std::string::npos);
 }
+
+// Guards against a caller that reuses its connection by a limit that a declaration has raised.
+TEST_CASE("a longer limit holds for the connections that already wait")
+{
+    Server server;
+    server.limit = 10ms;
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.runUntilRequest();
+    std::this_thread::sleep_for(3 * server.limit.load());
+    SECTION("a request within it is answered")
+    {
+        server.limit = 30s;
+        server.runDue();
+        caller.write("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+        server.start();
+        CHECK(caller.readUntil("/next").find("/next") != std::string::npos);
+    }
+    SECTION("a connection is closed after it")
+    {
+        server.limit = 50ms;
+        server.start();
+        CHECK(server.firstClosed().reason == core::CloseReason::IdleTimeout);
+    }
+}
