forwarding: Refuse a request without an answer before its caller leaves

Cause: the time was counted from when the request was read, and the 504 written when it was over; the caller had begun to count earlier, and left first. A request without an answer is now refused AnswerTravelTime, 50 ms, before its own time limit or the route's timeout, whichever is earlier, and no more than a twentieth of a short one. Ruled out: an earlier end for all requests, since a stream that has begun would be cut before its time is up; it keeps its whole time, and a target is told the same time as before. An answer that is no stream and would have come whole in these 50 ms is refused instead.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -137,6 +137,7 @@
         , deadline(this->arrived
                    + std::min(callerRequest.timeout.value_or(requestRoute.timeout),
                               requestRoute.timeout))
+        , refusalDeadline(this->deadline - answerTravelTime(this->deadline - this->arrived))
         , relay(callerRequest.lastEventId)
     {
         static_assert(ForwardHost<Host>);
@@ -287,7 +288,7 @@
             return;
         }
         const core::TimePoint now = this->host.now();
-        if (now >= this->deadline) {
+        if (now >= this->endOfTime()) {
             this->onDeadline();
             return;
         }
@@ -729,6 +730,13 @@
         this->refuse({reason, outcome, retryAfter});
     }
 
+    // Returns when the request is given up. A stream that has begun has the whole time, since its
+    // caller gets no refusal.
+    [[nodiscard]] core::TimePoint endOfTime() const
+    {
+        return this->headRelayed ? this->deadline : this->refusalDeadline;
+    }
+
     void onDeadline()
     {
         if (this->phase == Phase::Done) {
@@ -845,7 +853,7 @@
 
     void armTimer()
     {
-        core::TimePoint due = this->deadline;
+        core::TimePoint due = this->endOfTime();
         for (const auto &time : {this->stallDeadline(), this->standbyDeadline()}) {
             due = std::min(due, time.value_or(due));
         }
@@ -864,6 +872,7 @@
     const CallerRequest &request;
     core::TimePoint arrived;
     core::TimePoint deadline;
+    core::TimePoint refusalDeadline; // Until then a request without an answer is refused in time.
     StreamRelay relay;
     Phase phase = Phase::NotStarted;
     bool reserved = false;
--- a/source/samphirebridge/forwarding/forwardpolicy.h
+++ b/source/samphirebridge/forwarding/forwardpolicy.h
@@ -44,4 +44,16 @@
 // Lower bound of both timeouts: the network or a busy target may explain a shorter silence.
 inline constexpr core::Duration MinimumStallTimeout = std::chrono::milliseconds(600);
 
+// How long before its time is up a request without an answer is refused, so that the refusal
+// reaches a caller which counts from when it sent the request: a round trip between data centres,
+// but no more than this fraction of a short time limit.
+inline constexpr core::Duration AnswerTravelTime = std::chrono::milliseconds(50);
+inline constexpr int AnswerTravelDivisor = 20;
+
+// Returns how long before the end of its time limit a request without an answer is refused.
+constexpr core::Duration answerTravelTime(core::Duration timeLimit)
+{
+    return std::min(AnswerTravelTime, timeLimit / AnswerTravelDivisor);
+}
+
 } // namespace samphirebridge::forwarding
