tests/fleet: Show the line and the counter of a caller's closed connection

The line caller_connection_closed and its counter had been tested in parts only. An entry instance as a process now gets a request with half of its body, and its caller closes the connection: the line names the request, the reason caller_closed, the open request and no unread bytes, and /metrics counts one.

The start and stop cases wait as before; their request has a function of its own now, which the new case shares.

--- a/tests/fleet/platformtest.cpp
+++ b/tests/fleet/platformtest.cpp
@@ -1,4 +1,6 @@
-// Tests the start and stop of the program for the users' platform.
+// Tests the start and stop of the program for the users' platform, and what it tells of its
+// callers' connections.
+#include "tests/http/peer.h"
 #include "tests/support/fleet.h"
 
 #include <catch2/catch.hpp>
@@ -6,6 +8,9 @@
 
 #include <chrono>
 #include <csignal>
+#include <optional>
+#include <string>
+#include <string_view>
 
 using namespace samphirebridge;
 using namespace samphirebridge::testing;
@@ -32,6 +37,17 @@
                        additionalSettings);
 }
 
+// Returns the body of the answer to a GET request; nothing if the program does not answer.
+std::optional<std::string> bodyAt(uint16_t port, const std::string &path)
+{
+    http::Client client;
+    http::ClientRequest request;
+    request.method = "GET";
+    request.url = fmt::format("http://127.0.0.1:{}{}", port, path);
+    const auto answer = client.fetch(request, std::chrono::seconds(1));
+    return answer.ok() ? std::optional(answer->body) : std::nullopt;
+}
+
 // Starts the program, waits until it answers at the port, sends SIGTERM and returns its exit code.
 int exitCodeAfterStop(const std::string &settings, uint16_t answeringPort)
 {
@@ -40,12 +56,8 @@
     writeFile(file, settings);
     ChildProcess process(
         platformProgram(), {"--settings=" + file.string()}, folder.path() / "log.txt");
-    http::Client client;
-    http::ClientRequest request;
-    request.method = "GET";
-    request.url = fmt::format("http://127.0.0.1:{}/v1/readiness", answeringPort);
     Fleet::waitFor("the process answers",
-                   [&] { return client.fetch(request, std::chrono::seconds(1)).ok(); });
+                   [&] { return bodyAt(answeringPort, "/v1/readiness").has_value(); });
     process.signal(SIGTERM);
     return process.wait();
 }
@@ -72,3 +84,40 @@
                                               data.path().string());
     CHECK(exitCodeAfterStop(settingsWithoutRunningSeed("control", Base, addresses), Base + 3) == 0);
 }
+
+TEST_CASE("an entry instance tells why a connection ended over a request that was not read whole")
+{
+    constexpr uint16_t Base = 26100;
+    TemporaryFolder folder;
+    const std::filesystem::path file = folder.path() / "settings.yaml";
+    const std::filesystem::path log = folder.path() / "log.txt";
+    const std::string addresses = fmt::format("interface:\n  callers: \"127.0.0.1:{}\"\n"
+                                              "  readiness: \"127.0.0.1:{}\"\n",
+                                              Base + 3,
+                                              Base + 4);
+    writeFile(file, settingsWithoutRunningSeed("entry", Base, addresses));
+    const ChildProcess process(platformProgram(), {"--settings=" + file.string()}, log);
+    Fleet::waitFor("the process answers",
+                   [&] { return bodyAt(Base + 4, "/v1/readiness").has_value(); });
+    http::Peer caller = http::Peer::connect(Base + 3);
+    caller.write(
+        "POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\nContent-Length: 9\r\n\r\nhalf");
+    caller.close();
+    std::string line;
+    Fleet::waitFor("the line is written", [&] {
+        const std::string text = readFile(log);
+        const size_t start = text.find("event=caller_connection_closed");
+        const size_t end = text.find('\n', start);
+        line = end == std::string::npos ? "" : text.substr(start, end - start);
+        return !line.empty();
+    });
+    for (const std::string_view field : {"request=\"id-1\"",
+                                         "reason=\"caller_closed\"",
+                                         "request_open=\"true\"",
+                                         "unread_bytes=\"0\""}) {
+        CHECK(line.find(field) != std::string::npos);
+    }
+    const std::string metrics = bodyAt(Base + 1, "/metrics").value_or("");
+    CHECK(metrics.find("caller_connections_closed_total{reason=\"caller_closed\"} 1")
+          != std::string::npos);
+}
