--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -137,6 +137,7 @@
         , deadline(this->arrived
                    + std::min(callerRequest.timeout.value_or(requestRoute.timeout),
                               requestRoute.timeout))
+        , refusalDeadline(this->deadline - answerTravelTime(this->deadline - this->arrived))
         , relay(callerRequest.lastEventId)
     {
         static_assert(ForwardHost<Host>);
@@ -287,7 +288,7 @@
             return;
         }
         const core::TimePoint now = this->host.now();
-        if (now >= this->deadline) {
+        if (now >= this->endOfTime()) {
             this->onDeadline();
             return;
         }
@@ -735,6 +736,13 @@
         this->refuse({reason, outcome, retryAfter});
     }
 
+    // Returns when the request is given up. A stream that has begun has the whole time, since its
+    // caller gets no refusal.
+    [[nodiscard]] core::TimePoint endOfTime() const
+    {
+        return this->headRelayed ? this->deadline : this->refusalDeadline;
+    }
+
     void onDeadline()
     {
         if (this->phase == Phase::Done) {
@@ -850,8 +858,8 @@
 
     void armTimer()
     {
-        this->host.setTimer(
-            std::min(this->deadline, this->stallDeadline().value_or(this->deadline)));
+        const core::TimePoint end = this->endOfTime();
+        this->host.setTimer(std::min(end, this->stallDeadline().value_or(end)));
     }
 
     void logEvent(std::string_view event, std::string detail)
@@ -866,6 +874,7 @@
     const CallerRequest &request;
     core::TimePoint arrived;
     core::TimePoint deadline;
+    core::TimePoint refusalDeadline; // Until then a request without an answer is refused in time.
     StreamRelay relay;
     Phase phase = Phase::NotStarted;
     bool reserved = false;
