requests: Keep an attempt at a silent target until the router has another one

Callers of the product's own interface lost answers of sound targets that were silent for a while: after stall_timeout_ms the attempt was closed first, and only then was the router asked for another target. Where it had none (no target, retry budget used up), or where no attempt was left or the answer could not be begun again, the request ended, though its target may have gone on.

Now ChooseTarget::keepsAttempt asks the router while the attempt goes on. The attempt is closed when another target is chosen; with NoTarget it stays, and another is looked for every second. What can't be sent again, or has no attempt left, waits for its deadline, as a request that must not be repeated did already. RequestDriver gives the router the silent target as RouteRequest::heldBy, which it doesn't choose. The price: at a target that is dead and silent, with no other one, a request now ends at its deadline and no sooner.

Not done: the silent attempt is closed when another target is chosen, not when it has answered.

--- a/source/samphirebridge/gateway/requestdriver.cpp
+++ b/source/samphirebridge/gateway/requestdriver.cpp
@@ -105,11 +105,9 @@
 
 void RequestDriver::execute(const requests::ChooseTarget &action)
 {
-    if (action.reason) {
-        this->context.counters.countRetry(*action.reason);
-        this->reportFailed(*action.reason);
+    if (!action.keepsAttempt) {
+        this->closeAttempt(action);
     }
-    this->exchange.reset();
     const routing::RouteRequest request = this->routeRequest(action);
     const routing::Decision decision = this->context.queue.call(
         [&] { return this->context.node.fleet().router().choose(request, this->clock.now()); });
@@ -117,11 +115,23 @@
         this->pendingEvents.emplace_back(requests::NoTarget{refusal->reason, refusal->retryAfter});
         return;
     }
+    if (action.keepsAttempt) {
+        this->closeAttempt(action);
+    }
     this->choice = std::get<routing::Choice>(decision);
     this->ticketOpen = true;
     this->pendingEvents.emplace_back(requests::TargetChosen{this->choice->target});
 }
 
+void RequestDriver::closeAttempt(const requests::ChooseTarget &action)
+{
+    if (action.reason) {
+        this->context.counters.countRetry(*action.reason);
+        this->reportFailed(*action.reason);
+    }
+    this->exchange.reset();
+}
+
 void RequestDriver::execute(const requests::StartAttempt &action)
 {
     http::ClientRequest request;
@@ -336,6 +346,9 @@
     request.deadline = specification.deadline;
     request.attempt = this->machine.attempts() + 1;
     request.excluded = action.excluded;
+    if (action.keepsAttempt) {
+        request.heldBy = this->choice->target;
+    }
     if (specification.chat) {
         const std::string text = specification.chat->promptText();
         request.prefix = prefixBlocks(text);
--- a/source/samphirebridge/gateway/requestdriver.h
+++ b/source/samphirebridge/gateway/requestdriver.h
@@ -49,6 +49,8 @@
     void handle(const requests::Event &event);
     void execute(const requests::Actions &actions);
     void execute(const requests::ChooseTarget &action);
+    // Closes the last attempt's connection and reports its failure, which is the action's reason.
+    void closeAttempt(const requests::ChooseTarget &action);
     void execute(const requests::StartAttempt &action);
     void execute(const requests::CancelAttempt &action);
     void execute(const requests::CountForeignAnswer &action);
--- a/source/samphirebridge/requests/actions.h
+++ b/source/samphirebridge/requests/actions.h
@@ -16,9 +16,11 @@
 {
 
 // Choose a target and hand in TargetChosen or NoTarget. A retry is charged to the fleet's retry
-// budget.
+// budget. If `keepsAttempt`, the current attempt goes on until another target is chosen: its target
+// must not be chosen, its connection stays open, and the answer must be the next event.
 struct ChooseTarget {
     bool retry = false;
+    bool keepsAttempt = false;
     std::optional<core::RetryReason> reason; // Of a retry, to be counted in the metrics.
     std::vector<core::TargetId> excluded; // Targets that already failed this request.
 };
--- a/source/samphirebridge/requests/attempthistory.h
+++ b/source/samphirebridge/requests/attempthistory.h
@@ -68,6 +68,12 @@
         return this->currentName;
     }
 
+    // Returns the target of the running attempt, or of the last one if none is running.
+    [[nodiscard]] const core::TargetId &currentTarget() const
+    {
+        return this->target;
+    }
+
     // Tells whether a byte of the request can have reached a target.
     [[nodiscard]] bool mayHaveRun() const
     {
--- a/source/samphirebridge/requests/requestmachine.cpp
+++ b/source/samphirebridge/requests/requestmachine.cpp
@@ -16,6 +16,9 @@
 
 constexpr int StatusInternalError = 500;
 constexpr core::Duration RetryAfterFailure = std::chrono::seconds(1);
+
+// How often another target is looked for while the current one is silent.
+constexpr core::Duration SearchInterval = std::chrono::seconds(1);
 constexpr std::string_view EventStream = "text/event-stream";
 constexpr std::string_view JsonType = "application/json";
 
@@ -55,8 +58,7 @@
     if (!this->hasStallTimeout()) {
         return this->specification.deadline;
     }
-    return std::min(this->specification.deadline,
-                    this->lastProgress + this->specification.stallTimeout);
+    return std::min(this->specification.deadline, this->stallDeadline());
 }
 
 void RequestMachine::onEvent(const Claimed &event)
@@ -97,6 +99,11 @@
 
 void RequestMachine::onEvent(const TargetChosen &event)
 {
+    if (std::exchange(this->seekingReplacement, false)) {
+        this->cancelAttempt();
+        this->history.recordFailure(true);
+        this->state = State::Choosing;
+    }
     if (this->state != State::Choosing) {
         return;
     }
@@ -112,6 +119,9 @@
 
 void RequestMachine::onEvent(const NoTarget &event)
 {
+    if (std::exchange(this->seekingReplacement, false)) {
+        return; // The attempt goes on.
+    }
     if (this->state == State::Choosing) {
         this->giveUp({event.reason, event.retryAfter, {}});
     }
@@ -186,9 +196,8 @@
         this->giveUp({core::RefusalReason::DeadlineExceeded, std::nullopt, {}});
         return;
     }
-    if (this->hasStallTimeout() && this->now >= *this->nextTimer()) {
-        this->cancelAttempt();
-        this->endAttempt(core::RetryReason::Stalled, true);
+    if (this->hasStallTimeout() && this->now >= this->stallDeadline()) {
+        this->onStalled();
     }
 }
 
@@ -234,12 +243,41 @@
     return !this->answerBegun;
 }
 
-// A request that may not be repeated gains nothing from a cancelled attempt: it waits until its
+// A request that may not be sent again gains nothing from a cancelled attempt: it waits until its
 // deadline.
 bool RequestMachine::hasStallTimeout() const
 {
-    const bool waitsForDeadline = !this->chat && !mayRepeat(this->specification.repeat);
-    return this->history.isRunning() && !waitsForDeadline;
+    const bool attemptsLeft = this->history.startedAttempts() < this->specification.maximumAttempts;
+    const bool isReplaceable = attemptsLeft && this->mayBeSentAgain();
+    return this->history.isRunning() && (isReplaceable || this->lacksOnlyTerminator());
+}
+
+// Returns when the running attempt counts as stalled, or when to look for another target again.
+core::TimePoint RequestMachine::stallDeadline() const
+{
+    return std::max(this->lastProgress + this->specification.stallTimeout, this->nextSearch);
+}
+
+bool RequestMachine::lacksOnlyTerminator() const
+{
+    return this->chat && this->chat->atOutputBound();
+}
+
+// Looks for another target because the current attempt's target is silent. The attempt is kept
+// until there is one: the silent target may go on.
+void RequestMachine::onStalled()
+{
+    if (this->lacksOnlyTerminator()) {
+        this->cancelAttempt();
+        this->endAttempt(core::RetryReason::Stalled, true);
+        return;
+    }
+    this->nextSearch = this->now + SearchInterval;
+    this->seekingReplacement = true;
+    std::vector<core::TargetId> excluded = this->history.failedTargets();
+    excluded.push_back(this->history.currentTarget());
+    this->actions.emplace_back(
+        ChooseTarget{true, true, core::RetryReason::Stalled, std::move(excluded)});
 }
 
 core::Outcome RequestMachine::currentOutcome() const
@@ -277,7 +315,7 @@
 {
     this->state = State::Choosing;
     this->actions.emplace_back(
-        ChooseTarget{reason.has_value(), reason, this->history.failedTargets()});
+        ChooseTarget{reason.has_value(), false, reason, this->history.failedTargets()});
 }
 
 void RequestMachine::cancelAttempt()
@@ -292,7 +330,7 @@
 {
     this->history.recordFailure(bytesMayHaveLeft);
     this->buffer.clear();
-    if (this->chat && this->chat->atOutputBound()) {
+    if (this->lacksOnlyTerminator()) {
         this->chat->finishAtBound();
         this->completeChat();
         return;
--- a/source/samphirebridge/requests/requestmachine.h
+++ b/source/samphirebridge/requests/requestmachine.h
@@ -10,6 +10,7 @@
 // - Release and Outcome::NotRun are returned only if no byte of the request can have reached a
 //   target.
 // - Under RepeatRule NEVER the request is not sent again once a byte of it may have been sent.
+// - An attempt whose target is silent is kept until another target is chosen.
 // - What the caller receives of a chat is always a prefix of one answer.
 #pragma once
 
@@ -45,7 +46,8 @@
     std::string body; // Of a plain request.
     core::Tokens price; // Of a plain request.
     core::Tokens reservation; // The reserved tokens; no more than these are settled.
-    core::Duration stallTimeout = std::chrono::seconds(10); // Longest wait for the next bytes.
+    // How long a target may be silent before another one is looked for.
+    core::Duration stallTimeout = std::chrono::seconds(10);
     core::TimePoint deadline; // When the request ends at the latest.
     uint32_t maximumAttempts = 4; // Retries are also limited by the fleet's retry budget.
     size_t maximumStoredBytes = size_t{64} << 10U; // A longer answer is not stored for its key.
@@ -115,6 +117,9 @@
     [[nodiscard]] bool isChatStream() const;
     [[nodiscard]] bool mayBeSentAgain() const;
     [[nodiscard]] bool hasStallTimeout() const;
+    [[nodiscard]] core::TimePoint stallDeadline() const;
+    [[nodiscard]] bool lacksOnlyTerminator() const;
+    void onStalled();
     [[nodiscard]] core::Outcome currentOutcome() const;
     [[nodiscard]] StartAttempt makeAttempt(const core::TargetId &chosen);
     void chooseTarget(std::optional<core::RetryReason> reason);
@@ -140,6 +145,8 @@
     State state = State::AwaitingClaim;
     core::TimePoint now;
     core::TimePoint lastProgress; // Of the current attempt.
+    core::TimePoint nextSearch; // The earliest time to look for another target again.
+    bool seekingReplacement = false; // A ChooseTarget that keeps the attempt awaits its answer.
     AttemptHistory history;
     bool callerPresent = true;
     bool answerBegun = false; // A streamed response to the caller has begun.
