forwarding: Relay a stream without the length that its first target announced

Where a target sends an event stream with a Content-Length, its head went to the caller with that length. But of the events some may be left out (what the caller has already, an event cut in the middle), and those of another target may follow, whose bytes are others. A shorter sum left the caller waiting for more, and the next answer on its connection would have been taken for the rest; of a longer one the end would have been taken for the next answer.

Now a stream is always relayed in chunks, and its end is the last chunk.

The test came first: 'a stream is relayed without the length that its first target announced' on the forwarding of: 2 of its checks failed, 3174 of 3176 assertions passed. After: the 51 cases of test_forwarding pass. The fixture's targets now answer in chunks; they answered without any body, as none but those to HEAD do. Ruled out: answers that are no stream, whose length is that of the bytes relayed.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -514,7 +514,11 @@
             return;
         }
         this->headRelayed = true;
-        this->host.relayHead(*this->head);
+        // A length is that of one target's bytes. Of these some may be left out, and those of
+        // another target may follow.
+        net::ResponseHead relayed = *this->head;
+        relayed.framing = net::BodyFraming::Chunked;
+        this->host.relayHead(relayed);
     }
 
     void relayEvents(std::string_view events)
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -91,6 +91,7 @@
     void relayHead(const net::ResponseHead &head)
     {
         this->status = head.status;
+        this->framing = head.framing;
         ++this->relayedHeads;
     }
     void relayBody(std::string_view bytes)
@@ -105,6 +106,7 @@
     {
         ++this->relayedHeads;
         this->status = head.status;
+        this->framing = head.framing;
         this->body = bytes;
         this->answerEnded = true;
     }
@@ -148,6 +150,7 @@
     int abandonedStandbys = 0;
     int promoted = 0;
     int relayedHeads = 0;
+    net::BodyFraming framing = net::BodyFraming::None;
     int status = 0;
     std::string body;
     size_t buffered = 0;
@@ -197,6 +200,7 @@
     {
         net::ResponseHead answer;
         answer.status = status;
+        answer.framing = this->answerFraming;
         return this->machine->onAnswer(answer, {id, signedByTarget, false});
     }
 
@@ -205,6 +209,7 @@
     {
         net::ResponseHead answer;
         answer.status = status;
+        answer.framing = this->answerFraming;
         return this->machine->onAnswer(answer, {"id-1", true, false}, AttemptRole::Standby);
     }
 
@@ -242,6 +247,7 @@
                                                  .purchased = core::Tokens{1'000}};
     const forwarding::Organisation *organisation = nullptr;
     forwarding::CallerRequest request;
+    net::BodyFraming answerFraming = net::BodyFraming::Chunked; // Of the targets' answers.
     std::optional<forwarding::ForwardMachine<RecordingHost>> machine;
 };
 
@@ -291,6 +297,27 @@
     }
 }
 
+// Guards against a caller that waits for more bytes, or takes events for the next answer, because
+// the length that one target announced doesn't fit the events of two.
+TEST_CASE("a stream is relayed without the length that its first target announced")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.answerFraming = net::BodyFraming::Length;
+    request.start();
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(1) + "id: 2");
+    CHECK(request.host.framing == net::BodyFraming::Chunked);
+    request.machine->onFailed({core::RetryReason::WrongLength, true});
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(": longer than the first target's\n\n" + Fixture::event(2));
+    request.machine->onAnswerEnd();
+    CHECK(request.host.answerEnded);
+    CHECK(request.host.relayedHeads == 1);
+    CHECK(request.host.framing == net::BodyFraming::Chunked);
+}
+
 // Guards against a 200 with an empty or short body for an answer that broke off.
 TEST_CASE("an answer that breaks off at any of its bytes is refused and nothing of it is relayed")
 {
