--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -217,7 +217,9 @@
             this->promoteStandby();
         }
         this->head = answerHead;
-        this->streaming = this->route.kind == RequestKind::Stream && answerHead.status == StatusOk;
+        const bool hasBody = answerHead.framing != net::BodyFraming::None;
+        this->streaming
+            = this->route.kind == RequestKind::Stream && answerHead.status == StatusOk && hasBody;
         this->onProgress();
         return AnswerHandling::Accept;
     }
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -108,6 +108,7 @@
         this->status = head.status;
         this->framing = head.framing;
         this->body = bytes;
+        this->relayedWhole = true;
         this->answerEnded = true;
     }
     bool bufferAnswer(size_t bytes)
@@ -156,6 +157,7 @@
     size_t buffered = 0;
     size_t bufferLimit = 1'000'000;
     bool answerEnded = false;
+    bool relayedWhole = false;
     bool aborted = false;
     std::optional<forwarding::ForwardRefusal> refusal;
     core::TimePoint timer;
@@ -318,6 +320,24 @@
     CHECK(request.host.framing == net::BodyFraming::Chunked);
 }
 
+// Guards against the last chunk of an empty body after an answer that has none, as one to HEAD: the
+// caller would take it for the beginning of the next answer.
+TEST_CASE("an answer without a body on a route of streams is relayed whole and without a body")
+{
+    Fixture request(RequestKind::Stream);
+    request.request.method = "HEAD";
+    request.answerFraming = net::BodyFraming::None;
+    request.start();
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onAnswerEnd();
+    CHECK(request.host.answerEnded);
+    CHECK(request.host.relayedHeads == 1);
+    CHECK(request.host.relayedWhole);
+    CHECK(request.host.framing == net::BodyFraming::None);
+    CHECK(request.host.body.empty());
+}
+
 // Guards against a 200 with an empty or short body for an answer that broke off.
 TEST_CASE("an answer that breaks off at any of its bytes is refused and nothing of it is relayed")
 {
