--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -218,7 +218,9 @@
             this->promoteStandby();
         }
         this->head = answerHead;
-        this->streaming = this->route.kind == RequestKind::Stream && answerHead.status == StatusOk;
+        const bool hasBody = answerHead.framing != net::BodyFraming::None;
+        this->streaming
+            = this->route.kind == RequestKind::Stream && answerHead.status == StatusOk && hasBody;
         this->onProgress();
         return AnswerHandling::Accept;
     }
@@ -517,7 +519,11 @@
             return;
         }
         this->headRelayed = true;
-        this->host.relayHead(*this->head);
+        // A length is that of one target's bytes. Of these some may be left out, and those of
+        // another target may follow.
+        net::ResponseHead relayed = *this->head;
+        relayed.framing = net::BodyFraming::Chunked;
+        this->host.relayHead(relayed);
     }
 
     void relayEvents(std::string_view events)
