--- a/source/samphirebridge/gateway/requestdriver.cpp
+++ b/source/samphirebridge/gateway/requestdriver.cpp
@@ -347,7 +347,7 @@
     request.attempt = this->machine.attempts() + 1;
     request.excluded = action.excluded;
     if (action.keepsAttempt) {
-        request.heldBy = this->choice->target;
+        request.heldBy.push_back({this->choice->target, this->choice->incarnation});
     }
     if (specification.chat) {
         const std::string text = specification.chat->promptText();
