daemon: Let accepted requests go on until the abort, and refuse late ones meanwhile

Callers saw: in a planned stop of one instance a request that had been passed on was cut about 6.0 s after the SIGTERM (GraceS 8 s), among them requests that may run once; and a caller that came after 3.0 s found the port or its kept connection closed instead of an answer.

Cause: the wait for the interface ended with the grace (6.0 s) and the one for the escrow went on to 7.2 s. A request that holds no tokens leaves the escrow settled, so the abort came at once: at 6.0 s, before the last sixth of GraceS, in which alone the platform excuses a cut. And the listener and the idle connections were closed when the time to accept was over.

Only accepted requests count, so refused callers and idle connections prolong nothing. At its end it accepts what the kernel has, refuses what has arrived for 0.2 s at most, and closes. New lines accepting_ended and callers_drained (aborted, refused).

Ruled out: a lost escrow return. A refused request reserves nothing, since it has no session.

--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -49,6 +49,10 @@
 constexpr core::Duration LeadershipTransferTimeout = std::chrono::seconds(2);
 constexpr core::Duration ShutdownPollInterval = std::chrono::milliseconds(10);
 
+// The time to refuse the requests that have arrived when the interface closes: a few turns of the
+// event loop.
+constexpr core::Duration LastAnswersTimeout = std::chrono::milliseconds(200);
+
 // The fraction of the fleet's limit on retries that is used. The rest is a margin, since every
 // instance counts its own retries and the instances' windows don't begin at the same time.
 constexpr double UsedRetryFraction = 0.8;
@@ -511,18 +515,18 @@
 void Daemon::stop()
 {
     this->parts->logger.change("stopping");
-    const core::TimePoint startedAt = this->parts->clock.now();
+    const core::TimePoint signalledAt = this->parts->clock.now();
     if (!this->settings.roles.entry) {
         this->transferLeadership();
     }
-    this->drainCallers();
+    this->drainCallers(signalledAt);
     const ShutdownTimes times = shutdownTimes(this->settings.shutdownGrace);
     bool returned = this->returnEscrow(this->interface.abortRequests
-                                           ? startedAt + times.abortRequests
+                                           ? signalledAt + times.abortRequests
                                            : this->parts->clock.now() + EscrowReturnTimeout);
     if (this->interface.abortRequests) {
-        this->parts->queue.call([this] { this->interface.abortRequests(); });
-        returned = returned || this->returnEscrow(startedAt + times.returnEscrow);
+        this->closeInterface();
+        returned = returned || this->returnEscrow(signalledAt + times.returnEscrow);
     }
     this->parts->logger.change(returned ? "escrow_returned" : "escrow_not_returned");
     this->transferLeadership();
@@ -534,39 +538,56 @@
     this->parts->logger.change("stopped");
 }
 
-void Daemon::drainInterface(core::TimePoint deadline)
+void Daemon::drainInterface(core::TimePoint signalledAt)
 {
     if (!this->interface.beginDrain) {
         return;
     }
     Parts &running = *this->parts;
-    const core::TimePoint startedAt = running.clock.now();
-    running.queue.call([this] { this->interface.beginDrain(); });
-    if (this->settings.roles.entry) {
-        std::this_thread::sleep_for(shutdownTimes(this->settings.shutdownGrace).stopAccepting);
-    }
-    running.queue.call([this, &running] {
-        this->interface.stopAccepting();
-        // No new requests are accepted, so free escrow can be returned for callers of other
-        // instances.
-        running.node.beginShutdown();
+    ShutdownTimes times = shutdownTimes(this->settings.shutdownGrace);
+    if (!this->settings.roles.entry) {
+        times.stopAccepting = core::Duration::zero();
+        times.stopListening = core::Duration::zero();
+    }
+    running.queue.call([this, signalledAt, &times] {
+        this->interface.beginDrain(signalledAt + times.abortRequests);
     });
-    while (running.clock.now() < deadline
-           && !running.queue.call([this] { return this->interface.isIdle(); })) {
+    const auto phase = [this, &running, &times, signalledAt] {
+        const bool idle = running.queue.call([this] { return this->interface.isIdle(); });
+        return interfacePhase(times, running.clock.now() - signalledAt, idle);
+    };
+    while (phase() == InterfacePhase::Accepting) {
+        std::this_thread::sleep_for(ShutdownPollInterval);
+    }
+    // No new requests are accepted, so free escrow can be returned for callers of other instances.
+    running.queue.call([&running] { running.node.beginShutdown(); });
+    running.logger.change("accepting_ended");
+    while (phase() == InterfacePhase::Refusing) {
         std::this_thread::sleep_for(ShutdownPollInterval);
     }
     const auto took
-        = std::chrono::duration_cast<std::chrono::milliseconds>(running.clock.now() - startedAt);
+        = std::chrono::duration_cast<std::chrono::milliseconds>(running.clock.now() - signalledAt);
     running.logger.change("interface_drained", {{"took_ms", std::to_string(took.count())}});
 }
 
-void Daemon::drainCallers()
+void Daemon::closeInterface()
+{
+    Parts &running = *this->parts;
+    running.queue.call([this] { this->interface.abortRequests(); });
+    const core::TimePoint deadline = running.clock.now() + LastAnswersTimeout;
+    while (running.clock.now() < deadline
+           && !running.queue.call([this] { return this->interface.isClosed(); })) {
+        std::this_thread::sleep_for(ShutdownPollInterval);
+    }
+}
+
+void Daemon::drainCallers(core::TimePoint signalledAt)
 {
     Parts &parts = *this->parts;
-    const core::TimePoint deadline = parts.clock.now() + this->settings.shutdownGrace;
+    const core::TimePoint deadline = signalledAt + this->settings.shutdownGrace;
     parts.queue.call([&parts] { parts.node.beginDrain(); });
     if (this->interface.beginDrain) {
-        this->drainInterface(deadline);
+        this->drainInterface(signalledAt);
     } else {
         std::this_thread::sleep_for(
             std::min(MaximumDrain, this->settings.shutdownGrace / DrainGraceDivisor));
--- a/source/samphirebridge/daemon/daemon.h
+++ b/source/samphirebridge/daemon/daemon.h
@@ -34,10 +34,14 @@
 // What an interface does during a shutdown, in this order. All but the last function run on the
 // control thread.
 struct InterfaceShutdown {
-    std::function<void()> beginDrain; // Tells callers not to reuse their connections.
-    std::function<void()> stopAccepting; // Refuses new connections.
-    std::function<bool()> isIdle; // Returns whether no request is in progress.
-    std::function<void()> abortRequests; // Also closes all connections.
+    // Tells callers not to reuse their connections, and accepts only requests that can be expected
+    // to end by the given time.
+    std::function<void(core::TimePoint)> beginDrain;
+    std::function<bool()> isIdle; // Returns whether no accepted request is in progress.
+    // Ends the requests in progress and closes the listeners and all idle connections.
+    std::function<void()> abortRequests;
+    // Returns whether every request that had arrived by then is answered.
+    std::function<bool()> isClosed;
     // Destroys the interface. Runs on the thread that calls Daemon::stop(), after the control
     // thread has ended and before the event loop is destroyed, whose destructor waits for all of
     // its handles.
@@ -73,11 +77,14 @@
 private:
     struct Parts;
 
-    // Reports not ready and lets the requests in progress end within the grace. Then aborts those
-    // of the built-in HTTP server that are left.
-    void drainCallers();
-    // Drains the deployment's interface, until it is idle or the deadline has passed.
-    void drainInterface(core::TimePoint deadline);
+    // Reports not ready and lets the requests in progress end. Then aborts those of the built-in
+    // HTTP server that are left.
+    void drainCallers(core::TimePoint signalledAt);
+    // Drains the deployment's interface until it is to be closed.
+    void drainInterface(core::TimePoint signalledAt);
+    // Closes the deployment's interface and waits for a bounded time until the requests that have
+    // arrived are answered.
+    void closeInterface();
     // Waits until all usage is reported and settled and all escrow is returned; returns whether
     // that was so by the deadline.
     bool returnEscrow(core::TimePoint deadline);
--- a/source/samphirebridge/forwarding/forwardpolicy.h
+++ b/source/samphirebridge/forwarding/forwardpolicy.h
@@ -24,6 +24,9 @@
 inline constexpr core::Duration MinimumStartRetryAfter = std::chrono::milliseconds(500);
 inline constexpr core::Duration MaximumStartRetryAfter = std::chrono::seconds(3);
 
+// Retry-After from an instance that stops: another one can take the request at once.
+inline constexpr core::Duration StopRetryAfter = std::chrono::milliseconds(100);
+
 // Returns the Retry-After from an instance that began to start `sinceStart` ago and does not serve
 // yet. A start is expected to take as long again as it has taken so far.
 constexpr core::Duration retryAfterStart(core::Duration sinceStart)
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -8,7 +8,9 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -51,27 +53,22 @@
         return absl::OkStatus();
     }
 
-    // From now on each answer closes its connection; idle connections stay open for requests that
-    // callers may be sending already.
-    void beginDrain()
+    // From now on each answer closes its connection. The listener and idle connections stay open,
+    // so that callers get an answer.
+    void beginDrain(core::TimePoint /*abortTime*/)
     {
         this->server->beginDrain();
     }
 
-    // Closes the listener and the idle connections; requests in progress continue.
-    void stopAccepting()
-    {
-        this->server->stopAccepting();
-    }
-
-    // Tells whether no session and no connection has a request in progress.
+    // Tells whether no request that was accepted is in progress.
     [[nodiscard]] bool idle() const
     {
-        return this->sessions.empty() && this->server->idle();
+        return this->sessions.empty();
     }
 
     // Ends all requests in progress, as at the shutdown's deadline, and closes the listener and all
-    // callers' connections.
+    // idle connections. Requests that have arrived are still read, and refused once
+    // entry::EntryNode::beginShutdown() was called.
     void endAllRequests()
     {
         std::vector<std::shared_ptr<Session>> remaining;
@@ -81,7 +78,16 @@
         for (const auto &session : remaining) {
             session->endAtShutdown();
         }
-        this->server.reset();
+        this->server->stopAccepting();
+        this->context.logger.change("callers_drained",
+                                    {{"aborted", std::to_string(remaining.size())},
+                                     {"refused", std::to_string(this->refusedAtStop)}});
+    }
+
+    // Tells whether every request that had arrived at endAllRequests() is answered.
+    [[nodiscard]] bool closed() const
+    {
+        return this->server->idle();
     }
 
 private:
@@ -130,14 +136,14 @@
                                                            ResolvedRoute &resolved)
     {
         entry::EntryNode &node = this->context.node;
+        if (node.stopping()) {
+            return this->makeStopRefusal();
+        }
         if (!node.serving()) {
-            const auto reason
-                = node.stopping() ? core::RefusalReason::Stopping : core::RefusalReason::NotReady;
             const core::Duration sinceStart = this->context.clock.now() - this->startedAt;
-            const core::Duration retryAfter = node.stopping()
-                                                  ? forwarding::MinimumStartRetryAfter
-                                                  : forwarding::retryAfterStart(sinceStart);
-            return forwarding::ForwardRefusal{reason, core::Outcome::NotRun, retryAfter};
+            return forwarding::ForwardRefusal{core::RefusalReason::NotReady,
+                                              core::Outcome::NotRun,
+                                              forwarding::retryAfterStart(sinceStart)};
         }
         resolved.table = node.declaration().routeTable();
         resolved.route = resolved.table->findRoute(request.host, request.target);
@@ -155,6 +161,13 @@
         return std::nullopt;
     }
 
+    // Makes and counts the refusal of a request that comes too late before the instance stops.
+    forwarding::ForwardRefusal makeStopRefusal()
+    {
+        ++this->refusedAtStop;
+        return {core::RefusalReason::Stopping, core::Outcome::NotRun, forwarding::StopRetryAfter};
+    }
+
     // Makes the refusal of an unknown route or key. An instance that has not heard from a control
     // instance recently may lack a new route or key, so it refuses with NotReady instead.
     forwarding::ForwardRefusal makeDenial(core::RefusalReason reason)
@@ -184,6 +197,7 @@
     net::TargetPool pool;
     IngressContext<Interface> context;
     core::TimePoint startedAt;
+    uint64_t refusedAtStop = 0;
     std::unique_ptr<net::HttpServer> server;
     absl::flat_hash_map<Session *, std::shared_ptr<Session>> sessions;
 };
--- a/tests/fleet/platformtest.cpp
+++ b/tests/fleet/platformtest.cpp
@@ -1,4 +1,5 @@
 // Tests the start and stop of the program for the users' platform.
+#include "tests/http/peer.h"
 #include "tests/support/fleet.h"
 
 #include <catch2/catch.hpp>
@@ -50,6 +51,85 @@
     return process.wait();
 }
 
+std::string requestText(const std::string &path, const std::string &id)
+{
+    return fmt::format("GET {} HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: {}\r\n\r\n", path, id);
+}
+
+// Control instances, an instance that callers use and that is to be stopped, and a target of
+// requests that may run once.
+class StopScene
+{
+public:
+    static constexpr int Stopped = 3;
+
+    // stopWithin is the setting stop_within_s, timeoutMs the route's.
+    StopScene(uint16_t basePort, int stopWithin, int timeoutMs)
+        : fleet({.basePort = basePort,
+                 .instances = 4,
+                 .platform = true,
+                 .additionalSettings = fmt::format("stop_within_s: {}\n", stopWithin)})
+    {
+        this->fleet.start();
+        this->fleet.sendDeclaration(
+            0,
+            fmt::format(
+                R"({{"Version":1,"Services":[{{"Name":"s"}}],"Routes":[{{"Name":"r",)"
+                R"("Host":"127.0.0.1","PathPrefix":"/r/","Kind":"non_idempotent","TimeoutMs":{},)"
+                R"("MaxAttempts":1,"TargetLatencyMs":300,"AllowAnonymous":true,"Service":"s"}}]}})",
+                timeoutMs));
+        this->fleet.waitForDeclaration(1);
+        this->target = &this->fleet.startPlatformTarget(
+            "t", basePort + 70, "s", {"--run-log=" + this->runLog().string()});
+        this->fleet.waitForTargets(Stopped, 1);
+    }
+
+    // Opens a connection that has had one answer.
+    http::Peer keptConnection()
+    {
+        http::Peer caller = http::Peer::connect(this->fleet.callersPort(Stopped));
+        caller.write(requestText("/r/first", "first"));
+        CHECK(caller.readUntil("done").ends_with("done"));
+        return caller;
+    }
+
+    // Tells the instance to stop and waits until it drains.
+    void stop()
+    {
+        this->fleet.instance(Stopped).signal(SIGTERM);
+        this->waitForLog("event=draining");
+    }
+
+    void waitForLog(const std::string &text)
+    {
+        Fleet::waitFor("the log has " + text,
+                       [&] { return this->fleet.log(Stopped).find(text) != std::string::npos; });
+    }
+
+    // Tells whether the target ran the request of that id.
+    [[nodiscard]] bool hasRun(const std::string &id) const
+    {
+        return readFile(this->runLog()).find("\"" + id + "\"") != std::string::npos;
+    }
+
+    Fleet fleet;
+    ChildProcess *target = nullptr;
+
+private:
+    [[nodiscard]] std::filesystem::path runLog() const
+    {
+        return this->fleet.folder() / "t.runs";
+    }
+};
+
+bool isStopRefusal(const std::string &answer)
+{
+    return answer.starts_with("HTTP/1.1 503")
+           && answer.find("Connection: close") != std::string::npos
+           && answer.find("Retry-After: ") != std::string::npos
+           && answer.find(R"("reason":"stopping","outcome":"not_run")") != std::string::npos;
+}
+
 } // namespace
 
 TEST_CASE("an entry instance of the platform exits with code 0 after SIGTERM")
@@ -72,3 +152,34 @@
                                               data.path().string());
     CHECK(exitCodeAfterStop(settingsWithoutRunningSeed("control", Base, addresses), Base + 3) == 0);
 }
+
+// Guards against late callers that find a closed port or connection and can't tell whether their
+// request has run.
+TEST_CASE("an instance that takes no more requests refuses them until those in progress have ended")
+{
+    constexpr int StopWithinSeconds = 60;
+    constexpr int TimeoutMs = 50'000;
+    StopScene scene(26200, StopWithinSeconds, TimeoutMs);
+    const http::Peer kept = scene.keptConnection();
+    const http::Peer held = http::Peer::connect(scene.fleet.callersPort(StopScene::Stopped));
+    scene.target->signal(SIGSTOP);
+    held.write(requestText("/r/held", "held"));
+    scene.waitForLog(R"(event=target_chosen request="held")");
+    scene.stop();
+    // A path without a route is answered by the instance alone, as unknown until it takes no more.
+    std::string answer;
+    Fleet::waitFor("a request is refused since the instance stops", [&] {
+        const http::Peer caller = http::Peer::connect(scene.fleet.callersPort(StopScene::Stopped));
+        caller.write(requestText("/unknown", "unknown"));
+        answer = caller.readToEnd();
+        REQUIRE_FALSE(answer.empty());
+        return answer.find("stopping") != std::string::npos;
+    });
+    CHECK(isStopRefusal(answer));
+    kept.write(requestText("/r/late", "late"));
+    CHECK(isStopRefusal(kept.readToEnd()));
+    scene.target->signal(SIGCONT);
+    CHECK(held.readUntil("done").ends_with("done"));
+    CHECK(scene.fleet.instance(StopScene::Stopped).wait() == 0);
+    CHECK_FALSE(scene.hasRun("late"));
+}
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -122,6 +122,8 @@
                                               const std::string &path,
                                               const std::string &body = "",
                                               const http::Headers &headers = {});
+    // Returns the port of the instance's interface for callers. Needs FleetOptions::platform.
+    [[nodiscard]] uint16_t callersPort(int index) const;
     // Like call(), but throws if there is no answer, and parses its body as JSON.
     nlohmann::json callJson(int index,
                             const std::string &method,
