ingress: Accept during a planned stop only what can be expected to end

Callers saw: requests that came late in the grace of a planned stop were taken, passed on and cut at its end, among them requests that may run once. Nobody asked whether they could end before the abort.

Now an instance that drains asks forwarding::StopAdmission, which learns from each successful answer how long the requests of a route take. A request whose time limit, or whose route's expected duration, ends by the abort is accepted; any other is refused at once as not run, before it has a session, so it reserves nothing and is sent to no target. callers_drained counts these with the others.

Ruled out: waiting for longer instead. The process is killed at stop_within_s, and the last tenth is needed to report what the aborted requests used.

--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -5,6 +5,7 @@
 #include "samphirebridge/entry/entrynode.h"
 #include "samphirebridge/forwarding/forwardmachine.h"
 #include "samphirebridge/forwarding/routetable.h"
+#include "samphirebridge/forwarding/stopadmission.h"
 #include "samphirebridge/ingress/callerinterface.h"
 #include "samphirebridge/ingress/refusalstatus.h"
 #include "samphirebridge/ingress/requestlog.h"
@@ -33,6 +34,7 @@
     telemetry::Logger &logger;
     const Interface &interface;
     core::SteadyClock clock;
+    forwarding::StopAdmission admission;
     size_t bufferedBytes = 0; // Of the incomplete answers of all requests.
 };
 
@@ -202,6 +204,7 @@
     void relayEnd()
     {
         this->countFinished();
+        this->learnDuration();
         this->responder->end();
     }
 
@@ -209,6 +212,9 @@
     {
         this->observe(telemetry::Latency::FirstByte, this->machine.arrivedAt());
         this->countFinished();
+        if (head.status < FirstRedirectStatus) {
+            this->learnDuration();
+        }
         this->responder->sendWhole(this->callerHead(head), body);
     }
 
@@ -270,6 +276,8 @@
     static constexpr int ReservationWaitDivisor = 4;
     static constexpr core::Duration MinimumReservationWait = std::chrono::milliseconds(350);
 
+    static constexpr int FirstRedirectStatus = 300;
+
     // Limit for the incomplete answers of all requests of the process, in bytes.
     static constexpr size_t MaximumBufferedBytes = size_t{32} * 1024 * 1024;
 
@@ -284,6 +292,13 @@
         this->observe(telemetry::Latency::WholeRequest, this->machine.arrivedAt());
     }
 
+    // The request was answered with success.
+    void learnDuration()
+    {
+        this->context.admission.onAnswered(this->resolved.route->name,
+                                           this->now() - this->machine.arrivedAt());
+    }
+
     void onReservation(const entry::ReservationAnswer &answer)
     {
         const auto self = this->shared_from_this();
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -30,7 +30,7 @@
             telemetry::Logger &logger,
             const Interface &callerInterface)
         : pool(eventLoop, {})
-        , context{eventLoop, entryNode, this->pool, counters, logger, callerInterface, {}}
+        , context{eventLoop, entryNode, this->pool, counters, logger, callerInterface, {}, {}}
         , startedAt(this->context.clock.now())
     {
     }
@@ -53,10 +53,12 @@
         return absl::OkStatus();
     }
 
-    // From now on each answer closes its connection. The listener and idle connections stay open,
-    // so that callers get an answer.
-    void beginDrain(core::TimePoint /*abortTime*/)
+    // From now on each answer closes its connection, and a request that can't be expected to end by
+    // the given time is refused. The listener and idle connections stay open, so that callers get
+    // an answer.
+    void beginDrain(core::TimePoint abortTime)
     {
+        this->context.admission.beginStop(abortTime);
         this->server->beginDrain();
     }
 
@@ -156,6 +158,9 @@
         if (keyRequired && resolved.organisation == nullptr) {
             return this->makeDenial(core::RefusalReason::Unauthenticated);
         }
+        if (!this->context.admission.accepts(*resolved.route, request, this->context.clock.now())) {
+            return this->makeStopRefusal();
+        }
         resolved.service
             = resolved.table->findService(forwarding::chooseService(*resolved.route, request.id));
         return std::nullopt;
--- a/tests/fleet/platformtest.cpp
+++ b/tests/fleet/platformtest.cpp
@@ -153,6 +153,24 @@
     CHECK(exitCodeAfterStop(settingsWithoutRunningSeed("control", Base, addresses), Base + 3) == 0);
 }
 
+// Guards against taking requests that are then cut off when the process ends.
+TEST_CASE("an instance that stops refuses at once a request that may outlast it")
+{
+    constexpr int StopWithinSeconds = 8;
+    constexpr int TimeoutMs = 60'000;
+    StopScene scene(26100, StopWithinSeconds, TimeoutMs);
+    const http::Peer kept = scene.keptConnection();
+    scene.target->signal(SIGSTOP);
+    scene.stop();
+    kept.write(requestText("/r/late", "late"));
+    const std::string answer = kept.readToEnd();
+    INFO(answer << scene.fleet.log(StopScene::Stopped));
+    CHECK(isStopRefusal(answer));
+    scene.target->signal(SIGCONT);
+    CHECK(scene.fleet.instance(StopScene::Stopped).wait() == 0);
+    CHECK_FALSE(scene.hasRun("late"));
+}
+
 // Guards against late callers that find a closed port or connection and can't tell whether their
 // request has run.
 TEST_CASE("an instance that takes no more requests refuses them until those in progress have ended")
