--- a/tests/fleet/silencetest.cpp
+++ b/tests/fleet/silencetest.cpp
@@ -59,12 +59,12 @@
 // gave up its target and asked for another, and the retry budget decided who got one.
 TEST_CASE("streams are answered whole when all targets fall silent beside configuration changes")
 {
-    Fleet fleet({.basePort = 26100, .instances = Instances, .platform = true});
+    Fleet fleet({.basePort = 26300, .instances = Instances, .platform = true});
     fleet.start();
     fleet.sendDeclaration(0, declarationOf(FirstVersion));
     fleet.waitForDeclaration(FirstVersion);
     for (int target = 0; target < Targets; ++target) {
-        fleet.startPlatformTarget(fmt::format("t{}", target), 26170 + target, "s");
+        fleet.startPlatformTarget(fmt::format("t{}", target), 26370 + target, "s");
     }
     fleet.waitForTargets(0, Targets);
     std::vector<std::string> bodies(Streams);
