storage: Tell a full disk from other errors, and let a refused write be repeated

Other operators' disks of counted machines were full in turn, and changes were refused long after. Before a voter can live through a full disk, a refused write has to be told from a failed one, and to be safe to repeat:

- ENOSPC and EDQUOT are the new error storage_full.
A failed sync stays final.
- Log::truncateFrom changed its memory first and the file second.
Where the file system refuses the truncation too, a repeated call took it for done, and the log had a gap or a torn record in its middle, which no later start opens.
- A temporary file that could not be written whole is removed, so that it takes no room.

MemoryStorage can be full after some writes: it refuses appends, new files and truncations, and leaves a part of the refused bytes.

--- a/source/samphirebridge/core/errors.cpp
+++ b/source/samphirebridge/core/errors.cpp
@@ -63,6 +63,8 @@
         return "sync_failed";
     case ErrorCode::DataFolderMissing:
         return "data_folder_missing";
+    case ErrorCode::StorageFull:
+        return "storage_full";
     case ErrorCode::NotLeader:
         return "not_leader";
     case ErrorCode::NoQuorum:
--- a/source/samphirebridge/core/errors.h
+++ b/source/samphirebridge/core/errors.h
@@ -26,6 +26,7 @@
     StorageCorrupt = 21,
     SyncFailed = 22,
     DataFolderMissing = 23,
+    StorageFull = 24, // The disk has no room; the write may succeed later.
     // Consensus
     NotLeader = 30,
     NoQuorum = 31,
--- a/source/samphirebridge/samphirectl/exitcode.cpp
+++ b/source/samphirebridge/samphirectl/exitcode.cpp
@@ -49,6 +49,7 @@
     case ErrorCode::StorageCorrupt:
     case ErrorCode::SyncFailed:
     case ErrorCode::DataFolderMissing:
+    case ErrorCode::StorageFull:
     case ErrorCode::SnapshotNeeded:
     case ErrorCode::AddressInUse:
         return ExitCode::Internal;
--- a/source/samphirebridge/storage/filestorage.cpp
+++ b/source/samphirebridge/storage/filestorage.cpp
@@ -32,7 +32,9 @@
 
 absl::Status unavailableError(std::string_view action, std::string_view path)
 {
-    return systemError(core::ErrorCode::StorageUnavailable, action, path);
+    const bool isFull = errno == ENOSPC || errno == EDQUOT;
+    return systemError(
+        isFull ? core::ErrorCode::StorageFull : core::ErrorCode::StorageUnavailable, action, path);
 }
 
 absl::Status earlierSyncError(std::string_view folder)
--- a/source/samphirebridge/storage/log.h
+++ b/source/samphirebridge/storage/log.h
@@ -46,7 +46,9 @@
         return std::exchange(this->entries, {});
     }
 
-    // Appends entries. Internal if their indices do not continue those of the log.
+    // Appends entries. Internal if their indices do not continue those of the log. After
+    // StorageFull, here or from sync(), truncateFrom() with the index of the first entry must
+    // succeed before the entries are appended again.
     absl::Status append(std::span<const proto::LogEntry> newEntries);
 
     // Removes the entries from `index` on; durable on return.
@@ -256,11 +258,13 @@
         }
         this->segments.pop_back();
     }
+    // The file first: if that is refused, a repeated call must not take it for done.
     LogSegment &last = this->segments.back();
-    last.truncateFrom(index);
-    if (absl::Status status = this->storage->truncate(last.name, last.bytes); !status.ok()) {
+    absl::Status status = this->storage->truncate(last.name, last.bytesBefore(index));
+    if (!status.ok()) {
         return status;
     }
+    last.truncateFrom(index);
     return this->storage->sync(last.name);
 }
 
--- a/source/samphirebridge/storage/logsegment.cpp
+++ b/source/samphirebridge/storage/logsegment.cpp
@@ -80,14 +80,21 @@
     return status;
 }
 
+uint64_t LogSegment::bytesBefore(uint64_t index) const
+{
+    if (index >= this->nextIndex()) {
+        return this->bytes;
+    }
+    return this->offsets[index > this->firstIndex ? index - this->firstIndex : 0];
+}
+
 void LogSegment::truncateFrom(uint64_t index)
 {
     if (index >= this->nextIndex()) {
         return;
     }
-    const uint64_t kept = index > this->firstIndex ? index - this->firstIndex : 0;
-    this->bytes = this->offsets[kept];
-    this->offsets.resize(kept);
+    this->bytes = this->bytesBefore(index);
+    this->offsets.resize(index > this->firstIndex ? index - this->firstIndex : 0);
     this->syncedBytes = this->bytes;
 }
 
--- a/source/samphirebridge/storage/logsegment.h
+++ b/source/samphirebridge/storage/logsegment.h
@@ -40,7 +40,10 @@
     // Records the entry and appends its frame to `out`, which the caller appends to the file.
     absl::Status add(const proto::LogEntry &entry, std::string &out);
 
-    // Removes the entries from `index` on. The caller truncates the file to `bytes`.
+    // Returns the length of the file without the entries from `index` on.
+    [[nodiscard]] uint64_t bytesBefore(uint64_t index) const;
+
+    // Removes the entries from `index` on. The caller has truncated the file to bytesBefore().
     void truncateFrom(uint64_t index);
 
     // Returns the index of the next entry to be added.
--- a/source/samphirebridge/storage/memorystorage.cpp
+++ b/source/samphirebridge/storage/memorystorage.cpp
@@ -36,6 +36,12 @@
     if (absl::Status status = this->checkNoFailedSync(); !status.ok()) {
         return status;
     }
+    if (this->isFull()) {
+        return this->appendToFullDisk(name, bytes);
+    }
+    if (this->refusesWrites) {
+        --this->writesBeforeRefusal;
+    }
     const auto [found, isNew] = this->names.try_emplace(std::string(name), this->nextFile);
     if (isNew) {
         ++this->nextFile;
@@ -44,6 +50,29 @@
     return absl::OkStatus();
 }
 
+absl::Status MemoryStorage::appendToFullDisk(std::string_view name, std::string_view bytes)
+{
+    const auto found = this->names.find(name);
+    if (found != this->names.end() && bytes.empty()) {
+        return absl::OkStatus();
+    }
+    if (found != this->names.end()) {
+        this->files[found->second].current.append(bytes.substr(0, this->random() % bytes.size()));
+    }
+    return fullDisk(name);
+}
+
+bool MemoryStorage::isFull() const
+{
+    return this->refusesWrites && this->writesBeforeRefusal == 0;
+}
+
+absl::Status MemoryStorage::fullDisk(std::string_view name)
+{
+    return core::makeError(core::ErrorCode::StorageFull,
+                           fmt::format("file {}: the disk is full", name));
+}
+
 absl::StatusOr<std::string> MemoryStorage::read(std::string_view name)
 {
     const auto found = this->names.find(name);
@@ -123,9 +152,13 @@
         return missingFile(name);
     }
     std::string &current = this->files[found->second].current;
-    if (length < current.size()) {
-        current.resize(length);
+    if (length >= current.size()) {
+        return absl::OkStatus();
+    }
+    if (this->isFull()) {
+        return fullDisk(name);
     }
+    current.resize(length);
     return absl::OkStatus();
 }
 
@@ -214,6 +247,17 @@
     this->syncsBeforeRefusal = successes;
 }
 
+void MemoryStorage::fillAfter(uint64_t writes)
+{
+    this->refusesWrites = true;
+    this->writesBeforeRefusal = writes;
+}
+
+void MemoryStorage::makeRoom()
+{
+    this->refusesWrites = false;
+}
+
 void MemoryStorage::damage(std::string_view name, uint64_t offset)
 {
     const auto found = this->names.find(name);
--- a/source/samphirebridge/storage/memorystorage.h
+++ b/source/samphirebridge/storage/memorystorage.h
@@ -1,5 +1,5 @@
 // A data folder in memory for tests, which can inject faults: crashes that lose unsynced data, torn
-// writes, refused syncs and damaged bytes.
+// writes, refused syncs, a full disk and damaged bytes.
 #pragma once
 
 #include "samphirebridge/storage/storage.h"
@@ -44,6 +44,12 @@
     // fails until a crash or loseDisk().
     void refuseSyncAfter(uint64_t successes);
 
+    // Lets `writes` further appends succeed, and refuses those that follow with StorageFull until
+    // makeRoom(). A refused append creates no file, and leaves a random part of its bytes at the
+    // end of one that exists. Truncations are refused too, as by file systems that write elsewhere.
+    void fillAfter(uint64_t writes);
+    void makeRoom();
+
     // Changes one byte of the file, both in its current and in its durable content.
     void damage(std::string_view name, uint64_t offset);
 
@@ -58,6 +64,10 @@
     // Identifies a file independently of its name, like an inode number.
     using FileNumber = uint64_t;
 
+    [[nodiscard]] bool isFull() const;
+    static absl::Status fullDisk(std::string_view name);
+    // Refuses the append, of which a part may reach the disk.
+    absl::Status appendToFullDisk(std::string_view name, std::string_view bytes);
     // SyncFailed if an earlier sync failed.
     absl::Status checkNoFailedSync() const;
     // SyncFailed if an earlier sync failed or refuseSyncAfter() makes this one fail.
@@ -75,6 +85,8 @@
     bool refusesSync = false;
     uint64_t syncsBeforeRefusal = 0;
     bool syncFailed = false;
+    bool refusesWrites = false;
+    uint64_t writesBeforeRefusal = 0;
 };
 
 static_assert(Storage<MemoryStorage>);
--- a/source/samphirebridge/storage/recordfile.h
+++ b/source/samphirebridge/storage/recordfile.h
@@ -28,11 +28,14 @@
     if (absl::Status status = storage.remove(temporary); !status.ok()) {
         return status;
     }
-    if (absl::Status status = storage.append(temporary, bytes); !status.ok()) {
-        return status;
+    absl::Status written = storage.append(temporary, bytes);
+    if (written.ok()) {
+        written = storage.sync(temporary);
     }
-    if (absl::Status status = storage.sync(temporary); !status.ok()) {
-        return status;
+    if (!written.ok()) {
+        // On a full disk the part that was written would keep its room.
+        (void)storage.remove(temporary);
+        return written;
     }
     if (absl::Status status = storage.rename(temporary, name); !status.ok()) {
         return status;
--- a/source/samphirebridge/storage/storage.h
+++ b/source/samphirebridge/storage/storage.h
@@ -24,8 +24,10 @@
 //   truncate    shortens the file to a length in bytes
 //   remove      removes the file; a missing file is no error
 //   list        returns the names in ascending order
-// Errors: StorageUnavailable, with the file's name and the system's error, and SyncFailed. After
-// SyncFailed every call that changes something fails with it.
+// Errors: StorageUnavailable, with the file's name and the system's error, StorageFull and
+// SyncFailed. After StorageFull a part of the bytes may be at the end of the file; the call may be
+// repeated once that part is truncated. After SyncFailed every call that changes something fails
+// with it.
 template <typename T>
 concept Storage = requires(T storage, std::string_view name, uint64_t length)
 {
--- a/tests/storage/filestoragetest.cpp
+++ b/tests/storage/filestoragetest.cpp
@@ -120,3 +120,19 @@
     CHECK(reopened->firstIndex() <= 10);
     CHECK(reopened->takeEntries().back().data() == "command 19");
 }
+
+// Every write to /dev/full fails with the system's error for a full disk.
+TEST_CASE("a write that the disk has no room for is told from other errors")
+{
+    const TemporaryFolder folder;
+    std::filesystem::create_symlink("/dev/full", folder.path + "/full");
+    std::filesystem::create_directory(folder.path + "/folder");
+    auto storage = FileStorage::open(folder.path);
+    REQUIRE(storage.ok());
+    CHECK(core::errorCodeOf(storage->append("full", "bytes")) == core::ErrorCode::StorageFull);
+    CHECK(core::errorCodeOf(storage->append("folder", "bytes"))
+          == core::ErrorCode::StorageUnavailable);
+    // The storage stays usable.
+    CHECK(storage->append("file", "bytes").ok());
+    CHECK(storage->sync("file").ok());
+}
--- a/tests/storage/logtest.cpp
+++ b/tests/storage/logtest.cpp
@@ -238,3 +238,50 @@
     CHECK(core::errorCodeOf(log.append(entriesBetween(4, 4))) == core::ErrorCode::Internal);
     CHECK(core::errorCodeOf(log.append(entriesBetween(2, 2))) == core::ErrorCode::Internal);
 }
+
+// A refused append leaves a part of a record, and a repeated one would follow it.
+TEST_CASE("entries that a full disk refused are appended once it has room")
+{
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+        MemoryStorage storage(seed);
+        MemoryLog log = openLog(storage, SmallSegments);
+        appendAndSync(log, 1, 1 + seed % 5);
+        const uint64_t next = log.lastIndex() + 1;
+        const uint64_t last = next + seed % 20;
+        storage.fillAfter(0);
+        for (unsigned attempt = 0; attempt < 2 + seed % 2; ++attempt) {
+            absl::Status status = log.truncateFrom(next);
+            if (status.ok()) {
+                status = log.append(entriesBetween(next, last));
+            }
+            REQUIRE(core::errorCodeOf(status) == core::ErrorCode::StorageFull);
+        }
+        storage.makeRoom();
+        REQUIRE(log.truncateFrom(next).ok());
+        REQUIRE(log.lastIndex() + 1 == next);
+        appendAndSync(log, next, last);
+        storage.crash();
+        MemoryLog reopened = openLog(storage, SmallSegments);
+        checkEntries(reopened, 1, last);
+    }
+}
+
+// A batch that fills a segment is written in several parts, each of which may be the last that the
+// disk has room for.
+TEST_CASE("a batch of which a full disk took the first segments is appended once it has room")
+{
+    for (uint64_t writes = 0; writes < 12; ++writes) {
+        MemoryStorage storage(writes);
+        MemoryLog log = openLog(storage, SmallSegments);
+        appendAndSync(log, 1, 3);
+        storage.fillAfter(writes);
+        REQUIRE(core::errorCodeOf(log.append(entriesBetween(4, 60)))
+                == core::ErrorCode::StorageFull);
+        storage.makeRoom();
+        REQUIRE(log.truncateFrom(4).ok());
+        appendAndSync(log, 4, 60);
+        storage.crash();
+        MemoryLog reopened = openLog(storage, SmallSegments);
+        checkEntries(reopened, 1, 60);
+    }
+}
--- a/tests/storage/recordfiletest.cpp
+++ b/tests/storage/recordfiletest.cpp
@@ -109,3 +109,18 @@
     CHECK(instanceOf("ec/quito-1/12") == "ec/quito-1");
     CHECK(instanceOf("quito-1") == "quito-1");
 }
+
+// A temporary file that stays would take the room that the disk still has.
+TEST_CASE("a full disk leaves the old hard state and no temporary file")
+{
+    MemoryStorage storage;
+    HardStateStore<MemoryStorage> store(storage);
+    REQUIRE(store.save(hardState(1, "a/0")).ok());
+    storage.fillAfter(0);
+    CHECK(core::errorCodeOf(store.save(hardState(2, "b/0"))) == core::ErrorCode::StorageFull);
+    CHECK(storage.list()->size() == 1);
+    CHECK(store.load()->term() == 1);
+    storage.makeRoom();
+    REQUIRE(store.save(hardState(2, "b/0")).ok());
+    CHECK(store.load()->term() == 2);
+}
