consensus: Keep a member running while its disk is full

Operators saw the disks of counted machines full for a few seconds each, one after another, and changes refused or unanswered long after.

A write that the disk refuses for lack of room is now kept in memory with everything that follows from it. The member gives up leadership at once, is deaf to ticks, messages and calls, sends nothing that is not stored, and repeats the whole write every 0.1 s, after truncating the log to where the refused entries began. To the others it is a member that is cut off. Callers that wait for it are answered at once (UNKNOWN, not confirmed) and turn to another; calls on the own instance have no time limit, so otherwise they would wait until there is room. EIO, a failed sync and the rest still end the process.

Seen: the log lines storage_full and storage_room_again, and the gauge storage_full.

--- a/source/samphirebridge/consensus/durablenode.h
+++ b/source/samphirebridge/consensus/durablenode.h
@@ -6,6 +6,8 @@
 #include "samphirebridge/consensus/entrytimes.h"
 #include "samphirebridge/consensus/raftnode.h"
 #include "samphirebridge/consensus/statemachine.h"
+#include "samphirebridge/core/errors.h"
+#include "samphirebridge/core/time.h"
 #include "samphirebridge/storage/hardstatestore.h"
 #include "samphirebridge/storage/log.h"
 #include "samphirebridge/storage/memberidentity.h"
@@ -15,10 +17,12 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <iterator>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -71,8 +75,9 @@
     uint64_t restoredIndex = 0;
 };
 
-// Runs one member of a group. After any error of flush(), compaction included, the host must stop
-// the process. In particular, it must not retry after SyncFailed.
+// Runs one member of a group. A full disk is no error: see isStorageFull(). After any error of
+// flush(), compaction included, the host must stop the process. In particular, it must not retry
+// after SyncFailed.
 template <storage::Storage Storage, StateMachine Machine>
 class DurableNode
 {
@@ -86,43 +91,74 @@
     static absl::StatusOr<std::unique_ptr<DurableNode>>
     open(Storage &storage, Machine &machine, DurableNodeSettings settings, core::TimePoint now);
 
-    // These forward to RaftNode. The next flush() returns their effects.
+    // These forward to RaftNode. The next flush() returns their effects. While the disk is full,
+    // the member is deaf: it ignores ticks and messages, and the other calls return StorageFull.
     void tick(core::TimePoint now)
     {
-        this->raft.tick(now);
+        this->now = now;
+        if (!this->isStorageFull()) {
+            this->raft.tick(now);
+        }
     }
     void step(const proto::RaftMessage &message, core::TimePoint now)
     {
-        this->raft.step(message, now);
+        this->now = now;
+        if (!this->isStorageFull()) {
+            this->raft.step(message, now);
+        }
     }
     absl::StatusOr<uint64_t> propose(std::string_view data, core::TimePoint now)
     {
+        if (this->isStorageFull()) {
+            return storageFullError();
+        }
         return this->raft.propose(data, now);
     }
     absl::StatusOr<uint64_t> changeVoters(const MemberChange &change, core::TimePoint now)
     {
+        if (this->isStorageFull()) {
+            return storageFullError();
+        }
         return this->raft.changeVoters(change, now);
     }
     absl::StatusOr<ReadId> requestRead(core::TimePoint now)
     {
+        if (this->isStorageFull()) {
+            return storageFullError();
+        }
         return this->raft.requestRead(now);
     }
     absl::Status transferLeadership(std::string_view to, core::TimePoint now)
     {
+        if (this->isStorageFull()) {
+            return storageFullError();
+        }
         return this->raft.transferLeadership(to, now);
     }
 
+    // Returns whether the disk refused the last write for lack of room. From then until a flush()
+    // that stores it, this member does not lead, and flush() returns nothing that depends on it.
+    [[nodiscard]] bool isStorageFull() const
+    {
+        return this->unstored.has_value();
+    }
+
     // Moves out the messages that a leader may send before flush(): append requests and snapshot
     // chunks, so that the followers sync at the same time as the leader. Optional: messages that
     // are not taken here are returned by flush().
     std::vector<proto::RaftMessage> takeEarlyMessages()
     {
+        if (this->isStorageFull()) {
+            return {};
+        }
         return this->raft.takeEarlyMessages();
     }
 
     // Makes the results of all calls since the last flush() durable, the appended entries with one
     // sync of the log, applies the committed entries, and takes a snapshot when one is due. Returns
-    // the messages to send and the results for the host. To be called after each batch of calls.
+    // the messages to send and the results for the host. To be called after each batch of calls. A
+    // write that is refused for lack of room is no error: see isStorageFull(). It is tried again
+    // after StorageRetryInterval.
     absl::StatusOr<Output<Result>> flush();
 
     // For queries such as role(), leader(), term(), configuration() and isCaughtUp().
@@ -155,6 +191,21 @@
                 std::vector<EntryTime> times,
                 core::TimePoint now);
 
+    // The time after which a write that was refused for lack of room is tried again.
+    static constexpr core::Duration StorageRetryInterval = std::chrono::milliseconds(100);
+
+    static bool isFull(const absl::Status &status)
+    {
+        return core::errorCodeOf(status) == core::ErrorCode::StorageFull;
+    }
+    static absl::Status storageFullError()
+    {
+        return core::makeError(core::ErrorCode::StorageFull,
+                               "found a full disk; accepted are calls once it has room");
+    }
+
+    // Keeps what could not be stored, and gives up leadership.
+    void awaitRoom(Ready ready);
     absl::Status persist(Ready &ready);
     absl::Status installSnapshot(const Snapshot &snapshot, Output<Result> &output);
     void applyCommitted(const std::vector<proto::LogEntry> &committed, Output<Result> &output);
@@ -172,6 +223,10 @@
     uint64_t applied = 0;
     uint64_t snapshotIndex = 0;
     std::vector<ConfirmedRead> pendingReads;
+    core::TimePoint now;
+    // What the full disk refused. It is stored, sent and applied before anything that follows.
+    std::optional<Ready> unstored;
+    core::TimePoint storageRetryAt;
 };
 
 template <storage::Storage Storage, StateMachine Machine>
@@ -192,6 +247,7 @@
     , recoveredLog{this->log.lastIndex(), std::move(times), this->raft.configuration()}
     , applied(restored.snapshot.meta.index())
     , snapshotIndex(restored.snapshot.meta.index())
+    , now(now)
 {
 }
 
@@ -238,10 +294,19 @@
 auto DurableNode<Storage, Machine>::flush() -> absl::StatusOr<Output<Result>>
 {
     Output<Result> output;
-    while (this->raft.hasReady()) {
-        Ready ready = this->raft.takeReady();
+    if (this->isStorageFull() && this->now < this->storageRetryAt) {
+        return output;
+    }
+    while (this->isStorageFull() || this->raft.hasReady()) {
+        Ready ready = this->isStorageFull() ? *std::exchange(this->unstored, std::nullopt)
+                                            : this->raft.takeReady();
         if (ready.needsStorage()) {
-            if (absl::Status status = this->persist(ready); !status.ok()) {
+            absl::Status status = this->persist(ready);
+            if (isFull(status)) {
+                this->awaitRoom(std::move(ready));
+                return output;
+            }
+            if (!status.ok()) {
                 return status;
             }
             this->raft.persisted();
@@ -267,6 +332,19 @@
     return output;
 }
 
+template <storage::Storage Storage, StateMachine Machine>
+void DurableNode<Storage, Machine>::awaitRoom(Ready ready)
+{
+    // A part of the entries may be in the log. They are removed before they are appended again.
+    if (!ready.truncateFrom && !ready.entries.empty()) {
+        ready.truncateFrom = ready.entries.front().index();
+    }
+    this->unstored = std::move(ready);
+    this->storageRetryAt = this->now + StorageRetryInterval;
+    this->raft.stepDown(this->now);
+}
+
+// May be repeated with the same Ready after StorageFull.
 template <storage::Storage Storage, StateMachine Machine>
 absl::Status DurableNode<Storage, Machine>::persist(Ready &ready)
 {
@@ -348,19 +426,26 @@
 template <storage::Storage Storage, StateMachine Machine>
 absl::Status DurableNode<Storage, Machine>::takeSnapshotIfDue()
 {
-    if (this->applied - this->snapshotIndex < this->settings.snapshotEveryEntries) {
+    if (this->applied - this->snapshotIndex < this->settings.snapshotEveryEntries
+        || this->now < this->storageRetryAt) {
         return absl::OkStatus();
     }
     Snapshot snapshot;
     snapshot.meta = this->raft.snapshotMetaAt(this->applied);
     snapshot.data = std::make_shared<const std::string>(this->machine.snapshot());
     absl::Status status = this->snapshots.save(snapshot.meta, *snapshot.data);
+    if (isFull(status)) {
+        // The log still has everything, so the snapshot can wait.
+        this->storageRetryAt = this->now + StorageRetryInterval;
+        return absl::OkStatus();
+    }
     if (!status.ok()) {
         return status;
     }
     this->snapshotIndex = this->applied;
     this->raft.compact(snapshot);
-    return this->log.dropBefore(this->raft.firstIndex());
+    status = this->log.dropBefore(this->raft.firstIndex());
+    return isFull(status) ? absl::OkStatus() : status;
 }
 
 } // namespace samphirebridge::consensus
--- a/source/samphirebridge/consensus/raftnode.cpp
+++ b/source/samphirebridge/consensus/raftnode.cpp
@@ -32,6 +32,7 @@
     std::vector<proto::RaftMessage> takeEarlyMessages();
     [[nodiscard]] bool hasReady() const;
     void persisted();
+    void stepDown();
 
     NodeState state;
     std::optional<Leadership> leadership;
@@ -250,6 +251,13 @@
     }
 }
 
+void RaftNode::Impl::stepDown()
+{
+    if (this->state.role != Role::Follower) {
+        this->becomeFollower();
+    }
+}
+
 RaftNode::RaftNode(RaftSettings settings, RestoredState restored, core::TimePoint now)
     : impl(std::make_unique<Impl>(std::move(settings), std::move(restored), now))
 {
@@ -308,6 +316,12 @@
     return this->impl->leadership->transfer(to);
 }
 
+void RaftNode::stepDown(core::TimePoint now)
+{
+    this->impl->state.now = now;
+    this->impl->stepDown();
+}
+
 bool RaftNode::hasReady() const
 {
     return this->impl->hasReady();
--- a/source/samphirebridge/consensus/raftnode.h
+++ b/source/samphirebridge/consensus/raftnode.h
@@ -60,6 +60,10 @@
     // UnknownMember if `to` is not another voter.
     absl::Status transferLeadership(std::string_view to, core::TimePoint now);
 
+    // Becomes a follower that knows no leader, unless it is a follower already. May be called
+    // between takeReady() and persisted().
+    void stepDown(core::TimePoint now);
+
     // Returns whether there is something to do for the host: takeReady() is to be called.
     [[nodiscard]] bool hasReady() const;
 
--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -89,7 +89,7 @@
 
     // Makes all changes since the last call durable with one sync, then sends the Raft messages
     // that depend on them and answers the proposals and reads that were decided. After an error the
-    // process must stop.
+    // process must stop. A full disk is none: the member neither leads nor votes until it has room.
     absl::Status flush(core::TimePoint now)
     {
         this->now = now;
@@ -100,6 +100,7 @@
         this->sendMessages(output->messages);
         this->answerProposals(*output);
         this->answerReads(*output);
+        this->updateStorageFull();
         this->updateLeader();
         return absl::OkStatus();
     }
@@ -519,6 +520,29 @@
         return silent;
     }
 
+    // Tells when the disk becomes full and when it has room again. A member without room decides
+    // nothing more, so whoever waits for it is answered at once and may turn to another.
+    void updateStorageFull()
+    {
+        const bool isFull = this->durable->isStorageFull();
+        if (isFull == this->storageFull) {
+            return;
+        }
+        this->storageFull = isFull;
+        this->counters.set(telemetry::Gauge::StorageFull, isFull ? 1 : 0);
+        this->logger.change(isFull ? "storage_full" : "storage_room_again");
+        if (!isFull) {
+            return;
+        }
+        while (!this->proposals.empty()) {
+            this->answerUnknown(this->proposals.begin());
+        }
+        const auto waiting = std::exchange(this->reads, {});
+        for (const auto &[readId, onDecided] : waiting) {
+            onDecided(false);
+        }
+    }
+
     // Updates the gauges of term and commit index; logs and counts a change of the known leader.
     void updateLeader()
     {
@@ -563,6 +587,7 @@
     core::TimePoint lastGaugeUpdate;
     std::map<uint64_t, Proposal> proposals;
     std::map<consensus::ReadId, OnReadDecided> reads;
+    bool storageFull = false;
     std::string knownLeader;
     core::TimePoint lastLeaderKnown;
 };
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -81,6 +81,9 @@
     {Gauge::LedgerTokensInPool, "ledger_tokens_in_pool", "Tokens left to grant, over all budgets."},
     {Gauge::OpenReservations, "open_reservations", "Reservations that are not settled yet."},
     {Gauge::CrashSuspects, "crash_suspects", "Requests that may have crashed a target."},
+    {Gauge::StorageFull,
+     "storage_full",
+     "1 while the disk has no room for the replicated log, else 0."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -61,6 +61,7 @@
     LedgerTokensInPool,
     OpenReservations,
     CrashSuspects,
+    StorageFull,
 };
 
 // Durations that are recorded in a histogram.
--- a/tests/consensus/durablenodetest.cpp
+++ b/tests/consensus/durablenodetest.cpp
@@ -20,8 +20,8 @@
 class FaultlessGroup : public Schedule
 {
 public:
-    explicit FaultlessGroup(size_t voters)
-        : Schedule(ScheduleSettings{.seed = 7,
+    explicit FaultlessGroup(size_t voters, uint64_t seed = 7)
+        : Schedule(ScheduleSettings{.seed = seed,
                                     .voters = voters,
                                     .network = {.dropped = 0, .duplicated = 0, .delayed = 0},
                                     .stops = 0})
@@ -41,6 +41,15 @@
         this->advanceTime(200ms);
     }
 
+    // Proposes a command if a member leads.
+    void proposeIfLed()
+    {
+        if (Member *const member = this->leader()) {
+            (void)member->node->propose("command", this->now);
+            this->flush(*member);
+        }
+    }
+
     // Returns a running member that is not the leader.
     Member &follower()
     {
@@ -390,6 +399,96 @@
     CHECK(single.node->propose("one more", single.now).ok());
 }
 
+// A vote or an acknowledgement that is sent before it is stored is forgotten by a restart.
+TEST_CASE("a leader whose disk is full sends nothing that it has not stored, and leads no more")
+{
+    FaultlessGroup group(3);
+    Member &oldLeader = *group.leader();
+    const uint64_t version = oldLeader.machine.state.version;
+    oldLeader.storage.fillAfter(0);
+    REQUIRE(oldLeader.node->propose("refused", group.now).ok());
+    REQUIRE(oldLeader.node->requestRead(group.now).ok());
+    const auto output = oldLeader.node->flush();
+    REQUIRE(output.ok());
+    CHECK(output->messages.empty());
+    CHECK(oldLeader.node->isStorageFull());
+    CHECK(oldLeader.node->node().role() == Role::Follower);
+    CHECK(oldLeader.node->node().leader().empty());
+    CHECK(codeOf(oldLeader.node->propose("late", group.now).status())
+          == core::ErrorCode::StorageFull);
+    CHECK(codeOf(oldLeader.node->requestRead(group.now).status()) == core::ErrorCode::StorageFull);
+    group.advanceTime(2s);
+    REQUIRE(group.leader() != nullptr);
+    CHECK(group.leader() != &oldLeader);
+    group.commit(3);
+    CHECK(oldLeader.machine.state.version == version);
+    const uint64_t term = group.leader()->node->node().term();
+    oldLeader.storage.makeRoom();
+    group.advanceTime(1s);
+    CHECK_FALSE(oldLeader.node->isStorageFull());
+    CHECK(oldLeader.machine.state.version == group.leader()->machine.state.version);
+    CHECK(group.leader()->node->node().term() == term);
+    CHECK(group.invariants.violation().empty());
+}
+
+// The old log stays as it was, so the snapshot may wait.
+TEST_CASE("a snapshot that a full disk refuses is taken once it has room")
+{
+    DurableNodeSettings settings;
+    settings.snapshotEveryEntries = 10;
+    SingleVoter single(settings);
+    for (unsigned count = 0; count < 7; ++count) {
+        REQUIRE(single.node->propose("command", single.now).ok());
+    }
+    REQUIRE(single.node->flush().ok());
+    REQUIRE(single.node->propose("command", single.now).ok());
+    // There is room for the entry, but not for the snapshot.
+    single.storage.fillAfter(1);
+    REQUIRE(single.node->flush().ok());
+    CHECK(single.node->appliedIndex() == 10);
+    CHECK_FALSE(single.node->isStorageFull());
+    CHECK_FALSE(*single.storage.exists("snapshot"));
+    single.storage.makeRoom();
+    single.now += 1s;
+    single.node->tick(single.now);
+    REQUIRE(single.node->flush().ok());
+    CHECK(*single.storage.exists("snapshot"));
+}
+
+// Changes stayed unanswered after the disk of each member had been full for a few seconds, one
+// after the other.
+TEST_CASE("after every disk was full in turn, all members have the next change")
+{
+    // A process that ends while its disk is full restarts again and again.
+    const bool restarts = GENERATE(false, true);
+    const uint64_t seed = GENERATE(range(1, 41));
+    CAPTURE(restarts, seed);
+    FaultlessGroup group(5, seed);
+    for (Member *const member : group.allMembers()) {
+        member->storage.fillAfter(0);
+        for (unsigned step = 0; step < 25; ++step) {
+            group.proposeIfLed();
+            group.advanceTime(100ms);
+            if (restarts) {
+                group.stop(*member, StopKind::Kill);
+                group.start(*member);
+            }
+        }
+        member->storage.makeRoom();
+        group.start(*member);
+    }
+    group.advanceTime(2s);
+    REQUIRE(group.invariants.violation().empty());
+    REQUIRE(group.leader() != nullptr);
+    const uint64_t version = group.leader()->machine.state.version;
+    CHECK(version > 75);
+    group.commit(1);
+    for (const Member *const member : group.allMembers()) {
+        CHECK(member->machine.state.version == version + 1);
+    }
+    CHECK(group.leader()->node->node().configuration().voters_size() == 5);
+}
+
 // Without the times, a restarted member does not know how long ago it was in contact with the
 // group.
 TEST_CASE("a member recovers the times at which it stored its entries")
--- a/tests/consensus/schedule.cpp
+++ b/tests/consensus/schedule.cpp
@@ -89,6 +89,15 @@
     return **found;
 }
 
+std::vector<Member *> Schedule::allMembers()
+{
+    std::vector<Member *> all;
+    for (const auto &member : this->members) {
+        all.push_back(member.get());
+    }
+    return all;
+}
+
 std::vector<Member *> Schedule::runningMembers()
 {
     std::vector<Member *> found;
@@ -124,6 +133,10 @@
         this->invariants.recordApplied(member.name, index, state);
     };
     auto opened = Node::open(member.storage, member.machine, nodeSettings(member.seed), this->now);
+    if (core::errorCodeOf(opened.status()) == core::ErrorCode::StorageFull) {
+        this->stop(member, StopKind::Kill);
+        return;
+    }
     if (core::errorCodeOf(opened.status()) == core::ErrorCode::SyncFailed) {
         this->stop(member, StopKind::TornPowerLoss);
         return;
@@ -355,6 +368,18 @@
     this->loseDisk(this->member(configuration.voters(chosen)));
 }
 
+void Schedule::changeFullDisks()
+{
+    for (const auto &member : this->members) {
+        if (this->withProbability(this->settings.fullDisks / 4)) {
+            member->storage.makeRoom();
+        }
+    }
+    if (this->withProbability(this->settings.fullDisks)) {
+        this->randomMember().storage.fillAfter(this->random() % 6);
+    }
+}
+
 void Schedule::injectFaults()
 {
     if (this->withProbability(this->settings.stops)) {
@@ -371,6 +396,9 @@
     if (this->withProbability(this->settings.syncRefusals)) {
         this->randomMember().storage.refuseSyncAfter(this->random() % 4);
     }
+    if (this->settings.fullDisks > 0) {
+        this->changeFullDisks();
+    }
     if (this->withProbability(this->settings.lostDisks)) {
         this->loseRandomDisk();
     }
@@ -425,6 +453,7 @@
     for (const auto &member : this->members) {
         // The restart also cancels a refused sync that is still to come.
         this->stop(*member, StopKind::PowerLoss);
+        member->storage.makeRoom();
         this->start(*member);
     }
     while (this->now < end && this->invariants.violation().empty() && !this->hasConverged()) {
--- a/tests/consensus/schedule.h
+++ b/tests/consensus/schedule.h
@@ -31,6 +31,7 @@
     unsigned restarts = 60; // For each stopped member.
     unsigned partitions = 12;
     unsigned syncRefusals = 2;
+    unsigned fullDisks = 0; // Also a quarter of it for each full disk to have room again.
     unsigned lostDisks = 1;
     unsigned transfers = 2;
     unsigned memberChanges = 4;
@@ -87,6 +88,7 @@
     // Adds a member with an empty disk, not yet initialised.
     Member &addMember(std::string_view name);
     std::vector<Member *> runningMembers();
+    std::vector<Member *> allMembers();
 
     Invariants invariants;
     core::TimePoint now;
@@ -102,6 +104,7 @@
     void transferLeadership();
     void changeMembers();
     void loseRandomDisk();
+    void changeFullDisks();
     void propose();
     void requestRead();
     void deliverMessages();
--- a/tests/consensus/scheduletest.cpp
+++ b/tests/consensus/scheduletest.cpp
@@ -105,3 +105,20 @@
     CHECK(outcome.violation.empty());
     CHECK(outcome.appliedEntries > 20 * Seeds);
 }
+
+TEST_CASE("full disks end no member and lose nothing that was acknowledged")
+{
+    ScheduleSettings settings;
+    settings.fullDisks = 100;
+    settings.stops = 10;
+    settings.restarts = 200;
+    settings.syncRefusals = 10;
+    settings.memberChanges = 10;
+    settings.lostDisks = 0;
+    settings.transfers = 10;
+    const Outcome outcome = runSeeds(settings);
+    INFO(outcome.violation);
+    CHECK(outcome.violation.empty());
+    CHECK(outcome.appliedEntries > 20 * Seeds);
+    CHECK(outcome.confirmedReads > Seeds);
+}
