control: Try again to store the targets when a full disk refused them

TargetKeeper took a list for stored before it was: a departure that the disk refused for lack of room was not stored before the next change of a target, and after a restart the leaving target was ready again.

--- a/source/samphirebridge/control/targetkeeper.h
+++ b/source/samphirebridge/control/targetkeeper.h
@@ -63,12 +63,17 @@
     }
 
     // Stores the targets if they have changed: at once after a departure, so that a restart does
-    // not make a leaving target ready again, otherwise after SaveInterval.
+    // not make a leaving target ready again, otherwise after SaveInterval. A save that failed is
+    // tried again after SaveInterval.
     void flush(core::TimePoint now)
     {
         const bool departed = this->view.targetDepartures() != this->savedDepartures;
         const bool changed = this->view.targetChanges() != this->savedChanges;
-        if (!departed && (!changed || now - this->savedAt < SaveInterval)) {
+        if (!departed && !changed) {
+            return;
+        }
+        const bool mayWait = !departed || this->saveFailed;
+        if (mayWait && now - this->savedAt < SaveInterval) {
             return;
         }
         proto::MembershipUpdate targets;
@@ -77,13 +82,17 @@
             stored = record;
             stored.clear_load();
         }
-        this->markSaved(now);
+        this->savedAt = now;
         const absl::Status saved = this->store.save(targets);
-        if (!saved.ok()) {
-            // Not fatal: without the list the targets announce themselves again.
+        // Not fatal: without the list the targets announce themselves again.
+        if (!saved.ok() && !this->saveFailed) {
             this->logger.change("targets_not_saved",
                                 {{"error", std::string(core::messageOf(saved))}});
         }
+        this->saveFailed = !saved.ok();
+        if (saved.ok()) {
+            this->markSaved(now);
+        }
     }
 
 private:
@@ -102,7 +111,8 @@
     storage::TargetStore<Storage> store;
     View &view;
     telemetry::Logger &logger;
-    core::TimePoint savedAt;
+    core::TimePoint savedAt; // When the last save was tried.
+    bool saveFailed = false;
     uint64_t savedChanges = 0;
     uint64_t savedDepartures = 0;
 };
--- a/tests/control/targetkeepertest.cpp
+++ b/tests/control/targetkeepertest.cpp
@@ -140,6 +140,28 @@
     CHECK(after.view.targets().find("leaves")->state() == proto::LEAVING);
 }
 
+// A departure that a full disk refused was not stored before the next change of a target.
+TEST_CASE("a departure that a full disk refused is stored once it has room")
+{
+    storage::MemoryStorage storage;
+    ControlProcess before(storage);
+    before.view.announce("leaves", proto::READY, Start);
+    before.keeper.flush(Start);
+    before.view.announce("leaves", proto::LEAVING, Start + 1s);
+    storage.fillAfter(0);
+    before.keeper.flush(Start + 1s);
+    storage.makeRoom();
+    before.keeper.flush(Start + 2s);
+    const uint64_t syncs = storage.syncCount();
+    before.keeper.flush(Start + 3s);
+    CHECK(storage.syncCount() == syncs);
+    storage.crash();
+
+    ControlProcess after(storage);
+    after.keeper.restore(Start + 4s);
+    CHECK(after.view.targets().find("leaves")->state() == proto::LEAVING);
+}
+
 TEST_CASE("arrivals within the save interval cost one sync, and unchanged targets cost none")
 {
     storage::MemoryStorage storage;
