control: Answer a proposal that another leader removed before its index is used again

Operators reported changes that stayed unanswered. A leader that lost its leadership and led again within 5 s could use the index of a proposal that the leader between had removed from the log: the new proposal replaced the old one in the list of those to be answered, which was then never answered. A call on the own instance has no time limit, so it waited for ever. It is now answered with UNKNOWN before its index is used again.

The new test failed before: the second of two proposals had no answer. Ruled out: reads, which all fail when the leadership ends.

--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -125,6 +125,10 @@
             respond(std::move(refusal));
             return;
         }
+        // Another leader removed an earlier proposal from the log, and its index is used again.
+        if (const auto removed = this->proposals.find(*index); removed != this->proposals.end()) {
+            this->answerUnknown(removed);
+        }
         this->proposals.insert_or_assign(
             *index, Proposal{this->durable->node().term(), this->now, std::move(respond)});
     }
--- a/tests/control/controlnodetest.cpp
+++ b/tests/control/controlnodetest.cpp
@@ -1,4 +1,4 @@
-// A control instance and its callers while the disk is full.
+// The callers of a control instance whose disk is full, or which lost its leadership.
 #include "samphirebridge/control/controlnode.h"
 #include "samphirebridge/storage/memorystorage.h"
 
@@ -17,8 +17,8 @@
 
 using Node = control::ControlNode<storage::MemoryStorage>;
 
-// The only voter of a fleet, which leads.
-struct SingleVoter {
+// A control instance that is one of the voters.
+struct Member {
     storage::MemoryStorage storage;
     telemetry::Counters counters;
     telemetry::Logger logger{"control"};
@@ -26,16 +26,13 @@
     std::unique_ptr<Node> node;
     core::TimePoint now = core::TimePoint(100s);
 
-    SingleVoter()
+    explicit Member(const std::vector<std::string> &voters)
     {
-        const std::vector<std::string> voters{"control/0"};
-        REQUIRE(consensus::initialise(this->storage, voters, "control/0").ok());
+        REQUIRE(consensus::initialise(this->storage, voters, voters.front()).ok());
         auto opened
             = Node::open(this->storage, {}, this->peers, this->counters, this->logger, this->now);
         REQUIRE(opened.ok());
         this->node = *std::move(opened);
-        this->advance();
-        REQUIRE(this->node->leads());
     }
 
     void advance()
@@ -51,6 +48,16 @@
         this->node->submit({},
                            [&status](const proto::SubmitReply &reply) { status = reply.status(); });
     }
+};
+
+// The only voter of a fleet, which leads.
+struct SingleVoter : Member {
+    SingleVoter()
+        : Member({"control/0"})
+    {
+        this->advance();
+        REQUIRE(this->node->leads());
+    }
 
     [[nodiscard]] bool tellsFullStorage() const
     {
@@ -58,6 +65,51 @@
     }
 };
 
+// One of three voters; the test acts as the others.
+struct MemberOfThree : Member {
+    MemberOfThree()
+        : Member({"a/0", "b/0", "c/0"})
+    {
+    }
+
+    void deliver(proto::RaftMessage message, uint64_t term)
+    {
+        message.set_from("b/0");
+        message.set_to("a/0");
+        message.set_term(term);
+        this->node->step(message, this->now);
+        REQUIRE(this->node->flush(this->now).ok());
+    }
+
+    // Lets the other voter elect this member in the term, which is the next one.
+    void lead(uint64_t term)
+    {
+        this->advance();
+        for (const bool preVote : {true, false}) {
+            proto::RaftMessage vote;
+            vote.mutable_vote_reply()->set_granted(true);
+            vote.mutable_vote_reply()->set_pre_vote(preVote);
+            this->deliver(vote, term);
+        }
+        REQUIRE(this->node->leads());
+    }
+
+    // Lets the other voter lead in the term and replace all entries after the first.
+    void followOtherLeader(uint64_t term)
+    {
+        proto::RaftMessage message;
+        proto::AppendRequest &request = *message.mutable_append_request();
+        request.set_previous_index(1);
+        request.set_previous_term(1);
+        proto::LogEntry &entry = *request.add_entries();
+        entry.set_index(2);
+        entry.set_term(term);
+        entry.set_kind(proto::NOOP);
+        this->deliver(message, term);
+        REQUIRE_FALSE(this->node->leads());
+    }
+};
+
 } // namespace
 
 // Calls on the own instance have no time limit: without an answer they would wait for ever.
@@ -93,3 +145,24 @@
     REQUIRE(fleet.node->flush(fleet.now).ok());
     CHECK(later == proto::SubmitReply::APPLIED);
 }
+
+// The later proposal took the place of the earlier one, which was then never answered.
+TEST_CASE("a proposal that another leader removed is answered, though its index is used again")
+{
+    MemberOfThree member;
+    std::optional<proto::SubmitReply::Status> first;
+    std::optional<proto::SubmitReply::Status> second;
+    std::optional<proto::SubmitReply::Status> third;
+    member.lead(2);
+    member.submit(first);
+    member.submit(second);
+    member.followOtherLeader(3);
+    member.lead(4);
+    CHECK_FALSE(second.has_value());
+    member.submit(third);
+    CHECK(second == proto::SubmitReply::UNKNOWN);
+    CHECK_FALSE(third.has_value());
+    member.node->tick(member.now + 10s);
+    CHECK(first == proto::SubmitReply::UNKNOWN);
+    CHECK(third == proto::SubmitReply::UNKNOWN);
+}
