daemon: Begin to check and to drain in one step of a planned stop

A request that arrived between two steps of the control thread, after the instance had begun to drain and before the ingress knew the abort time, was taken unchecked and cut 7.2 s after the signal, though it may have run. Now one step does both, the check first. Ruled out: the test's own order, which waits for draining.

--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -549,9 +549,6 @@
         times.stopAccepting = core::Duration::zero();
         times.stopListening = core::Duration::zero();
     }
-    running.queue.call([this, signalledAt, &times] {
-        this->interface.beginDrain(signalledAt + times.abortRequests);
-    });
     const auto phase = [this, &running, &times, signalledAt] {
         const bool idle = running.queue.call([this] { return this->interface.isIdle(); });
         return interfacePhase(times, running.clock.now() - signalledAt, idle);
@@ -585,7 +582,15 @@
 {
     Parts &parts = *this->parts;
     const core::TimePoint deadline = signalledAt + this->settings.shutdownGrace;
-    parts.queue.call([&parts] { parts.node.beginDrain(); });
+    // In one step, so that no request is taken unchecked in between.
+    const core::TimePoint abortTime
+        = signalledAt + shutdownTimes(this->settings.shutdownGrace).abortRequests;
+    parts.queue.call([this, &parts, abortTime] {
+        if (this->interface.beginDrain) {
+            this->interface.beginDrain(abortTime);
+        }
+        parts.node.beginDrain();
+    });
     if (this->interface.beginDrain) {
         this->drainInterface(signalledAt);
     } else {
