--- a/tests/fleet/crashtest.cpp
+++ b/tests/fleet/crashtest.cpp
@@ -1,13 +1,13 @@
 // Tests on real processes that a request which crashes its targets is soon refused by every
 // instance.
-#include "tests/support/fleet.h"
+#include "tests/fleet/restartedtargets.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
 #include <chrono>
+#include <string>
 #include <thread>
-#include <vector>
 
 using namespace samphirebridge;
 using namespace samphirebridge::testing;
@@ -32,58 +32,13 @@
     return {.basePort = basePort, .instances = Instances, .platform = true};
 }
 
-// Targets that are started again under another id when they have ended.
-class RestartedTargets
-{
-public:
-    RestartedTargets(Fleet &runningFleet, int firstPort)
-        : fleet(runningFleet)
-        , firstPort(firstPort)
-        , processes(Targets, nullptr)
-    {
-        for (int slot = 0; slot < Targets; ++slot) {
-            this->start(slot);
-        }
-    }
-
-    // Starts a successor for each target that has ended.
-    void restartEnded()
-    {
-        for (int slot = 0; slot < Targets; ++slot) {
-            if (!this->processes[slot]->running()) {
-                ++this->endedCount;
-                this->start(slot);
-            }
-        }
-    }
-
-    // Returns how many targets have ended, up to the last call of restartEnded().
-    [[nodiscard]] size_t ended() const
-    {
-        return this->endedCount;
-    }
-
-private:
-    void start(int slot)
-    {
-        const std::string name = fmt::format("t{}", this->startedCount++);
-        this->processes[slot] = &this->fleet.startPlatformTarget(name, this->firstPort + slot, "s");
-    }
-
-    Fleet &fleet;
-    int firstPort;
-    std::vector<ChildProcess *> processes;
-    int startedCount = 0;
-    size_t endedCount = 0;
-};
-
 // A fleet that serves one route, and a request that crashes every target that runs it.
 class CrashScene
 {
 public:
     explicit CrashScene(uint16_t basePort)
         : fleet(optionsOf(basePort))
-        , targets(this->startedFleet(), basePort + 70)
+        , targets(this->startedFleet(), Targets, basePort + 70)
     {
         for (int index = 0; index < Instances; ++index) {
             this->fleet.waitForTargets(index, Targets);
--- a/utilities/standins/main.cpp
+++ b/utilities/standins/main.cpp
@@ -52,7 +52,8 @@
   --answer-tokens=N      Length of an answer that max_tokens does not cut [default: 32].
   --ignore-fencing       The engine takes orders with any fencing number.
   --deduplicates         The payment service recognises a repeated key.
-  --delay-ms=N           Delay of each payment [default: 0].
+  --delay-ms=N           Delay of each payment, and of each answer of a plain target [default: 0].
+  --crash-part=ID        A plain target ends when it is to answer a prompt with this part.
   --linger-ms=N          Serve this long after announcing that it leaves [default: 0].
   -h --help              Show this text.
 
@@ -113,6 +114,16 @@
     return settings;
 }
 
+PlatformTargetSettings platformTargetSettings(const Arguments &arguments)
+{
+    PlatformTargetSettings settings;
+    settings.id = textOption(arguments, "--id", settings.id);
+    settings.runLog = textOption(arguments, "--run-log", "");
+    settings.delay = std::chrono::milliseconds(numberOption(arguments, "--delay-ms"));
+    settings.crashPart = textOption(arguments, "--crash-part", "");
+    return settings;
+}
+
 // Returns the announcement of an engine or a payment service, without `state` and `load`.
 nlohmann::json announcementOf(const Arguments &arguments, uint16_t port)
 {
@@ -220,8 +231,7 @@
         return serve(engine, arguments, signals);
     }
     if (arguments.at("platform").asBool()) {
-        PlatformTarget target({textOption(arguments, "--id", PlatformTargetSettings().id),
-                               textOption(arguments, "--run-log", "")});
+        PlatformTarget target(platformTargetSettings(arguments));
         return serve(target, arguments, signals);
     }
     Payments payments(paymentsSettings(arguments));
--- a/utilities/standins/platformtarget.cpp
+++ b/utilities/standins/platformtarget.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <string_view>
 #include <thread>
 
 namespace samphirebridge::standins
@@ -45,6 +46,10 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(*delay));
         std::_Exit(EXIT_FAILURE);
     }
+    std::this_thread::sleep_for(this->settings.delay);
+    if (this->crashesOn(request)) {
+        std::_Exit(EXIT_FAILURE);
+    }
     headers.add(std::string(header::TargetSignature), this->settings.id);
     if (const auto events = this->faults.consume("stream", text)) {
         const std::chrono::milliseconds silence(this->faults.consume("silent", text).value_or(0));
@@ -61,6 +66,16 @@
     writer.send(failed ? 500 : 200, headers, AnswerText);
 }
 
+bool PlatformTarget::crashesOn(const http::Request &request) const
+{
+    if (this->settings.crashPart.empty()) {
+        return false;
+    }
+    const std::string_view prompt = request.headers.find(header::PromptParts).value_or("");
+    const std::string_view shared = prompt.substr(0, prompt.rfind(',') + 1);
+    return shared.find(this->settings.crashPart + ":") != std::string_view::npos;
+}
+
 void PlatformTarget::sendEvents(const http::Request &request,
                                 http::ResponseWriter &writer,
                                 const http::Headers &headers,
--- a/utilities/standins/platformtarget.h
+++ b/utilities/standins/platformtarget.h
@@ -18,6 +18,10 @@
 struct PlatformTargetSettings {
     std::string id = "target-1";
     std::string runLog; // Path of the run log; empty: none is written.
+    std::chrono::milliseconds delay{0}; // The time before an answer begins.
+    // The id of a part, in hexadecimal, that crashes the process when an answer to a prompt that
+    // holds it is to begin; the last part of a prompt is no such part. Empty: none does.
+    std::string crashPart;
 };
 
 // Runs every request that is meant for it and answers with a signature, like a plain service of the
@@ -38,6 +42,9 @@
     nlohmann::json heartbeat(bool leaving);
 
 private:
+    // Tells whether the prompt holds PlatformTargetSettings::crashPart before its last part.
+    [[nodiscard]] bool crashesOn(const http::Request &request) const;
+
     // Answers with the events up to the given number.
     static void sendEvents(const http::Request &request,
                            http::ResponseWriter &writer,
