routing: Refuse the part of prompts that crashes targets, whatever else a request holds

Cause: evidence of a crash was kept by request alone (method, path, caller and body). No two of these requests are alike, so each was a first one, and the parts' own ids never reached the router, which got chained hashes.

PartSuspects keeps the evidence by part. A crash accuses the shared parts of the requests that had not begun at its target; the first token of an answer clears all parts of its prompt at every instance, since a harmful part lets no answer begin. A part that is left is refused after three crashes that have nothing else in common: of three targets, at three moments, by three requests, not explained by another part. Broken connections count 0.5 s after they are known, so that other instances can refute them. After two such crashes a request with the part is not retried. One request that comes again proves nothing against its parts; the older rule for that stays.

The incidents themselves, their findings and reports are the same for both, so they move from SuspectList to CrashIncidents.

Ruled out: fingerprints shared with sound requests (13 breaks, 13 fingerprints), a crash that passes for an answer, retries (the route allows one attempt).

--- a/source/samphirebridge/core/reasons.cpp
+++ b/source/samphirebridge/core/reasons.cpp
@@ -59,6 +59,8 @@
         return "targets_paused";
     case RefusalReason::CrashSuspect:
         return "crash_suspect";
+    case RefusalReason::HarmfulPrompt:
+        return "harmful_prompt";
     case RefusalReason::AnswerBroken:
         return "answer_broken";
     case RefusalReason::Stopping:
@@ -141,6 +143,7 @@
         return 413;
     case RefusalReason::KeyBodyMismatch:
     case RefusalReason::CrashSuspect:
+    case RefusalReason::HarmfulPrompt:
         return 422;
     case RefusalReason::Overloaded:
         return 429;
--- a/source/samphirebridge/core/reasons.h
+++ b/source/samphirebridge/core/reasons.h
@@ -38,6 +38,7 @@
     TargetsFailed,
     TargetsPaused, // Every target that is left has asked for no requests for a while.
     CrashSuspect, // The request was running on targets that crashed, and may have caused it.
+    HarmfulPrompt, // A part of its prompt crashes the targets that begin to answer it.
     AnswerBroken, // The answer ended early, and the request must not be retried or resumed.
     Stopping, // The instance is shutting down.
     NotReady, // The instance has no confirmed manifest yet, or its declaration may be old.
@@ -90,6 +91,7 @@
     RefusalReason::TargetsFailed,
     RefusalReason::TargetsPaused,
     RefusalReason::CrashSuspect,
+    RefusalReason::HarmfulPrompt,
     RefusalReason::AnswerBroken,
     RefusalReason::Stopping,
     RefusalReason::NotReady,
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -67,6 +67,11 @@
     }
 }
 
+std::string subjectName(proto::CrashSubject subject)
+{
+    return subject == proto::PROMPT_PART ? "prompt_part" : "request";
+}
+
 } // namespace
 
 FleetView::FleetView(core::InstanceId ownId,
@@ -155,11 +160,14 @@
     if (now - this->lastRouterTick >= RouterTickInterval) {
         this->lastRouterTick = now;
         this->targetRouter.tick(now);
+        this->logPartVerdicts();
         this->updateRetryShare(now);
         this->crashDirectory.tick(now);
         this->countWithheldReports();
         this->counters.set(telemetry::Gauge::CrashSuspects,
                            static_cast<double>(this->targetRouter.crashSuspects()));
+        this->counters.set(telemetry::Gauge::HarmfulParts,
+                           static_cast<double>(this->targetRouter.harmfulParts()));
     }
     if (now - this->lastCrashReports >= CrashReportInterval) {
         this->lastCrashReports = now;
@@ -296,7 +304,8 @@
     for (const proto::CrashReport &report : reports) {
         this->logger.request(telemetry::Importance::Failure,
                              "crash_report",
-                             {{"fingerprint", core::toHex(report.fingerprint())},
+                             {{"subject", subjectName(report.subject())},
+                              {"fingerprint", core::toHex(report.fingerprint())},
                               {"target", report.target()},
                               {"incarnation", std::to_string(report.target_incarnation())},
                               {"finding", findingName(membership::findingOf(report))},
@@ -304,6 +313,18 @@
     }
 }
 
+void FleetView::logPartVerdicts()
+{
+    for (const routing::PartVerdict &verdict : this->targetRouter.takePartVerdicts()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(verdict.age);
+        this->logger.change(verdict.harmful ? "part_refused" : "part_no_longer_refused",
+                            {{"fingerprint", core::toHex(verdict.part)},
+                             {"targets", std::to_string(verdict.targets)},
+                             {"requests", std::to_string(verdict.requests)},
+                             {"age_ms", std::to_string(age.count())}});
+    }
+}
+
 uint64_t FleetView::newestManifestVersion(core::TimePoint now) const
 {
     uint64_t newest = 0;
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -105,6 +105,8 @@
     void updateRetryShare(core::TimePoint now);
     // Logs reports that this instance made. Those of others stand in their logs.
     void logCrashReports(std::span<const proto::CrashReport> reports);
+    // Logs the parts of prompts that have become known as harmful or as sound again.
+    void logPartVerdicts();
     void countWithheldReports();
     // Sends a digest to a random peer; to a random control instance while no target is ready.
     void sendDigest(core::TimePoint now);
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -482,6 +482,9 @@
         }
         // The last block belongs to this request or its session only.
         query.sharedBlocks = query.prefix.empty() ? 0 : query.prefix.size() - 1;
+        for (const PromptPart &part : sharedPartsOf(this->request.prompt)) {
+            query.sharedParts.push_back(part.id);
+        }
         query.rendezvousSlack = this->route.latencyObjective / HomeSlackDivisor;
         return query;
     }
--- a/source/samphirebridge/membership/membershipoptions.h
+++ b/source/samphirebridge/membership/membershipoptions.h
@@ -8,6 +8,23 @@
 namespace samphirebridge::membership
 {
 
+// Limits of the crash reports of one kind of subject.
+struct CrashReportLimits {
+    // How long reports of proved crashes are kept, and all others.
+    core::Duration retention;
+    core::Duration suspicionRetention;
+    // The most reports that are kept. Above half of it, those that speak against no subject are
+    // kept for the time that a report takes to every instance, and if sparesSingleReports is set,
+    // so are those of a subject that has no others.
+    size_t limit = 0;
+    core::Duration crowdedRetention;
+    bool sparesSingleReports = false;
+    // How many reports an instance pushes to its peers at most, per second and at once after a
+    // quiet time. When many targets end together, anti-entropy brings the rest.
+    double pushesPerSecond = 0;
+    double pushBurst = 0;
+};
+
 struct MembershipOptions {
     // How many instances watch a target. Only they may declare it gone.
     size_t watchers = 3;
@@ -33,17 +50,20 @@
     // Relays heartbeats in a fleet up to directPeerLimit too, so that instances that the settings
     // do not name are discovered.
     bool discoverPeers = false;
-    // How long reports of proved crashes are kept, and all others.
-    core::Duration crashReportRetention = std::chrono::hours(1);
-    core::Duration suspicionRetention = std::chrono::minutes(10);
-    // The most crash reports that are kept. Above half of it, those that speak against no request
-    // are kept for the time that a report takes to every instance.
-    size_t crashReportLimit = 8'192;
-    core::Duration crowdedReportRetention = std::chrono::seconds(20);
-    // How many crash reports an instance pushes to its peers at most, per second and at once after
-    // a quiet time. When many targets end together, anti-entropy brings the rest.
-    double crashReportsPerSecond = 16;
-    double crashReportBurst = 512;
+    // Limits of the crash reports about requests, and of those about parts of prompts.
+    CrashReportLimits requestReports{.retention = std::chrono::hours(1),
+                                     .suspicionRetention = std::chrono::minutes(10),
+                                     .limit = 8'192,
+                                     .crowdedRetention = std::chrono::seconds(20),
+                                     .pushesPerSecond = 16,
+                                     .pushBurst = 512};
+    CrashReportLimits partReports{.retention = std::chrono::hours(24),
+                                  .suspicionRetention = std::chrono::minutes(10),
+                                  .limit = 4'096,
+                                  .crowdedRetention = std::chrono::seconds(20),
+                                  .sparesSingleReports = true,
+                                  .pushesPerSecond = 64,
+                                  .pushBurst = 512};
 };
 
 } // namespace samphirebridge::membership
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -73,6 +73,7 @@
     , selector(this->options, std::move(nextRandom))
     , retryOptions(this->options.retry)
     , suspects(this->options.suspect)
+    , partSuspects(this->options.part)
     , admission(this->options.admission)
 {
 }
@@ -139,6 +140,7 @@
     }
     if (record.state() == proto::LEAVING) {
         this->suspects.onLeaving(target.targetIncarnation());
+        this->partSuspects.onLeaving(target.targetIncarnation());
     }
     target.load.onReport(record.load(), now);
 }
@@ -178,7 +180,9 @@
                              core::Incarnation incarnation,
                              core::TimePoint now)
 {
-    this->suspects.onAnnounced({core::TargetId(std::string(target)), incarnation}, now);
+    const TargetIncarnation targetIncarnation{core::TargetId(std::string(target)), incarnation};
+    this->suspects.onAnnounced(targetIncarnation, now);
+    this->partSuspects.onAnnounced(targetIncarnation, now);
 }
 
 bool Dispatcher::onCacheEvents(const CacheEvents &events)
@@ -197,6 +201,10 @@
     if (now >= request.deadline) {
         return this->refuse(core::RefusalReason::DeadlineExceeded, {});
     }
+    PromptParts parts = promptPartsOf(request);
+    if (auto refusal = this->refuseHarmful(parts, request, now)) {
+        return *refusal;
+    }
     const SuspectTreatment treatment = this->suspects.treatmentOf(request.fingerprint, now);
     if (auto refusal = this->refuseSuspect(treatment)) {
         return *refusal;
@@ -237,7 +245,7 @@
     if (request.attempt > 1 && !this->retryBudgetOf(request.service).takeRetry()) {
         return this->refuse(core::RefusalReason::RetryBudgetExhausted, DefaultRetryAfter);
     }
-    return this->startAttempt(request, *selection.best, treatment, now);
+    return this->startAttempt(request, *selection.best, treatment, std::move(parts), now);
 }
 
 std::vector<RoutedTarget *> Dispatcher::candidatesFor(const RouteRequest &request)
@@ -274,6 +282,7 @@
     }
     Attempt &attempt = entry->second;
     attempt.firstTokenAt = now;
+    this->partSuspects.onBegun(attempt.parts, now);
     if (RoutedTarget *target = this->currentTarget(attempt)) {
         target->load.onFirstToken(
             attempt.uncachedTokens, now - *attempt.sentAt, attempt.expectedWait);
@@ -319,6 +328,7 @@
         }
     }
     if (!finished.failed) {
+        this->partSuspects.onBegun(ended->attempt.parts, now);
         this->suspects.onFinished(ended->attempt.fingerprint, now);
     }
 }
@@ -336,6 +346,9 @@
         const TargetIncarnation targetIncarnation{core::TargetId(attempt.target),
                                                   attempt.incarnation};
         this->suspects.onConnectionBroken(attempt.fingerprint, targetIncarnation, now);
+        if (!attempt.firstTokenAt) {
+            this->partSuspects.onConnectionBroken(attempt.parts, targetIncarnation, now);
+        }
         if (ended->target != nullptr) {
             ended->target->connectionBroken = true;
         }
@@ -359,17 +372,29 @@
 
 std::vector<proto::CrashReport> Dispatcher::takeCrashReports()
 {
-    return this->suspects.takeReports();
+    std::vector<proto::CrashReport> reports = this->partSuspects.takeReports();
+    const std::vector<proto::CrashReport> ofRequests = this->suspects.takeReports();
+    reports.insert(reports.end(), ofRequests.begin(), ofRequests.end());
+    return reports;
 }
 
 void Dispatcher::onCrashReports(std::span<const proto::CrashReport> reports, core::TimePoint now)
 {
-    this->suspects.onReports(reports, now);
+    std::vector<proto::CrashReport> ofRequests;
+    for (const proto::CrashReport &report : reports) {
+        if (report.subject() == proto::PROMPT_PART) {
+            this->partSuspects.onReport(report, now);
+        } else {
+            ofRequests.push_back(report);
+        }
+    }
+    this->suspects.onReports(ofRequests, now);
 }
 
 void Dispatcher::tick(core::TimePoint now)
 {
     this->suspects.tick(now);
+    this->partSuspects.tick(now);
     this->admission.tick(now);
     std::vector<std::string> gone;
     for (const auto &[id, target] : this->pools.allTargets()) {
@@ -382,6 +407,11 @@
     }
 }
 
+std::vector<PartVerdict> Dispatcher::takePartVerdicts()
+{
+    return this->partSuspects.takeVerdicts();
+}
+
 size_t Dispatcher::readyTargets() const
 {
     const auto &all = this->pools.allTargets();
@@ -405,6 +435,9 @@
     case core::RefusalReason::CrashSuspect:
         ++this->counts.refusedSuspect;
         break;
+    case core::RefusalReason::HarmfulPrompt:
+        ++this->counts.refusedHarmful;
+        break;
     case core::RefusalReason::DeadlineExceeded:
         ++this->counts.refusedDeadline;
         break;
@@ -415,6 +448,17 @@
     return Refusal{reason, retryAfter};
 }
 
+std::optional<Refusal> Dispatcher::refuseHarmful(const PromptParts &parts,
+                                                 const RouteRequest &request,
+                                                 core::TimePoint now)
+{
+    const auto harmful = this->partSuspects.findHarmful(parts, request.attempt > 1, now);
+    if (!harmful) {
+        return std::nullopt;
+    }
+    return this->refuse(core::RefusalReason::HarmfulPrompt, harmful->retryAfter);
+}
+
 std::optional<Refusal> Dispatcher::refuseSuspect(SuspectTreatment treatment)
 {
     if (treatment == SuspectTreatment::Refuse) {
@@ -469,6 +513,7 @@
 Choice Dispatcher::startAttempt(const RouteRequest &request,
                                 const Candidate &best,
                                 SuspectTreatment treatment,
+                                PromptParts parts,
                                 core::TimePoint now)
 {
     RoutedTarget &target = *best.target;
@@ -497,6 +542,7 @@
     attempt.target = target.record.id();
     attempt.incarnation = target.record.incarnation();
     attempt.fingerprint = request.fingerprint;
+    attempt.parts = std::move(parts);
     attempt.uncachedTokens = request.promptTokens - best.cachedTokens;
     attempt.expectedWait = target.load.queueWait();
     target.load.onSent(attempt.uncachedTokens);
@@ -545,6 +591,7 @@
     std::erase_if(target.unanswered,
                   [&](const UnansweredAttempt &attempt) { return attempt.endedAt < sentAt; });
     this->suspects.onAnswered(target.targetIncarnation(), sentAt, now);
+    this->partSuspects.onAnswered(target.targetIncarnation(), sentAt, now);
 }
 
 void Dispatcher::keepUnanswered(RoutedTarget &target, const Attempt &attempt, core::TimePoint now)
@@ -584,6 +631,7 @@
         }
     }
     this->suspects.onRestarted(target.targetIncarnation(), inFlight, now);
+    this->partSuspects.onRestarted(target.targetIncarnation(), now);
 }
 
 // Attempts that are still open are left out: the connections of a process end with it.
@@ -597,6 +645,7 @@
     }
     ++this->counts.crashes;
     this->suspects.onCrash(targetIncarnation, this->unansweredRequests(target, now), now);
+    this->partSuspects.onCrash(targetIncarnation, now);
 }
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -9,6 +9,7 @@
 #include "membership.pb.h"
 #include "samphirebridge/routing/candidateselector.h"
 #include "samphirebridge/routing/fairadmission.h"
+#include "samphirebridge/routing/partsuspects.h"
 #include "samphirebridge/routing/retrybudget.h"
 #include "samphirebridge/routing/routerequest.h"
 #include "samphirebridge/routing/routingoptions.h"
@@ -41,6 +42,7 @@
     uint64_t refusedOverloaded = 0;
     uint64_t refusedRetryBudget = 0;
     uint64_t refusedSuspect = 0;
+    uint64_t refusedHarmful = 0;
     uint64_t refusedNoTarget = 0;
     uint64_t refusedDeadline = 0;
 };
@@ -141,6 +143,15 @@
     // Returns the number of targets in state READY.
     [[nodiscard]] size_t readyTargets() const;
 
+    // Returns and clears what became known of harmful parts of prompts.
+    std::vector<PartVerdict> takePartVerdicts();
+
+    // Returns the number of parts of prompts that are refused as harmful.
+    [[nodiscard]] size_t harmfulParts() const
+    {
+        return this->partSuspects.harmfulParts();
+    }
+
     // Returns the number of requests that may have crashed a target.
     [[nodiscard]] size_t crashSuspects() const
     {
@@ -152,6 +163,7 @@
         std::string target;
         core::Incarnation incarnation = 0;
         std::string fingerprint;
+        PromptParts parts;
         uint32_t uncachedTokens = 0;
         core::Duration expectedWait{};
         std::optional<core::TimePoint> sentAt;
@@ -168,6 +180,9 @@
     RetryBudget &retryBudgetOf(const core::ServiceId &service);
     // Counts a refusal and returns it.
     [[nodiscard]] Refusal refuse(core::RefusalReason reason, core::Duration retryAfter);
+    // Returns a refusal if a part of the prompt is known or likely to crash its target.
+    [[nodiscard]] std::optional<Refusal>
+    refuseHarmful(const PromptParts &parts, const RouteRequest &request, core::TimePoint now);
     // Returns a refusal if the treatment is to refuse the request, else nothing.
     [[nodiscard]] std::optional<Refusal> refuseSuspect(SuspectTreatment treatment);
     // Refuses a request that no target accepts because of what all of them said of themselves.
@@ -181,6 +196,7 @@
     [[nodiscard]] Choice startAttempt(const RouteRequest &request,
                                       const Candidate &best,
                                       SuspectTreatment treatment,
+                                      PromptParts parts,
                                       core::TimePoint now);
     // Returns the targets that serve the request's model, without those that hold the request.
     [[nodiscard]] std::vector<RoutedTarget *> candidatesFor(const RouteRequest &request);
@@ -210,6 +226,7 @@
     RetryOptions retryOptions;
     absl::flat_hash_map<core::ServiceId, RetryBudget> retryBudgets;
     SuspectList suspects;
+    PartSuspects partSuspects;
     FairAdmission admission;
     absl::flat_hash_map<Ticket, Attempt> attempts;
     Ticket lastTicket = 0;
--- /dev/null
+++ b/source/samphirebridge/routing/partsuspects.cpp
@@ -0,0 +1,238 @@
+#include "samphirebridge/routing/partsuspects.h"
+
+#include "samphirebridge/core/digest.h"
+#include "samphirebridge/core/rendezvous.h"
+#include "samphirebridge/membership/crashfinding.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphirebridge::routing
+{
+
+namespace
+{
+
+constexpr size_t BitsPerByte = 8;
+
+// Appends the number, most significant byte first.
+void appendNumber(std::string &bytes, uint64_t number)
+{
+    for (size_t byte = sizeof(number); byte > 0; --byte) {
+        bytes += static_cast<char>(number >> (BitsPerByte * (byte - 1)));
+    }
+}
+
+} // namespace
+
+PromptParts promptPartsOf(const RouteRequest &request)
+{
+    PromptParts parts;
+    if (request.sharedParts.empty()) {
+        return parts;
+    }
+    const uint64_t scope = core::rendezvousWeight(core::checksumOf(request.service.value),
+                                                  core::checksumOf(request.model.value));
+    parts.fingerprints.reserve(request.sharedParts.size());
+    for (const PartId part : request.sharedParts) {
+        std::string &fingerprint = parts.fingerprints.emplace_back();
+        appendNumber(fingerprint, scope);
+        appendNumber(fingerprint, part);
+    }
+    const uint64_t prompt = request.prefix.empty() ? 0 : request.prefix.back();
+    parts.request = core::rendezvousWeight(core::checksumOf(request.fingerprint), prompt);
+    return parts;
+}
+
+size_t PartSuspects::Evidence::independentCrashes() const
+{
+    return std::min({this->targets.size(), this->requests.size(), this->moments});
+}
+
+PartSuspects::PartSuspects(const PartOptions &options)
+    : options(options)
+    , known(options.incidents, proto::PROMPT_PART)
+{
+}
+
+std::optional<HarmfulPrompt>
+PartSuspects::findHarmful(const PromptParts &parts, bool isRetry, core::TimePoint now) const
+{
+    for (const std::string &part : parts.fingerprints) {
+        if (this->known.find(part) == nullptr) {
+            continue;
+        }
+        if (const auto evidence = this->harmOf(part, now)) {
+            const core::TimePoint deciding
+                = evidence->times[evidence->times.size() - this->options.crashesToRefuse];
+            return HarmfulPrompt{part, deciding + this->options.incidents.retention - now};
+        }
+        const Evidence suspicion = this->evidenceAgainst(part, {}, now);
+        if (isRetry && suspicion.independentCrashes() >= this->options.crashesToRefuseRetries) {
+            return HarmfulPrompt{part, this->options.retryAfterSuspicion};
+        }
+    }
+    return std::nullopt;
+}
+
+void PartSuspects::onBegun(const PromptParts &parts, core::TimePoint now)
+{
+    for (const std::string &part : parts.fingerprints) {
+        this->known.clear(part, now);
+    }
+}
+
+void PartSuspects::onConnectionBroken(const PromptParts &parts,
+                                      const TargetIncarnation &targetIncarnation,
+                                      core::TimePoint now)
+{
+    // Of a long prompt, those are recorded first that have been suspected before.
+    std::vector<std::string> accused;
+    std::copy_if(parts.fingerprints.begin(),
+                 parts.fingerprints.end(),
+                 std::back_inserter(accused),
+                 [this](const std::string &part) { return !this->known.isCleared(part); });
+    std::stable_partition(accused.begin(), accused.end(), [this](const std::string &part) {
+        return this->known.find(part) != nullptr;
+    });
+    accused.resize(std::min(accused.size(), this->options.accusedPartsPerRequest));
+    for (const std::string &part : accused) {
+        this->known.onConnectionBroken(part, parts.request, targetIncarnation, now);
+    }
+}
+
+void PartSuspects::onCrash(const TargetIncarnation &targetIncarnation, core::TimePoint now)
+{
+    this->known.confirmCrash(targetIncarnation, {}, proto::CONNECTION_BROKEN, now);
+}
+
+void PartSuspects::onRestarted(const TargetIncarnation &targetIncarnation, core::TimePoint now)
+{
+    this->known.confirmCrash(targetIncarnation, {}, proto::TARGET_ANSWERED, now);
+}
+
+void PartSuspects::onAnswered(const TargetIncarnation &targetIncarnation,
+                              core::TimePoint sentAt,
+                              core::TimePoint now)
+{
+    this->known.onAnswered(targetIncarnation, sentAt, now);
+}
+
+void PartSuspects::onAnnounced(const TargetIncarnation &targetIncarnation, core::TimePoint now)
+{
+    this->known.onAnnounced(targetIncarnation, now);
+}
+
+void PartSuspects::onLeaving(const TargetIncarnation &targetIncarnation)
+{
+    this->known.onLeaving(targetIncarnation);
+}
+
+void PartSuspects::onReport(const proto::CrashReport &report, core::TimePoint now)
+{
+    this->known.onReport(report, now);
+    // One answer that has begun anywhere outweighs any number of crashes.
+    if (membership::findingOf(report) == proto::REQUEST_CLEARED) {
+        this->known.clear(report.fingerprint(), now);
+    }
+}
+
+std::vector<proto::CrashReport> PartSuspects::takeReports()
+{
+    return this->known.takeReports();
+}
+
+void PartSuspects::tick(core::TimePoint now)
+{
+    this->known.tick(now);
+    std::vector<std::string> parts = this->known.fingerprints();
+    parts.insert(parts.end(), this->harmful.begin(), this->harmful.end());
+    for (const std::string &part : parts) {
+        this->updateVerdict(part, now);
+    }
+}
+
+std::vector<PartVerdict> PartSuspects::takeVerdicts()
+{
+    return std::exchange(this->verdicts, {});
+}
+
+PartSuspects::Evidence PartSuspects::evidenceAgainst(std::string_view part,
+                                                     core::Duration unprovedAge,
+                                                     core::TimePoint now) const
+{
+    Evidence evidence;
+    const CrashIncidents::Incidents *incidents = this->known.find(part);
+    if (incidents == nullptr || this->known.isCleared(part)) {
+        return evidence;
+    }
+    for (const auto &[targetIncarnation, incident] : *incidents) {
+        const bool isProved = incident.finding == proto::TARGET_CRASHED;
+        const bool isUnrefuted = incident.finding == proto::CONNECTION_BROKEN
+                                 && now - incident.learnedAt >= unprovedAge;
+        if ((!isProved && !isUnrefuted) || this->known.isExpired(incident, now)) {
+            continue;
+        }
+        evidence.targets.insert(targetIncarnation);
+        evidence.requests.insert(incident.request);
+        evidence.times.push_back(incident.happenedAt);
+    }
+    std::ranges::sort(evidence.times);
+    core::TimePoint moment = core::TimePoint::min();
+    for (const core::TimePoint time : evidence.times) {
+        if (evidence.moments == 0 || time - moment >= this->options.coincidenceWindow) {
+            ++evidence.moments;
+            moment = time;
+        }
+    }
+    return evidence;
+}
+
+std::optional<PartSuspects::Evidence> PartSuspects::harmOf(std::string_view part,
+                                                           core::TimePoint now) const
+{
+    Evidence evidence = this->evidenceAgainst(part, this->options.refutationTime, now);
+    if (evidence.independentCrashes() < this->options.crashesToRefuse
+        || this->isExplained(part, evidence, now)) {
+        return std::nullopt;
+    }
+    return evidence;
+}
+
+bool PartSuspects::isExplained(std::string_view part,
+                               const Evidence &evidence,
+                               core::TimePoint now) const
+{
+    const std::vector<std::string> others = this->known.suspectsAt(*evidence.targets.begin());
+    return std::any_of(others.begin(), others.end(), [&](const std::string &other) {
+        if (other == part) {
+            return false;
+        }
+        const Evidence otherEvidence
+            = this->evidenceAgainst(other, this->options.refutationTime, now);
+        return otherEvidence.targets.size() > evidence.targets.size()
+               && otherEvidence.independentCrashes() >= evidence.independentCrashes()
+               && std::ranges::includes(otherEvidence.targets, evidence.targets);
+    });
+}
+
+void PartSuspects::updateVerdict(const std::string &part, core::TimePoint now)
+{
+    const auto evidence = this->harmOf(part, now);
+    if (evidence.has_value() == this->harmful.contains(part)) {
+        return;
+    }
+    PartVerdict &verdict = this->verdicts.emplace_back();
+    verdict.part = part;
+    verdict.harmful = evidence.has_value();
+    if (!evidence) {
+        this->harmful.erase(part);
+        return;
+    }
+    this->harmful.insert(part);
+    verdict.targets = evidence->targets.size();
+    verdict.requests = evidence->requests.size();
+    verdict.age = now - evidence->times.front();
+}
+
+} // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -16,6 +16,9 @@
 // A hash of a prompt's leading blocks, up to and including one of them.
 using BlockFingerprint = uint64_t;
 
+// The id of a part of a prompt, whatever stands before it.
+using PartId = uint64_t;
+
 // A target that has an open attempt of a request.
 struct OpenAttempt {
     core::TargetId target;
@@ -40,6 +43,8 @@
     // the same targets send requests with the same shared blocks to the same target by rendezvous
     // hashing, without communicating.
     size_t sharedBlocks = 0;
+    // The parts of the prompt that other requests may share, in any order; see PartSuspects.
+    std::vector<PartId> sharedParts;
     // By how much the expected wait at the target chosen for the shared blocks may exceed the
     // shortest among the targets considered.
     core::Duration rendezvousSlack{};
@@ -70,8 +75,8 @@
 };
 
 // The request is not to be sent now. The reason is NoTarget, Overloaded, DeadlineExceeded,
-// RetryBudgetExhausted, TargetsFailed (every target's breaker refuses requests), TargetsPaused or
-// CrashSuspect.
+// RetryBudgetExhausted, TargetsFailed (every target's breaker refuses requests), TargetsPaused,
+// CrashSuspect or HarmfulPrompt.
 struct Refusal {
     core::RefusalReason reason = core::RefusalReason::NoTarget;
     core::Duration retryAfter{};
--- a/source/samphirebridge/routing/routingoptions.h
+++ b/source/samphirebridge/routing/routingoptions.h
@@ -53,33 +53,60 @@
     double burst = 20.0;
 };
 
-struct SuspectOptions {
-    // Distinct crashes after which a request is refused.
-    size_t crashesToRefuse = 2;
-    // The same if something else may be their common cause: another request that was in flight in
-    // each of them, or a failure that hit several targets within the coincidence window.
-    size_t ambiguousCrashesToRefuse = 3;
-    core::Duration coincidenceWindow = std::chrono::milliseconds(250);
+// What is kept of the incidents of suspects, see CrashIncidents.
+struct IncidentOptions {
     // How long it takes at most until it is known whether a target whose connection broke has
     // crashed. Above the time in which the target directory declares a target gone with two of five
     // watchers out of contact, and above the delay of an announcement on its way.
     core::Duration confirmationTimeout = std::chrono::seconds(20);
-    // How long a proved crash counts against a request, and how long all else is kept that is known
+    // How long a proved crash counts against a suspect, and how long all else is kept that is known
     // of it.
     core::Duration retention = std::chrono::hours(1);
     core::Duration suspicionRetention = std::chrono::minutes(10);
-    // The most suspects that are kept. Above half of it, what speaks against no request is kept for
-    // the confirmation timeout only.
+    // The most suspects that are kept. Above half of it, what speaks against no suspect is kept for
+    // the confirmation timeout only, and if sparesSingleIncidents is set, so are suspects with one
+    // incident.
     size_t suspectLimit = 8'192;
-    // How long, at least, a request that was answered successfully can't become a suspect, and how
-    // many such requests are remembered at least.
+    bool sparesSingleIncidents = false;
+    // How long, at least, a suspect that was cleared can't become one again, and how many such
+    // suspects are remembered at least.
     core::Duration completionLifetime = std::chrono::seconds(30);
     size_t completionLimit = 8'192;
+};
+
+struct SuspectOptions : IncidentOptions {
+    // Distinct crashes after which a request is refused.
+    size_t crashesToRefuse = 2;
+    // The same if something else may be their common cause: another request that was in flight in
+    // each of them, or a failure that hit several targets within the coincidence window.
+    size_t ambiguousCrashesToRefuse = 3;
+    core::Duration coincidenceWindow = std::chrono::milliseconds(250);
     // The retry-after time of a request that may not run on any of the targets at the moment, such
     // as a suspect that finds no idle target.
     core::Duration retryAfter = std::chrono::seconds(2);
 };
 
+struct PartOptions {
+    IncidentOptions incidents{.retention = std::chrono::hours(24),
+                              .suspectLimit = 4'096,
+                              .sparesSingleIncidents = true,
+                              .completionLifetime = std::chrono::hours(1),
+                              .completionLimit = 16'384};
+    // Crashes of as many targets, at as many moments, by as many requests, after which a part is
+    // refused, and after which a request with it is not retried.
+    size_t crashesToRefuse = 3;
+    size_t crashesToRefuseRetries = 2;
+    // Targets that end within this time may have another common cause, so they count as one crash.
+    core::Duration coincidenceWindow = std::chrono::milliseconds(250);
+    // How long a broken connection is given to be refuted, here or by another instance, before it
+    // counts as a crash.
+    core::Duration refutationTime = std::chrono::milliseconds(500);
+    // The most parts of one request that its crash accuses.
+    size_t accusedPartsPerRequest = 32;
+    // The retry-after time of a request that is not retried.
+    core::Duration retryAfterSuspicion = std::chrono::seconds(2);
+};
+
 struct AdmissionOptions {
     // The longest expected wait for a slot into which a short request of priority 0 is admitted.
     core::Duration longestWait = std::chrono::seconds(2);
@@ -109,6 +136,7 @@
     BreakerOptions breaker;
     RetryOptions retry;
     SuspectOptions suspect;
+    PartOptions part;
     AdmissionOptions admission;
     SubsetOptions subset;
     // Targets compared in one decision that are sampled at random, besides those that cache the
--- a/source/samphirebridge/routing/suspectlist.h
+++ b/source/samphirebridge/routing/suspectlist.h
@@ -5,15 +5,10 @@
 #pragma once
 
 #include "membership.pb.h"
-#include "samphirebridge/core/ids.h"
 #include "samphirebridge/core/time.h"
-#include "samphirebridge/routing/completedrequests.h"
+#include "samphirebridge/routing/crashincidents.h"
 #include "samphirebridge/routing/routingoptions.h"
 
-#include <absl/container/btree_map.h>
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,14 +17,6 @@
 namespace samphirebridge::routing
 {
 
-// One incarnation of a target.
-struct TargetIncarnation {
-    core::TargetId target;
-    core::Incarnation incarnation = 0;
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
-    friend auto operator<=>(const TargetIncarnation &, const TargetIncarnation &) = default;
-};
-
 // How a request may run.
 enum class SuspectTreatment : uint8_t {
     Unrestricted,
@@ -39,9 +26,7 @@
     Refuse, // It was in flight in SuspectOptions::crashesToRefuse confirmed crashes.
 };
 
-// An incident is one target incarnation that crashed, or whose connection broke, while the request
-// was in flight. A crash counts against its request for SuspectOptions::retention, a broken
-// connection for suspicionRetention, unless a higher proto::CrashFinding becomes known.
+// Decides from the incidents of a request, see CrashIncidents, how it may run.
 class SuspectList
 {
 public:
@@ -99,57 +84,24 @@
 
     [[nodiscard]] size_t size() const
     {
-        return this->suspects.size();
+        return this->known.size();
     }
 
     // Returns the number of suspects that are not cleared.
-    [[nodiscard]] size_t openSuspects() const;
+    [[nodiscard]] size_t openSuspects() const
+    {
+        return this->known.openSuspects();
+    }
 
 private:
-    struct Incident {
-        proto::CrashFinding finding = proto::CRASH_FINDING_UNSPECIFIED;
-        core::TimePoint happenedAt;
-        core::TimePoint learnedAt; // When this instance heard of the broken connection.
-        bool own = false; // This instance saw the connection break.
-    };
-    using Incidents = absl::btree_map<TargetIncarnation, Incident>;
-    using Fingerprints = absl::flat_hash_set<std::string>;
-
-    [[nodiscard]] static size_t countOf(const Incidents &incidents, proto::CrashFinding finding);
-    [[nodiscard]] bool isExpired(const Incident &incident, core::TimePoint now) const;
-    // Returns the fingerprints with an incident at the target incarnation.
-    [[nodiscard]] std::vector<std::string>
-    suspectsAt(const TargetIncarnation &targetIncarnation) const;
+    using Incidents = CrashIncidents::Incidents;
+
     // Tells whether the incidents that count against the request may have another common cause.
     [[nodiscard]] bool isAmbiguous(const std::string &fingerprint,
                                    const Incidents &incidents) const;
     // Tells whether another request was in flight in every incident at these targets.
     [[nodiscard]] bool hasRival(const std::string &fingerprint,
                                 std::span<const TargetIncarnation> targets) const;
-    // Records the crash for the requests in flight, and for those with an incident at the target
-    // incarnation whose finding is not above the given one.
-    void confirmCrash(const TargetIncarnation &targetIncarnation,
-                      std::span<const std::string> inFlight,
-                      proto::CrashFinding highestFinding,
-                      core::TimePoint now);
-    // Tells whether this instance reports a crash for the request: it saw the connection break, or
-    // no instance did. The others learn of the crash by themselves.
-    [[nodiscard]] bool isOwn(const std::string &fingerprint,
-                             const TargetIncarnation &targetIncarnation) const;
-    // Stores an incident or raises its finding. Returns whether that changed anything.
-    bool store(const std::string &fingerprint,
-               const TargetIncarnation &targetIncarnation,
-               const Incident &incident);
-    // Stores an incident that speaks against the request, unless a request like it was answered of
-    // late; that clears it.
-    void incriminate(const std::string &fingerprint,
-                     const TargetIncarnation &targetIncarnation,
-                     const Incident &incident);
-    // Raises the finding of a known incident and reports it.
-    void conclude(const std::string &fingerprint,
-                  const TargetIncarnation &targetIncarnation,
-                  proto::CrashFinding finding,
-                  core::TimePoint now);
     // Tells whether the request is known to have caused crashes: it was in flight in
     // crashesToRefuse of them, and they have no other common cause.
     [[nodiscard]] bool isCulprit(const std::string &fingerprint) const;
@@ -157,16 +109,9 @@
     // for which a crash was recorded, once all requests in flight in that crash are known.
     void clearExplainedSuspects(std::span<const std::string> fingerprints, core::TimePoint now);
     void clearSuspectsExplainedBy(const std::string &culprit, core::TimePoint now);
-    // Queues a report of what is known of the incident.
-    void report(const std::string &fingerprint,
-                const TargetIncarnation &targetIncarnation,
-                core::TimePoint now);
 
     const SuspectOptions options;
-    absl::flat_hash_map<std::string, Incidents> suspects;
-    absl::btree_map<TargetIncarnation, Fingerprints> suspectsByTarget;
-    CompletedRequests completed;
-    std::vector<proto::CrashReport> reports;
+    CrashIncidents known;
 };
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -61,6 +61,7 @@
     LedgerTokensInPool,
     OpenReservations,
     CrashSuspects,
+    HarmfulParts,
     StorageFull,
 };
 
--- a/tests/measure/crashmeasure.cpp
+++ b/tests/measure/crashmeasure.cpp
@@ -37,7 +37,7 @@
     membership::CrashDirectory directory(core::InstanceId("a"), options);
     routing::SuspectList suspects{{}};
     proto::MembershipUpdate update;
-    for (size_t number = 0; number < options.crashReportLimit; ++number) {
+    for (size_t number = 0; number < options.requestReports.limit; ++number) {
         const proto::CrashReport report = reportOf(number);
         directory.addLocalReports({&report, 1}, {}, now);
         suspects.onReports({&report, 1}, now);
--- a/tests/membership/crashdirectorytest.cpp
+++ b/tests/membership/crashdirectorytest.cpp
@@ -130,7 +130,7 @@
 TEST_CASE("crash reports that speak against no request make room for new ones")
 {
     membership::MembershipOptions options;
-    options.crashReportLimit = 100;
+    options.requestReports.limit = 100;
     CrashDirectory directory(core::InstanceId("a"), options);
     std::vector<proto::CrashReport> reports(100);
     int number = 0;
@@ -149,9 +149,9 @@
 TEST_CASE("crash reports beyond the limits are neither pushed nor stored")
 {
     membership::MembershipOptions options;
-    options.crashReportLimit = 100;
-    options.crashReportBurst = 10;
-    options.crashReportsPerSecond = 5;
+    options.requestReports.limit = 100;
+    options.requestReports.pushBurst = 10;
+    options.requestReports.pushesPerSecond = 5;
     CrashDirectory directory(core::InstanceId("a"), options);
     std::vector<proto::CrashReport> reports(200);
     int number = 0;
--- a/tests/routing/crashpartfleet.cpp
+++ b/tests/routing/crashpartfleet.cpp
@@ -54,6 +54,7 @@
         request.prefixTokens.push_back(request.promptTokens / static_cast<uint32_t>(parts.size()));
     }
     request.sharedBlocks = parts.size() - 1;
+    request.sharedParts.assign(parts.begin(), parts.end() - 1);
     request.rendezvousSlack = 100ms;
     return request;
 }
@@ -175,15 +176,10 @@
     request.harmful = harmful;
     request.instance = this->random() % this->instances.size();
     request.instanceStart = this->instances[request.instance].start;
-    const bool isProved = this->provedAt != core::TimePoint::max();
-    if (!harmful && this->now < core::TimePoint() + HarmfulFrom) {
-        request.statistics = &this->before;
-    } else if (!harmful && isProved && this->now > this->provedAt + 2 * SpreadTime) {
-        request.statistics = &this->after;
-    } else {
-        request.statistics = &this->between;
+    if (!harmful) {
+        request.outcome = this->outcomes.size();
+        this->outcomes.push_back({.sentAt = this->now});
     }
-    ++request.statistics->requests;
     this->attempt(std::move(request));
 }
 
@@ -224,16 +220,14 @@
         return;
     }
     if (attempt->request.harmful) {
-        if (++this->crashes == CrashesToProve) {
-            this->provedAt = this->now;
-        }
+        this->crashes.push_back(this->now);
         this->crash(target);
         return;
     }
     attempt->begun = true;
     if (this->isRunning(attempt->request)) {
         this->instances[attempt->request.instance].router->onFirstToken(attempt->ticket, this->now);
-        attempt->request.statistics->served += attempt->request.route.attempt == 1 ? 1 : 0;
+        this->outcomes[attempt->request.outcome].served |= attempt->request.route.attempt == 1;
     }
     this->at(AnswerTime, [this, target, number] { this->finish(target, number); });
 }
@@ -307,11 +301,36 @@
 bool CrashPartFleet::countsAsLate(const Request &request) const
 {
     const Instance &instance = this->instances[request.instance];
-    return request.harmful && this->provedAt != core::TimePoint::max()
-           && this->now > this->provedAt + SpreadTime && !instance.cut
+    return request.harmful && this->crashes.size() >= CrashesToProve
+           && this->now > this->crashes[CrashesToProve - 1] + SpreadTime && !instance.cut
            && this->now - instance.undisturbedSince > SpreadTime;
 }
 
+ServedShare CrashPartFleet::servedBefore() const
+{
+    return this->servedBetween(core::TimePoint(), core::TimePoint() + HarmfulFrom);
+}
+
+ServedShare CrashPartFleet::servedAfter() const
+{
+    if (this->crashes.empty()) {
+        return {};
+    }
+    const size_t proof = std::min(CrashesToProve, this->crashes.size()) - 1;
+    return this->servedBetween(this->crashes[proof] + 2 * SpreadTime, core::TimePoint::max());
+}
+
+ServedShare CrashPartFleet::servedBetween(core::TimePoint from, core::TimePoint until) const
+{
+    ServedShare result;
+    for (const SoundOutcome &outcome : this->outcomes) {
+        const bool counts = outcome.sentAt >= from && outcome.sentAt < until;
+        result.requests += counts ? 1 : 0;
+        result.served += counts && outcome.served ? 1 : 0;
+    }
+    return result;
+}
+
 std::vector<core::InstanceId> CrashPartFleet::peersOf(size_t index) const
 {
     std::vector<core::InstanceId> peers;
--- a/tests/routing/crashpartfleet.h
+++ b/tests/routing/crashpartfleet.h
@@ -65,19 +65,13 @@
     // Returns how many targets harmful requests have ended.
     [[nodiscard]] size_t harmfulCrashes() const
     {
-        return this->crashes;
+        return this->crashes.size();
     }
 
     // Returns how sound requests were served before the first harmful one, and from twice the
-    // SpreadTime after the proof on.
-    [[nodiscard]] const ServedShare &servedBefore() const
-    {
-        return this->before;
-    }
-    [[nodiscard]] const ServedShare &servedAfter() const
-    {
-        return this->after;
-    }
+    // SpreadTime on after the crash that proves the part harmful, or the last one if it has fewer.
+    [[nodiscard]] ServedShare servedBefore() const;
+    [[nodiscard]] ServedShare servedAfter() const;
 
     // Returns the refusals of sound requests as crash suspects.
     [[nodiscard]] size_t soundSuspects() const
@@ -103,7 +97,11 @@
         bool harmful = false;
         size_t instance = 0;
         uint64_t instanceStart = 0;
-        ServedShare *statistics = nullptr;
+        size_t outcome = 0; // The index of a sound request's outcome.
+    };
+    struct SoundOutcome {
+        samphirebridge::core::TimePoint sentAt;
+        bool served = false; // At the first attempt.
     };
     struct RunningAttempt {
         uint64_t number = 0;
@@ -131,6 +129,8 @@
               samphirebridge::core::RetryReason reason);
     [[nodiscard]] bool isRunning(const Request &request) const;
     [[nodiscard]] bool countsAsLate(const Request &request) const;
+    [[nodiscard]] ServedShare servedBetween(samphirebridge::core::TimePoint from,
+                                            samphirebridge::core::TimePoint until) const;
     [[nodiscard]] std::vector<samphirebridge::core::InstanceId> peersOf(size_t index) const;
     [[nodiscard]] size_t indexOf(const samphirebridge::core::InstanceId &id) const;
     void exchangeReports(size_t index);
@@ -148,11 +148,8 @@
     std::map<std::string, std::vector<RunningAttempt>> targets; // That run, with their attempts.
     size_t startedTargets = 0;
     uint64_t lastNumber = 0; // Of requests and attempts.
-    size_t crashes = 0;
-    samphirebridge::core::TimePoint provedAt = samphirebridge::core::TimePoint::max();
+    std::vector<samphirebridge::core::TimePoint> crashes; // By harmful requests.
     size_t lateAttempts = 0;
     size_t refusedSound = 0;
-    ServedShare before;
-    ServedShare between;
-    ServedShare after;
+    std::vector<SoundOutcome> outcomes;
 };
