forwarding: Take a stream without a length and without an event for broken off

A target that ends after the head of a stream delimited by its connection left an answer that passed for complete: the caller got an empty stream, and the prompt counted as answered, which would have cleared a part that crashes targets. Such a stream is tried again or refused now, unless it goes on after an event that the caller has. The other ends of such answers were tested already (inside an event, by a reset, whole, billed).

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -247,7 +247,7 @@
     // The accepted answer ended as its framing requires.
     void onAnswerEnd()
     {
-        if (this->streaming && this->relay.hasPartialEvent()) {
+        if (this->streaming && (this->relay.hasPartialEvent() || this->endedWithoutEvent())) {
             this->onFailed({core::RetryReason::MissingTerminator, true});
             return;
         }
@@ -779,6 +779,14 @@
         this->finish();
     }
 
+    // Tells whether the answer is a stream that is delimited by the end of its connection and has
+    // no event: a target that ends after the head leaves the same bytes. The rest of a stream that
+    // goes on after an event may be empty.
+    [[nodiscard]] bool endedWithoutEvent() const
+    {
+        return this->head->framing == net::BodyFraming::UntilClosed && !this->relay.lastEventId();
+    }
+
     // Reports the attempt's complete answer to the router.
     void closeFinishedTicket()
     {
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -315,6 +315,40 @@
     }
 }
 
+// Guards against a target that ended after the head of its answer, whose caller gets an empty
+// stream and whose prompt counts as answered.
+TEST_CASE("a stream without a length that ends before its first event was broken off")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.answerFraming = net::BodyFraming::UntilClosed;
+    request.start();
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onAnswerEnd();
+    CHECK_FALSE(request.host.answerEnded);
+    REQUIRE(request.host.sentTo.size() == 2);
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(1));
+    request.machine->onAnswerEnd();
+    CHECK(request.host.answerEnded);
+    CHECK(request.host.body == Fixture::event(1));
+    CHECK(request.host.framing == net::BodyFraming::Chunked);
+}
+
+// Guards against taking the empty rest of a stream for one that was broken off.
+TEST_CASE("the rest of a stream may be empty and end with its connection")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.answerFraming = net::BodyFraming::UntilClosed;
+    request.request.lastEventId = 7;
+    request.start();
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onAnswerEnd();
+    CHECK(request.host.answerEnded);
+}
+
 // Guards against a caller that waits for more bytes, or takes events for the next answer, because
 // the length that one target announced doesn't fit the events of two.
 TEST_CASE("a stream is relayed without the length that its first target announced")
