tests: Prove what accuses and what clears a part of prompts

An own break of a suspect that was cleared is no longer reported: everybody who knows the suspect has been told that it is cleared, and each crash made a report for each shared part.

--- a/source/samphirebridge/routing/crashincidents.cpp
+++ b/source/samphirebridge/routing/crashincidents.cpp
@@ -269,8 +269,7 @@
 {
     if (this->cleared.contains(fingerprint)) {
         // What only this instance knows need not be stored.
-        const bool isKnown = this->suspects.contains(fingerprint);
-        if (isKnown || !incident.own) {
+        if (!incident.own) {
             this->conclude(
                 fingerprint, targetIncarnation, proto::REQUEST_CLEARED, incident.learnedAt);
         }
--- a/tests/membership/crashdirectorytest.cpp
+++ b/tests/membership/crashdirectorytest.cpp
@@ -167,3 +167,47 @@
         std::vector(10, reportOf(0, proto::TARGET_CRASHED)), Peers, core::TimePoint(2s));
     CHECK(later.at(0).update.crashes_size() == 1);
 }
+
+// Guards against evidence about a prompt part that is lost among that about requests, or forgotten
+// while requests with the part still come.
+TEST_CASE("crash reports about prompt parts go first, within limits of their own, and last a day")
+{
+    membership::MembershipOptions options;
+    options.requestReports.pushBurst = 10;
+    options.partReports.limit = 4;
+    CrashDirectory directory(core::InstanceId("a"), options);
+    std::vector<proto::CrashReport> reports;
+    for (int number = 0; number < 300; ++number) {
+        reports.push_back(reportOf(number, proto::TARGET_CRASHED));
+    }
+    for (int number = 300; number < 303; ++number) {
+        reports.push_back(reportOf(number, proto::TARGET_CRASHED));
+        reports.back().set_subject(proto::PROMPT_PART);
+        reports.back().set_request(number);
+    }
+    const auto sent = directory.addLocalReports(reports, Peers, core::TimePoint(1s));
+    REQUIRE(sent.at(0).update.crashes_size() == 13);
+    CHECK(sent.at(0).update.crashes(2).subject() == proto::PROMPT_PART);
+    CHECK(sent.at(0).update.crashes(2).request() == 302);
+
+    proto::MembershipDigest ofEmpty;
+    CrashDirectory(core::InstanceId("b"), {}).addChecksums(ofEmpty);
+    const auto answer = directory.answer(ofEmpty, core::TimePoint(1s));
+    REQUIRE(answer);
+    CHECK(answer->crashes_size() == CrashDirectory::MaximumReportsPerAnswer);
+    CHECK(answer->crashes(0).subject() == proto::PROMPT_PART);
+    CHECK(directory.partReports(core::TimePoint(1s)).size() == 3);
+
+    // Crowded: the three parts have one report each.
+    directory.tick(core::TimePoint(10s));
+    CHECK(directory.partReports(core::TimePoint(10s)).size() == 3);
+    auto again = reports.back();
+    again.set_target("another");
+    directory.addLocalReports(std::vector{again}, Peers, core::TimePoint(10s));
+    directory.tick(core::TimePoint(22s));
+    CHECK(directory.partReports(core::TimePoint(22s)).size() == 2);
+    directory.tick(core::TimePoint(23h));
+    CHECK(directory.size() == 2);
+    directory.tick(core::TimePoint(25h));
+    CHECK(directory.size() == 0);
+}
