control: Store the evidence of prompt parts that crash targets

After a loss of power of the whole fleet nobody remembered which parts are refused, so each would have crashed three more targets. Test: the evidence of a harmful prompt part outlasts a power loss (control).

--- a/source/samphirebridge/control/targetkeeper.h
+++ b/source/samphirebridge/control/targetkeeper.h
@@ -1,6 +1,6 @@
-// Stores the targets that a control instance knows and restores them after its restart, so that a
-// fleet in which every instance lost power can serve before all targets have announced themselves
-// again.
+// Stores the targets that a control instance knows and the evidence of parts of prompts that crash
+// them, and restores both after its restart: a fleet in which every instance lost power can serve
+// before all targets have announced themselves again, and crashes none of them once more.
 #pragma once
 
 #include "samphirebridge/core/errors.h"
@@ -18,7 +18,7 @@
 {
 
 // A directory of targets that counts its changes, and those among them that took a target out of
-// service.
+// service, and the crash reports about parts of prompts, which it counts too.
 template <typename T>
 concept TargetView = requires(T view, const proto::MembershipUpdate &update, core::TimePoint now)
 {
@@ -32,6 +32,12 @@
     {
         view.targetDepartures()
         } -> std::same_as<uint64_t>;
+    {
+        view.partReports(now)
+        } -> std::same_as<std::vector<proto::CrashReport>>;
+    {
+        view.partReportChanges()
+        } -> std::same_as<uint64_t>;
 };
 
 // Storage, view and logger must outlive the keeper. All calls run on the control thread.
@@ -46,8 +52,9 @@
     {
     }
 
-    // Passes the stored targets to the view as an update from another instance: a target that does
-    // not announce itself soon is declared gone. A list that cannot be read is logged and ignored.
+    // Passes what is stored to the view as an update from another instance: a target that does not
+    // announce itself soon is declared gone. A list that cannot be read is logged and ignored. The
+    // time that the process was down is not added to the reports' ages.
     void restore(core::TimePoint now)
     {
         const absl::StatusOr<proto::MembershipUpdate> stored = this->store.load();
@@ -58,17 +65,19 @@
         }
         this->view.onUpdate(*stored, now);
         this->logger.change("targets_restored",
-                            {{"targets", std::to_string(stored->targets_size())}});
+                            {{"targets", std::to_string(stored->targets_size())},
+                             {"part_reports", std::to_string(stored->crashes_size())}});
         this->markSaved(now);
     }
 
-    // Stores the targets if they have changed: at once after a departure, so that a restart does
-    // not make a leaving target ready again, otherwise after SaveInterval. A save that failed is
-    // tried again after SaveInterval.
+    // Stores the targets and reports if they have changed: at once after a departure, so that a
+    // restart does not make a leaving target ready again, otherwise after SaveInterval. A save that
+    // failed is tried again after SaveInterval.
     void flush(core::TimePoint now)
     {
         const bool departed = this->view.targetDepartures() != this->savedDepartures;
-        const bool changed = this->view.targetChanges() != this->savedChanges;
+        const bool changed = this->view.targetChanges() != this->savedChanges
+                             || this->view.partReportChanges() != this->savedPartChanges;
         if (!departed && !changed) {
             return;
         }
@@ -76,14 +85,17 @@
         if (mayWait && now - this->savedAt < SaveInterval) {
             return;
         }
-        proto::MembershipUpdate targets;
+        proto::MembershipUpdate known;
         for (const proto::TargetRecord &record : this->view.targets().records()) {
-            proto::TargetRecord &stored = *targets.add_targets();
+            proto::TargetRecord &stored = *known.add_targets();
             stored = record;
             stored.clear_load();
         }
+        for (const proto::CrashReport &report : this->view.partReports(now)) {
+            *known.add_crashes() = report;
+        }
         this->savedAt = now;
-        const absl::Status saved = this->store.save(targets);
+        const absl::Status saved = this->store.save(known);
         // Not fatal: without the list the targets announce themselves again.
         if (!saved.ok() && !this->saveFailed) {
             this->logger.change("targets_not_saved",
@@ -106,6 +118,7 @@
         this->savedAt = now;
         this->savedChanges = this->view.targetChanges();
         this->savedDepartures = this->view.targetDepartures();
+        this->savedPartChanges = this->view.partReportChanges();
     }
 
     storage::TargetStore<Storage> store;
@@ -115,6 +128,7 @@
     bool saveFailed = false;
     uint64_t savedChanges = 0;
     uint64_t savedDepartures = 0;
+    uint64_t savedPartChanges = 0;
 };
 
 } // namespace samphirebridge::control
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -359,6 +359,16 @@
     return this->targetDepartureCount;
 }
 
+std::vector<proto::CrashReport> FleetView::partReports(core::TimePoint now) const
+{
+    return this->crashDirectory.partReports(now);
+}
+
+uint64_t FleetView::partReportChanges() const
+{
+    return this->crashDirectory.partChanges();
+}
+
 void FleetView::send(const std::vector<membership::Outgoing> &outgoing)
 {
     for (const membership::Outgoing &message : outgoing) {
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -97,6 +97,10 @@
     // Returns how many of them were to a state other than ready.
     [[nodiscard]] uint64_t targetDepartures() const;
 
+    // Returns the crash reports about parts of prompts, and how often one was stored.
+    [[nodiscard]] std::vector<proto::CrashReport> partReports(core::TimePoint now) const;
+    [[nodiscard]] uint64_t partReportChanges() const;
+
 private:
     void send(const std::vector<membership::Outgoing> &outgoing);
     // Passes the changed and renewed records to the router, and sends the updates for the peers.
--- a/source/samphirebridge/membership/crashdirectory.cpp
+++ b/source/samphirebridge/membership/crashdirectory.cpp
@@ -115,7 +115,7 @@
 
 std::vector<proto::CrashReport> CrashDirectory::partReports(core::TimePoint now) const
 {
-    return this->parts.reports(now);
+    return this->parts.incriminating(now);
 }
 
 bool CrashDirectory::store(const proto::CrashReport &report, core::TimePoint now)
--- a/source/samphirebridge/membership/crashdirectory.h
+++ b/source/samphirebridge/membership/crashdirectory.h
@@ -54,7 +54,7 @@
         return this->requests.size() + this->parts.size();
     }
 
-    // Returns all reports about parts of prompts.
+    // Returns the reports that count against parts of prompts.
     [[nodiscard]] std::vector<proto::CrashReport> partReports(core::TimePoint now) const;
 
     // Returns how often a report about a part was stored.
--- a/source/samphirebridge/membership/crashreporttable.cpp
+++ b/source/samphirebridge/membership/crashreporttable.cpp
@@ -82,14 +82,15 @@
     return reports;
 }
 
-std::vector<proto::CrashReport> CrashReportTable::reports(core::TimePoint now) const
+std::vector<proto::CrashReport> CrashReportTable::incriminating(core::TimePoint now) const
 {
-    std::vector<proto::CrashReport> all;
-    all.reserve(this->entries.size());
+    std::vector<proto::CrashReport> reports;
     for (const auto &[key, entry] : this->entries) {
-        all.push_back(this->makeReport(key, entry, now));
+        if (isIncriminating(entry.finding)) {
+            reports.push_back(this->makeReport(key, entry, now));
+        }
     }
-    return all;
+    return reports;
 }
 
 size_t CrashReportTable::takeAllowance(size_t wanted, core::TimePoint now)
--- a/source/samphirebridge/membership/crashreporttable.h
+++ b/source/samphirebridge/membership/crashreporttable.h
@@ -38,8 +38,8 @@
     std::vector<proto::CrashReport>
     nextReports(const std::vector<bool> &wanted, size_t limit, core::TimePoint now);
 
-    // Returns all reports.
-    [[nodiscard]] std::vector<proto::CrashReport> reports(core::TimePoint now) const;
+    // Returns the reports that count against their subjects.
+    [[nodiscard]] std::vector<proto::CrashReport> incriminating(core::TimePoint now) const;
 
     // Returns how many of that many reports may be pushed to the peers now.
     size_t takeAllowance(size_t wanted, core::TimePoint now);
--- a/source/samphirebridge/storage/targetstore.h
+++ b/source/samphirebridge/storage/targetstore.h
@@ -1,4 +1,5 @@
-// Stores on disk the targets that a control instance knew last.
+// Stores on disk the targets that a control instance knew last, and the reports about prompt parts
+// that crash them.
 #pragma once
 
 #include "samphirebridge/storage/recordfile.h"
--- a/tests/control/targetkeepertest.cpp
+++ b/tests/control/targetkeepertest.cpp
@@ -1,6 +1,7 @@
 // All instances of the fleet lose power, and callers return before the targets have announced
 // themselves again.
 #include "samphirebridge/control/targetkeeper.h"
+#include "samphirebridge/membership/crashdirectory.h"
 #include "samphirebridge/membership/targetdirectory.h"
 #include "samphirebridge/storage/memorystorage.h"
 
@@ -34,6 +35,8 @@
     void onUpdate(const proto::MembershipUpdate &update, core::TimePoint now)
     {
         this->countChanges(this->directory.merge(update, {}, now));
+        std::vector<membership::Outgoing> relayed;
+        this->crashes.merge(update, {}, now, relayed);
     }
 
     void tick(core::TimePoint now)
@@ -54,6 +57,15 @@
         return this->departures;
     }
 
+    [[nodiscard]] std::vector<proto::CrashReport> partReports(core::TimePoint now) const
+    {
+        return this->crashes.partReports(now);
+    }
+    [[nodiscard]] uint64_t partReportChanges() const
+    {
+        return this->crashes.partChanges();
+    }
+
 private:
     void countChanges(const membership::DirectoryEffect &effect)
     {
@@ -64,6 +76,7 @@
     }
 
     membership::TargetDirectory directory{core::InstanceId("control"), {}};
+    membership::CrashDirectory crashes{core::InstanceId("control"), {}};
     uint64_t changes = 0;
     uint64_t departures = 0;
 };
@@ -102,6 +115,33 @@
     CHECK_FALSE(after.view.targets().find("one")->has_load());
 }
 
+// Guards against a fleet that lost power and lets a part of prompts crash as many targets again.
+TEST_CASE("the evidence of a harmful prompt part outlasts a power loss")
+{
+    storage::MemoryStorage storage;
+    ControlProcess before(storage);
+    before.keeper.flush(Start);
+    proto::MembershipUpdate update;
+    proto::CrashReport &report = *update.add_crashes();
+    report.set_fingerprint(std::string(16, 'p'));
+    report.set_target("ended");
+    report.set_target_incarnation(1);
+    report.set_finding(proto::TARGET_CRASHED);
+    report.set_subject(proto::PROMPT_PART);
+    report.set_request(5);
+    before.view.onUpdate(update, Start);
+    before.keeper.flush(Start + 1s);
+    storage.crash();
+
+    ControlProcess after(storage);
+    after.keeper.restore(Start + 2s);
+    const auto restored = after.view.partReports(Start + 2s);
+    REQUIRE(restored.size() == 1);
+    CHECK(restored.front().target() == "ended");
+    CHECK(restored.front().finding() == proto::TARGET_CRASHED);
+    CHECK(restored.front().request() == 5);
+}
+
 TEST_CASE("a restored target that does not announce itself again is declared gone")
 {
     storage::MemoryStorage storage;
