--- a/source/samphirebridge/gateway/requestdriver.cpp
+++ b/source/samphirebridge/gateway/requestdriver.cpp
@@ -352,6 +352,7 @@
     if (specification.chat) {
         const std::string text = specification.chat->promptText();
         request.prefix = prefixBlocks(text);
+        request.sharedParts = specification.chat->sharedMessages();
         request.promptTokens = static_cast<uint32_t>(text.size() / BytesPerToken);
         request.outputTokens = static_cast<uint32_t>(specification.chat->outputBound());
     }
--- a/source/samphirebridge/requests/chatrequest.cpp
+++ b/source/samphirebridge/requests/chatrequest.cpp
@@ -1,5 +1,6 @@
 #include "samphirebridge/requests/chatrequest.h"
 
+#include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/jsontext/nesting.h"
 
@@ -49,6 +50,14 @@
     });
 }
 
+// Returns the role and the content of a checked message.
+std::string textOf(const json &message)
+{
+    const json content = message.value("content", json());
+    return message["role"].get<std::string>() + "\n"
+           + (content.is_string() ? content.get<std::string>() : content.dump()) + "\n";
+}
+
 absl::Status checkMessages(const json &body)
 {
     const auto messages = body.find("messages");
@@ -237,12 +246,21 @@
 {
     std::string text;
     for (const json &message : this->body["messages"]) {
-        text += message["role"].get<std::string>() + "\n";
-        const json content = message.value("content", json());
-        text += content.is_string() ? content.get<std::string>() : content.dump();
-        text += "\n";
+        text += textOf(message);
     }
     return text;
 }
 
+std::vector<uint64_t> ChatRequest::sharedMessages() const
+{
+    std::vector<uint64_t> shared;
+    for (const json &message : this->body["messages"]) {
+        shared.push_back(core::checksumOf(textOf(message)));
+    }
+    if (!shared.empty()) {
+        shared.pop_back();
+    }
+    return shared;
+}
+
 } // namespace samphirebridge::requests
--- a/source/samphirebridge/requests/chatrequest.h
+++ b/source/samphirebridge/requests/chatrequest.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace samphirebridge::requests
 {
@@ -78,6 +79,10 @@
     // fingerprints.
     [[nodiscard]] std::string promptText() const;
 
+    // Returns a checksum of the role and the content of each message but the last, which belongs to
+    // this request only: the parts that other prompts may share.
+    [[nodiscard]] std::vector<uint64_t> sharedMessages() const;
+
 private:
     ChatRequest() = default;
 
--- a/tests/requests/chatrequesttest.cpp
+++ b/tests/requests/chatrequesttest.cpp
@@ -122,3 +122,16 @@
     CHECK_FALSE(parsed(bodyWith("logprobs", true)).resumable());
     CHECK_FALSE(parsed(bodyWith("continue_final_message", true)).resumable());
 }
+
+// Guards against taking a caller's own question for a part that other prompts share.
+TEST_CASE("all messages of a chat but the last are parts that other prompts may share")
+{
+    const json rules{{"role", "system"}, {"content", "rules"}};
+    const auto partsOf = [&rules](const std::string &question) {
+        const json own{{"role", "user"}, {"content", question}};
+        return parsed(bodyWith("messages", json::array({rules, own}))).sharedMessages();
+    };
+    CHECK(partsOf("one").size() == 1);
+    CHECK(partsOf("one") == partsOf("two"));
+    CHECK(parsed(bodyWith("messages", json::array({rules}))).sharedMessages().empty());
+}
