samphirectl: Add part clear, which lifts the refusal of a prompt part

A refused part is not tried again by itself, since each try may end a target. An operator who has mended the targets clears it at any instance; the report clears it at all. Also bounds the parts of one prompt that are considered.

--- a/source/samphirebridge/gateway/operatorservice.cpp
+++ b/source/samphirebridge/gateway/operatorservice.cpp
@@ -11,6 +11,7 @@
 #include "samphirebridge/manifest/manifestfile.h"
 #include "samphirebridge/storage/memberidentity.h"
 
+#include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
@@ -75,6 +76,7 @@
         {"POST", {"v1", "instances", "*", "add"}, &Service::addInstance},
         {"POST", {"v1", "instances", "*", "remove"}, &Service::removeInstance},
         {"POST", {"v1", "instances", "*", "retire"}, &Service::retireInstance},
+        {"POST", {"v1", "prompt-parts", "*", "clear"}, &Service::clearPromptPart},
     };
     return table;
 }
@@ -452,6 +454,27 @@
     }
 }
 
+void OperatorService::clearPromptPart(const http::Request &request, http::ResponseWriter &writer)
+{
+    const std::string name = pathParts(request.path)[2];
+    const bool known = this->queue.call([&] {
+        const core::TimePoint now = this->clock.now();
+        const bool cleared
+            = this->node.fleet().router().clearPart(absl::HexStringToBytes(name), now);
+        this->node.fleet().sendCrashReports(now);
+        return cleared;
+    });
+    if (!known) {
+        sendError(writer,
+                  core::ErrorCode::NotFound,
+                  fmt::format("nothing counts against a prompt part with the fingerprint '{}' "
+                              "here; accepted is one of the line part_refused",
+                              name));
+        return;
+    }
+    sendJson(writer, {{"cleared", true}});
+}
+
 std::vector<membership::InstanceView> OperatorService::instanceViews()
 {
     return this->queue.call(
--- a/source/samphirebridge/gateway/operatorservice.h
+++ b/source/samphirebridge/gateway/operatorservice.h
@@ -60,6 +60,7 @@
     void addInstance(const http::Request &request, http::ResponseWriter &writer);
     void removeInstance(const http::Request &request, http::ResponseWriter &writer);
     void retireInstance(const http::Request &request, http::ResponseWriter &writer);
+    void clearPromptPart(const http::Request &request, http::ResponseWriter &writer);
 
     [[nodiscard]] bool authorised(const http::Request &request) const;
     // Submits a command to the ledger and waits for its result, in which the ledger may still
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -407,6 +407,11 @@
     }
 }
 
+bool Dispatcher::clearPart(std::string_view fingerprint, core::TimePoint now)
+{
+    return this->partSuspects.clear(fingerprint, now);
+}
+
 std::vector<PartVerdict> Dispatcher::takePartVerdicts()
 {
     return this->partSuspects.takeVerdicts();
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -143,6 +143,10 @@
     // Returns the number of targets in state READY.
     [[nodiscard]] size_t readyTargets() const;
 
+    // Clears the part of prompts with that fingerprint, here and by reports at the other instances.
+    // Returns false if nothing counts against it.
+    bool clearPart(std::string_view fingerprint, core::TimePoint now);
+
     // Returns and clears what became known of harmful parts of prompts.
     std::vector<PartVerdict> takePartVerdicts();
 
--- a/source/samphirebridge/routing/partsuspects.cpp
+++ b/source/samphirebridge/routing/partsuspects.cpp
@@ -15,6 +15,9 @@
 
 constexpr size_t BitsPerByte = 8;
 
+// The most parts of one prompt that are considered.
+constexpr size_t MaximumParts = 256;
+
 // Appends the number, most significant byte first.
 void appendNumber(std::string &bytes, uint64_t number)
 {
@@ -33,8 +36,9 @@
     }
     const uint64_t scope = core::rendezvousWeight(core::checksumOf(request.service.value),
                                                   core::checksumOf(request.model.value));
-    parts.fingerprints.reserve(request.sharedParts.size());
-    for (const PartId part : request.sharedParts) {
+    const size_t count = std::min(request.sharedParts.size(), MaximumParts);
+    parts.fingerprints.reserve(count);
+    for (const PartId part : std::span(request.sharedParts).first(count)) {
         std::string &fingerprint = parts.fingerprints.emplace_back();
         appendNumber(fingerprint, scope);
         appendNumber(fingerprint, part);
@@ -82,6 +86,15 @@
     }
 }
 
+bool PartSuspects::clear(std::string_view part, core::TimePoint now)
+{
+    if (this->evidenceAgainst(part, {}, now).targets.empty()) {
+        return false;
+    }
+    this->known.clear(part, now);
+    return true;
+}
+
 void PartSuspects::onConnectionBroken(const PromptParts &parts,
                                       const TargetIncarnation &targetIncarnation,
                                       core::TimePoint now)
--- a/source/samphirebridge/routing/partsuspects.h
+++ b/source/samphirebridge/routing/partsuspects.h
@@ -71,6 +71,9 @@
                             const TargetIncarnation &targetIncarnation,
                             core::TimePoint now);
 
+    // Clears the part, as an answer that begins does. Returns false if nothing counts against it.
+    bool clear(std::string_view part, core::TimePoint now);
+
     // Record what is found out about the target incarnation, as SuspectList does.
     void onCrash(const TargetIncarnation &targetIncarnation, core::TimePoint now);
     void onRestarted(const TargetIncarnation &targetIncarnation, core::TimePoint now);
--- a/source/samphirebridge/samphirectl/commandline.cpp
+++ b/source/samphirebridge/samphirectl/commandline.cpp
@@ -34,6 +34,7 @@
   samphirectl instance add INSTANCE [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl instance remove INSTANCE [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl instance retire INSTANCE --incarnation=N --change-id=ID [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
+  samphirectl part clear FINGERPRINT [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl key digest [--json]
   samphirectl explain REQUEST [LOG]... [--json]
   samphirectl --help
@@ -72,6 +73,7 @@
     "instance-add",
     "instance-remove",
     "instance-retire",
+    "part-clear",
     "key-digest",
     "explain",
 });
@@ -238,6 +240,9 @@
     if (reader.isGiven("instance")) {
         return readInstanceCommand(reader);
     }
+    if (reader.isGiven("part")) {
+        return PartClearCommand{reader.readName("FINGERPRINT")};
+    }
     if (reader.isGiven("explain")) {
         return ExplainCommand{reader.readRequestKey("REQUEST"), reader.readTexts("LOG")};
     }
--- a/source/samphirebridge/samphirectl/commandline.h
+++ b/source/samphirebridge/samphirectl/commandline.h
@@ -64,6 +64,9 @@
     uint64_t incarnation = 0;
     std::string changeId;
 };
+struct PartClearCommand {
+    std::string fingerprint;
+};
 struct KeyDigestCommand {
 };
 struct ExplainCommand {
@@ -85,6 +88,7 @@
                              InstanceAddCommand,
                              InstanceRemoveCommand,
                              InstanceRetireCommand,
+                             PartClearCommand,
                              KeyDigestCommand,
                              ExplainCommand>;
 
--- a/source/samphirebridge/samphirectl/commandrunner.cpp
+++ b/source/samphirebridge/samphirectl/commandrunner.cpp
@@ -269,6 +269,14 @@
                             &doneText);
 }
 
+Report CommandRunner::runCommand(const PartClearCommand &command)
+{
+    return this->sendChange(
+        fmt::format("/v1/prompt-parts/{}/clear", escapePath(command.fingerprint)),
+        nlohmann::json::object(),
+        &doneText);
+}
+
 Report CommandRunner::runCommand(const KeyDigestCommand & /*command*/)
 {
     std::string secret = readStream(this->input, MaximumSecretBytes);
--- a/source/samphirebridge/samphirectl/commandrunner.h
+++ b/source/samphirebridge/samphirectl/commandrunner.h
@@ -38,6 +38,7 @@
     Report runCommand(const InstanceAddCommand &command);
     Report runCommand(const InstanceRemoveCommand &command);
     Report runCommand(const InstanceRetireCommand &command);
+    Report runCommand(const PartClearCommand &command);
     Report runCommand(const KeyDigestCommand &command);
     Report runCommand(const ExplainCommand &command);
 
--- a/tests/routing/partsuspectstest.cpp
+++ b/tests/routing/partsuspectstest.cpp
@@ -135,6 +135,23 @@
     CHECK(accuser.takeReports().empty());
 }
 
+// Guards against a refusal that an operator can't lift once the targets are mended.
+TEST_CASE("an operator's clearing of a part holds at every instance")
+{
+    PartSuspects asked{{}};
+    PartSuspects other{{}};
+    CHECK_FALSE(asked.clear(partsOf({HarmfulPart}, "any").fingerprints.front(), Start));
+    for (int number = 0; number < 5; ++number) {
+        crash(asked, {HarmfulPart}, 1, number);
+        exchangeReports(asked, other, Start + std::chrono::seconds(number));
+    }
+    REQUIRE(isRefused(other, HarmfulPart, Start + 6s));
+    CHECK(asked.clear(partsOf({HarmfulPart}, "any").fingerprints.front(), Start + 6s));
+    exchangeReports(asked, other, Start + 6s);
+    CHECK_FALSE(isRefused(asked, HarmfulPart, Start + 7s));
+    CHECK_FALSE(isRefused(other, HarmfulPart, Start + 7s));
+}
+
 // Guards against counting connections that broke at targets which live on, or ended as planned.
 TEST_CASE("a broken connection counts once it could have been refuted, and not if it was")
 {
--- a/tests/samphirectl/commandlinetest.cpp
+++ b/tests/samphirectl/commandlinetest.cpp
@@ -61,6 +61,7 @@
     CHECK(parseAs<InstanceRetireCommand>("instance retire i --incarnation 9 --change-id c")
               .incarnation
           == 9);
+    CHECK(parseAs<PartClearCommand>("part clear 5f").fingerprint == "5f");
     parseAs<KeyDigestCommand>("key digest --json");
     parseAs<HelpCommand>("--help");
 }
@@ -97,5 +98,6 @@
     CHECK(isRefused("claim resolve o k --change-id c"));
     CHECK(isRefused("claim resolve o k --ran --not-run --change-id c"));
     CHECK(isRefused("instance retire i --incarnation 0 --change-id c"));
+    CHECK(isRefused("part clear"));
     CHECK(isRefused("status --timeout 0"));
 }
--- a/tests/samphirectl/commandrunnertest.cpp
+++ b/tests/samphirectl/commandrunnertest.cpp
@@ -74,6 +74,7 @@
     const std::string retire = sentRequest(InstanceRetireCommand{"i", 9, "c"});
     CHECK(retire.starts_with("POST /v1/instances/i/retire HTTP"));
     CHECK(retire.ends_with(R"({"change_id":"c","incarnation":9})"));
+    CHECK(sentRequest(PartClearCommand{"5f"}).starts_with("POST /v1/prompt-parts/5f/clear HTTP"));
     const std::string topUp = sentRequest(BudgetTopUpCommand{"b", 5, "c"});
     CHECK(topUp.starts_with("POST /v1/budgets/b/top-up HTTP"));
     CHECK(topUp.ends_with(R"({"change_id":"c","tokens":5})"));
