--- a/source/samphirebridge/membership/crashdirectory.cpp
+++ b/source/samphirebridge/membership/crashdirectory.cpp
@@ -92,8 +92,9 @@
         const int index = static_cast<int>(bucket);
         differs[bucket] = own.crash_checksums(index) != digest.crash_checksums(index);
     }
+    // Neither kind may keep the other from being told.
     constexpr size_t Limit = MaximumReportsPerAnswer;
-    auto reports = this->parts.nextReports(differs, Limit, now);
+    auto reports = this->parts.nextReports(differs, Limit / 2, now);
     const auto others = this->requests.nextReports(differs, Limit - reports.size(), now);
     reports.insert(reports.end(), others.begin(), others.end());
     if (reports.empty()) {
