routing, membership: Name what a crowded list does without by what happens to it

Names and comments only: dropsSingleIncidents and dropsSingleReports say that suspects with one incident go first; a simulated instance no longer takes a sender that it does not read.

--- a/source/samphirebridge/membership/crashreporttable.cpp
+++ b/source/samphirebridge/membership/crashreporttable.cpp
@@ -109,10 +109,10 @@
 {
     const bool crowded = this->entries.size() > this->limits.limit / 2;
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        const bool spared = crowded && this->isDispensable(entry)
-                            && now - entry->second.happenedAt > this->limits.crowdedRetention;
-        entry = spared || this->isExpired(entry->second, now) ? this->entries.erase(entry)
-                                                              : std::next(entry);
+        const bool dropped = crowded && this->isDispensable(entry)
+                             && now - entry->second.happenedAt > this->limits.crowdedRetention;
+        entry = dropped || this->isExpired(entry->second, now) ? this->entries.erase(entry)
+                                                               : std::next(entry);
     }
 }
 
@@ -137,7 +137,7 @@
 bool CrashReportTable::isDispensable(Entries::const_iterator entry) const
 {
     return !isIncriminating(entry->second.finding)
-           || (this->limits.sparesSingleReports && this->isSingle(entry));
+           || (this->limits.dropsSingleReports && this->isSingle(entry));
 }
 
 proto::CrashReport
--- a/source/samphirebridge/membership/crashreporttable.h
+++ b/source/samphirebridge/membership/crashreporttable.h
@@ -45,7 +45,7 @@
     size_t takeAllowance(size_t wanted, core::TimePoint now);
 
     // Removes reports that are older than their retention, and while the table is crowded those
-    // that can be spared.
+    // that it can do without.
     void tick(core::TimePoint now);
 
     [[nodiscard]] size_t size() const
--- a/source/samphirebridge/membership/membershipoptions.h
+++ b/source/samphirebridge/membership/membershipoptions.h
@@ -14,11 +14,11 @@
     core::Duration retention;
     core::Duration suspicionRetention;
     // The most reports that are kept. Above half of it, those that speak against no subject are
-    // kept for the time that a report takes to every instance, and if sparesSingleReports is set,
+    // kept for the time that a report takes to every instance, and if dropsSingleReports is set,
     // so are those of a subject that has no others.
     size_t limit = 0;
     core::Duration crowdedRetention;
-    bool sparesSingleReports = false;
+    bool dropsSingleReports = false;
     // How many reports an instance pushes to its peers at most, per second and at once after a
     // quiet time. When many targets end together, anti-entropy brings the rest.
     double pushesPerSecond = 0;
@@ -61,7 +61,7 @@
                                   .suspicionRetention = std::chrono::minutes(10),
                                   .limit = 4'096,
                                   .crowdedRetention = std::chrono::seconds(20),
-                                  .sparesSingleReports = true,
+                                  .dropsSingleReports = true,
                                   .pushesPerSecond = 64,
                                   .pushBurst = 512};
 };
--- a/source/samphirebridge/routing/crashincidents.cpp
+++ b/source/samphirebridge/routing/crashincidents.cpp
@@ -142,7 +142,7 @@
     const bool crowded = this->suspects.size() > this->options.suspectLimit / 2;
     absl::erase_if(this->suspects, [&](auto &item) {
         const std::string &fingerprint = item.first;
-        const bool isSingle = this->options.sparesSingleIncidents && item.second.size() == 1;
+        const bool isSingle = this->options.dropsSingleIncidents && item.second.size() == 1;
         absl::erase_if(item.second, [&](const auto &incident) {
             const bool dispensable
                 = crowded && (isSingle || !isIncriminating(incident.second.finding))
--- a/source/samphirebridge/routing/routingoptions.h
+++ b/source/samphirebridge/routing/routingoptions.h
@@ -64,10 +64,10 @@
     core::Duration retention = std::chrono::hours(1);
     core::Duration suspicionRetention = std::chrono::minutes(10);
     // The most suspects that are kept. Above half of it, what speaks against no suspect is kept for
-    // the confirmation timeout only, and if sparesSingleIncidents is set, so are suspects with one
+    // the confirmation timeout only, and if dropsSingleIncidents is set, so are suspects with one
     // incident.
     size_t suspectLimit = 8'192;
-    bool sparesSingleIncidents = false;
+    bool dropsSingleIncidents = false;
     // How long, at least, a suspect that was cleared can't become one again, and how many such
     // suspects are remembered at least.
     core::Duration completionLifetime = std::chrono::seconds(30);
@@ -86,10 +86,11 @@
     core::Duration retryAfter = std::chrono::seconds(2);
 };
 
+// When a part of prompts is refused as harmful, see PartSuspects.
 struct PartOptions {
     IncidentOptions incidents{.retention = std::chrono::hours(24),
                               .suspectLimit = 4'096,
-                              .sparesSingleIncidents = true,
+                              .dropsSingleIncidents = true,
                               .completionLifetime = std::chrono::hours(1),
                               .completionLimit = 16'384};
     // Crashes of as many targets, at as many moments, by as many requests, after which a part is
--- a/tests/routing/crashpartfleet.cpp
+++ b/tests/routing/crashpartfleet.cpp
@@ -370,9 +370,8 @@
     this->transmit(index, partner, [this, index, partner, digest] {
         const auto answer = this->instances[partner].directory->answer(digest, this->now);
         if (answer) {
-            this->transmit(partner, index, [this, partner, index, update = *answer] {
-                this->receive(partner, index, update);
-            });
+            this->transmit(
+                partner, index, [this, index, update = *answer] { this->receive(index, update); });
         }
     });
 }
@@ -381,13 +380,12 @@
 {
     for (const membership::Outgoing &message : outgoing) {
         const size_t to = this->indexOf(message.to);
-        this->transmit(from, to, [this, from, to, update = message.update] {
-            this->receive(from, to, update);
-        });
+        this->transmit(
+            from, to, [this, to, update = message.update] { this->receive(to, update); });
     }
 }
 
-void CrashPartFleet::receive(size_t /*from*/, size_t to, const proto::MembershipUpdate &update)
+void CrashPartFleet::receive(size_t to, const proto::MembershipUpdate &update)
 {
     Instance &instance = this->instances[to];
     std::vector<membership::Outgoing> outgoing;
--- a/tests/routing/crashpartfleet.h
+++ b/tests/routing/crashpartfleet.h
@@ -136,7 +136,7 @@
     void exchangeReports(size_t index);
     void sendDigest(size_t index);
     void deliver(size_t from, const std::vector<samphirebridge::membership::Outgoing> &outgoing);
-    void receive(size_t from, size_t to, const samphirebridge::proto::MembershipUpdate &update);
+    void receive(size_t to, const samphirebridge::proto::MembershipUpdate &update);
     // Calls the event after the network's delay, unless the message is lost or cut off.
     void transmit(size_t from, size_t to, Event event);
 
