routing: Judge each part once a tick, and its suspicion only for a retry

The list of harmful parts was judged beside the list of all parts that holds them, and each choice with a suspected part worked out the evidence for a retry that it was not.

--- a/source/samphirebridge/routing/partsuspects.cpp
+++ b/source/samphirebridge/routing/partsuspects.cpp
@@ -71,8 +71,9 @@
                 = evidence->times[evidence->times.size() - this->options.crashesToRefuse];
             return HarmfulPrompt{part, deciding + this->options.incidents.retention - now};
         }
-        const Evidence suspicion = this->evidenceAgainst(part, {}, now);
-        if (isRetry && suspicion.independentCrashes() >= this->options.crashesToRefuseRetries) {
+        if (isRetry
+            && this->evidenceAgainst(part, {}, now).independentCrashes()
+                   >= this->options.crashesToRefuseRetries) {
             return HarmfulPrompt{part, this->options.retryAfterSuspicion};
         }
     }
@@ -158,8 +159,11 @@
 void PartSuspects::tick(core::TimePoint now)
 {
     this->known.tick(now);
-    std::vector<std::string> parts = this->known.fingerprints();
-    parts.insert(parts.end(), this->harmful.begin(), this->harmful.end());
+    // The incidents of a harmful part may all have been dropped.
+    absl::btree_set<std::string> parts = this->harmful;
+    for (std::string &part : this->known.fingerprints()) {
+        parts.insert(std::move(part));
+    }
     for (const std::string &part : parts) {
         this->updateVerdict(part, now);
     }
