--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -134,11 +134,12 @@
         session->start();
     }
 
-    // Counts a caller's connection that ended, and logs it if a request may be without its answer.
+    // Counts a caller's connection that ended, and logs it if a request may be without its whole
+    // answer.
     void onClosed(const net::ClosedConnection &closed)
     {
         this->context.counters.countClosedConnection(closed.reason);
-        if (!closed.requestOpen && closed.unreadBytes == 0) {
+        if (!closed.requestOpen && closed.unreadBytes == 0 && closed.unsentBytes == 0) {
             return;
         }
         RequestLogFields fields;
--- a/source/samphirebridge/ingress/requestlog.cpp
+++ b/source/samphirebridge/ingress/requestlog.cpp
@@ -50,6 +50,7 @@
                     {"reason", std::string(core::closeName(closed.reason))},
                     {"request_open", closed.requestOpen ? "true" : "false"},
                     {"unread_bytes", std::to_string(closed.unreadBytes)},
+                    {"unsent_bytes", std::to_string(closed.unsentBytes)},
                     {"age_ms", milliseconds(closed.age)}});
 }
 
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -295,6 +295,7 @@
     closed.requestOpen = this->answerPending || this->parser.started();
     closed.head = this->headRead ? &this->incoming.head : nullptr;
     closed.unreadBytes = this->buffered.size() + this->stream->unreadBytes();
+    closed.unsentBytes = this->stream->queuedBytes();
     closed.age = this->clock.now() - this->openedAt;
     return closed;
 }
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -37,6 +37,7 @@
     bool requestOpen = false; // A request was being read or answered.
     const RequestHead *head = nullptr; // Of that request; null if it was not read whole.
     size_t unreadBytes = 0; // Arrived, and belong to no request that was answered.
+    size_t unsentBytes = 0; // Of answers: not accepted by the kernel yet.
     core::Duration age{};
 };
 
--- a/tests/fleet/platformtest.cpp
+++ b/tests/fleet/platformtest.cpp
@@ -193,7 +193,8 @@
     for (const std::string_view field : {"request=\"id-1\"",
                                          "reason=\"caller_closed\"",
                                          "request_open=\"true\"",
-                                         "unread_bytes=\"0\""}) {
+                                         "unread_bytes=\"0\"",
+                                         "unsent_bytes=\"0\""}) {
         CHECK(line.find(field) != std::string::npos);
     }
     const std::string metrics = bodyAt(Base + 1, "/metrics").value_or("");
