--- a/tests/http/peer.cpp
+++ b/tests/http/peer.cpp
@@ -39,6 +39,7 @@
 
 Peer::Peer(Peer &&other) noexcept
     : descriptor(std::exchange(other.descriptor, -1))
+    , broken(other.broken)
 {
 }
 
@@ -56,6 +57,7 @@
     while (!bytes.empty()) {
         const ssize_t count = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count <= 0) {
+            this->broken = true;
             return;
         }
         bytes.remove_prefix(static_cast<size_t>(count));
@@ -69,6 +71,7 @@
     while (text.empty() || received.find(text) == std::string::npos) {
         const ssize_t count = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
         if (count <= 0) {
+            this->broken = this->broken || count < 0;
             break;
         }
         received.append(buffer.data(), static_cast<size_t>(count));
@@ -81,6 +84,16 @@
     return this->readUntil("");
 }
 
+void Peer::endWriting() const
+{
+    ::shutdown(this->descriptor, SHUT_WR);
+}
+
+bool Peer::wasReset() const
+{
+    return this->broken;
+}
+
 void Peer::close(bool reset)
 {
     if (this->descriptor < 0) {
--- a/tests/http/peer.h
+++ b/tests/http/peer.h
@@ -29,11 +29,18 @@
     // Reads until the other side closed; returns everything read.
     [[nodiscard]] std::string readToEnd() const;
 
+    // Closes the sending side.
+    void endWriting() const;
+
+    // Tells whether a call of write() or of a reading function met a reset.
+    [[nodiscard]] bool wasReset() const;
+
     // Closes the connection, by a reset if `reset`.
     void close(bool reset = false);
 
 private:
     int descriptor;
+    mutable bool broken = false;
 };
 
 // A listening socket on a free port of the loopback interface.
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -17,17 +17,29 @@
 namespace
 {
 
+// More than the socket buffers of both sides hold.
+constexpr size_t LargeBytes = size_t{24} * 1024 * 1024;
+
+// Returns the size of the body in what was received of one answer.
+size_t bodySize(std::string_view answer)
+{
+    const size_t head = answer.find("\r\n\r\n");
+    return head == std::string_view::npos ? 0 : answer.size() - head - 4;
+}
+
 // How a connection ended, with the path of the request that was open then.
 struct Closed {
     core::CloseReason reason;
     bool requestOpen;
     size_t unreadBytes;
+    size_t unsentBytes;
     std::string path; // Empty if no head was read.
 };
 
 // A server whose loop runs on a thread of its own. The path of a request selects how it is
 // answered: /hold never, /stream with a body that ends when a drain begins, /cut with one that is
-// cut off, any other at once with its path and body.
+// cut off, /large at once with more bytes than the kernel buffers, any other at once with its path
+// and body.
 class Server
 {
 public:
@@ -65,6 +77,11 @@
                     this->endStreams();
                     this->drain = false;
                 }
+                if (this->stopListening) {
+                    this->server->stopAccepting();
+                    this->stopListening = false;
+                }
+                this->serverIdle = this->server->idle();
             }
             this->heldResponders.clear();
             this->server.reset();
@@ -128,6 +145,8 @@
     int port = 0;
     std::atomic<core::Duration> limit{30s}; // Of every wait for a caller's bytes.
     std::atomic<bool> drain = false;
+    std::atomic<bool> stopListening = false;
+    std::atomic<bool> serverIdle = false; // As the loop's thread saw it last.
     std::atomic<int> callersClosed = 0;
     std::atomic<int> requests = 0;
 
@@ -154,6 +173,10 @@
             responder->cutOff();
             return;
         }
+        if (request.head.target == "/large") {
+            responder->sendWhole(head, std::string(LargeBytes, 'x'));
+            return;
+        }
         responder->sendWhole(head, request.head.target + request.body);
     }
 
@@ -163,6 +186,7 @@
         this->closed.push_back({ended.reason,
                                 ended.requestOpen,
                                 ended.unreadBytes,
+                                ended.unsentBytes,
                                 ended.head == nullptr ? "" : ended.head->target});
     }
 
@@ -393,7 +417,7 @@
         CHECK(closed.reason == core::CloseReason::BodyTimeout);
         CHECK(closed.requestOpen);
         CHECK(closed.path == "/half");
-        CHECK(caller.readToEnd().empty());
+        CHECK(caller.readToEnd().starts_with("HTTP/1.1 408"));
     }
 }
 
@@ -451,3 +475,123 @@
         CHECK(server.firstClosed().reason == core::CloseReason::IdleTimeout);
     }
 }
+
+// Guards against an answer that is lost because its last byte is queued: its connection counted as
+// idle before the caller had it.
+TEST_CASE("an answer that its caller reads late arrives whole")
+{
+    Server server;
+    server.limit = 20ms;
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.runUntilRequest();
+    SECTION("after the idle limit")
+    {
+    }
+    SECTION("after the server has begun to drain and closed its idle connections")
+    {
+        server.stopAccepting();
+        CHECK_FALSE(server.idle());
+    }
+    std::this_thread::sleep_for(5 * server.limit.load());
+    server.start();
+    std::this_thread::sleep_for(5 * server.limit.load());
+    CHECK(bodySize(caller.readToEnd()) == LargeBytes);
+}
+
+// Guards against a process that ends over the last answer of a connection.
+TEST_CASE("a draining server is not idle before its last answer is with the caller")
+{
+    Server server;
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    server.stopAccepting();
+    caller.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.runUntilRequest();
+    server.runDue();
+    CHECK_FALSE(server.idle());
+    server.start();
+    CHECK(bodySize(caller.readToEnd()) == LargeBytes);
+}
+
+// Guards against a refusal that is lost in the reset of a connection which is closed over unread
+// bytes.
+TEST_CASE("a caller that first writes its whole request gets the refusal of it")
+{
+    Server server;
+    server.start();
+    const std::string excess(size_t{2} * 1024 * 1024, 'x');
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    SECTION("a body that is announced too long")
+    {
+        caller.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2097152\r\n\r\n" + excess);
+    }
+    SECTION("a body that turns out too long")
+    {
+        caller.write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n"
+                     + excess);
+    }
+    SECTION("a head that is too long")
+    {
+        caller.write("GET / HTTP/1.1\r\nHost: h\r\nLong: " + excess);
+    }
+    SECTION("no request at all")
+    {
+        caller.write("\r\rBAD " + excess);
+    }
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 4"));
+    CHECK_FALSE(caller.wasReset());
+}
+
+// Guards against a request that is dropped though it was read before the drain ended its
+// connection.
+TEST_CASE("a draining server answers each request that it has already read")
+{
+    Server server;
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    server.stopAccepting();
+    caller.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.start();
+    const std::string answers = caller.readToEnd();
+    CHECK(answers.find("/a") != std::string::npos);
+    CHECK(answers.ends_with("/b"));
+    CHECK(server.requests == 2);
+}
+
+// Guards against a lost answer that no log line explains.
+TEST_CASE("a connection that ends over an answer under way says so")
+{
+    Server server;
+    server.start();
+    Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (server.requests == 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    SECTION("reset by the caller")
+    {
+        caller.close(true);
+        CHECK(server.firstClosed().reason == core::CloseReason::CallerReset);
+    }
+    SECTION("by the end of the server")
+    {
+        server.stop();
+        CHECK(server.firstClosed().reason == core::CloseReason::Stopping);
+    }
+    CHECK(server.firstClosed().path == "/large");
+    CHECK(server.firstClosed().requestOpen);
+    CHECK(server.firstClosed().unsentBytes > 0);
+}
+
+// Guards against an answer that is thrown away because its caller has said that it sends no more.
+TEST_CASE("a caller that closes its sending side gets the rest of a complete answer")
+{
+    Server server;
+    server.start();
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (server.requests == 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    caller.endWriting();
+    CHECK(bodySize(caller.readToEnd()) == LargeBytes);
+}
