net: Keep a connection until its answer is delivered, and close it in order

A request ended for the server when its last byte was queued. From then on the connection counted as idle: the idle limit, a limit that a change lowers, a stop or the end of the process closed it and dropped the queue. Class: what is handed on is taken for arrived.

A connection now has states. After the last byte of an answer it is delivering until the kernel has accepted all of it, is not idle meanwhile, and the next request waits. A caller that takes nothing for 30 s is given up (delivery_timeout). A connection that the server ends is closed on its sending side, and what still comes is dropped for 2 s, so that a refusal or a last answer isn't lost in a reset (RFC 9112, 9.6). Ingress::idle() asks for answers under way too.

In the same place: a second request that a draining server has read is answered, and an unfinished body gets 408.

--- a/source/samphirebridge/core/reasons.cpp
+++ b/source/samphirebridge/core/reasons.cpp
@@ -109,6 +109,8 @@
         return "head_timeout";
     case CloseReason::BodyTimeout:
         return "body_timeout";
+    case CloseReason::DeliveryTimeout:
+        return "delivery_timeout";
     case CloseReason::Rejected:
         return "rejected";
     case CloseReason::AnswerCutOff:
--- a/source/samphirebridge/core/reasons.h
+++ b/source/samphirebridge/core/reasons.h
@@ -64,6 +64,7 @@
     IdleTimeout, // No request came in time.
     HeadTimeout, // The head of a request did not go on in time.
     BodyTimeout, // The body of a request did not go on in time.
+    DeliveryTimeout, // The caller took nothing of an answer for too long.
     Rejected, // What the caller sent is no acceptable request.
     AnswerCutOff, // An answer that had begun could not be completed.
     LastAnswer, // An answer was complete that closes its connection.
@@ -115,6 +116,7 @@
     CloseReason::IdleTimeout,
     CloseReason::HeadTimeout,
     CloseReason::BodyTimeout,
+    CloseReason::DeliveryTimeout,
     CloseReason::Rejected,
     CloseReason::AnswerCutOff,
     CloseReason::LastAnswer,
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -63,10 +63,11 @@
         this->server->beginDrain();
     }
 
-    // Tells whether no request that was accepted is in progress.
+    // Tells whether no request that was accepted is in progress, and each answer is with its
+    // caller.
     [[nodiscard]] bool idle() const
     {
-        return this->sessions.empty();
+        return this->sessions.empty() && !this->server->delivering();
     }
 
     // Ends all requests in progress, as at the shutdown's deadline, and closes the listener and all
@@ -87,7 +88,8 @@
                                      {"refused", std::to_string(this->refusedAtStop)}});
     }
 
-    // Tells whether every request that had arrived at endAllRequests() is answered.
+    // Tells whether every request that had arrived at endAllRequests() is answered and its answer
+    // delivered.
     [[nodiscard]] bool closed() const
     {
         return this->server->idle();
--- a/source/samphirebridge/net/httpserver.cpp
+++ b/source/samphirebridge/net/httpserver.cpp
@@ -88,6 +88,13 @@
     });
 }
 
+bool HttpServer::delivering() const
+{
+    return std::any_of(this->connections.begin(), this->connections.end(), [](const auto &item) {
+        return item.second->delivering();
+    });
+}
+
 int HttpServer::port() const
 {
     return this->listener == nullptr ? 0 : this->listener->port();
--- a/source/samphirebridge/net/httpserver.h
+++ b/source/samphirebridge/net/httpserver.h
@@ -45,9 +45,12 @@
     // established stay open for their first request.
     void stopAccepting();
 
-    // Tells whether no connection is reading or answering a request.
+    // Tells whether no connection is reading, answering or delivering a request or being closed.
     [[nodiscard]] bool idle() const;
 
+    // Tells whether a part of an answer waits until the kernel accepts it.
+    [[nodiscard]] bool delivering() const;
+
     // Returns the port, also where the address asked for any free one; 0 after stopAccepting().
     [[nodiscard]] int port() const;
 
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -17,6 +17,14 @@
 // a few retransmissions.
 constexpr core::Duration FirstRequestTime = std::chrono::seconds(1);
 
+// A caller that takes nothing of an answer for so long is given up. Callers pause for seconds; one
+// that has lost its power is noticed by the kernel in the same time.
+constexpr core::Duration DeliveryTimeout = std::chrono::seconds(30);
+
+// How long what comes on a connection that is being closed is read and dropped, so that the caller
+// reads what was sent before: several round trips, and the rest of a body.
+constexpr core::Duration LingerTime = std::chrono::seconds(2);
+
 constexpr int StatusBadRequest = 400;
 constexpr int StatusRequestTimeout = 408;
 constexpr int StatusContentTooLarge = 413;
@@ -55,17 +63,26 @@
                                      connection->onEnd(end);
                                  }
                              },
-                             nullptr});
+                             [weak] {
+                                 if (const auto connection = weak.lock()) {
+                                     connection->onDrained();
+                                 }
+                             }});
     this->stream->startReading();
     this->armTimer();
 }
 
 bool ServerConnection::idle() const
 {
-    return !this->answerPending && !this->parser.started() && this->buffered.empty()
+    return this->state == State::Reading && !this->parser.started() && this->buffered.empty()
            && !this->expectsFirstRequest() && !this->stream->hasUnreadBytes();
 }
 
+bool ServerConnection::delivering() const
+{
+    return this->stream->queuedBytes() > 0;
+}
+
 bool ServerConnection::expectsFirstRequest() const
 {
     return this->requestNumber == 0 && this->clock.now() - this->openedAt < FirstRequestTime;
@@ -73,14 +90,14 @@
 
 void ServerConnection::close(core::CloseReason reason)
 {
-    if (std::exchange(this->isClosed, true)) {
+    if (this->state == State::Closed) {
         return;
     }
     const ClosedConnection closed = this->describe(reason);
+    this->state = State::Closed;
     this->timer.stop();
     this->stream->close();
     const auto callback = std::exchange(this->onCallerClosed, nullptr);
-    this->answerPending = false;
     if (callback) {
         callback();
     }
@@ -89,7 +106,7 @@
 
 bool ServerConnection::isAnswering(uint64_t number) const
 {
-    return this->answerPending && !this->isClosed && number == this->requestNumber;
+    return this->state == State::Answering && number == this->requestNumber;
 }
 
 void ServerConnection::sendWhole(ResponseHead head, std::string_view body)
@@ -98,7 +115,7 @@
         head.framing = BodyFraming::Length;
         head.contentLength = body.size();
     }
-    this->keepAlive = this->keepAlive && head.keepAlive && !this->context.draining;
+    this->keepAlive = this->keepAlive && head.keepAlive && !this->closesAfterAnswer();
     head.keepAlive = this->keepAlive;
     std::string text = formatHead(head);
     if (this->incoming.head.method != "HEAD") {
@@ -114,7 +131,7 @@
         head.framing = BodyFraming::Chunked;
     }
     this->chunked = head.framing == BodyFraming::Chunked;
-    this->keepAlive = this->keepAlive && head.keepAlive && !this->context.draining;
+    this->keepAlive = this->keepAlive && head.keepAlive && !this->closesAfterAnswer();
     head.keepAlive = this->keepAlive;
     this->stream->write(formatHead(head));
 }
@@ -147,8 +164,12 @@
 
 void ServerConnection::onData(std::string_view bytes)
 {
+    if (this->state == State::Closing) {
+        this->droppedBytes += bytes.size();
+        return;
+    }
     this->buffered += bytes;
-    if (this->answerPending) {
+    if (this->state != State::Reading) {
         if (this->buffered.size() > MaximumBufferedBytes) {
             this->stream->stopReading();
         }
@@ -160,7 +181,7 @@
 void ServerConnection::readBuffered()
 {
     const auto self = this->shared_from_this();
-    while (!this->answerPending && !this->isClosed && !this->buffered.empty()) {
+    while (this->state == State::Reading && !this->buffered.empty()) {
         const std::string bytes = std::exchange(this->buffered, {});
         const auto read = this->parser.feed(bytes);
         if (!read.ok()) {
@@ -172,7 +193,7 @@
             this->dispatchRequest();
         }
     }
-    if (!this->answerPending && !this->isClosed) {
+    if (this->state == State::Reading) {
         this->armTimer();
     }
 }
@@ -189,7 +210,7 @@
 void ServerConnection::dispatchRequest()
 {
     this->timer.stop();
-    this->answerPending = true;
+    this->state = State::Answering;
     this->chunked = false;
     this->keepAlive = this->incoming.head.keepAlive;
     ++this->requestNumber;
@@ -200,24 +221,69 @@
 
 void ServerConnection::rejectMessage(const absl::Status &error)
 {
-    ResponseHead head;
-    head.status = StatusBadRequest;
+    int status = StatusBadRequest;
     if (core::errorCodeOf(error) == core::ErrorCode::TooLarge) {
-        head.status = this->headRead ? StatusContentTooLarge : StatusHeadTooLarge;
+        status = this->headRead ? StatusContentTooLarge : StatusHeadTooLarge;
     }
+    this->rejectWith(status, core::CloseReason::Rejected);
+}
+
+void ServerConnection::rejectWith(int status, core::CloseReason reason)
+{
+    ResponseHead head;
+    head.status = status;
     head.framing = BodyFraming::Length;
     head.keepAlive = false;
     this->stream->write(formatHead(head));
-    this->close(core::CloseReason::Rejected);
+    this->requestRejected = true;
+    this->closeInOrder(reason);
 }
 
 void ServerConnection::onEnd(StreamEnd end)
 {
-    this->close(end == StreamEnd::Closed ? core::CloseReason::CallerClosed
-                                         : core::CloseReason::CallerReset);
+    if (end == StreamEnd::Broken) {
+        this->close(core::CloseReason::CallerReset);
+        return;
+    }
+    this->callerEnded = true;
+    // A caller that sends no more may still read.
+    if (this->state == State::Delivering) {
+        this->closeInOrder(core::CloseReason::CallerClosed);
+    } else if (this->state != State::Closing) {
+        this->close(core::CloseReason::CallerClosed);
+    } else if (!this->delivering()) {
+        this->close(this->closeReason);
+    }
+}
+
+void ServerConnection::onDrained()
+{
+    if (this->state == State::Delivering) {
+        this->awaitRequest();
+    } else if (this->state == State::Closing && this->callerEnded) {
+        this->close(this->closeReason);
+    } else if (this->state == State::Closing) {
+        this->armDeliveryTimer();
+    }
 }
 
 void ServerConnection::onTimeout()
+{
+    const auto self = this->shared_from_this();
+    if (this->state == State::Reading) {
+        this->onSilence();
+        return;
+    }
+    if (!this->delivering()) {
+        this->close(this->closeReason);
+    } else if (this->stream->queuedBytes() == this->queuedBefore) {
+        this->close(core::CloseReason::DeliveryTimeout);
+    } else {
+        this->armDeliveryTimer();
+    }
+}
+
+void ServerConnection::onSilence()
 {
     // Due timers run before the sockets are read, so after a pause of the loop bytes may wait
     // there.
@@ -230,44 +296,46 @@
         this->timer.start(rest);
         return;
     }
-    const auto self = this->shared_from_this();
-    auto reason = core::CloseReason::IdleTimeout;
-    if (this->headRead) {
-        reason = core::CloseReason::BodyTimeout;
-    } else if (this->parser.started()) {
-        reason = core::CloseReason::HeadTimeout;
-        ResponseHead head;
-        head.status = StatusRequestTimeout;
-        head.framing = BodyFraming::Length;
-        head.keepAlive = false;
-        this->stream->write(formatHead(head));
+    if (!this->parser.started()) {
+        this->close(core::CloseReason::IdleTimeout);
+        return;
     }
-    this->close(reason);
+    this->rejectWith(StatusRequestTimeout,
+                     this->headRead ? core::CloseReason::BodyTimeout
+                                    : core::CloseReason::HeadTimeout);
+}
+
+bool ServerConnection::closesAfterAnswer() const
+{
+    // A request that has already been received is answered first.
+    return this->context.draining && this->buffered.empty() && !this->stream->hasUnreadBytes();
 }
 
 void ServerConnection::finishAnswer()
 {
     const auto self = this->shared_from_this();
     this->onCallerClosed = nullptr;
-    this->answerPending = false;
-    this->headRead = false;
-    this->parser.nextMessage();
-    this->parser.setLimits(this->context.limits().message);
     // The head of a long response may have been sent, without Connection: close, before the server
-    // began to drain. A request that has already been received is answered first.
-    const bool lastAnswer = this->context.draining && this->buffered.empty();
-    if (!this->keepAlive || lastAnswer) {
-        // The stream outlives this connection until its queued bytes are sent.
-        const auto lingering = this->stream;
-        this->isClosed = true;
-        const ClosedConnection closed = this->describe(core::CloseReason::LastAnswer);
-        this->timer.stop();
-        lingering->setEvents(
-            {nullptr, [lingering](StreamEnd /*end*/) { lingering->close(); }, nullptr});
-        lingering->closeWhenDrained();
-        this->context.onClosed(this, closed);
+    // began to drain.
+    if (!this->keepAlive || this->closesAfterAnswer()) {
+        this->closeInOrder(core::CloseReason::LastAnswer);
         return;
     }
+    if (this->delivering()) {
+        this->state = State::Delivering;
+        this->armDeliveryTimer();
+        return;
+    }
+    this->awaitRequest();
+}
+
+void ServerConnection::awaitRequest()
+{
+    const auto self = this->shared_from_this();
+    this->state = State::Reading;
+    this->headRead = false;
+    this->parser.nextMessage();
+    this->parser.setLimits(this->context.limits().message);
     this->stream->startReading();
     this->armTimer();
     if (!this->buffered.empty()) {
@@ -275,12 +343,29 @@
     }
 }
 
+void ServerConnection::closeInOrder(core::CloseReason reason)
+{
+    this->state = State::Closing;
+    this->closeReason = reason;
+    this->stream->endWriting();
+    if (!this->callerEnded) {
+        this->stream->startReading();
+    }
+    this->armDeliveryTimer();
+}
+
 void ServerConnection::armTimer()
 {
     this->waitingSince = this->clock.now();
     this->timer.start(this->waitLimit());
 }
 
+void ServerConnection::armDeliveryTimer()
+{
+    this->queuedBefore = this->stream->queuedBytes();
+    this->timer.start(this->delivering() ? DeliveryTimeout : LingerTime);
+}
+
 core::Duration ServerConnection::waitLimit() const
 {
     const ServerLimits limits = this->context.limits();
@@ -292,9 +377,11 @@
 {
     ClosedConnection closed;
     closed.reason = reason;
-    closed.requestOpen = this->answerPending || this->parser.started();
+    const bool beforeAnswer = this->state == State::Reading && this->parser.started();
+    closed.requestOpen = beforeAnswer || this->requestRejected || this->state == State::Answering
+                         || this->delivering();
     closed.head = this->headRead ? &this->incoming.head : nullptr;
-    closed.unreadBytes = this->buffered.size() + this->stream->unreadBytes();
+    closed.unreadBytes = this->droppedBytes + this->buffered.size() + this->stream->unreadBytes();
     closed.unsentBytes = this->stream->queuedBytes();
     closed.age = this->clock.now() - this->openedAt;
     return closed;
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -1,4 +1,9 @@
 // One accepted connection, whose requests are read one after the other and answered in order.
+//
+// An answer is delivered once the kernel has accepted its last byte. Until then the connection is
+// not idle, and the next request waits. A connection that the server ends is closed on its sending
+// side first, and what still comes is read and dropped for a while: closing it over unread bytes
+// would reset it, and the caller would lose what it has not read yet (RFC 9112, section 9.6).
 #pragma once
 
 #include "samphirebridge/core/reasons.h"
@@ -34,9 +39,9 @@
 // What is known of a connection with a caller when it ends.
 struct ClosedConnection {
     core::CloseReason reason = core::CloseReason::CallerClosed;
-    bool requestOpen = false; // A request was being read or answered.
+    bool requestOpen = false; // A request was being read or answered, or its answer delivered.
     const RequestHead *head = nullptr; // Of that request; null if it was not read whole.
-    size_t unreadBytes = 0; // Arrived, and belong to no request that was answered.
+    size_t unreadBytes = 0; // Arrived, and belong to no request that was read.
     size_t unsentBytes = 0; // Of answers: not accepted by the kernel yet.
     core::Duration age{};
 };
@@ -59,10 +64,13 @@
     // Starts reading requests.
     void start();
 
-    // Tells whether no request is being read or answered, has arrived unread, or is expected at
-    // once because the connection is new.
+    // Tells whether no request is being read, answered or delivered, has arrived unread, or is
+    // expected at once because the connection is new, and the connection is not being closed.
     [[nodiscard]] bool idle() const;
 
+    // Tells whether a part of an answer waits until the kernel accepts it.
+    [[nodiscard]] bool delivering() const;
+
     // Closes the connection at once; calls the functions set by setOnCallerClosed and onClosed.
     void close(core::CloseReason reason);
 
@@ -77,6 +85,14 @@
     [[nodiscard]] size_t queuedBytes() const;
 
 private:
+    enum class State : uint8_t {
+        Reading, // Waits for a request, or reads one.
+        Answering,
+        Delivering, // The answer is complete, and a part of it is queued.
+        Closing, // Nothing is written any more; what comes is dropped.
+        Closed,
+    };
+
     // Tells whether the caller opened the connection just now and has not sent a request yet.
     [[nodiscard]] bool expectsFirstRequest() const;
     void onData(std::string_view bytes);
@@ -85,9 +101,23 @@
     void dispatchRequest();
     void rejectMessage(const absl::Status &error);
     void onEnd(StreamEnd end);
+    void onDrained();
     void onTimeout();
+    // The caller's bytes did not come in time.
+    void onSilence();
     void finishAnswer();
+    // The last answer is with the kernel: reads the next request.
+    void awaitRequest();
+    // Closes the sending side after what is queued, then the connection.
+    void closeInOrder(core::CloseReason reason);
+    // Answers with an empty response of that status and closes the connection.
+    void rejectWith(int status, core::CloseReason reason);
     void armTimer();
+    // Waits until the caller has taken more of what is queued or, without that, for the end of a
+    // connection that is being closed.
+    void armDeliveryTimer();
+    // Tells whether the answer that was begun now closes its connection.
+    [[nodiscard]] bool closesAfterAnswer() const;
     // Returns for how long the caller's next bytes are waited for, by the limits in force.
     [[nodiscard]] core::Duration waitLimit() const;
     [[nodiscard]] ClosedConnection describe(core::CloseReason reason) const;
@@ -104,10 +134,14 @@
     bool headRead = false;
     bool messageReady = false;
     uint64_t requestNumber = 0;
-    bool answerPending = false;
+    State state = State::Reading;
+    core::CloseReason closeReason = core::CloseReason::LastAnswer; // Valid in state Closing.
+    size_t queuedBefore = 0; // When the delivery timer was armed.
+    size_t droppedBytes = 0; // That came in state Closing.
+    bool callerEnded = false; // The caller sends no more.
+    bool requestRejected = false; // The request that was being read.
     bool chunked = false;
     bool keepAlive = true;
-    bool isClosed = false;
     std::function<void()> onCallerClosed;
 };
 
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -198,7 +198,7 @@
     if (!this->isOpen() || bytes.empty()) {
         return;
     }
-    if (this->queued == 0) {
+    if (this->pendingWrites == 0) {
         const uv_buf_t buffer
             = uv_buf_init(const_cast<char *>(bytes.data()), static_cast<unsigned>(bytes.size()));
         const int written = uv_try_write(reinterpret_cast<uv_stream_t *>(this->handle), &buffer, 1);
@@ -214,7 +214,7 @@
 {
     auto *writing = new WriteRequest{{}, std::string(bytes), this->weak_from_this()};
     writing->request.data = writing;
-    this->queued += bytes.size();
+    ++this->pendingWrites;
     const uv_buf_t buffer
         = uv_buf_init(writing->bytes.data(), static_cast<unsigned>(writing->bytes.size()));
     const auto finish = [](uv_write_t *done, int status) {
@@ -227,14 +227,24 @@
         &writing->request, reinterpret_cast<uv_stream_t *>(this->handle), &buffer, 1, finish);
     if (started != 0) {
         const std::unique_ptr<WriteRequest> request(writing);
-        this->queued -= bytes.size();
+        --this->pendingWrites;
         // The connection is broken; the read callback reports its end.
     }
 }
 
+size_t TcpStream::queuedBytes() const
+{
+    if (!this->isOpen()) {
+        return 0;
+    }
+    const auto *stream = reinterpret_cast<const uv_stream_t *>(this->handle);
+    return uv_stream_get_write_queue_size(stream) + this->failedBytes;
+}
+
 void TcpStream::onWritten(size_t bytes, int status)
 {
-    this->queued -= bytes;
+    --this->pendingWrites;
+    this->failedBytes += status == 0 ? 0 : bytes;
     if (!this->isOpen()) {
         return;
     }
@@ -242,11 +252,7 @@
         this->reportEnd(StreamEnd::Broken);
         return;
     }
-    if (this->queued > 0) {
-        return;
-    }
-    if (this->closing) {
-        this->close();
+    if (this->pendingWrites > 0) {
         return;
     }
     const auto onDrained = this->events.onDrained;
@@ -297,7 +303,8 @@
 
 void TcpStream::reportEnd(StreamEnd end)
 {
-    if (std::exchange(this->ended, true)) {
+    bool &reported = end == StreamEnd::Closed ? this->ended : this->broken;
+    if (this->broken || std::exchange(reported, true)) {
         return;
     }
     this->stopReading();
@@ -319,11 +326,18 @@
     this->events = {};
 }
 
-void TcpStream::closeWhenDrained()
+void TcpStream::endWriting()
 {
-    this->closing = true;
-    if (this->queued == 0) {
-        this->close();
+    if (!this->isOpen()) {
+        return;
+    }
+    auto *shutdown = new uv_shutdown_t;
+    const int started = uv_shutdown(shutdown,
+                                    reinterpret_cast<uv_stream_t *>(this->handle),
+                                    [](uv_shutdown_t *done, int /*status*/) { delete done; });
+    if (started != 0) {
+        delete shutdown;
+        // The connection is broken; the read callback reports its end.
     }
 }
 
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -30,7 +30,8 @@
 // stream.
 struct StreamEvents {
     std::function<void(std::string_view)> onData;
-    std::function<void(StreamEnd)> onEnd; // At most once; no event follows.
+    // At most once each; after Closed, only onDrained and Broken may follow while bytes are queued.
+    std::function<void(StreamEnd)> onEnd;
     std::function<void()> onDrained; // The kernel accepted all queued bytes.
 };
 
@@ -67,11 +68,9 @@
     // Sends bytes; those that the kernel does not accept at once are copied and queued.
     void write(std::string_view bytes);
 
-    // Returns the queued bytes that the kernel has not accepted yet.
-    [[nodiscard]] size_t queuedBytes() const
-    {
-        return this->queued;
-    }
+    // Returns the queued bytes that the kernel has not accepted, including those of a write that
+    // failed.
+    [[nodiscard]] size_t queuedBytes() const;
 
     // Tells whether the peer sent bytes that were not read yet. Closing the stream would reset the
     // connection.
@@ -85,8 +84,9 @@
     // Closes at once; queued bytes are lost and no event follows.
     void close();
 
-    // Closes once the kernel has accepted all queued bytes.
-    void closeWhenDrained();
+    // Closes the sending side once the kernel has accepted all queued bytes. Reading goes on.
+    // Nothing may be written after that.
+    void endWriting();
 
     [[nodiscard]] bool isOpen() const
     {
@@ -107,9 +107,10 @@
 
     uv_tcp_s *handle;
     StreamEvents events;
-    size_t queued = 0;
-    bool closing = false;
-    bool ended = false;
+    size_t pendingWrites = 0;
+    size_t failedBytes = 0; // Of writes that did not succeed.
+    bool ended = false; // No more bytes come.
+    bool broken = false;
 };
 
 } // namespace samphirebridge::net
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -45,6 +46,8 @@
 public:
     Server()
     {
+        // As the process does: a write to a connection that its caller has reset returns an error.
+        std::signal(SIGPIPE, SIG_IGN);
         auto listening = net::HttpServer::listen(
             this->loop,
             "127.0.0.1:0",
