net: Wait for a caller that reads nothing for several seconds

Callers that read nothing for over 3 s lost a large answer: the kernel counts a closed window of a live peer as unacknowledged, and TCP_USER_TIMEOUT of 3 s is meant for targets that lost power. Accepted connections have a limit of 30 s now; those to targets keep theirs.

--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -17,8 +17,8 @@
 // a few retransmissions.
 constexpr core::Duration FirstRequestTime = std::chrono::seconds(1);
 
-// A caller that takes nothing of an answer for so long is given up. Callers pause for seconds; one
-// that has lost its power is noticed by the kernel in the same time.
+// A caller that takes nothing of an answer for so long is given up. The kernel gives up one that
+// acknowledges nothing after the same time.
 constexpr core::Duration DeliveryTimeout = std::chrono::seconds(30);
 
 // How long what comes on a connection that is being closed is read and dropped, so that the caller
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -22,9 +22,13 @@
 {
 
 // How long sent data may stay unacknowledged before the kernel closes the connection, which detects
-// a peer that lost power. Three times the longest pause of a running peer under the load that
-// docs/CAPACITY.md states.
-constexpr unsigned UnacknowledgedTimeoutMs = 3000;
+// a peer that lost power. To a target: three times the longest pause of a running peer under the
+// load that docs/CAPACITY.md states.
+constexpr unsigned TargetAcknowledgeTimeoutMs = 3000;
+
+// The same for an accepted connection. The kernel also counts the time in which a live caller reads
+// nothing, and callers pause for seconds.
+constexpr unsigned CallerAcknowledgeTimeoutMs = 30'000;
 
 // Size of the read buffer. All streams of a thread share one, since data is passed on at once.
 constexpr size_t ReadBufferBytes = size_t{64} * 1024;
@@ -105,7 +109,7 @@
             request->onConnected(unreachable(status));
             return;
         }
-        connected->setOptions();
+        connected->setOptions(TargetAcknowledgeTimeoutMs);
         request->onConnected(connected);
     };
     const int started = uv_tcp_connect(&connecting->request,
@@ -127,7 +131,7 @@
     if (accepted != 0) {
         return unreachable(accepted);
     }
-    stream->setOptions();
+    stream->setOptions(CallerAcknowledgeTimeoutMs);
     return stream;
 }
 
@@ -139,17 +143,20 @@
         ::close(descriptor);
         return unreachable(opened);
     }
-    stream->setOptions();
+    stream->setOptions(CallerAcknowledgeTimeoutMs);
     return stream;
 }
 
-void TcpStream::setOptions()
+void TcpStream::setOptions(unsigned acknowledgeTimeoutMs)
 {
     uv_tcp_nodelay(this->handle, 1);
     uv_os_fd_t descriptor = -1;
     if (uv_fileno(reinterpret_cast<uv_handle_t *>(this->handle), &descriptor) == 0) {
-        const unsigned limit = UnacknowledgedTimeoutMs;
-        (void)setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+        (void)setsockopt(descriptor,
+                         IPPROTO_TCP,
+                         TCP_USER_TIMEOUT,
+                         &acknowledgeTimeoutMs,
+                         sizeof acknowledgeTimeoutMs);
     }
 }
 
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -96,7 +96,7 @@
 private:
     explicit TcpStream(EventLoop &loop);
 
-    void setOptions();
+    void setOptions(unsigned acknowledgeTimeoutMs);
     // Returns what reading one byte, without removing it, would return: as recv() does, -1 on any
     // error.
     [[nodiscard]] ssize_t peek() const;
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -598,3 +598,15 @@
     caller.endWriting();
     CHECK(bodySize(caller.readToEnd()) == LargeBytes);
 }
+
+// Guards against a caller that is taken for dead while it is alive and reads nothing: the kernel
+// counts a closed window as unacknowledged.
+TEST_CASE("an answer waits for a caller that reads nothing for several seconds")
+{
+    Server server;
+    server.start();
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(6s);
+    CHECK(bodySize(caller.readUntil(std::string(LargeBytes, 'x'))) == LargeBytes);
+}
