net: Fire timers after the sockets were read

After a pause of the loop, as when a large declaration is applied or the machine stood still, every timer that had come due fired before the bytes that had arrived meanwhile were read: a request at its deadline was refused or cut although its answer was there, a target counted as unreachable or silent for the instance's own pause. Now the loop itself defers a timer that is due until it has polled the sockets, and a timer that these stop doesn't fire.

--- a/source/samphirebridge/net/eventloop.cpp
+++ b/source/samphirebridge/net/eventloop.cpp
@@ -1,9 +1,13 @@
 #include "samphirebridge/net/eventloop.h"
 
+#include "samphirebridge/net/timer.h"
+
 #include <uv.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <vector>
 
 namespace samphirebridge::net
 {
@@ -17,9 +21,25 @@
 } // namespace
 
 struct EventLoop::Impl {
+    // Fires the timers that became due before the sockets were read.
+    void fireDue()
+    {
+        this->socketsRead = true;
+        uv_idle_stop(&this->noWait);
+        while (!this->due.empty()) {
+            Timer *timer = this->due.front();
+            this->due.erase(this->due.begin());
+            timer->fire();
+        }
+    }
+
     uv_loop_t loop{};
     uv_async_t wakeUp{};
     uv_timer_t waitLimit{};
+    uv_check_t afterSockets{};
+    uv_idle_t noWait{}; // Keeps the loop from waiting for sockets while it is active.
+    std::vector<Timer *> due;
+    bool socketsRead = false; // In this turn of the loop.
     core::SteadyClock clock;
 };
 
@@ -29,18 +49,26 @@
     uv_loop_init(&this->impl->loop);
     uv_async_init(&this->impl->loop, &this->impl->wakeUp, [](uv_async_t * /*handle*/) {});
     uv_timer_init(&this->impl->loop, &this->impl->waitLimit);
+    uv_idle_init(&this->impl->loop, &this->impl->noWait);
+    uv_check_init(&this->impl->loop, &this->impl->afterSockets);
+    this->impl->afterSockets.data = this->impl.get();
+    uv_check_start(&this->impl->afterSockets,
+                   [](uv_check_t *handle) { static_cast<Impl *>(handle->data)->fireDue(); });
 }
 
 EventLoop::~EventLoop()
 {
     uv_close(reinterpret_cast<uv_handle_t *>(&this->impl->wakeUp), nullptr);
     uv_close(reinterpret_cast<uv_handle_t *>(&this->impl->waitLimit), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t *>(&this->impl->noWait), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t *>(&this->impl->afterSockets), nullptr);
     while (uv_run(&this->impl->loop, UV_RUN_NOWAIT) != 0) { }
     uv_loop_close(&this->impl->loop);
 }
 
 void EventLoop::runUntil(core::TimePoint deadline)
 {
+    this->impl->socketsRead = false;
     const core::Duration wait = deadline - this->impl->clock.now();
     const auto millis = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
     if (millis <= 0) {
@@ -64,6 +92,21 @@
     uv_async_send(&this->impl->wakeUp);
 }
 
+void EventLoop::fireAfterSockets(Timer &timer)
+{
+    if (this->impl->socketsRead) {
+        timer.fire();
+        return;
+    }
+    this->impl->due.push_back(&timer);
+    uv_idle_start(&this->impl->noWait, [](uv_idle_t * /*handle*/) {});
+}
+
+void EventLoop::dropDue(const Timer &timer)
+{
+    std::erase(this->impl->due, &timer);
+}
+
 uv_loop_s *EventLoop::handle()
 {
     return &this->impl->loop;
--- a/source/samphirebridge/net/eventloop.h
+++ b/source/samphirebridge/net/eventloop.h
@@ -10,8 +10,13 @@
 namespace samphirebridge::net
 {
 
+class Timer;
+
 // Every stream, listener and timer of a loop must be closed or destroyed before the loop. Only
 // wake() may be called from other threads.
+//
+// A timer that is due fires after the sockets were read, so that after a pause of the loop no
+// timeout is taken for the want of what has arrived meanwhile.
 class EventLoop
 {
 public:
@@ -27,6 +32,12 @@
     // Makes the current runUntil() return, or the next one if none is running.
     void wake();
 
+    // Fires the timer, which is due, once the sockets were read in this turn of the loop.
+    void fireAfterSockets(Timer &timer);
+
+    // Drops a timer that was passed to fireAfterSockets() and has not fired.
+    void dropDue(const Timer &timer);
+
     // Returns the libuv loop, owned by this object.
     [[nodiscard]] uv_loop_s *handle();
 
--- a/source/samphirebridge/net/timer.h
+++ b/source/samphirebridge/net/timer.h
@@ -21,14 +21,18 @@
     Timer &operator=(const Timer &) = delete;
     ~Timer();
 
-    // Starts or restarts the timer. It fires from the loop, never within this call, also for a
-    // delay of zero.
+    // Starts or restarts the timer. It fires from the loop after the sockets were read, never
+    // within this call, also for a delay of zero.
     void start(core::Duration delay);
 
     // Stops the timer; it does not fire until it is started again.
     void stop();
 
+    // Calls the function. For the loop.
+    void fire() const;
+
 private:
+    EventLoop &loop;
     uv_timer_s *handle;
     std::function<void()> onFire;
 };
--- a/tests/http/peer.cpp
+++ b/tests/http/peer.cpp
@@ -128,6 +128,11 @@
     return ::ntohs(address.sin_port);
 }
 
+std::string Listener::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->port());
+}
+
 std::string Listener::url() const
 {
     return "http://127.0.0.1:" + std::to_string(this->port());
--- a/tests/http/peer.h
+++ b/tests/http/peer.h
@@ -54,6 +54,8 @@
 
     [[nodiscard]] uint16_t port() const;
     [[nodiscard]] std::string url() const;
+    // Returns 127.0.0.1:PORT.
+    [[nodiscard]] std::string address() const;
     // Waits for a connection and accepts it.
     [[nodiscard]] Peer accept() const;
 
--- a/tests/net/eventlooptest.cpp
+++ b/tests/net/eventlooptest.cpp
@@ -1,8 +1,14 @@
 #include "samphirebridge/net/eventloop.h"
+#include "samphirebridge/net/targetpool.h"
+#include "samphirebridge/net/timer.h"
+#include "tests/http/peer.h"
 
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
 
 using namespace samphirebridge;
 using namespace std::chrono_literals;
@@ -20,3 +26,71 @@
     }
     CHECK(true);
 }
+
+// Guards against an answer that is given up although it has arrived: after a pause of the loop, as
+// when a large declaration is applied, its deadline is due too.
+TEST_CASE("bytes that arrived in a pause of the loop are read before a timer that is due")
+{
+    net::EventLoop loop;
+    const http::Listener listener;
+    std::string received;
+    std::optional<std::string> receivedAtTimer;
+    std::shared_ptr<net::TcpStream> stream;
+    const auto opening = net::TcpStream::connect(loop, listener.address(), [&](auto connected) {
+        REQUIRE(connected.ok());
+        stream = *connected;
+        stream->setEvents({[&](std::string_view bytes) { received += bytes; }, {}, {}});
+        stream->startReading();
+    });
+    const http::Peer peer = listener.accept();
+    while (stream == nullptr) {
+        loop.runUntil({});
+    }
+    loop.runUntil({});
+    net::Timer timer(loop, [&] { receivedAtTimer = received; });
+    timer.start(1ms);
+    peer.write("answer");
+    std::this_thread::sleep_for(20ms);
+    while (!receivedAtTimer) {
+        loop.runUntil(core::SteadyClock().now() + 1ms);
+    }
+    CHECK(*receivedAtTimer == "answer");
+}
+
+// Guards against a timer that fires although what it waited for has come in a pause of the loop.
+TEST_CASE("a timer that is stopped by bytes which arrived in a pause of the loop does not fire")
+{
+    net::EventLoop loop;
+    const http::Listener listener;
+    bool isConnected = false;
+    bool isFired = false;
+    net::Timer timer(loop, [&] { isFired = true; });
+    const auto stream = net::TcpStream::connect(loop, listener.address(), [&](auto connected) {
+        isConnected = connected.ok();
+        timer.stop();
+    });
+    timer.start(1ms);
+    std::this_thread::sleep_for(20ms);
+    while (!isConnected && !isFired) {
+        loop.runUntil(core::SteadyClock().now() + 1ms);
+    }
+    loop.runUntil(core::SteadyClock().now() + 5ms);
+    CHECK(isConnected);
+    CHECK_FALSE(isFired);
+}
+
+// Guards against a sound target that counts as unreachable for a pause of the instance itself.
+TEST_CASE("a connection that was established in a pause of the loop is used")
+{
+    net::EventLoop loop;
+    const http::Listener listener;
+    net::TargetPool pool(loop, {.connectTimeout = 5ms});
+    std::optional<bool> isConnected;
+    const auto pending = pool.acquire({listener.address(), 1},
+                                      [&](auto connection) { isConnected = connection.ok(); });
+    std::this_thread::sleep_for(20ms);
+    while (!isConnected) {
+        loop.runUntil(core::SteadyClock().now() + 1ms);
+    }
+    CHECK(*isConnected);
+}
