forwarding: Give requests in progress the timeout that a change raises

At the end of its time a request now asks for the timeout in force and goes on if that is longer and its caller's own limit allows it. A lower one holds for requests that arrive after it: those that were accepted keep their time. cut_off and refused tell the limit, so the log says which one applied.

The test of the raise fails without the call (6 checks); those of a lower timeout and of the caller's limit guard the other direction.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -112,6 +112,10 @@
     host.refuse(refusal);
     // Breaks the caller's connection, so that a stream that has begun doesn't look complete.
     host.abortAnswer();
+    // Returns the timeout of the request's route by the declaration in force.
+    {
+        host.timeoutInForce()
+        } -> std::same_as<core::Duration>;
     // Calls onTimer() at the time; a later call replaces an earlier one.
     host.setTimer(time);
     host.logEvent(ForwardLogEvent{});
@@ -135,13 +139,10 @@
         , organisation(requestOrganisation)
         , request(callerRequest)
         , arrived(machineHost.now())
-        , deadline(this->arrived
-                   + std::min(callerRequest.timeout.value_or(requestRoute.timeout),
-                              requestRoute.timeout))
-        , refusalDeadline(this->deadline - answerTravelTime(this->deadline - this->arrived))
         , relay(callerRequest.lastEventId)
     {
         static_assert(ForwardHost<Host>);
+        this->setTimeLimit(requestRoute.timeout);
     }
 
     // Reserves tokens if the organisation's spending is limited, then begins the first attempt.
@@ -292,6 +293,9 @@
             return;
         }
         const core::TimePoint now = this->host.now();
+        if (now >= this->endOfTime()) {
+            this->applyRaisedTimeout();
+        }
         if (now >= this->endOfTime()) {
             this->onDeadline();
             return;
@@ -734,13 +738,14 @@
                 "cut_off",
                 fmt::format(
                     "reason={} last_failure={} attempts={} events={} "
-                    "silent_ms={} took_ms={} billed={}",
+                    "silent_ms={} took_ms={} limit_ms={} billed={}",
                     core::refusalName(reason),
                     this->lastFailure ? core::retryName(*this->lastFailure) : "none",
                     this->attempts,
                     this->relay.relayedEvents(),
                     millisecondsOf(this->host.now() - std::max(this->relayedAt, this->arrived)),
                     millisecondsOf(this->host.now() - this->arrived),
+                    millisecondsOf(this->deadline - this->arrived),
                     this->billedTokens()));
             this->host.abortAnswer();
             this->finish();
@@ -751,6 +756,29 @@
         this->refuse({reason, outcome, retryAfter});
     }
 
+    // Limits the time of the request by the route's timeout and the caller's own.
+    void setTimeLimit(core::Duration routeTimeout)
+    {
+        const core::Duration limit
+            = std::min(this->request.timeout.value_or(routeTimeout), routeTimeout);
+        this->deadline = this->arrived + limit;
+        this->refusalDeadline = this->deadline - answerTravelTime(limit);
+    }
+
+    // Gives the request the time of a declaration that has raised its route's timeout since it
+    // arrived. A lower one holds for the requests that arrive after it.
+    void applyRaisedTimeout()
+    {
+        const core::TimePoint before = this->deadline;
+        this->setTimeLimit(std::max(this->host.timeoutInForce(), before - this->arrived));
+        if (this->deadline > before) {
+            this->logEvent("time_limit_raised",
+                           fmt::format("from_ms={} to_ms={}",
+                                       millisecondsOf(before - this->arrived),
+                                       millisecondsOf(this->deadline - this->arrived)));
+        }
+    }
+
     // Returns when the request is given up. A stream that has begun has the whole time, since its
     // caller gets no refusal.
     [[nodiscard]] core::TimePoint endOfTime() const
@@ -770,10 +798,13 @@
     void refuse(const ForwardRefusal &refusal)
     {
         this->logEvent("refused",
-                       fmt::format("reason={} outcome={} retry_after_ms={} billed={}",
+                       fmt::format("reason={} outcome={} retry_after_ms={} took_ms={} limit_ms={} "
+                                   "billed={}",
                                    core::refusalName(refusal.reason),
                                    core::outcomeName(refusal.outcome),
                                    refusal.retryAfter.count() / MicrosecondsPerMs,
+                                   millisecondsOf(this->host.now() - this->arrived),
+                                   millisecondsOf(this->deadline - this->arrived),
                                    this->billedTokens()));
         this->host.refuse(refusal);
         this->finish();
@@ -896,7 +927,7 @@
     const Organisation *organisation;
     const CallerRequest &request;
     core::TimePoint arrived;
-    core::TimePoint deadline;
+    core::TimePoint deadline; // By the longest timeout of the route since the request arrived.
     core::TimePoint refusalDeadline; // Until then a request without an answer is refused in time.
     StreamRelay relay;
     Phase phase = Phase::NotStarted;
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -248,6 +248,14 @@
         this->responder->cutOff();
     }
 
+    core::Duration timeoutInForce()
+    {
+        const auto table = this->context.node.declaration().routeTable();
+        const forwarding::Route *route = table->findRoute(this->request.host, this->request.target);
+        const bool isSame = route != nullptr && route->name == this->resolved.route->name;
+        return isSame ? route->timeout : this->resolved.route->timeout;
+    }
+
     void setTimer(core::TimePoint due)
     {
         this->timer.start(due - this->now());
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -135,6 +135,10 @@
     {
         this->aborted = true;
     }
+    core::Duration timeoutInForce()
+    {
+        return this->timeout;
+    }
     void setTimer(core::TimePoint due)
     {
         this->timer = due;
@@ -167,6 +171,7 @@
     bool relayedWhole = false;
     bool aborted = false;
     std::optional<forwarding::ForwardRefusal> refusal;
+    core::Duration timeout{}; // Of the route, by the declaration in force.
     core::TimePoint timer;
     std::vector<std::string> loggedEvents;
     std::string lastLogDetail;
@@ -1098,3 +1103,55 @@
     CHECK(request.host.aborted);
     CHECK_THAT(request.host.lastLogDetail, Catch::Contains("reason=stopping"));
 }
+
+// Guards against a request that is cut by a limit which is no longer in force.
+TEST_CASE("a timeout that is raised while a request is in progress holds for it")
+{
+    Fixture request(RequestKind::Stream);
+    const bool streaming = GENERATE(false, true);
+    request.start();
+    request.reportSent();
+    if (streaming) {
+        REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(Fixture::event(1));
+    }
+    request.host.timeout = 8s;
+    request.host.time += 5s;
+    request.machine->onTimer();
+    CHECK_FALSE(request.machine->done());
+    CHECK(request.host.timer > request.host.time + 2s);
+    request.host.time += 3s;
+    request.machine->onTimer();
+    CHECK(request.machine->done());
+    CHECK(request.host.aborted == streaming);
+    CHECK(request.host.refusal.has_value() != streaming);
+    CHECK(request.host.lastLogDetail.find("limit_ms=8000") != std::string::npos);
+}
+
+// Guards against a request that is cut by a limit which came into force after it had been accepted.
+TEST_CASE("a timeout that is lowered while a request is in progress does not end it")
+{
+    Fixture request(RequestKind::Once);
+    request.start();
+    request.reportSent();
+    request.host.timeout = 1s;
+    request.host.time += 4s;
+    request.machine->onTimer();
+    CHECK_FALSE(request.machine->done());
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onAnswerEnd();
+    CHECK(request.host.status == 200);
+}
+
+// Guards against a caller's own limit that a raised timeout of the route overrides.
+TEST_CASE("a raised timeout does not exceed the limit of the caller")
+{
+    Fixture request(RequestKind::Once);
+    request.request.timeout = 5s;
+    request.start();
+    request.reportSent();
+    request.host.timeout = 8s;
+    request.host.time += 5s;
+    request.machine->onTimer();
+    CHECK(request.machine->done());
+}
