forwarding, net: Divide the memory for answers, and read no faster than the caller

What was queued for callers wasn't counted at all, and no target was read more slowly because its caller read slowly.

AnswerMemory gives an answer no more than it leaves free for all others, and 16 KiB in any case. An answer that may not be held isn't failed but relayed as it comes; from then on no other target can answer in its place, so a failure cuts it. While over 256 KiB, or what AnswerMemory allows, are queued for a caller, its target isn't read, and doesn't count as silent. A body of over 16 KiB is no longer copied once more behind its head.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -97,13 +97,13 @@
     host.abandonAttempt(AttemptRole{});
     // Makes the standby attempt the current one, whose connection was closed.
     host.promoteStandby();
-    // Send the answer to the caller: as a stream in parts, or whole.
+    // Send the answer to the caller: in parts, or whole.
     host.relayHead(head);
     host.relayBody(bytes);
     host.relayEnd();
     host.relayWhole(head, bytes);
-    // Accounts for that many more bytes of an incomplete answer that the machine buffers. False:
-    // the limit of the process is exceeded.
+    // Accounts for that many more bytes of an incomplete answer that the machine holds. False: it
+    // may not hold them.
     {
         host.bufferAnswer(size_t{})
         } -> std::same_as<bool>;
@@ -232,7 +232,7 @@
     void onBody(std::string_view bytes)
     {
         if (!this->streaming) {
-            this->bufferBody(bytes);
+            this->holdBody(bytes);
             return;
         }
         std::string events;
@@ -258,6 +258,8 @@
         if (this->streaming) {
             this->ensureHeadRelayed();
             this->host.relayEnd();
+        } else if (this->relayedUnheld) {
+            this->host.relayEnd();
         } else {
             this->host.relayWhole(*this->head, this->body);
         }
@@ -307,6 +309,18 @@
         this->armTimer();
     }
 
+    // The host has stopped reading the answer since its caller reads slowly, or reads on. Meanwhile
+    // the target's silence says nothing.
+    void onReadingPaused(bool isPaused)
+    {
+        if (std::exchange(this->readingPaused, isPaused) == isPaused) {
+            return;
+        }
+        if (this->phase == Phase::Attempting) {
+            this->onProgress();
+        }
+    }
+
     // The caller closed its connection.
     void onCallerDisconnected()
     {
@@ -503,23 +517,37 @@
             {this->request.method, this->request.target, caller, this->request.body});
     }
 
-    void bufferBody(std::string_view bytes)
+    // Holds the body until it is complete, so that another target can answer if this one fails. A
+    // body that is too long for that is relayed as it comes.
+    void holdBody(std::string_view bytes)
     {
-        if (!this->host.bufferAnswer(bytes.size())) {
-            this->logEvent("answer_too_long",
-                           fmt::format("target={} held={}",
-                                       this->current.choice.target.value,
-                                       this->body.size()));
-            this->onFailed({core::RetryReason::ForeignAnswer, true});
-            return;
+        if (this->relayedUnheld) {
+            this->host.relayBody(bytes);
+        } else if (this->host.bufferAnswer(bytes.size())) {
+            this->body += bytes;
+        } else {
+            this->relayUnheld(bytes);
         }
-        this->body += bytes;
         this->onProgress();
     }
 
+    // Begins to relay a body that can't be held. From now on no other target can answer.
+    void relayUnheld(std::string_view bytes)
+    {
+        this->logEvent(
+            "answer_not_held",
+            fmt::format("target={} held={}", this->current.choice.target.value, this->body.size()));
+        this->relayedUnheld = true;
+        this->headRelayed = true;
+        this->host.relayHead(*this->head);
+        this->host.relayBody(this->body);
+        this->discardBody();
+        this->host.relayBody(bytes);
+    }
+
     void discardBody()
     {
-        this->body.clear();
+        this->body = {};
         this->host.discardBufferedAnswer();
     }
 
@@ -718,6 +746,10 @@
     // Begins the next attempt if time, limits and route allow it.
     void retryOrGiveUp()
     {
+        if (this->relayedUnheld) {
+            this->giveUp(core::RefusalReason::AnswerBroken, RetryAfterFailure);
+            return;
+        }
         const bool timeLeft = this->host.now() < this->deadline;
         const bool mayRun
             = this->possibleRuns == 0
@@ -890,7 +922,8 @@
     // nothing if no other may be tried.
     [[nodiscard]] std::optional<core::TimePoint> stallDeadline() const
     {
-        const bool waiting = this->phase == Phase::Attempting && this->current.sent;
+        const bool waiting = this->phase == Phase::Attempting && this->current.sent
+                             && !this->readingPaused && !this->relayedUnheld;
         // The last attempt is kept for a failure of the target.
         if (!waiting || !this->mayTryAnother() || this->attempts + 1 >= MaximumAttempts) {
             return std::nullopt;
@@ -948,6 +981,8 @@
     uint64_t countedEvents = 0; // The value of relay.relayedEvents() that was last processed.
     bool streaming = false;
     bool headRelayed = false;
+    bool relayedUnheld = false; // The answer is no stream, and relayed as it comes.
+    bool readingPaused = false; // The caller reads slowly.
     bool answerComplete = false;
 };
 
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "samphirebridge/entry/entrynode.h"
+#include "samphirebridge/forwarding/answermemory.h"
 #include "samphirebridge/forwarding/forwardmachine.h"
 #include "samphirebridge/forwarding/routetable.h"
 #include "samphirebridge/forwarding/stopadmission.h"
@@ -24,6 +25,9 @@
 namespace samphirebridge::ingress
 {
 
+// Limit for the answers of all requests of the process that wait in it, in bytes.
+inline constexpr size_t MaximumAnswerBytes = size_t{32} * 1024 * 1024;
+
 // What all sessions of an instance share. Belongs to the event loop's thread.
 template <CallerInterface Interface>
 struct IngressContext {
@@ -35,7 +39,8 @@
     const Interface &interface;
     core::SteadyClock clock;
     forwarding::StopAdmission admission;
-    size_t bufferedBytes = 0; // Of the incomplete answers of all requests.
+    std::function<size_t()> queuedBytes; // Returns the bytes that are queued for callers.
+    forwarding::AnswerMemory answerMemory{MaximumAnswerBytes};
 };
 
 // Route, service and organisation of a request, by the declaration in force when it arrived.
@@ -90,6 +95,11 @@
                 session->reportIfDone();
             }
         });
+        this->responder->setOnDrained([weak] {
+            if (const auto session = weak.lock()) {
+                session->resumeReading();
+            }
+        });
         this->machine.start();
         this->reportIfDone();
     }
@@ -199,6 +209,7 @@
         this->observe(telemetry::Latency::AnswerGap, this->relayedAt);
         this->relayedAt = this->now();
         this->responder->write(bytes);
+        this->pauseForSlowCaller();
     }
 
     void relayEnd()
@@ -220,17 +231,18 @@
 
     bool bufferAnswer(size_t bytes)
     {
-        if (this->context.bufferedBytes + bytes > MaximumBufferedBytes) {
+        const size_t queued = this->context.queuedBytes();
+        if (!this->context.answerMemory.mayHold(this->bufferedBytes, bytes, queued)) {
             return false;
         }
-        this->context.bufferedBytes += bytes;
+        this->context.answerMemory.add(bytes);
         this->bufferedBytes += bytes;
         return true;
     }
 
     void discardBufferedAnswer()
     {
-        this->context.bufferedBytes -= std::exchange(this->bufferedBytes, 0);
+        this->context.answerMemory.remove(std::exchange(this->bufferedBytes, 0));
     }
 
     void refuse(const forwarding::ForwardRefusal &refusal)
@@ -286,14 +298,37 @@
 
     static constexpr int FirstRedirectStatus = 300;
 
-    // Limit for the incomplete answers of all requests of the process, in bytes.
-    static constexpr size_t MaximumBufferedBytes = size_t{32} * 1024 * 1024;
+    // Limit for what is queued for one caller before its answer is read no further, in bytes.
+    static constexpr size_t MaximumQueuedBytes = size_t{256} * 1024;
 
     void observe(telemetry::Latency latency, core::TimePoint since)
     {
         this->context.counters.observe(latency, this->now() - since);
     }
 
+    // Reads the answer no further if its caller has taken too little of it.
+    void pauseForSlowCaller()
+    {
+        const size_t queued = this->responder->queuedBytes();
+        const bool mayQueue
+            = queued <= MaximumQueuedBytes
+              && this->context.answerMemory.mayHold(queued, 0, this->context.queuedBytes());
+        if (mayQueue || this->current.connection == nullptr) {
+            return;
+        }
+        this->current.connection->pauseReading();
+        this->machine.onReadingPaused(true);
+    }
+
+    // The caller has taken all of the answer that there is.
+    void resumeReading()
+    {
+        if (this->current.connection != nullptr) {
+            this->current.connection->resumeReading();
+        }
+        this->machine.onReadingPaused(false);
+    }
+
     void countFinished()
     {
         this->context.counters.count(telemetry::Event::RequestsFinished);
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -30,7 +30,17 @@
             telemetry::Logger &logger,
             const Interface &callerInterface)
         : pool(eventLoop, {})
-        , context{eventLoop, entryNode, this->pool, counters, logger, callerInterface, {}, {}}
+        , context{eventLoop,
+                  entryNode,
+                  this->pool,
+                  counters,
+                  logger,
+                  callerInterface,
+                  {},
+                  {},
+                  [this] {
+                      return this->server->queuedBytes();
+                  }}
         , startedAt(this->context.clock.now())
     {
     }
--- a/source/samphirebridge/net/httpserver.cpp
+++ b/source/samphirebridge/net/httpserver.cpp
@@ -95,6 +95,11 @@
     });
 }
 
+size_t HttpServer::queuedBytes() const
+{
+    return this->context.queuedBytes;
+}
+
 int HttpServer::port() const
 {
     return this->listener == nullptr ? 0 : this->listener->port();
--- a/source/samphirebridge/net/responder.cpp
+++ b/source/samphirebridge/net/responder.cpp
@@ -62,6 +62,13 @@
     }
 }
 
+void Responder::setOnDrained(std::function<void()> onDrained)
+{
+    if (const auto owner = this->currentConnection()) {
+        owner->setOnDrained(std::move(onDrained));
+    }
+}
+
 size_t Responder::queuedBytes() const
 {
     const auto owner = this->currentConnection();
--- a/source/samphirebridge/net/responder.h
+++ b/source/samphirebridge/net/responder.h
@@ -35,6 +35,10 @@
     // Sets a function that is called once if the connection closes before the response has ended.
     void setOnCallerClosed(std::function<void()> onCallerClosed);
 
+    // Sets a function that is called each time the kernel has accepted all bytes written, until the
+    // response has ended.
+    void setOnDrained(std::function<void()> onDrained);
+
     // Returns the bytes written that the kernel has not accepted yet.
     [[nodiscard]] size_t queuedBytes() const;
 
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -25,6 +25,9 @@
 // reads what was sent before: several round trips, and the rest of a body.
 constexpr core::Duration LingerTime = std::chrono::seconds(2);
 
+// A body of up to so many bytes is copied behind its head, which saves a system call.
+constexpr size_t CopiedBodyBytes = size_t{16} * 1024;
+
 constexpr int StatusBadRequest = 400;
 constexpr int StatusRequestTimeout = 408;
 constexpr int StatusContentTooLarge = 413;
@@ -97,6 +100,8 @@
     this->state = State::Closed;
     this->timer.stop();
     this->stream->close();
+    this->accountQueue();
+    this->onAnswerDrained = nullptr;
     const auto callback = std::exchange(this->onCallerClosed, nullptr);
     if (callback) {
         callback();
@@ -118,10 +123,14 @@
     this->keepAlive = this->keepAlive && head.keepAlive && !this->closesAfterAnswer();
     head.keepAlive = this->keepAlive;
     std::string text = formatHead(head);
-    if (this->incoming.head.method != "HEAD") {
+    const bool hasBody = this->incoming.head.method != "HEAD";
+    if (hasBody && body.size() <= CopiedBodyBytes) {
         text += body;
     }
-    this->stream->write(text);
+    this->send(text);
+    if (hasBody && body.size() > CopiedBodyBytes) {
+        this->send(body);
+    }
     this->finishAnswer();
 }
 
@@ -133,7 +142,7 @@
     this->chunked = head.framing == BodyFraming::Chunked;
     this->keepAlive = this->keepAlive && head.keepAlive && !this->closesAfterAnswer();
     head.keepAlive = this->keepAlive;
-    this->stream->write(formatHead(head));
+    this->send(formatHead(head));
 }
 
 void ServerConnection::write(std::string_view bytes)
@@ -141,13 +150,13 @@
     if (bytes.empty()) {
         return;
     }
-    this->stream->write(this->chunked ? formatChunk(bytes) : std::string(bytes));
+    this->send(this->chunked ? formatChunk(bytes) : std::string(bytes));
 }
 
 void ServerConnection::end()
 {
     if (this->chunked) {
-        this->stream->write(formatChunk({}));
+        this->send(formatChunk({}));
     }
     this->finishAnswer();
 }
@@ -202,7 +211,7 @@
 {
     this->headRead = true;
     if (requestHead.expectsContinue) {
-        this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+        this->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
     this->incoming.head = std::move(requestHead);
 }
@@ -234,7 +243,7 @@
     head.status = status;
     head.framing = BodyFraming::Length;
     head.keepAlive = false;
-    this->stream->write(formatHead(head));
+    this->send(formatHead(head));
     this->requestRejected = true;
     this->closeInOrder(reason);
 }
@@ -256,9 +265,31 @@
     }
 }
 
+void ServerConnection::setOnDrained(std::function<void()> callback)
+{
+    this->onAnswerDrained = std::move(callback);
+}
+
+void ServerConnection::send(std::string_view bytes)
+{
+    this->stream->write(bytes);
+    this->accountQueue();
+}
+
+void ServerConnection::accountQueue()
+{
+    const size_t queued = this->stream->queuedBytes();
+    this->context.queuedBytes += queued - std::exchange(this->accountedBytes, queued);
+}
+
 void ServerConnection::onDrained()
 {
-    if (this->state == State::Delivering) {
+    const auto self = this->shared_from_this();
+    this->accountQueue();
+    if (this->state == State::Answering && this->onAnswerDrained) {
+        const auto callback = this->onAnswerDrained;
+        callback();
+    } else if (this->state == State::Delivering) {
         this->awaitRequest();
     } else if (this->state == State::Closing && this->callerEnded) {
         this->close(this->closeReason);
@@ -279,6 +310,7 @@
     } else if (this->stream->queuedBytes() == this->queuedBefore) {
         this->close(core::CloseReason::DeliveryTimeout);
     } else {
+        this->accountQueue();
         this->armDeliveryTimer();
     }
 }
@@ -315,6 +347,7 @@
 {
     const auto self = this->shared_from_this();
     this->onCallerClosed = nullptr;
+    this->onAnswerDrained = nullptr;
     // The head of a long response may have been sent, without Connection: close, before the server
     // began to drain.
     if (!this->keepAlive || this->closesAfterAnswer()) {
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -52,6 +52,7 @@
     std::function<ServerLimits()> limits;
     std::function<void(ServerConnection *, const ClosedConnection &)> onClosed;
     bool draining = false; // Each response closes its connection.
+    size_t queuedBytes = 0; // Of all connections, when each last wrote or was drained.
 };
 
 // Reads requests, passes each to ServerContext::onRequest with its Responder and closes the
@@ -82,6 +83,7 @@
     void write(std::string_view bytes);
     void end();
     void setOnCallerClosed(std::function<void()> onCallerClosed);
+    void setOnDrained(std::function<void()> onDrained);
     [[nodiscard]] size_t queuedBytes() const;
 
 private:
@@ -102,6 +104,10 @@
     void rejectMessage(const absl::Status &error);
     void onEnd(StreamEnd end);
     void onDrained();
+    // Sends bytes to the caller.
+    void send(std::string_view bytes);
+    // Updates ServerContext::queuedBytes.
+    void accountQueue();
     void onTimeout();
     // The caller's bytes did not come in time.
     void onSilence();
@@ -143,6 +149,8 @@
     bool chunked = false;
     bool keepAlive = true;
     std::function<void()> onCallerClosed;
+    std::function<void()> onAnswerDrained;
+    size_t accountedBytes = 0; // In ServerContext::queuedBytes.
 };
 
 } // namespace samphirebridge::net
--- a/source/samphirebridge/net/targetconnection.cpp
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -86,6 +86,16 @@
     this->stream->write(text);
 }
 
+void TargetConnection::pauseReading()
+{
+    this->stream->stopReading();
+}
+
+void TargetConnection::resumeReading()
+{
+    this->stream->startReading();
+}
+
 void TargetConnection::close()
 {
     this->busy = false;
@@ -155,6 +165,7 @@
         return;
     }
     this->busy = false;
+    this->resumeReading();
     const auto onEnd = std::exchange(this->events, {}).onEnd;
     if (onEnd) {
         onEnd();
--- a/source/samphirebridge/net/targetconnection.h
+++ b/source/samphirebridge/net/targetconnection.h
@@ -37,6 +37,11 @@
     // Sends a request; the connection must be reusable() or new.
     void send(const RequestHead &head, std::string_view body, ExchangeEvents exchangeEvents);
 
+    // Stops reading, so that the target can't send more than the buffers between hold, or reads on.
+    // The end of a response resumes too.
+    void pauseReading();
+    void resumeReading();
+
     // Closes the connection; no event follows.
     void close();
 
