forwarding: Keep a silent target until its standby has sent a part of the body

A sound target that paused lost its stream to a standby whose head had come, and if that standby broke off before its first event, the stream had to be asked for a third time, or was cut where no attempt was left. The standby now takes over with the first byte of its body, or with the end of an answer without one; if the silent target breaks first, the head that has come is used.

--- a/source/samphirebridge/forwarding/forwardattempt.h
+++ b/source/samphirebridge/forwarding/forwardattempt.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "samphirebridge/core/time.h"
+#include "samphirebridge/net/httpmessage.h"
 #include "samphirebridge/routing/dispatcher.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace samphirebridge::forwarding
 {
@@ -12,14 +14,14 @@
 // The attempts that a request may have open at the same time.
 enum class AttemptRole : uint8_t {
     Current, // Its answer goes to the caller.
-    Standby, // Sent while the current attempt's target is silent, and used if it answers first.
+    Standby, // Sent while the current attempt's target is silent, and used if its answer begins.
 };
 
 struct ForwardAttempt {
     routing::Choice choice;
     bool ticketOpen = false; // The router has not been told of the end of the attempt.
     bool sent = false; // A byte may have reached the target.
-    bool headSeen = false; // The head of the answer that is relayed has arrived.
+    std::optional<net::ResponseHead> head; // Of its answer.
     bool firstTokenSeen = false;
     core::TimePoint sentAt;
     core::TimePoint progressAt; // When the target last sent a part of the answer.
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -5,7 +5,8 @@
 // network allows, but the host must drop events of an attempt that has ended.
 //
 // Silence of a target doesn't end its attempt: a standby attempt is sent to another target, and the
-// first of the two that answers goes on. A request that no other target can take stays where it is.
+// first of the two that sends a part of its answer's body goes on. A request that no other target
+// can take stays where it is.
 #pragma once
 
 #include "samphirebridge/core/digest.h"
@@ -57,7 +58,8 @@
 
 // What the host does after it handed in the head of a target's answer.
 enum class AnswerHandling : uint8_t {
-    Accept, // Hand in its body and its end. A standby attempt has become the current one.
+    Accept, // Hand in its body and its end. With the first of these a standby attempt becomes the
+            // current one.
     Skip, // Read it to its end, discard it and hand in the head of the next one.
     Abandoned, // Nothing: the machine abandoned the attempt inside the call.
 };
@@ -215,22 +217,23 @@
             this->failAttempt(core::RetryReason::TargetError, role);
             return AnswerHandling::Abandoned;
         }
-        if (role == AttemptRole::Standby) {
-            this->endFailedAttempt(core::RetryReason::Stalled, AttemptRole::Current);
-            this->promoteStandby();
+        ForwardAttempt &attempt = this->attemptOf(role);
+        attempt.head = answerHead;
+        attempt.progressAt = this->host.now();
+        if (role == AttemptRole::Current) {
+            this->acceptHead();
+        } else if (answerHead.framing == net::BodyFraming::None) {
+            this->takeOver();
         }
-        this->head = answerHead;
-        this->current.headSeen = true;
-        const bool hasBody = answerHead.framing != net::BodyFraming::None;
-        this->streaming
-            = this->route.kind == RequestKind::Stream && answerHead.status == StatusOk && hasBody;
-        this->onProgress();
         return AnswerHandling::Accept;
     }
 
-    // Bytes of the accepted answer's body arrived.
-    void onBody(std::string_view bytes)
+    // Bytes of an accepted answer's body arrived.
+    void onBody(std::string_view bytes, AttemptRole role = AttemptRole::Current)
     {
+        if (role == AttemptRole::Standby) {
+            this->takeOver();
+        }
         if (!this->streaming) {
             this->holdBody(bytes);
             return;
@@ -245,9 +248,12 @@
         }
     }
 
-    // The accepted answer ended as its framing requires.
-    void onAnswerEnd()
+    // An accepted answer ended as its framing requires.
+    void onAnswerEnd(AttemptRole role = AttemptRole::Current)
     {
+        if (role == AttemptRole::Standby) {
+            this->takeOver();
+        }
         if (this->streaming && (this->relay.hasPartialEvent() || this->endedWithoutEvent())) {
             this->onFailed({core::RetryReason::MissingTerminator, true});
             return;
@@ -659,7 +665,7 @@
                                    attempt.choice.target.value,
                                    core::retryName(reason),
                                    attempt.sent,
-                                   attempt.headSeen,
+                                   attempt.head.has_value(),
                                    this->relay.relayedEvents(),
                                    core::toHex(this->fingerprint()),
                                    formatSharedParts(this->request.prompt)));
@@ -679,12 +685,32 @@
         this->host.router().onFailed(attempt.choice.ticket, reason, this->host.now());
     }
 
+    // Lets the standby attempt go on, whose answer has begun, in place of the silent current one.
+    void takeOver()
+    {
+        this->endFailedAttempt(core::RetryReason::Stalled, AttemptRole::Current);
+        this->promoteStandby();
+    }
+
     // Makes the standby attempt the current one, which has ended.
     void promoteStandby()
     {
         this->host.promoteStandby();
         this->current = *std::exchange(this->standby, std::nullopt);
         this->beginNextAnswer();
+        if (this->current.head) {
+            this->acceptHead();
+        }
+    }
+
+    // Relays the answer of the current attempt from now on, whose head has arrived.
+    void acceptHead()
+    {
+        this->head = this->current.head;
+        const bool hasBody = this->head->framing != net::BodyFraming::None;
+        this->streaming
+            = this->route.kind == RequestKind::Stream && this->head->status == StatusOk && hasBody;
+        this->onProgress();
     }
 
     // Forgets the parts of the last attempt's answer that the caller doesn't have.
@@ -720,8 +746,8 @@
     {
         ForwardAttempt &attempt = this->attemptOf(role);
         this->host.abandonAttempt(role);
-        // A stream starts to run with its first token, and a standby that has sent its head is the
-        // current attempt.
+        // A stream starts to run with its first token, with which a standby becomes the current
+        // attempt.
         if (role == AttemptRole::Current || this->route.kind != RequestKind::Stream) {
             this->countPossibleRun(attempt);
         }
@@ -930,7 +956,9 @@
         }
         core::TimePoint due = this->silentSince() + this->stallTimeout(this->current);
         if (this->standby) {
-            due = std::max(due, this->standby->sentAt + this->stallTimeout(*this->standby));
+            const core::TimePoint silentSince
+                = std::max(this->standby->sentAt, this->standby->progressAt);
+            due = std::max(due, silentSince + this->stallTimeout(*this->standby));
         }
         return std::max(due, this->nextSearch);
     }
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -426,10 +426,9 @@
             });
             return accepted;
         };
-        // Only the current attempt has an accepted answer.
         events.onBody = [runIfOpen](std::string_view bytes) {
-            runIfOpen([bytes](ForwardSession &session, AttemptRole /*role*/) {
-                session.machine.onBody(bytes);
+            runIfOpen([bytes](ForwardSession &session, AttemptRole role) {
+                session.machine.onBody(bytes, role);
             });
         };
         events.onEnd = [runIfOpen] {
@@ -437,7 +436,7 @@
                 AttemptChannel &channel = session.channelOf(role);
                 const auto used = std::exchange(channel.connection, nullptr);
                 session.context.pool.release(channel.endpoint, used);
-                session.machine.onAnswerEnd();
+                session.machine.onAnswerEnd(role);
             });
         };
         events.onFailed = [runIfOpen](const absl::Status & /*error*/) {
