--- /dev/null
+++ b/tests/fleet/deliverytest.cpp
@@ -0,0 +1,142 @@
+// Tests on real processes that accepted requests get their whole answers: with callers that read
+// late, and beside targets whose answers have no end.
+#include "tests/http/peer.h"
+#include "tests/support/fleet.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+using namespace samphirebridge;
+using namespace samphirebridge::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int Entry = 3; // The instance that callers use.
+constexpr size_t LargeBytes = size_t{8} * 1024 * 1024; // More than sockets buffer.
+
+// Returns a declaration with the service s at /r/, which may be repeated, and the service f at /f/.
+std::string declarationOf(uint64_t version, int idleTimeoutMs)
+{
+    constexpr std::string_view Route
+        = R"({{"Name":"{0}","Host":"127.0.0.1","PathPrefix":"/{0}/","Kind":"{1}","TimeoutMs":60000,)"
+          R"("MaxAttempts":1,"TargetLatencyMs":500,"AllowAnonymous":true,"Service":"{2}"}})";
+    return fmt::format(
+        R"({{"Version":{},"Limits":{{"IdleTimeoutMs":{}}},"Services":[{{"Name":"s"}},{{"Name":"f"}}],)"
+        R"("Routes":[{},{}]}})",
+        version,
+        idleTimeoutMs,
+        fmt::format(fmt::runtime(Route), "r", "idempotent", "s"),
+        fmt::format(fmt::runtime(Route), "f", "non_idempotent", "f"));
+}
+
+// Sends a request whose body tells its target how to answer, and reads nothing.
+http::Peer sendRequest(Fleet &fleet,
+                       const std::string &path,
+                       const std::string &id,
+                       const std::string &markers)
+{
+    http::Peer caller = http::Peer::connect(fleet.callersPort(Entry));
+    caller.write(fmt::format("POST {} HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: {}\r\n"
+                             "Content-Length: {}\r\n\r\n{}",
+                             path,
+                             id,
+                             markers.size(),
+                             markers));
+    return caller;
+}
+
+void waitForLog(const Fleet &fleet, const std::string &text)
+{
+    Fleet::waitFor("the log has " + text,
+                   [&] { return fleet.log(Entry).find(text) != std::string::npos; });
+}
+
+// Returns the size of the body in what was received of one answer.
+size_t bodySize(std::string_view answer)
+{
+    constexpr std::string_view HeadEnd = "\r\n\r\n";
+    const size_t head = answer.find(HeadEnd);
+    return head == std::string_view::npos ? 0 : answer.size() - head - HeadEnd.size();
+}
+
+} // namespace
+
+// Guards against answers that are taken for delivered when they are queued: an idle limit, a change
+// that lowers it or a planned stop cut them, without a line in the log.
+TEST_CASE("callers that read late get whole answers beside a lower idle limit and a planned stop")
+{
+    constexpr uint16_t Base = 26400;
+    constexpr int Callers = 4;
+    Fleet fleet({.basePort = Base,
+                 .instances = Entry + 1,
+                 .platform = true,
+                 .additionalSettings = "stop_within_s: 60\n"});
+    fleet.start();
+    fleet.sendDeclaration(0, declarationOf(1, 15'000));
+    fleet.waitForDeclaration(1);
+    fleet.startPlatformTarget("t", Base + 70, "s");
+    fleet.waitForTargets(Entry, 1);
+    std::vector<http::Peer> callers;
+    for (int number = 0; number < Callers; ++number) {
+        const std::string id = fmt::format("late-{}", number);
+        callers.push_back(sendRequest(fleet, "/r/", id, fmt::format("[body={}]", LargeBytes)));
+    }
+    for (int number = 0; number < Callers; ++number) {
+        waitForLog(fleet, fmt::format(R"(event=answered request="late-{}")", number));
+    }
+    for (uint64_t version = 2; version <= 4; ++version) {
+        fleet.sendDeclaration(0, declarationOf(version, 200));
+    }
+    fleet.waitForDeclaration(4);
+    std::this_thread::sleep_for(1s);
+    fleet.instance(Entry).signal(SIGTERM);
+    waitForLog(fleet, "event=accepting_ended");
+    std::this_thread::sleep_for(1s);
+    for (const http::Peer &caller : callers) {
+        CHECK(bodySize(caller.readToEnd()) == LargeBytes);
+    }
+    CHECK(fleet.instance(Entry).wait() == 0);
+    CHECK(fleet.log(Entry).find("event=caller_connection_closed") == std::string::npos);
+}
+
+// Guards against a few answers that are full and silent and fail all others of the instance.
+TEST_CASE("answers are relayed while those of other targets have no end and take much memory")
+{
+    constexpr uint16_t Base = 26500;
+    constexpr int Endless = 8;
+    constexpr int Sound = 60;
+    Fleet fleet({.basePort = Base, .instances = Entry + 1, .platform = true});
+    fleet.start();
+    fleet.sendDeclaration(0, declarationOf(1, 15'000));
+    fleet.waitForDeclaration(1);
+    fleet.startPlatformTarget("t", Base + 70, "s");
+    fleet.startPlatformTarget("f1", Base + 71, "f");
+    fleet.startPlatformTarget("f2", Base + 72, "f");
+    fleet.waitForTargets(Entry, 3);
+    std::vector<http::Peer> held;
+    for (int number = 0; number < Endless; ++number) {
+        held.push_back(sendRequest(fleet,
+                                   "/f/",
+                                   fmt::format("endless-{}", number),
+                                   fmt::format("[body={}][hang]", LargeBytes)));
+    }
+    for (int number = 0; number < Endless; ++number) {
+        waitForLog(fleet, fmt::format(R"(event=target_chosen request="endless-{}")", number));
+    }
+    std::this_thread::sleep_for(1s);
+    int served = 0;
+    for (int number = 0; number < Sound; ++number) {
+        const auto answer = fleet.callPlatform(Entry, "GET", fmt::format("/r/{}", number));
+        served += answer.ok() && answer->status == 200 ? 1 : 0;
+    }
+    CHECK(served == Sound);
+}
--- a/utilities/standins/platformtarget.cpp
+++ b/utilities/standins/platformtarget.cpp
@@ -18,6 +18,7 @@
 constexpr int64_t AnnouncedSlots = 16; // Not enforced.
 constexpr std::string_view AnswerText = "done";
 constexpr std::chrono::milliseconds EventInterval{20};
+constexpr size_t BodyPartBytes = size_t{64} * 1024;
 
 } // namespace
 
@@ -56,6 +57,10 @@
         sendEvents(request, writer, headers, *events, silence);
         return;
     }
+    if (const auto bytes = this->faults.consume("body", text)) {
+        sendBody(writer, headers, *bytes, this->faults.consume("hang", text).has_value());
+        return;
+    }
     const bool failed = this->faults.consume("error", text).has_value();
     if (this->faults.consume("break", text)) {
         headers.add("Content-Length", std::to_string(2 * AnswerText.size()));
@@ -76,6 +81,25 @@
     return shared.find(this->settings.crashPart + ":") != std::string_view::npos;
 }
 
+void PlatformTarget::sendBody(http::ResponseWriter &writer,
+                              const http::Headers &headers,
+                              int64_t bytes,
+                              bool hangs)
+{
+    if (!hangs) {
+        writer.send(200, headers, std::string(static_cast<size_t>(bytes), 'x'));
+        return;
+    }
+    const std::string part(BodyPartBytes, 'x');
+    writer.begin(200, headers);
+    for (int64_t sent = 0; sent < bytes; sent += static_cast<int64_t>(part.size())) {
+        writer.write(part);
+    }
+    while (!writer.callerDisconnected()) {
+        std::this_thread::sleep_for(EventInterval);
+    }
+}
+
 void PlatformTarget::sendEvents(const http::Request &request,
                                 http::ResponseWriter &writer,
                                 const http::Headers &headers,
--- a/utilities/standins/platformtarget.h
+++ b/utilities/standins/platformtarget.h
@@ -28,7 +28,8 @@
 // platform, or with a stream of events. Faults, in the path or the body of a request: `crash` (the
 // process ends), `crash-in=N` (after N milliseconds), `break` (the connection ends within the
 // answer, the process goes on), `error` (500), `stream=N` (a stream of N events, or of those after
-// Last-Event-Id), `silent=N` (nothing is sent for N milliseconds after the first event).
+// Last-Event-Id), `silent=N` (nothing is sent for N milliseconds after the first event), `body=N`
+// (a body of N bytes), `hang` (after which the answer doesn't end).
 class PlatformTarget
 {
 public:
@@ -45,6 +46,10 @@
     // Tells whether the prompt holds PlatformTargetSettings::crashPart before its last part.
     [[nodiscard]] bool crashesOn(const http::Request &request) const;
 
+    // Answers with a body of that many bytes, which has no length and doesn't end if `hangs`.
+    static void
+    sendBody(http::ResponseWriter &writer, const http::Headers &headers, int64_t bytes, bool hangs);
+
     // Answers with the events up to the given number.
     static void sendEvents(const http::Request &request,
                            http::ResponseWriter &writer,
