--- a/source/samphirebridge/net/httpserver.h
+++ b/source/samphirebridge/net/httpserver.h
@@ -51,8 +51,7 @@
     // Tells whether a part of an answer waits until the kernel accepts it.
     [[nodiscard]] bool delivering() const;
 
-    // Returns how many bytes of answers the kernel has not accepted yet, of all connections; what a
-    // caller has taken since its last answer or write was queued may still be counted.
+    // Returns the memory that queued bytes of answers take, of all connections.
     [[nodiscard]] size_t queuedBytes() const;
 
     // Returns the port, also where the address asked for any free one; 0 after stopAccepting().
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -278,7 +278,7 @@
 
 void ServerConnection::accountQueue()
 {
-    const size_t queued = this->stream->queuedBytes();
+    const size_t queued = this->stream->isOpen() ? this->stream->heldBytes() : 0;
     this->context.queuedBytes += queued - std::exchange(this->accountedBytes, queued);
 }
 
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -52,7 +52,7 @@
     std::function<ServerLimits()> limits;
     std::function<void(ServerConnection *, const ClosedConnection &)> onClosed;
     bool draining = false; // Each response closes its connection.
-    size_t queuedBytes = 0; // Of all connections, when each last wrote or was drained.
+    size_t queuedBytes = 0; // The memory that the queues of all connections take.
 };
 
 // Reads requests, passes each to ServerContext::onRequest with its Responder and closes the
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -205,7 +205,7 @@
     if (!this->isOpen() || bytes.empty()) {
         return;
     }
-    if (this->pendingWrites == 0) {
+    if (this->pendingBytes == 0) {
         const uv_buf_t buffer
             = uv_buf_init(const_cast<char *>(bytes.data()), static_cast<unsigned>(bytes.size()));
         const int written = uv_try_write(reinterpret_cast<uv_stream_t *>(this->handle), &buffer, 1);
@@ -221,7 +221,7 @@
 {
     auto *writing = new WriteRequest{{}, std::string(bytes), this->weak_from_this()};
     writing->request.data = writing;
-    ++this->pendingWrites;
+    this->pendingBytes += bytes.size();
     const uv_buf_t buffer
         = uv_buf_init(writing->bytes.data(), static_cast<unsigned>(writing->bytes.size()));
     const auto finish = [](uv_write_t *done, int status) {
@@ -234,7 +234,7 @@
         &writing->request, reinterpret_cast<uv_stream_t *>(this->handle), &buffer, 1, finish);
     if (started != 0) {
         const std::unique_ptr<WriteRequest> request(writing);
-        --this->pendingWrites;
+        this->pendingBytes -= bytes.size();
         // The connection is broken; the read callback reports its end.
     }
 }
@@ -250,7 +250,7 @@
 
 void TcpStream::onWritten(size_t bytes, int status)
 {
-    --this->pendingWrites;
+    this->pendingBytes -= bytes;
     this->failedBytes += status == 0 ? 0 : bytes;
     if (!this->isOpen()) {
         return;
@@ -259,7 +259,7 @@
         this->reportEnd(StreamEnd::Broken);
         return;
     }
-    if (this->pendingWrites > 0) {
+    if (this->pendingBytes > 0) {
         return;
     }
     const auto onDrained = this->events.onDrained;
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -81,6 +81,13 @@
     // Returns how many bytes the peer sent that were not read yet.
     [[nodiscard]] size_t unreadBytes() const;
 
+    // Returns the memory that queued bytes take: that of a write is kept until its last byte was
+    // accepted.
+    [[nodiscard]] size_t heldBytes() const
+    {
+        return this->pendingBytes;
+    }
+
     // Closes at once; queued bytes are lost and no event follows.
     void close();
 
@@ -107,7 +114,7 @@
 
     uv_tcp_s *handle;
     StreamEvents events;
-    size_t pendingWrites = 0;
+    size_t pendingBytes = 0; // Of writes that have not ended.
     size_t failedBytes = 0; // Of writes that did not succeed.
     bool ended = false; // No more bytes come.
     bool broken = false;
--- a/tests/fleet/deliverytest.cpp
+++ b/tests/fleet/deliverytest.cpp
@@ -6,8 +6,11 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <unistd.h>
+
 #include <chrono>
 #include <csignal>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -60,6 +63,15 @@
                    [&] { return fleet.log(Entry).find(text) != std::string::npos; });
 }
 
+// Returns the memory that a process has in use.
+double residentBytes(pid_t process)
+{
+    std::istringstream text(readFile(fmt::format("/proc/{}/statm", process)));
+    int64_t pages = 0;
+    text >> pages >> pages;
+    return static_cast<double>(pages) * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
 // Returns the size of the body in what was received of one answer.
 size_t bodySize(std::string_view answer)
 {
@@ -140,3 +152,41 @@
     }
     CHECK(served == Sound);
 }
+
+// Guards against memory that is counted as free and still held: callers that read endless answers
+// made the process grow by the largest of these each time.
+TEST_CASE("an instance does not grow with the endless answers that its callers read")
+{
+    constexpr uint16_t Base = 26600;
+    constexpr int Endless = 16;
+    constexpr size_t EndlessBytes = size_t{15} * 1024 * 1024;
+    constexpr double MaximumBytes = 160e6; // The memory of an entry instance.
+    Fleet fleet({.basePort = Base, .instances = Entry + 1, .platform = true});
+    fleet.start();
+    fleet.sendDeclaration(0, declarationOf(1, 15'000));
+    fleet.waitForDeclaration(1);
+    fleet.startPlatformTarget("f1", Base + 71, "f");
+    fleet.waitForTargets(Entry, 1);
+    const pid_t entry = fleet.instance(Entry).processId();
+    const double before = residentBytes(entry);
+    std::vector<http::Peer> callers;
+    // This one is held; beside it the others may not be.
+    callers.push_back(
+        sendRequest(fleet, "/f/", "held", fmt::format("[body={}][hang]", EndlessBytes)));
+    Fleet::waitFor("the first answer is held", [&] {
+        return residentBytes(entry) > before + static_cast<double>(EndlessBytes);
+    });
+    for (int number = 0; number < Endless; ++number) {
+        callers.push_back(sendRequest(fleet,
+                                      "/f/",
+                                      fmt::format("endless-{}", number),
+                                      fmt::format("[body={}][hang]", EndlessBytes)));
+        std::string received;
+        while (received.size() < EndlessBytes) {
+            const std::string part = callers.back().readUntil("x");
+            REQUIRE_FALSE(part.empty());
+            received += part;
+        }
+    }
+    CHECK(residentBytes(entry) < MaximumBytes);
+}
