forwarding: Let a standby take over only with an answer that can go on

A standby whose body had begun closed the silent, sound attempt, and was looked at afterwards: a comment, an event that the caller has, a gap, a part of an event or an empty end lost the stream. And a standby's head of 404 that came before the silent target relayed a comment was written into the stream that had begun. What a standby sends is now kept, and it takes over with an event that the caller doesn't have, with 16 KiB of an answer that is no stream, or with its end. One whose answer can't follow what the caller has is dropped.

In the same machine, also found by the review: a held body that is given up releases its memory (an assignment of {} keeps it), a pause of reading doesn't count as progress, and a retry or a standby is given the time of a timeout that was raised before.

Three new tests, eight forms, red before: each form lost the silent target, relayed a second head, or gave the retry 1 s of 4.

--- a/source/samphirebridge/forwarding/forwardattempt.h
+++ b/source/samphirebridge/forwarding/forwardattempt.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace samphirebridge::forwarding
 {
@@ -14,7 +15,8 @@
 // The attempts that a request may have open at the same time.
 enum class AttemptRole : uint8_t {
     Current, // Its answer goes to the caller.
-    Standby, // Sent while the current attempt's target is silent, and used if its answer begins.
+    Standby, // Sent while the current attempt's target is silent, and used once its answer can go
+             // on.
 };
 
 struct ForwardAttempt {
@@ -22,6 +24,7 @@
     bool ticketOpen = false; // The router has not been told of the end of the attempt.
     bool sent = false; // A byte may have reached the target.
     std::optional<net::ResponseHead> head; // Of its answer.
+    std::string begun; // What a standby has sent of its answer's body.
     bool firstTokenSeen = false;
     core::TimePoint sentAt;
     core::TimePoint progressAt; // When the target last sent a part of the answer.
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -5,7 +5,7 @@
 // network allows, but the host must drop events of an attempt that has ended.
 //
 // Silence of a target doesn't end its attempt: a standby attempt is sent to another target, and the
-// first of the two that sends a part of its answer's body goes on. A request that no other target
+// first of the two whose answer can go on goes on. A request that no other target
 // can take stays where it is.
 #pragma once
 
@@ -58,7 +58,7 @@
 
 // What the host does after it handed in the head of a target's answer.
 enum class AnswerHandling : uint8_t {
-    Accept, // Hand in its body and its end. With the first of these a standby attempt becomes the
+    Accept, // Hand in its body and its end. Within these calls a standby attempt may become the
             // current one.
     Skip, // Read it to its end, discard it and hand in the head of the next one.
     Abandoned, // Nothing: the machine abandoned the attempt inside the call.
@@ -222,8 +222,6 @@
         attempt.progressAt = this->host.now();
         if (role == AttemptRole::Current) {
             this->acceptHead();
-        } else if (answerHead.framing == net::BodyFraming::None) {
-            this->takeOver();
         }
         return AnswerHandling::Accept;
     }
@@ -232,7 +230,8 @@
     void onBody(std::string_view bytes, AttemptRole role = AttemptRole::Current)
     {
         if (role == AttemptRole::Standby) {
-            this->takeOver();
+            this->onStandbyBody(bytes);
+            return;
         }
         if (!this->streaming) {
             this->holdBody(bytes);
@@ -252,6 +251,10 @@
     void onAnswerEnd(AttemptRole role = AttemptRole::Current)
     {
         if (role == AttemptRole::Standby) {
+            if (!this->isStandbyWhole()) {
+                this->failAttempt(core::RetryReason::MissingTerminator, AttemptRole::Standby);
+                return;
+            }
             this->takeOver();
         }
         if (this->streaming && (this->relay.hasPartialEvent() || this->endedWithoutEvent())) {
@@ -323,7 +326,8 @@
             return;
         }
         if (this->phase == Phase::Attempting) {
-            this->onProgress();
+            this->current.progressAt = isPaused ? this->current.progressAt : this->host.now();
+            this->armTimer();
         }
     }
 
@@ -368,6 +372,9 @@
         Done,
     };
 
+    // How much of an answer that is no stream a standby sends before it counts as able to go on.
+    static constexpr size_t MaximumStandbyBytes = size_t{16} * 1024;
+
     static constexpr int StatusOk = 200;
     static constexpr int FirstRedirectStatus = 300;
     static constexpr int StatusMisdirected = 421;
@@ -405,6 +412,7 @@
     void chooseTarget()
     {
         this->phase = Phase::Attempting;
+        this->applyRaisedTimeout();
         const core::TimePoint now = this->host.now();
         const routing::Decision decision = this->host.router().choose(this->routeRequest(), now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
@@ -427,6 +435,7 @@
     {
         const core::TimePoint now = this->host.now();
         this->nextSearch = now + MinimumStallTimeout;
+        this->applyRaisedTimeout();
         const routing::Decision decision = this->host.router().choose(this->routeRequest(), now);
         const auto *refusal = std::get_if<routing::Refusal>(&decision);
         this->logEvent(
@@ -553,7 +562,8 @@
 
     void discardBody()
     {
-        this->body = {};
+        // Assigning an empty string would keep the memory.
+        std::string().swap(this->body);
         this->host.discardBufferedAnswer();
     }
 
@@ -648,7 +658,9 @@
         }
         if (this->standby) {
             this->promoteStandby();
-            this->armTimer();
+            if (this->phase != Phase::Done) {
+                this->armTimer();
+            }
             return;
         }
         this->retryOrGiveUp();
@@ -685,7 +697,74 @@
         this->host.router().onFailed(attempt.choice.ticket, reason, this->host.now());
     }
 
-    // Lets the standby attempt go on, whose answer has begun, in place of the silent current one.
+    // Tells whether the answer is relayed event by event.
+    [[nodiscard]] bool isEventStream(const net::ResponseHead &answer) const
+    {
+        return this->route.kind == RequestKind::Stream && answer.status == StatusOk
+               && answer.framing != net::BodyFraming::None;
+    }
+
+    // Tells whether the caller can be given the standby's answer after what it has.
+    [[nodiscard]] bool isStandbyUsable() const
+    {
+        return !this->headRelayed || this->standby->head->status == StatusOk;
+    }
+
+    // What the caller would have if it were given the standby's answer as far as it has come.
+    struct StandbyProgress {
+        bool isValid = false;
+        bool hasNewEvent = false;
+        bool hasPartialEvent = false;
+    };
+
+    [[nodiscard]] StandbyProgress tryStandby() const
+    {
+        StreamRelay trial = this->relay;
+        trial.continueWithNextAnswer();
+        std::string events;
+        const bool isValid = trial.feed(this->standby->begun, events).ok();
+        return {
+            isValid, trial.relayedEvents() > this->relay.relayedEvents(), trial.hasPartialEvent()};
+    }
+
+    // Keeps bytes of the standby's answer and lets it take over once they prove that it can go on:
+    // a stream by an event that the caller doesn't have, another answer by its length.
+    void onStandbyBody(std::string_view bytes)
+    {
+        ForwardAttempt &attempt = *this->standby;
+        attempt.begun += bytes;
+        attempt.progressAt = this->host.now();
+        if (!this->isStandbyUsable()) {
+            this->failAttempt(core::RetryReason::TargetError, AttemptRole::Standby);
+            return;
+        }
+        if (!this->isEventStream(*attempt.head)) {
+            if (attempt.begun.size() > MaximumStandbyBytes) {
+                this->takeOver();
+            }
+            return;
+        }
+        const StandbyProgress progress = this->tryStandby();
+        if (progress.hasNewEvent) {
+            this->takeOver();
+        } else if (!progress.isValid) {
+            this->failAttempt(core::RetryReason::ForeignAnswer, AttemptRole::Standby);
+        }
+    }
+
+    // Tells whether the standby's answer, which has ended, completes the caller's.
+    [[nodiscard]] bool isStandbyWhole() const
+    {
+        if (!this->isStandbyUsable() || !this->isEventStream(*this->standby->head)) {
+            return this->isStandbyUsable();
+        }
+        const StandbyProgress progress = this->tryStandby();
+        const bool isEmpty = this->standby->head->framing == net::BodyFraming::UntilClosed
+                             && !progress.hasNewEvent;
+        return progress.isValid && !progress.hasPartialEvent && !isEmpty;
+    }
+
+    // Lets the standby attempt go on in place of the silent current one.
     void takeOver()
     {
         this->endFailedAttempt(core::RetryReason::Stalled, AttemptRole::Current);
@@ -695,11 +774,22 @@
     // Makes the standby attempt the current one, which has ended.
     void promoteStandby()
     {
-        this->host.promoteStandby();
-        this->current = *std::exchange(this->standby, std::nullopt);
-        this->beginNextAnswer();
-        if (this->current.head) {
-            this->acceptHead();
+        if (!this->standby->head || this->isStandbyUsable()) {
+            this->host.promoteStandby();
+            this->current = *std::exchange(this->standby, std::nullopt);
+            this->beginNextAnswer();
+        } else {
+            this->failAttempt(core::RetryReason::TargetError, AttemptRole::Standby);
+            this->retryOrGiveUp();
+            return;
+        }
+        if (!this->current.head) {
+            return;
+        }
+        this->acceptHead();
+        const std::string begun = std::exchange(this->current.begun, {});
+        if (!begun.empty()) {
+            this->onBody(begun);
         }
     }
 
@@ -707,9 +797,7 @@
     void acceptHead()
     {
         this->head = this->current.head;
-        const bool hasBody = this->head->framing != net::BodyFraming::None;
-        this->streaming
-            = this->route.kind == RequestKind::Stream && this->head->status == StatusOk && hasBody;
+        this->streaming = this->isEventStream(*this->head);
         this->onProgress();
     }
 
@@ -776,6 +864,7 @@
             this->giveUp(core::RefusalReason::AnswerBroken, RetryAfterFailure);
             return;
         }
+        this->applyRaisedTimeout();
         const bool timeLeft = this->host.now() < this->deadline;
         const bool mayRun
             = this->possibleRuns == 0
@@ -824,7 +913,8 @@
     }
 
     // Gives the request the time of a declaration that has raised its route's timeout since it
-    // arrived. A lower one holds for the requests that arrive after it.
+    // arrived; asked for whenever the time that is left matters. A lower one holds for the requests
+    // that arrive after it.
     void applyRaisedTimeout()
     {
         const core::TimePoint before = this->deadline;
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -1249,3 +1249,86 @@
     CHECK(request.host.answerEnded);
     CHECK(request.host.status == 200);
 }
+
+// Guards against a sound, silent target that is given up for a standby which can't go on.
+TEST_CASE("a standby that has sent nothing of use does not take over")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.answerFraming = net::BodyFraming::UntilClosed;
+    request.startAndFallSilent();
+    REQUIRE(request.receiveStandbyHead(200) == AnswerHandling::Accept);
+    SECTION("a comment")
+    {
+        request.machine->onBody(": wait\n\n", AttemptRole::Standby);
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true},
+                                  AttemptRole::Standby);
+    }
+    SECTION("an event that the caller has, and the end")
+    {
+        request.machine->onBody(Fixture::event(1), AttemptRole::Standby);
+        request.machine->onAnswerEnd(AttemptRole::Standby);
+    }
+    SECTION("an event that is not the next")
+    {
+        request.machine->onBody(Fixture::event(3), AttemptRole::Standby);
+    }
+    SECTION("a part of an event, and the end")
+    {
+        request.machine->onBody("id: 2\nda", AttemptRole::Standby);
+        request.machine->onAnswerEnd(AttemptRole::Standby);
+    }
+    SECTION("the end")
+    {
+        request.machine->onAnswerEnd(AttemptRole::Standby);
+    }
+    CHECK(request.host.abandoned == 0);
+    CHECK(request.host.promoted == 0);
+    CHECK(request.host.abandonedStandbys == 1);
+    request.machine->onBody(Fixture::event(2));
+    request.machine->onAnswerEnd();
+    CHECK(request.host.answerEnded);
+    CHECK(request.host.body == Fixture::event(1) + Fixture::event(2));
+}
+
+// Guards against a second head inside an answer that has begun.
+TEST_CASE("a standby whose answer can't follow what the caller has does not take over")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.start();
+    request.reportSent();
+    REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+    request.beSilent(2s);
+    REQUIRE(request.host.sentTo.size() == 2);
+    request.machine->onSent(AttemptRole::Standby);
+    REQUIRE(request.receiveStandbyHead(404) == AnswerHandling::Accept);
+    request.machine->onBody(": wait\n\n");
+    REQUIRE(request.host.relayedHeads == 1);
+    SECTION("with its body")
+    {
+        request.machine->onBody("no such thing", AttemptRole::Standby);
+        CHECK(request.host.abandoned == 0);
+        request.machine->onBody(Fixture::event(1));
+        request.machine->onAnswerEnd();
+        CHECK(request.host.answerEnded);
+    }
+    SECTION("when the silent target breaks off")
+    {
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    }
+    CHECK(request.host.promoted == 0);
+    CHECK_FALSE(request.host.relayedWhole);
+    CHECK(request.host.relayedHeads == 1);
+}
+
+// Guards against an attempt that is given the rest of a time limit which is no longer in force.
+TEST_CASE("a retry has the time of a timeout that was raised before it")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.start();
+    request.reportSent();
+    request.host.timeout = 8s;
+    request.host.time += 4s;
+    request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    REQUIRE(request.host.sentTo.size() == 2);
+    CHECK(request.host.metadata.timeout == 4s);
+}
