net: Fire no timer before the sockets in any phase of a turn

Each due timer now waits for the next look at the sockets, which follows within the same wait.

The new test, with a callback of 20 ms on another socket, is red before (nothing read) and passes.

--- a/source/samphirebridge/net/eventloop.cpp
+++ b/source/samphirebridge/net/eventloop.cpp
@@ -24,7 +24,6 @@
     // Fires the timers that became due before the sockets were read.
     void fireDue()
     {
-        this->socketsRead = true;
         uv_idle_stop(&this->noWait);
         while (!this->due.empty()) {
             Timer *timer = this->due.front();
@@ -39,7 +38,6 @@
     uv_check_t afterSockets{};
     uv_idle_t noWait{}; // Keeps the loop from waiting for sockets while it is active.
     std::vector<Timer *> due;
-    bool socketsRead = false; // In this turn of the loop.
     core::SteadyClock clock;
 };
 
@@ -68,7 +66,6 @@
 
 void EventLoop::runUntil(core::TimePoint deadline)
 {
-    this->impl->socketsRead = false;
     const core::Duration wait = deadline - this->impl->clock.now();
     const auto millis = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
     if (millis <= 0) {
@@ -85,6 +82,10 @@
         WaitLimitRepeatMs);
     uv_run(&this->impl->loop, UV_RUN_ONCE);
     uv_timer_stop(&this->impl->waitLimit);
+    // libuv also looks for due timers after it has polled, when callbacks may have taken long.
+    if (!this->impl->due.empty()) {
+        uv_run(&this->impl->loop, UV_RUN_NOWAIT);
+    }
 }
 
 void EventLoop::wake()
@@ -94,10 +95,6 @@
 
 void EventLoop::fireAfterSockets(Timer &timer)
 {
-    if (this->impl->socketsRead) {
-        timer.fire();
-        return;
-    }
     this->impl->due.push_back(&timer);
     uv_idle_start(&this->impl->noWait, [](uv_idle_t * /*handle*/) {});
 }
--- a/tests/net/eventlooptest.cpp
+++ b/tests/net/eventlooptest.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace samphirebridge;
 using namespace std::chrono_literals;
@@ -94,3 +95,48 @@
     }
     CHECK(*isConnected);
 }
+
+// Guards against a timer that is due because the callback of another socket took long.
+TEST_CASE("bytes that arrived while another socket was read are read before a timer that is due")
+{
+    net::EventLoop loop;
+    const http::Listener listener;
+    std::vector<std::shared_ptr<net::TcpStream>> streams;
+    std::vector<http::Peer> peers;
+    std::vector<std::shared_ptr<net::TcpStream>> opening;
+    for (int number = 0; number < 2; ++number) {
+        opening.push_back(net::TcpStream::connect(
+            loop, listener.address(), [&](auto connected) { streams.push_back(*connected); }));
+        peers.push_back(listener.accept());
+    }
+    while (streams.size() < 2) {
+        loop.runUntil({});
+    }
+    std::string received;
+    std::optional<std::string> receivedAtTimer;
+    net::Timer timer(loop, [&] { receivedAtTimer = received; });
+    const auto writeLate = [&](std::string_view /*bytes*/) {
+        for (const http::Peer &peer : peers) {
+            peer.write("answer");
+        }
+        std::this_thread::sleep_for(20ms);
+    };
+    for (const auto &stream : streams) {
+        stream->setEvents({[&](std::string_view bytes) {
+                               if (bytes == "first") {
+                                   writeLate(bytes);
+                               } else {
+                                   received += bytes;
+                               }
+                           },
+                           {},
+                           {}});
+        stream->startReading();
+    }
+    peers.front().write("first");
+    timer.start(10ms);
+    while (!receivedAtTimer) {
+        loop.runUntil(core::SteadyClock().now() + 5ms);
+    }
+    CHECK(*receivedAtTimer == "answeranswer");
+}
