platform, net: Answer what an instance has read of control calls before it stops

An operator's change that a control instance had read whole got neither an answer nor a refusal when the instance stopped meanwhile, and no line was written: the servers for control calls and readiness were destroyed with whatever they were answering, and an instance without callers counted as idle all the time.

--- a/source/samphirebridge/net/httpserver.cpp
+++ b/source/samphirebridge/net/httpserver.cpp
@@ -84,7 +84,14 @@
 bool HttpServer::idle() const
 {
     return std::all_of(this->connections.begin(), this->connections.end(), [](const auto &item) {
-        return item.second->idle();
+        return item.second->idle() || item.second->lingering();
+    });
+}
+
+bool HttpServer::answering() const
+{
+    return std::any_of(this->connections.begin(), this->connections.end(), [](const auto &item) {
+        return item.second->answering();
     });
 }
 
--- a/source/samphirebridge/net/httpserver.h
+++ b/source/samphirebridge/net/httpserver.h
@@ -45,9 +45,12 @@
     // established stay open for their first request.
     void stopAccepting();
 
-    // Tells whether no connection is reading, answering or delivering a request or being closed.
+    // Tells whether no connection is reading, answering or delivering a request.
     [[nodiscard]] bool idle() const;
 
+    // Tells whether a request is being answered, or an answer delivered.
+    [[nodiscard]] bool answering() const;
+
     // Tells whether a part of an answer waits until the kernel accepts it.
     [[nodiscard]] bool delivering() const;
 
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -81,6 +81,16 @@
            && !this->expectsFirstRequest() && !this->stream->hasUnreadBytes();
 }
 
+bool ServerConnection::answering() const
+{
+    return this->state == State::Answering || this->delivering();
+}
+
+bool ServerConnection::lingering() const
+{
+    return this->state == State::Closing && !this->delivering();
+}
+
 bool ServerConnection::delivering() const
 {
     return this->stream->queuedBytes() > 0;
@@ -189,19 +199,24 @@
 
 void ServerConnection::readBuffered()
 {
+    // An answer that is given within the loop comes back here; the loop reads on by itself.
+    if (std::exchange(this->readingBuffered, true)) {
+        return;
+    }
     const auto self = this->shared_from_this();
     while (this->state == State::Reading && !this->buffered.empty()) {
         const std::string bytes = std::exchange(this->buffered, {});
         const auto read = this->parser.feed(bytes);
         if (!read.ok()) {
             this->rejectMessage(read.status());
-            return;
+            break;
         }
         this->buffered = bytes.substr(*read);
         if (std::exchange(this->messageReady, false)) {
             this->dispatchRequest();
         }
     }
+    this->readingBuffered = false;
     if (this->state == State::Reading) {
         this->armTimer();
     }
@@ -329,7 +344,7 @@
         return;
     }
     if (!this->parser.started()) {
-        this->close(core::CloseReason::IdleTimeout);
+        this->closeInOrder(core::CloseReason::IdleTimeout);
         return;
     }
     this->rejectWith(StatusRequestTimeout,
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -69,6 +69,12 @@
     // expected at once because the connection is new, and the connection is not being closed.
     [[nodiscard]] bool idle() const;
 
+    // Tells whether a request is being answered, or its answer delivered.
+    [[nodiscard]] bool answering() const;
+
+    // Tells whether the connection is being closed, and all that was sent is with the kernel.
+    [[nodiscard]] bool lingering() const;
+
     // Tells whether a part of an answer waits until the kernel accepts it.
     [[nodiscard]] bool delivering() const;
 
@@ -146,6 +152,7 @@
     size_t droppedBytes = 0; // That came in state Closing.
     bool callerEnded = false; // The caller sends no more.
     bool requestRejected = false; // The request that was being read.
+    bool readingBuffered = false; // Within readBuffered().
     bool chunked = false;
     bool keepAlive = true;
     std::function<void()> onCallerClosed;
--- a/tests/fleet/deliverytest.cpp
+++ b/tests/fleet/deliverytest.cpp
@@ -1,5 +1,6 @@
 // Tests on real processes that accepted requests get their whole answers: with callers that read
 // late, and beside targets whose answers have no end.
+#include "platform/names.h"
 #include "tests/http/peer.h"
 #include "tests/support/fleet.h"
 
@@ -190,3 +191,33 @@
     }
     CHECK(residentBytes(entry) < MaximumBytes);
 }
+
+// Guards against a change that was read whole and gets neither an answer nor a refusal: a control
+// instance that stopped closed its interface over it.
+TEST_CASE("a control instance that stops answers the change that it has read")
+{
+    constexpr uint16_t Base = 26700;
+    Fleet fleet({.basePort = Base, .platform = true, .additionalSettings = "stop_within_s: 60\n"});
+    fleet.start();
+    fleet.sendDeclaration(0, declarationOf(1, 15'000));
+    fleet.waitForDeclaration(1);
+    for (int index = 1; index < 3; ++index) {
+        fleet.instance(index).signal(SIGSTOP);
+    }
+    const std::string content = declarationOf(2, 15'000);
+    const http::Peer change = http::Peer::connect(fleet.controlPort(0));
+    change.write(fmt::format("POST {} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: {}\r\n\r\n{}",
+                             platform::call::ReplaceDeclaration,
+                             content.size(),
+                             content));
+    std::this_thread::sleep_for(200ms);
+    fleet.instance(0).signal(SIGTERM);
+    Fleet::waitFor("the instance has begun to stop",
+                   [&] { return fleet.log(0).find("event=accepting_ended") != std::string::npos; });
+    std::this_thread::sleep_for(2s);
+    for (int index = 1; index < 3; ++index) {
+        fleet.instance(index).signal(SIGCONT);
+    }
+    CHECK(change.readUntil("\r\n\r\n").starts_with("HTTP/1.1 "));
+    CHECK(fleet.instance(0).wait() == 0);
+}
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <mutex>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace samphirebridge;
@@ -84,7 +85,6 @@
                     this->server->stopAccepting();
                     this->stopListening = false;
                 }
-                this->serverIdle = this->server->idle();
             }
             this->heldResponders.clear();
             this->server.reset();
@@ -149,12 +149,19 @@
     std::atomic<core::Duration> limit{30s}; // Of every wait for a caller's bytes.
     std::atomic<bool> drain = false;
     std::atomic<bool> stopListening = false;
-    std::atomic<bool> serverIdle = false; // As the loop's thread saw it last.
     std::atomic<int> callersClosed = 0;
     std::atomic<int> requests = 0;
+    std::atomic<bool> isNested = false; // A request came inside the answer to another.
 
 private:
     void onRequest(const net::IncomingRequest &request, std::shared_ptr<net::Responder> responder)
+    {
+        this->isNested = this->isNested || std::exchange(this->inRequest, true);
+        this->answer(request, std::move(responder));
+        this->inRequest = false;
+    }
+
+    void answer(const net::IncomingRequest &request, std::shared_ptr<net::Responder> responder)
     {
         ++this->requests;
         if (request.head.target == "/hold") {
@@ -201,6 +208,7 @@
         this->openStreams.clear();
     }
 
+    bool inRequest = false;
     net::EventLoop loop;
     std::mutex closedMutex;
     std::vector<Closed> closed;
@@ -227,6 +235,24 @@
     CHECK(server.requests == 3);
 }
 
+// Guards against a caller that pipelines thousands of requests: each was read inside the answer to
+// the one before, with a copy of all that follow.
+TEST_CASE("pipelined requests are read one after the other, not inside each other")
+{
+    constexpr int Requests = 3000;
+    Server server;
+    server.start();
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    std::string requests;
+    for (int number = 0; number < Requests; ++number) {
+        requests += "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    caller.write(requests + "GET /last HTTP/1.1\r\nHost: h\r\n\r\n");
+    (void)caller.readUntil("/last");
+    CHECK(server.requests == Requests + 1);
+    CHECK_FALSE(server.isNested);
+}
+
 TEST_CASE(
     "a request with ambiguous framing or too long a body is refused and its connection closed")
 {
@@ -613,3 +639,22 @@
     std::this_thread::sleep_for(6s);
     CHECK(bodySize(caller.readUntil(std::string(LargeBytes, 'x'))) == LargeBytes);
 }
+
+// Guards against a stop that waits for a caller which was not told that its connection closes and
+// sends nothing more.
+TEST_CASE("a connection whose stream began before the drain ends with the listener if it is unused")
+{
+    Server server;
+    server.start();
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    (void)caller.readUntil("part");
+    server.drain = true;
+    (void)caller.readUntil("0\r\n\r\n");
+    while (server.drain) {
+        std::this_thread::sleep_for(1ms);
+    }
+    server.stopListening = true;
+    CHECK(caller.readToEnd().empty());
+    CHECK(server.firstClosed().reason == core::CloseReason::Stopping);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -417,6 +417,11 @@
     return this->options.basePort + index;
 }
 
+uint16_t Fleet::controlPort(int index) const
+{
+    return this->interfacePort(index, ControlInterface);
+}
+
 uint16_t Fleet::callersPort(int index) const
 {
     return this->interfacePort(index, CallersInterface);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -124,6 +124,9 @@
                                               const http::Headers &headers = {});
     // Returns the port of the instance's interface for callers. Needs FleetOptions::platform.
     [[nodiscard]] uint16_t callersPort(int index) const;
+    // Returns the port of a control instance's interface for control calls. Needs
+    // FleetOptions::platform.
+    [[nodiscard]] uint16_t controlPort(int index) const;
     // Like call(), but throws if there is no answer, and parses its body as JSON.
     nlohmann::json callJson(int index,
                             const std::string &method,
