--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -5,7 +5,7 @@
 // network allows, but the host must drop events of an attempt that has ended.
 //
 // Silence of a target doesn't end its attempt: a standby attempt is sent to another target, and the
-// first of the two whose answer can go on goes on. A request that no other target
+// first of the two that sends a usable part of its answer is kept. A request that no other target
 // can take stays where it is.
 #pragma once
 
