--- a/tests/fleet/deliverytest.cpp
+++ b/tests/fleet/deliverytest.cpp
@@ -99,6 +99,7 @@
     fleet.startPlatformTarget("t", Base + 70, "s");
     fleet.waitForTargets(Entry, 1);
     std::vector<http::Peer> callers;
+    callers.reserve(Callers);
     for (int number = 0; number < Callers; ++number) {
         const std::string id = fmt::format("late-{}", number);
         callers.push_back(sendRequest(fleet, "/r/", id, fmt::format("[body={}]", LargeBytes)));
@@ -136,6 +137,7 @@
     fleet.startPlatformTarget("f2", Base + 72, "f");
     fleet.waitForTargets(Entry, 3);
     std::vector<http::Peer> held;
+    held.reserve(Endless);
     for (int number = 0; number < Endless; ++number) {
         held.push_back(sendRequest(fleet,
                                    "/f/",
@@ -171,6 +173,7 @@
     const pid_t entry = fleet.instance(Entry).processId();
     const double before = residentBytes(entry);
     std::vector<http::Peer> callers;
+    callers.reserve(Endless + 1);
     // This one is held; beside it the others may not be.
     callers.push_back(
         sendRequest(fleet, "/f/", "held", fmt::format("[body={}][hang]", EndlessBytes)));
--- a/tests/net/deliverysoaktest.cpp
+++ b/tests/net/deliverysoaktest.cpp
@@ -35,7 +35,8 @@
 
 int seedCount()
 {
-    const char *text = std::getenv("SAMPHIRE_DELIVERY_SEEDS");
+    // getenv is safe here: no other thread runs yet that could change the environment.
+    const char *text = std::getenv("SAMPHIRE_DELIVERY_SEEDS"); // NOLINT(concurrency-mt-unsafe)
     return text == nullptr ? DefaultSeeds : std::max(1, std::atoi(text));
 }
 
@@ -221,7 +222,8 @@
 // Guards against answers that are lost though their requests were accepted.
 TEST_CASE("every request that a server accepts gets one whole answer beside limits and a drain")
 {
-    for (int seed = 1; seed <= seedCount(); ++seed) {
+    const int seeds = seedCount();
+    for (int seed = 1; seed <= seeds; ++seed) {
         INFO("seed " << seed);
         Service service(static_cast<uint64_t>(seed));
         std::vector<Received> received(Callers);
