--- a/tests/fleet/deliverytest.cpp
+++ b/tests/fleet/deliverytest.cpp
@@ -87,7 +87,7 @@
 // that lowers it or a planned stop cut them, without a line in the log.
 TEST_CASE("callers that read late get whole answers beside a lower idle limit and a planned stop")
 {
-    constexpr uint16_t Base = 26400;
+    constexpr uint16_t Base = 26800;
     constexpr int Callers = 4;
     Fleet fleet({.basePort = Base,
                  .instances = Entry + 1,
@@ -125,7 +125,7 @@
 // Guards against a few answers that are full and silent and fail all others of the instance.
 TEST_CASE("answers are relayed while those of other targets have no end and take much memory")
 {
-    constexpr uint16_t Base = 26500;
+    constexpr uint16_t Base = 26900;
     constexpr int Endless = 8;
     constexpr int Sound = 60;
     Fleet fleet({.basePort = Base, .instances = Entry + 1, .platform = true});
