forwarding: Keep one head an attempt, and let StreamRelay preview an answer

The machine held the head of the current answer twice, in itself and in the attempt, since the attempt of a standby needs one. What an answer would add to a stream was worked out in the machine with a copied StreamRelay, and is StreamRelay's to tell. Each request looked up its route's timeout before its first attempt, right after it had arrived; it is looked up where it can have changed: at a retry, for a standby, at the end of the time. Early returns replace two joined conditions.

Ruled out: dropping the check for unread bytes in ServerConnection, which narrows a race.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -270,15 +270,15 @@
         } else if (this->relayedUnheld) {
             this->host.relayEnd();
         } else {
-            this->host.relayWhole(*this->head, this->body);
+            this->host.relayWhole(*this->current.head, this->body);
         }
         this->logEvent(
             "answered",
             fmt::format("target={} status={} framing={} attempts={} events={} first_ms={} "
                         "longest_gap_ms={} took_ms={} billed={}",
                         this->current.choice.target.value,
-                        this->head->status,
-                        net::framingName(this->head->framing),
+                        this->current.head->status,
+                        net::framingName(this->current.head->framing),
                         this->attempts,
                         this->relay.relayedEvents(),
                         millisecondsOf(this->firstEventAfter),
@@ -412,7 +412,6 @@
     void chooseTarget()
     {
         this->phase = Phase::Attempting;
-        this->applyRaisedTimeout();
         const core::TimePoint now = this->host.now();
         const routing::Decision decision = this->host.router().choose(this->routeRequest(), now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
@@ -554,7 +553,7 @@
             fmt::format("target={} held={}", this->current.choice.target.value, this->body.size()));
         this->relayedUnheld = true;
         this->headRelayed = true;
-        this->host.relayHead(*this->head);
+        this->host.relayHead(*this->current.head);
         this->host.relayBody(this->body);
         this->discardBody();
         this->host.relayBody(bytes);
@@ -575,7 +574,7 @@
         this->headRelayed = true;
         // A length is that of one target's bytes. Of these some may be left out, and those of
         // another target may follow.
-        net::ResponseHead relayed = *this->head;
+        net::ResponseHead relayed = *this->current.head;
         relayed.framing = net::BodyFraming::Chunked;
         this->host.relayHead(relayed);
     }
@@ -710,23 +709,6 @@
         return !this->headRelayed || this->standby->head->status == StatusOk;
     }
 
-    // What the caller would have if it were given the standby's answer as far as it has come.
-    struct StandbyProgress {
-        bool isValid = false;
-        bool hasNewEvent = false;
-        bool hasPartialEvent = false;
-    };
-
-    [[nodiscard]] StandbyProgress tryStandby() const
-    {
-        StreamRelay trial = this->relay;
-        trial.continueWithNextAnswer();
-        std::string events;
-        const bool isValid = trial.feed(this->standby->begun, events).ok();
-        return {
-            isValid, trial.relayedEvents() > this->relay.relayedEvents(), trial.hasPartialEvent()};
-    }
-
     // Keeps bytes of the standby's answer and lets it take over once they prove that it can go on:
     // a stream by an event that the caller doesn't have, another answer by its length.
     void onStandbyBody(std::string_view bytes)
@@ -744,10 +726,10 @@
             }
             return;
         }
-        const StandbyProgress progress = this->tryStandby();
-        if (progress.hasNewEvent) {
+        const StreamRelay::Preview preview = this->relay.previewNextAnswer(attempt.begun);
+        if (preview.hasNewEvent) {
             this->takeOver();
-        } else if (!progress.isValid) {
+        } else if (!preview.isValid) {
             this->failAttempt(core::RetryReason::ForeignAnswer, AttemptRole::Standby);
         }
     }
@@ -755,13 +737,16 @@
     // Tells whether the standby's answer, which has ended, completes the caller's.
     [[nodiscard]] bool isStandbyWhole() const
     {
-        if (!this->isStandbyUsable() || !this->isEventStream(*this->standby->head)) {
-            return this->isStandbyUsable();
+        if (!this->isStandbyUsable()) {
+            return false;
+        }
+        if (!this->isEventStream(*this->standby->head)) {
+            return true;
         }
-        const StandbyProgress progress = this->tryStandby();
-        const bool isEmpty = this->standby->head->framing == net::BodyFraming::UntilClosed
-                             && !progress.hasNewEvent;
-        return progress.isValid && !progress.hasPartialEvent && !isEmpty;
+        const StreamRelay::Preview preview = this->relay.previewNextAnswer(this->standby->begun);
+        const bool isEmpty
+            = this->standby->head->framing == net::BodyFraming::UntilClosed && !preview.hasNewEvent;
+        return preview.isValid && !preview.hasPartialEvent && !isEmpty;
     }
 
     // Lets the standby attempt go on in place of the silent current one.
@@ -774,15 +759,14 @@
     // Makes the standby attempt the current one, which has ended.
     void promoteStandby()
     {
-        if (!this->standby->head || this->isStandbyUsable()) {
-            this->host.promoteStandby();
-            this->current = *std::exchange(this->standby, std::nullopt);
-            this->beginNextAnswer();
-        } else {
+        if (this->standby->head && !this->isStandbyUsable()) {
             this->failAttempt(core::RetryReason::TargetError, AttemptRole::Standby);
             this->retryOrGiveUp();
             return;
         }
+        this->host.promoteStandby();
+        this->current = *std::exchange(this->standby, std::nullopt);
+        this->beginNextAnswer();
         if (!this->current.head) {
             return;
         }
@@ -796,8 +780,7 @@
     // Relays the answer of the current attempt from now on, whose head has arrived.
     void acceptHead()
     {
-        this->head = this->current.head;
-        this->streaming = this->isEventStream(*this->head);
+        this->streaming = this->isEventStream(*this->current.head);
         this->onProgress();
     }
 
@@ -963,7 +946,8 @@
     // goes on after an event may be empty.
     [[nodiscard]] bool endedWithoutEvent() const
     {
-        return this->head->framing == net::BodyFraming::UntilClosed && !this->relay.lastEventId();
+        return this->current.head->framing == net::BodyFraming::UntilClosed
+               && !this->relay.lastEventId();
     }
 
     // Reports the attempt's complete answer to the router.
@@ -974,7 +958,7 @@
         }
         this->mayHaveRun = true;
         routing::FinishedAttempt finished;
-        finished.failed = this->head->status >= FirstFailedStatus;
+        finished.failed = this->current.head->status >= FirstFailedStatus;
         finished.outputTokens = static_cast<uint32_t>(std::max<int64_t>(this->outputTokens(), 1));
         this->host.router().onFinished(this->current.choice.ticket, finished, this->host.now());
     }
@@ -992,7 +976,7 @@
     // a target may have done for it is the fleet's cost, as with every repeated attempt.
     [[nodiscard]] int64_t billedTokens() const
     {
-        const bool succeeded = this->answerComplete && isSuccess(this->head->status);
+        const bool succeeded = this->answerComplete && isSuccess(this->current.head->status);
         const bool answered = succeeded || this->relay.relayedEvents() > 0;
         if (!this->reserved || !answered) {
             return 0;
@@ -1094,7 +1078,6 @@
     core::TimePoint relayedAt; // When the last events went to the caller.
     core::Duration firstEventAfter{}; // From the arrival to the first events for the caller.
     core::Duration longestGap{}; // Between events for the caller, over all attempts.
-    std::optional<net::ResponseHead> head;
     std::string body;
     uint64_t countedEvents = 0; // The value of relay.relayedEvents() that was last processed.
     bool streaming = false;
--- a/source/samphirebridge/forwarding/streamrelay.cpp
+++ b/source/samphirebridge/forwarding/streamrelay.cpp
@@ -121,6 +121,14 @@
     return absl::OkStatus();
 }
 
+StreamRelay::Preview StreamRelay::previewNextAnswer(std::string_view bytes) const
+{
+    StreamRelay next(this->lastId);
+    std::string events;
+    const bool isValid = next.feed(bytes, events).ok();
+    return {isValid, next.relayedEvents() > 0, next.hasPartialEvent()};
+}
+
 void StreamRelay::continueWithNextAnswer()
 {
     this->partial.clear();
--- a/source/samphirebridge/forwarding/streamrelay.h
+++ b/source/samphirebridge/forwarding/streamrelay.h
@@ -24,6 +24,16 @@
     // or too many bytes come without an event id: the answer can't be used any further.
     absl::Status feed(std::string_view bytes, std::string &relayed);
 
+    // What a caller would get from another answer that continues after lastEventId().
+    struct Preview {
+        bool isValid = false; // The answer can be used so far.
+        bool hasNewEvent = false; // It has an event that the caller doesn't have.
+        bool hasPartialEvent = false; // It ends inside an event.
+    };
+
+    // Tells what feed() would do with the bytes of such an answer, of which nothing is relayed.
+    [[nodiscard]] Preview previewNextAnswer(std::string_view bytes) const;
+
     // Prepares for the answer that continues after lastEventId() when the current one broke off.
     // Bytes of an unfinished event are dropped.
     void continueWithNextAnswer();
--- a/tests/forwarding/streamrelaytest.cpp
+++ b/tests/forwarding/streamrelaytest.cpp
@@ -117,3 +117,18 @@
     CHECK(fed <= size_t{256} * 1024 + 4);
     CHECK(relayed.empty());
 }
+
+TEST_CASE("a preview tells what another answer would add, and relays nothing")
+{
+    StreamRelay relay;
+    std::string relayed;
+    REQUIRE(relay.feed(event(1) + "id: 2\nda", relayed).ok());
+    CHECK(relay.previewNextAnswer(event(1) + event(2)).hasNewEvent);
+    CHECK_FALSE(relay.previewNextAnswer(event(1)).hasNewEvent);
+    CHECK_FALSE(relay.previewNextAnswer(": wait\n\n").hasNewEvent);
+    CHECK_FALSE(relay.previewNextAnswer(event(3)).isValid);
+    CHECK(relay.previewNextAnswer(event(2) + "id: 3").hasPartialEvent);
+    CHECK(relay.hasPartialEvent());
+    CHECK(relay.relayedEvents() == 1);
+    CHECK(relay.lastEventId() == 1);
+}
