net, ingress: Name the memory of queues for what it is, and drop a double condition

HttpServer::queuedBytes() counted memory while Responder::queuedBytes() counts what is unsent: the former is queueMemory() now. A connection with unsent bytes has its request open, so asking for both said the same twice. A comment on timers was no longer true since the loop reads the sockets first.

--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -39,7 +39,7 @@
     const Interface &interface;
     core::SteadyClock clock;
     forwarding::StopAdmission admission;
-    std::function<size_t()> queuedBytes; // Returns the bytes that are queued for callers.
+    std::function<size_t()> queueMemory; // Returns what is queued for callers, in bytes.
     forwarding::AnswerMemory answerMemory{MaximumAnswerBytes};
 };
 
@@ -231,7 +231,7 @@
 
     bool bufferAnswer(size_t bytes)
     {
-        const size_t queued = this->context.queuedBytes();
+        const size_t queued = this->context.queueMemory();
         if (!this->context.answerMemory.mayHold(this->bufferedBytes, bytes, queued)) {
             return false;
         }
@@ -312,7 +312,7 @@
         const size_t queued = this->responder->queuedBytes();
         const bool mayQueue
             = queued <= MaximumQueuedBytes
-              && this->context.answerMemory.mayHold(queued, 0, this->context.queuedBytes());
+              && this->context.answerMemory.mayHold(queued, 0, this->context.queueMemory());
         if (mayQueue || this->current.connection == nullptr) {
             return;
         }
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -39,7 +39,7 @@
                   {},
                   {},
                   [this] {
-                      return this->server->queuedBytes();
+                      return this->server->queueMemory();
                   }}
         , startedAt(this->context.clock.now())
     {
@@ -151,7 +151,7 @@
     void onClosed(const net::ClosedConnection &closed)
     {
         this->context.counters.countClosedConnection(closed.reason);
-        if (!closed.requestOpen && closed.unreadBytes == 0 && closed.unsentBytes == 0) {
+        if (!closed.requestOpen && closed.unreadBytes == 0) {
             return;
         }
         RequestLogFields fields;
--- a/source/samphirebridge/net/httpserver.cpp
+++ b/source/samphirebridge/net/httpserver.cpp
@@ -102,9 +102,9 @@
     });
 }
 
-size_t HttpServer::queuedBytes() const
+size_t HttpServer::queueMemory() const
 {
-    return this->context.queuedBytes;
+    return this->context.queueMemory;
 }
 
 int HttpServer::port() const
--- a/source/samphirebridge/net/httpserver.h
+++ b/source/samphirebridge/net/httpserver.h
@@ -55,7 +55,7 @@
     [[nodiscard]] bool delivering() const;
 
     // Returns the memory that queued bytes of answers take, of all connections.
-    [[nodiscard]] size_t queuedBytes() const;
+    [[nodiscard]] size_t queueMemory() const;
 
     // Returns the port, also where the address asked for any free one; 0 after stopAccepting().
     [[nodiscard]] int port() const;
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -294,7 +294,7 @@
 void ServerConnection::accountQueue()
 {
     const size_t queued = this->stream->isOpen() ? this->stream->heldBytes() : 0;
-    this->context.queuedBytes += queued - std::exchange(this->accountedBytes, queued);
+    this->context.queueMemory += queued - std::exchange(this->accountedBytes, queued);
 }
 
 void ServerConnection::onDrained()
@@ -332,8 +332,7 @@
 
 void ServerConnection::onSilence()
 {
-    // Due timers run before the sockets are read, so after a pause of the loop bytes may wait
-    // there.
+    // Bytes may have arrived since the loop has read the sockets.
     if (this->stream->hasUnreadBytes()) {
         this->armTimer();
         return;
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -52,7 +52,7 @@
     std::function<ServerLimits()> limits;
     std::function<void(ServerConnection *, const ClosedConnection &)> onClosed;
     bool draining = false; // Each response closes its connection.
-    size_t queuedBytes = 0; // The memory that the queues of all connections take.
+    size_t queueMemory = 0; // In bytes, of what all connections have queued.
 };
 
 // Reads requests, passes each to ServerContext::onRequest with its Responder and closes the
@@ -112,7 +112,7 @@
     void onDrained();
     // Sends bytes to the caller.
     void send(std::string_view bytes);
-    // Updates ServerContext::queuedBytes.
+    // Updates ServerContext::queueMemory.
     void accountQueue();
     void onTimeout();
     // The caller's bytes did not come in time.
@@ -157,7 +157,7 @@
     bool keepAlive = true;
     std::function<void()> onCallerClosed;
     std::function<void()> onAnswerDrained;
-    size_t accountedBytes = 0; // In ServerContext::queuedBytes.
+    size_t accountedBytes = 0; // In ServerContext::queueMemory.
 };
 
 } // namespace samphirebridge::net
