--- a/tests/fleet/deliverytest.cpp
+++ b/tests/fleet/deliverytest.cpp
@@ -75,14 +75,6 @@
     return static_cast<double>(pages) * static_cast<double>(::sysconf(_SC_PAGESIZE));
 }
 
-// Returns the size of the body in what was received of one answer.
-size_t bodySize(std::string_view answer)
-{
-    constexpr std::string_view HeadEnd = "\r\n\r\n";
-    const size_t head = answer.find(HeadEnd);
-    return head == std::string_view::npos ? 0 : answer.size() - head - HeadEnd.size();
-}
-
 } // namespace
 
 // Guards against answers that are taken for delivered when they are queued: an idle limit, a change
@@ -118,7 +110,7 @@
     waitForLog(fleet, "event=accepting_ended");
     std::this_thread::sleep_for(1s);
     for (const http::Peer &caller : callers) {
-        CHECK(bodySize(caller.readToEnd()) == LateBytes);
+        CHECK(http::bodySize(caller.readToEnd()) == LateBytes);
     }
     CHECK(fleet.instance(Entry).wait() == 0);
     CHECK(fleet.log(Entry).find("event=caller_connection_closed") == std::string::npos);
--- a/tests/http/peer.cpp
+++ b/tests/http/peer.cpp
@@ -106,6 +106,13 @@
     ::close(std::exchange(this->descriptor, -1));
 }
 
+size_t bodySize(std::string_view response)
+{
+    constexpr std::string_view HeadEnd = "\r\n\r\n";
+    const size_t head = response.find(HeadEnd);
+    return head == std::string_view::npos ? 0 : response.size() - head - HeadEnd.size();
+}
+
 Listener::Listener()
     : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
 {
--- a/tests/http/peer.h
+++ b/tests/http/peer.h
@@ -1,6 +1,7 @@
 // TCP sockets for tests that write and read the bytes of a connection themselves.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -43,6 +44,9 @@
     mutable bool broken = false;
 };
 
+// Returns the size of the body in what was received of one response.
+size_t bodySize(std::string_view response);
+
 // A listening socket on a free port of the loopback interface.
 class Listener
 {
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -22,13 +22,6 @@
 // More than the socket buffers of both sides hold.
 constexpr size_t LargeBytes = size_t{24} * 1024 * 1024;
 
-// Returns the size of the body in what was received of one answer.
-size_t bodySize(std::string_view answer)
-{
-    const size_t head = answer.find("\r\n\r\n");
-    return head == std::string_view::npos ? 0 : answer.size() - head - 4;
-}
-
 // How a connection ended, with the path of the request that was open then.
 struct Closed {
     core::CloseReason reason;
@@ -219,6 +212,18 @@
     std::thread thread;
 };
 
+// Lets the server begin to drain while it answers the caller with a stream, which then ends.
+void drainDuringStream(Server &server, const Peer &caller)
+{
+    caller.write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    (void)caller.readUntil("part");
+    server.drain = true;
+    (void)caller.readUntil("0\r\n\r\n");
+    while (server.drain) {
+        std::this_thread::sleep_for(1ms);
+    }
+}
+
 } // namespace
 
 TEST_CASE("pipelined requests on one connection are answered in order")
@@ -321,13 +326,7 @@
     Server server;
     server.start();
     Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
-    caller.write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
-    (void)caller.readUntil("part");
-    server.drain = true;
-    (void)caller.readUntil("0\r\n\r\n");
-    while (server.drain) {
-        std::this_thread::sleep_for(1ms);
-    }
+    drainDuringStream(server, caller);
     caller.write("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
     const std::string answer = caller.readToEnd();
     CHECK(answer.starts_with("HTTP/1.1 200"));
@@ -528,7 +527,7 @@
     std::this_thread::sleep_for(5 * server.limit.load());
     server.start();
     std::this_thread::sleep_for(5 * server.limit.load());
-    CHECK(bodySize(caller.readToEnd()) == LargeBytes);
+    CHECK(http::bodySize(caller.readToEnd()) == LargeBytes);
 }
 
 // Guards against a process that ends over the last answer of a connection.
@@ -542,7 +541,7 @@
     server.runDue();
     CHECK_FALSE(server.idle());
     server.start();
-    CHECK(bodySize(caller.readToEnd()) == LargeBytes);
+    CHECK(http::bodySize(caller.readToEnd()) == LargeBytes);
 }
 
 // Guards against a refusal that is lost in the reset of a connection which is closed over unread
@@ -625,7 +624,7 @@
         std::this_thread::sleep_for(1ms);
     }
     caller.endWriting();
-    CHECK(bodySize(caller.readToEnd()) == LargeBytes);
+    CHECK(http::bodySize(caller.readToEnd()) == LargeBytes);
 }
 
 // Guards against a caller that is taken for dead while it is alive and reads nothing: the kernel
@@ -637,7 +636,7 @@
     const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
     caller.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
     std::this_thread::sleep_for(6s);
-    CHECK(bodySize(caller.readUntil(std::string(LargeBytes, 'x'))) == LargeBytes);
+    CHECK(http::bodySize(caller.readUntil(std::string(LargeBytes, 'x'))) == LargeBytes);
 }
 
 // Guards against a stop that waits for a caller which was not told that its connection closes and
@@ -647,13 +646,7 @@
     Server server;
     server.start();
     const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
-    caller.write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
-    (void)caller.readUntil("part");
-    server.drain = true;
-    (void)caller.readUntil("0\r\n\r\n");
-    while (server.drain) {
-        std::this_thread::sleep_for(1ms);
-    }
+    drainDuringStream(server, caller);
     server.stopListening = true;
     CHECK(caller.readToEnd().empty());
     CHECK(server.firstClosed().reason == core::CloseReason::Stopping);
