net, ingress: Name the request that is dropped while a connection is being closed

What callers saw: a connection that ends without an answer; the instance's line had unread_bytes and no request. Cause: what comes in state Closing was counted, never parsed. Its first head is read now, though it isn't served, and the line has the status of a rejected request, so a refusal by an older limit can be told from the others.

--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -44,7 +44,7 @@
              serverContext.limits().message,
              {[this](RequestHead head) { this->onHead(std::move(head)); },
               nullptr,
-              [this](std::string_view bytes) { this->incoming.body += bytes; },
+              [this](std::string_view bytes) { this->onBody(bytes); },
               [this] {
                   this->messageReady = true;
               }})
@@ -184,7 +184,7 @@
 void ServerConnection::onData(std::string_view bytes)
 {
     if (this->state == State::Closing) {
-        this->droppedBytes += bytes.size();
+        this->dropBytes(bytes);
         return;
     }
     this->buffered += bytes;
@@ -222,8 +222,28 @@
     }
 }
 
+void ServerConnection::dropBytes(std::string_view bytes)
+{
+    this->droppedBytes += bytes.size();
+    if (!this->droppedHead) {
+        // What can't be parsed stays without a head.
+        (void)this->parser.feed(bytes);
+    }
+}
+
+void ServerConnection::onBody(std::string_view bytes)
+{
+    if (this->state != State::Closing) {
+        this->incoming.body += bytes;
+    }
+}
+
 void ServerConnection::onHead(RequestHead requestHead)
 {
+    if (this->state == State::Closing) {
+        this->droppedHead = std::move(requestHead);
+        return;
+    }
     this->headRead = true;
     if (requestHead.expectsContinue) {
         this->send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -259,7 +279,7 @@
     head.framing = BodyFraming::Length;
     head.keepAlive = false;
     this->send(formatHead(head));
-    this->requestRejected = true;
+    this->refusalStatus = status;
     this->closeInOrder(reason);
 }
 
@@ -365,7 +385,9 @@
     // A drain closes no connection whose caller was not told, in the head of an answer: the caller
     // may have sent its next request already.
     if (!this->keepAlive) {
+        this->parser.nextMessage();
         this->closeInOrder(core::CloseReason::LastAnswer);
+        this->dropBytes(std::exchange(this->buffered, {}));
         return;
     }
     if (this->delivering()) {
@@ -425,9 +447,14 @@
     ClosedConnection closed;
     closed.reason = reason;
     const bool beforeAnswer = this->state == State::Reading && this->parser.started();
-    closed.requestOpen = beforeAnswer || this->requestRejected || this->state == State::Answering
+    closed.requestOpen = beforeAnswer || this->refusalStatus != 0 || this->state == State::Answering
                          || this->delivering();
-    closed.head = this->headRead ? &this->incoming.head : nullptr;
+    if (closed.requestOpen || this->droppedBytes == 0) {
+        closed.head = this->headRead ? &this->incoming.head : nullptr;
+    } else {
+        closed.head = this->droppedHead ? &*this->droppedHead : nullptr;
+    }
+    closed.refusalStatus = this->refusalStatus;
     closed.unreadBytes = this->droppedBytes + this->buffered.size() + this->stream->unreadBytes();
     closed.unsentBytes = this->stream->queuedBytes();
     closed.age = this->clock.now() - this->openedAt;
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace samphirebridge::net
@@ -40,7 +41,10 @@
 struct ClosedConnection {
     core::CloseReason reason = core::CloseReason::CallerClosed;
     bool requestOpen = false; // A request was being read or answered, or its answer delivered.
-    const RequestHead *head = nullptr; // Of that request; null if it was not read whole.
+    // Of that request, or of one that came while the connection was being closed and was dropped;
+    // null if no head was read whole.
+    const RequestHead *head = nullptr;
+    int refusalStatus = 0; // Of a request that was rejected; 0 for none.
     size_t unreadBytes = 0; // Arrived, and belong to no request that was read.
     size_t unsentBytes = 0; // Of answers: not accepted by the kernel yet.
     core::Duration age{};
@@ -106,6 +110,9 @@
     void onData(std::string_view bytes);
     void readBuffered();
     void onHead(RequestHead requestHead);
+    void onBody(std::string_view bytes);
+    // Counts what comes in state Closing, and reads its first head for describe().
+    void dropBytes(std::string_view bytes);
     void dispatchRequest();
     void rejectMessage(const absl::Status &error);
     void onEnd(StreamEnd end);
@@ -151,7 +158,8 @@
     size_t queuedBefore = 0; // When the delivery timer was armed.
     size_t droppedBytes = 0; // That came in state Closing.
     bool callerEnded = false; // The caller sends no more.
-    bool requestRejected = false; // The request that was being read.
+    int refusalStatus = 0; // Of the request that was being read, if it was rejected.
+    std::optional<RequestHead> droppedHead; // Of the first request that came in state Closing.
     bool readingBuffered = false; // Within readBuffered().
     bool chunked = false;
     bool keepAlive = true;
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -29,6 +29,7 @@
     size_t unreadBytes;
     size_t unsentBytes;
     std::string path; // Empty if no head was read.
+    int refusalStatus;
 };
 
 // A server whose loop runs on a thread of its own. The path of a request selects how it is
@@ -190,7 +191,8 @@
                                 ended.requestOpen,
                                 ended.unreadBytes,
                                 ended.unsentBytes,
-                                ended.head == nullptr ? "" : ended.head->target});
+                                ended.head == nullptr ? "" : ended.head->target,
+                                ended.refusalStatus});
     }
 
     void endStreams()
@@ -394,7 +396,9 @@
     SECTION("a request that is not acceptable")
     {
         caller.write("BAD\r\n\r\n");
-        CHECK(server.firstClosed().reason == core::CloseReason::Rejected);
+        const Closed closed = server.firstClosed();
+        CHECK(closed.reason == core::CloseReason::Rejected);
+        CHECK(closed.refusalStatus == 400);
     }
     SECTION("an answer that is cut off")
     {
@@ -411,6 +415,18 @@
         CHECK_FALSE(closed.requestOpen);
         CHECK(closed.unreadBytes == 0);
     }
+    SECTION("a request that follows the last answer")
+    {
+        constexpr std::string_view Late = "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n";
+        caller.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + std::string(Late));
+        CHECK(caller.readToEnd().ends_with("/a"));
+        caller.write("\r\nhalf");
+        caller.close();
+        const Closed closed = server.firstClosed();
+        CHECK(closed.reason == core::CloseReason::LastAnswer);
+        CHECK(closed.unreadBytes == Late.size() + 6);
+        CHECK(closed.path == "/late");
+    }
     SECTION("a server that ends")
     {
         caller.write("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
