--- a/tests/fleet/deliverytest.cpp
+++ b/tests/fleet/deliverytest.cpp
@@ -116,6 +116,26 @@
     CHECK(fleet.log(Entry).find("event=caller_connection_closed") == std::string::npos);
 }
 
+// Guards against a request that is lost because its caller may still use the connection by the
+// declaration that it knows, and by its own clock, when the instance closes it.
+TEST_CASE("a request that comes when its connection has just been idle for too long is answered")
+{
+    constexpr uint16_t Base = 27000;
+    constexpr int IdleTimeoutMs = 300;
+    Fleet fleet({.basePort = Base, .instances = Entry + 1, .platform = true});
+    fleet.start();
+    fleet.sendDeclaration(0, declarationOf(1, IdleTimeoutMs));
+    fleet.waitForDeclaration(1);
+    fleet.startPlatformTarget("t", Base + 70, "s");
+    fleet.waitForTargets(Entry, 1);
+    const http::Peer caller = sendRequest(fleet, "/r/", "first", "[body=10]");
+    CHECK(caller.readUntil("xxxxxxxxxx").ends_with("xxxxxxxxxx"));
+    std::this_thread::sleep_for(2 * std::chrono::milliseconds(IdleTimeoutMs));
+    caller.write("GET /r/second HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: second\r\n"
+                 "Connection: close\r\n\r\n");
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a few answers that are full and silent and fail all others of the instance.
 TEST_CASE("answers are relayed while those of other targets have no end and take much memory")
 {
