net: Measure a request by the limits in force when it comes

What callers saw: after a change that raises MaxBodyBytes or MaxHeaderBytes the next request on each kept connection is refused with 413 or 431 though every declaration in force allows it; after one that lowers them, one request too many is served. Cause: the limits were read when the wait for the request began, and at accept. The class of: what was read when a wait began is used when it ends.

The parser now gets the limits with each part of a request. A request that is being read is measured by the larger of those in force since its first byte: a change never refuses what was allowed when it was begun.

--- a/source/samphirebridge/net/messageparser.cpp
+++ b/source/samphirebridge/net/messageparser.cpp
@@ -419,9 +419,14 @@
     return this->impl->messageComplete;
 }
 
-void MessageParser::setLimits(MessageLimits limits)
+void MessageParser::applyLimits(MessageLimits limits)
 {
-    this->impl->limits = limits;
+    MessageLimits &applied = this->impl->limits;
+    if (this->started()) {
+        limits.headBytes = std::max(limits.headBytes, applied.headBytes);
+        limits.bodyBytes = std::max(limits.bodyBytes, applied.bodyBytes);
+    }
+    applied = limits;
 }
 
 } // namespace samphirebridge::net
--- a/source/samphirebridge/net/messageparser.h
+++ b/source/samphirebridge/net/messageparser.h
@@ -64,8 +64,9 @@
     // Tells whether the current message is complete.
     [[nodiscard]] bool complete() const;
 
-    // Replaces the limits, also for a message that is being read.
-    void setLimits(MessageLimits limits);
+    // Applies the limits that are in force now. A message that is being read is measured by the
+    // larger of these and of those in force since its first byte.
+    void applyLimits(MessageLimits limits);
 
 private:
     struct Impl;
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -206,6 +206,7 @@
     const auto self = this->shared_from_this();
     while (this->state == State::Reading && !this->buffered.empty()) {
         const std::string bytes = std::exchange(this->buffered, {});
+        this->parser.applyLimits(this->context.limits().message);
         const auto read = this->parser.feed(bytes);
         if (!read.ok()) {
             this->rejectMessage(read.status());
@@ -404,7 +405,6 @@
     this->state = State::Reading;
     this->headRead = false;
     this->parser.nextMessage();
-    this->parser.setLimits(this->context.limits().message);
     this->stream->startReading();
     this->armTimer();
     if (!this->buffered.empty()) {
