net: Refuse a body that is announced too long with 413, and name its request

What callers saw: 431 in place of 413 (RFC 9110, 15.5.14), and with Expect: 100-continue nothing else, since the refusal came first. What operators saw: a line without the request. Cause: the parser failed before it passed the head on, and the server takes a failure without a head for a head that is too long.

The parser passes the head of a request on before the error; 100 Continue is sent only after the head was accepted and while the body is missing. Three cases of tests/net fail before and pass after.

--- a/source/samphirebridge/net/messageparser.cpp
+++ b/source/samphirebridge/net/messageparser.cpp
@@ -241,14 +241,13 @@
             return this->failInvalid("found a request to switch protocols, which is not supported");
         }
         const uint64_t length = *framing == BodyFraming::Length ? this->parser.content_length : 0;
-        if (length > this->limits.bodyBytes) {
-            return this->failBodyTooLong();
-        }
         this->headDone = true;
+        const bool isTooLong = length > this->limits.bodyBytes;
         if (this->kind == MessageKind::Request) {
-            return this->reportRequest(*framing, length);
+            const int result = this->reportRequest(*framing, length);
+            return isTooLong && result == ContinueParsing ? this->failBodyTooLong() : result;
         }
-        return this->reportResponse(*framing, length);
+        return isTooLong ? this->failBodyTooLong() : this->reportResponse(*framing, length);
     }
 
     int reportRequest(BodyFraming framing, uint64_t length)
--- a/source/samphirebridge/net/messageparser.h
+++ b/source/samphirebridge/net/messageparser.h
@@ -47,7 +47,8 @@
     // Parses bytes, calls the events for what they complete and returns how many of them belong to
     // the current message; bytes after its end are not consumed. Errors: InvalidRequest for
     // malformed HTTP, TooLarge for a head or body above the limits or for too many bytes that
-    // belong to neither. After an error, or once the message is complete, call nextMessage() first.
+    // belong to neither. The head of a request whose body is announced too long is passed on before
+    // the error. After an error, or once the message is complete, call nextMessage() first.
     absl::StatusOr<size_t> feed(std::string_view bytes);
 
     // Reports that the peer closed the connection, which completes a body with UntilClosed framing.
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -213,8 +213,11 @@
             break;
         }
         this->buffered = bytes.substr(*read);
+        const bool asksForBody = std::exchange(this->continueExpected, false);
         if (std::exchange(this->messageReady, false)) {
             this->dispatchRequest();
+        } else if (asksForBody) {
+            this->send("HTTP/1.1 100 Continue\r\n\r\n");
         }
     }
     this->readingBuffered = false;
@@ -246,9 +249,7 @@
         return;
     }
     this->headRead = true;
-    if (requestHead.expectsContinue) {
-        this->send("HTTP/1.1 100 Continue\r\n\r\n");
-    }
+    this->continueExpected = requestHead.expectsContinue;
     this->incoming.head = std::move(requestHead);
 }
 
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -151,6 +151,7 @@
     std::string buffered; // Received but not parsed yet.
     IncomingRequest incoming;
     bool headRead = false;
+    bool continueExpected = false; // The caller waits before it sends its body.
     bool messageReady = false;
     uint64_t requestNumber = 0;
     State state = State::Reading;
