net: Close an idle connection at once

What callers saw: a request that crosses the end of the idle limit is read whole, and the connection ends up to 2 s later without an answer. Cause: since every close that the server starts lingers, so that the caller gets what was sent before. On a connection that is only idle everything is with the kernel, so the linger protects nothing, and whoever doesn't take the half-close for the end waits for an answer that can't come.

Now what crosses meets a reset by the kernel and isn't read. Ruled out: answering it, since the sending side is closed, and a longer look before the close, since the request is still on its way. tests/net, "... reads nothing more": red before (31 bytes read), passes after.

--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -365,7 +365,9 @@
         return;
     }
     if (!this->parser.started()) {
-        this->closeInOrder(core::CloseReason::IdleTimeout);
+        // Nothing is under way that a linger would protect, and a request that came in it would be
+        // read in vain.
+        this->close(core::CloseReason::IdleTimeout);
         return;
     }
     this->rejectWith(StatusRequestTimeout,
