net, ingress: Keep idle connections for longer than callers may use them

What callers saw: a whole request that gets neither an answer nor a refusal. Cause: the instance closed a connection at the declared limit to the millisecond, counted from when the kernel had taken the answer. Its caller counts from when it has the last byte, by the version that it knows, and its next request is a way longer on the road. Class: both sides of a promise act at the same instant.

An instance now waits longer: by what a change of the limit takes to reach every instance and caller (new setting interface.limits_known_within_ms, from the deployment's bound) and half a second for the ways. Connections still end.

--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -23,13 +23,16 @@
 class Ingress
 {
 public:
-    // All arguments must outlive the ingress.
+    // All references must outlive the ingress. A change of the declared limits takes at most
+    // `limitsKnownWithin` until every instance and caller knows it.
     Ingress(net::EventLoop &eventLoop,
             entry::EntryNode &entryNode,
             telemetry::Counters &counters,
             telemetry::Logger &logger,
-            const Interface &callerInterface)
-        : pool(eventLoop, {})
+            const Interface &callerInterface,
+            core::Duration limitsKnownWithin)
+        : reuseMargin(limitsKnownWithin + ReuseWays)
+        , pool(eventLoop, {})
         , context{eventLoop,
                   entryNode,
                   this->pool,
@@ -108,6 +111,10 @@
 private:
     using Session = ForwardSession<Interface>;
 
+    // What the ways of an answer to its caller and of the next request back take at most, with
+    // packets that are sent again.
+    static constexpr core::Duration ReuseWays = std::chrono::milliseconds(500);
+
     [[nodiscard]] net::ServerLimits limits() const
     {
         const forwarding::CallerLimits &declared
@@ -116,6 +123,7 @@
         limits.message = {declared.headBytes, declared.bodyBytes};
         limits.headTimeout = declared.headTimeout;
         limits.idleTimeout = declared.idleTimeout;
+        limits.reuseMargin = this->reuseMargin;
         return limits;
     }
 
@@ -233,6 +241,7 @@
         responder.sendWhole(std::move(answer.head), answer.body);
     }
 
+    core::Duration reuseMargin; // See net::ServerLimits.
     net::TargetPool pool;
     IngressContext<Interface> context;
     core::TimePoint startedAt;
--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -441,8 +441,10 @@
 core::Duration ServerConnection::waitLimit() const
 {
     const ServerLimits limits = this->context.limits();
-    const bool reading = this->parser.started() && !this->headRead;
-    return reading ? limits.headTimeout : limits.idleTimeout;
+    if (!this->parser.started()) {
+        return limits.idleTimeout + limits.reuseMargin;
+    }
+    return this->headRead ? limits.idleTimeout : limits.headTimeout;
 }
 
 ClosedConnection ServerConnection::describe(core::CloseReason reason) const
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -30,6 +30,9 @@
     core::Duration headTimeout = std::chrono::seconds(5);
     // Bounds the time between two reads within a body, and between requests.
     core::Duration idleTimeout = std::chrono::seconds(30);
+    // How much longer than idleTimeout a connection stays open between requests, for callers that
+    // may still use it: they count from when they have the last byte, by the limit that they know.
+    core::Duration reuseMargin = core::Duration::zero();
 };
 
 struct IncomingRequest {
--- a/source/samphirebridge/settings/settings.h
+++ b/source/samphirebridge/settings/settings.h
@@ -64,6 +64,9 @@
     std::optional<Address>
         readiness; // A load balancer's health checks; served with the role entry.
     std::optional<Address> control; // Targets and operators; served with the role control.
+    // How long a change of the declared limits takes at most until every instance and caller knows
+    // it.
+    core::Duration limitsKnownWithin{};
 };
 
 // Limits the retries that the whole fleet sends to the targets of one service: over any interval,
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -44,7 +44,12 @@
 constexpr std::array<std::string_view, 2> ConsensusKeys{"heartbeat_ms", "election_timeout_ms"};
 constexpr std::array<std::string_view, 1> EscrowKeys{"flush_interval_ms"};
 constexpr std::array<std::string_view, 3> DiscoveryKeys{"seeds", "seed_port", "founds_fleet"};
-constexpr std::array<std::string_view, 3> InterfaceKeys{"callers", "readiness", "control"};
+constexpr std::array<std::string_view, 4> InterfaceKeys{
+    "callers",
+    "readiness",
+    "control",
+    "limits_known_within_ms",
+};
 constexpr std::array<std::string_view, 2> RetryKeys{"share", "slack"};
 constexpr std::array<std::string_view, 2> FaultInjectionKeys{"lose_unsynced", "sync_delay_ms"};
 constexpr std::array<SettingSection, 10> Sections{{
@@ -79,6 +84,7 @@
 constexpr Bounds HeartbeatMs{{10, 10'000}, 100};
 constexpr Bounds ElectionTimeoutMs{{50, 60'000}, 1000};
 constexpr Bounds FlushIntervalMs{{10, 10'000}, 100};
+constexpr Bounds LimitsKnownWithinMs{{0, 60'000}, 2000};
 constexpr Bounds ShutdownGraceMs{{0, 3'600'000}, 30'000};
 constexpr int64_t MinimumHeartbeatsPerElectionTimeout = 3;
 constexpr IntegerRange Ports{1, 65535};
@@ -348,6 +354,8 @@
     settings.interface.callers = readOptionalAddress(reader, "callers", problems);
     settings.interface.readiness = readOptionalAddress(reader, "readiness", problems);
     settings.interface.control = readOptionalAddress(reader, "control", problems);
+    settings.interface.limitsKnownWithin
+        = readMilliseconds(reader, "limits_known_within_ms", LimitsKnownWithinMs);
 }
 
 void readRetries(MapReader &top, Settings &settings, ProblemCollector &problems)
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -47,10 +47,11 @@
             this->loop,
             "127.0.0.1:0",
             [this] {
-                return net::ServerLimits{.message = {.headBytes = this->headBytes,
-                                                     .bodyBytes = this->bodyBytes},
-                                         .headTimeout = this->limit,
-                                         .idleTimeout = this->limit};
+                return net::ServerLimits{
+                    .message = {.headBytes = this->headBytes, .bodyBytes = this->bodyBytes},
+                    .headTimeout = this->limit,
+                    .idleTimeout = this->limit,
+                    .reuseMargin = this->reuseMargin};
             },
             [this](const net::IncomingRequest &request, std::shared_ptr<net::Responder> responder) {
                 this->onRequest(request, std::move(responder));
@@ -142,6 +143,7 @@
 
     int port = 0;
     std::atomic<core::Duration> limit{30s}; // Of every wait for a caller's bytes.
+    std::atomic<core::Duration> reuseMargin{0s};
     std::atomic<size_t> headBytes = 2048;
     std::atomic<size_t> bodyBytes = 16;
     std::atomic<bool> drain = false;
@@ -526,6 +528,39 @@
     }
 }
 
+// Guards against a request that is lost because its caller counts the idle limit from when it has
+// the last byte, and by the declaration that it knows.
+TEST_CASE("a connection stays open between requests for a margin beyond the idle limit")
+{
+    Server server;
+    server.limit = 10ms;
+    const Peer caller = Peer::connect(static_cast<uint16_t>(server.port));
+    caller.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.runUntilRequest();
+    SECTION("a request within the margin is answered")
+    {
+        server.reuseMargin = 30s;
+        std::this_thread::sleep_for(3 * server.limit.load());
+        server.runDue();
+        caller.write("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+        server.start();
+        CHECK(caller.readUntil("/next").ends_with("/next"));
+    }
+    SECTION("the connection is closed after it")
+    {
+        server.reuseMargin = 20ms;
+        server.start();
+        CHECK(server.firstClosed().reason == core::CloseReason::IdleTimeout);
+    }
+    SECTION("a request that does not go on has no margin")
+    {
+        server.reuseMargin = 1h;
+        caller.write("GET /ne");
+        server.start();
+        CHECK(server.firstClosed().reason == core::CloseReason::HeadTimeout);
+    }
+}
+
 // Guards against a request that is read whole and dropped because it crosses the end of the idle
 // limit.
 TEST_CASE("a connection that has been idle for too long reads nothing more")
