--- a/source/samphirebridge/net/serverconnection.cpp
+++ b/source/samphirebridge/net/serverconnection.cpp
@@ -44,7 +44,7 @@
              serverContext.limits().message,
              {[this](RequestHead head) { this->onHead(std::move(head)); },
               nullptr,
-              [this](std::string_view bytes) { this->incoming.body += bytes; },
+              [this](std::string_view bytes) { this->onBody(bytes); },
               [this] {
                   this->messageReady = true;
               }})
@@ -184,7 +184,7 @@
 void ServerConnection::onData(std::string_view bytes)
 {
     if (this->state == State::Closing) {
-        this->droppedBytes += bytes.size();
+        this->dropBytes(bytes);
         return;
     }
     this->buffered += bytes;
@@ -206,14 +206,18 @@
     const auto self = this->shared_from_this();
     while (this->state == State::Reading && !this->buffered.empty()) {
         const std::string bytes = std::exchange(this->buffered, {});
+        this->parser.applyLimits(this->context.limits().message);
         const auto read = this->parser.feed(bytes);
         if (!read.ok()) {
             this->rejectMessage(read.status());
             break;
         }
         this->buffered = bytes.substr(*read);
+        const bool asksForBody = std::exchange(this->continueExpected, false);
         if (std::exchange(this->messageReady, false)) {
             this->dispatchRequest();
+        } else if (asksForBody) {
+            this->send("HTTP/1.1 100 Continue\r\n\r\n");
         }
     }
     this->readingBuffered = false;
@@ -222,12 +226,30 @@
     }
 }
 
+void ServerConnection::dropBytes(std::string_view bytes)
+{
+    this->droppedBytes += bytes.size();
+    if (!this->droppedHead) {
+        // What can't be parsed stays without a head.
+        (void)this->parser.feed(bytes);
+    }
+}
+
+void ServerConnection::onBody(std::string_view bytes)
+{
+    if (this->state != State::Closing) {
+        this->incoming.body += bytes;
+    }
+}
+
 void ServerConnection::onHead(RequestHead requestHead)
 {
-    this->headRead = true;
-    if (requestHead.expectsContinue) {
-        this->send("HTTP/1.1 100 Continue\r\n\r\n");
+    if (this->state == State::Closing) {
+        this->droppedHead = std::move(requestHead);
+        return;
     }
+    this->headRead = true;
+    this->continueExpected = requestHead.expectsContinue;
     this->incoming.head = std::move(requestHead);
 }
 
@@ -259,7 +281,7 @@
     head.framing = BodyFraming::Length;
     head.keepAlive = false;
     this->send(formatHead(head));
-    this->requestRejected = true;
+    this->refusalStatus = status;
     this->closeInOrder(reason);
 }
 
@@ -343,7 +365,9 @@
         return;
     }
     if (!this->parser.started()) {
-        this->closeInOrder(core::CloseReason::IdleTimeout);
+        // Nothing is under way that a linger would protect, and a request that came in it would be
+        // read in vain.
+        this->close(core::CloseReason::IdleTimeout);
         return;
     }
     this->rejectWith(StatusRequestTimeout,
@@ -365,7 +389,9 @@
     // A drain closes no connection whose caller was not told, in the head of an answer: the caller
     // may have sent its next request already.
     if (!this->keepAlive) {
+        this->parser.nextMessage();
         this->closeInOrder(core::CloseReason::LastAnswer);
+        this->dropBytes(std::exchange(this->buffered, {}));
         return;
     }
     if (this->delivering()) {
@@ -382,7 +408,6 @@
     this->state = State::Reading;
     this->headRead = false;
     this->parser.nextMessage();
-    this->parser.setLimits(this->context.limits().message);
     this->stream->startReading();
     this->armTimer();
     if (!this->buffered.empty()) {
@@ -416,8 +441,10 @@
 core::Duration ServerConnection::waitLimit() const
 {
     const ServerLimits limits = this->context.limits();
-    const bool reading = this->parser.started() && !this->headRead;
-    return reading ? limits.headTimeout : limits.idleTimeout;
+    if (!this->parser.started()) {
+        return limits.idleTimeout + limits.reuseMargin;
+    }
+    return this->headRead ? limits.idleTimeout : limits.headTimeout;
 }
 
 ClosedConnection ServerConnection::describe(core::CloseReason reason) const
@@ -425,9 +452,14 @@
     ClosedConnection closed;
     closed.reason = reason;
     const bool beforeAnswer = this->state == State::Reading && this->parser.started();
-    closed.requestOpen = beforeAnswer || this->requestRejected || this->state == State::Answering
+    closed.requestOpen = beforeAnswer || this->refusalStatus != 0 || this->state == State::Answering
                          || this->delivering();
-    closed.head = this->headRead ? &this->incoming.head : nullptr;
+    if (closed.requestOpen || this->droppedBytes == 0) {
+        closed.head = this->headRead ? &this->incoming.head : nullptr;
+    } else {
+        closed.head = this->droppedHead ? &*this->droppedHead : nullptr;
+    }
+    closed.refusalStatus = this->refusalStatus;
     closed.unreadBytes = this->droppedBytes + this->buffered.size() + this->stream->unreadBytes();
     closed.unsentBytes = this->stream->queuedBytes();
     closed.age = this->clock.now() - this->openedAt;
--- a/source/samphirebridge/net/serverconnection.h
+++ b/source/samphirebridge/net/serverconnection.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace samphirebridge::net
@@ -29,6 +30,9 @@
     core::Duration headTimeout = std::chrono::seconds(5);
     // Bounds the time between two reads within a body, and between requests.
     core::Duration idleTimeout = std::chrono::seconds(30);
+    // How much longer than idleTimeout a connection stays open between requests, for callers that
+    // may still use it: they count from when they have the last byte, by the limit that they know.
+    core::Duration reuseMargin = core::Duration::zero();
 };
 
 struct IncomingRequest {
@@ -40,7 +44,10 @@
 struct ClosedConnection {
     core::CloseReason reason = core::CloseReason::CallerClosed;
     bool requestOpen = false; // A request was being read or answered, or its answer delivered.
-    const RequestHead *head = nullptr; // Of that request; null if it was not read whole.
+    // Of that request, or of one that came while the connection was being closed and was dropped;
+    // null if no head was read whole.
+    const RequestHead *head = nullptr;
+    int refusalStatus = 0; // Of a request that was rejected; 0 for none.
     size_t unreadBytes = 0; // Arrived, and belong to no request that was read.
     size_t unsentBytes = 0; // Of answers: not accepted by the kernel yet.
     core::Duration age{};
@@ -106,6 +113,9 @@
     void onData(std::string_view bytes);
     void readBuffered();
     void onHead(RequestHead requestHead);
+    void onBody(std::string_view bytes);
+    // Counts what comes in state Closing, and reads its first head for describe().
+    void dropBytes(std::string_view bytes);
     void dispatchRequest();
     void rejectMessage(const absl::Status &error);
     void onEnd(StreamEnd end);
@@ -144,6 +154,7 @@
     std::string buffered; // Received but not parsed yet.
     IncomingRequest incoming;
     bool headRead = false;
+    bool continueExpected = false; // The caller waits before it sends its body.
     bool messageReady = false;
     uint64_t requestNumber = 0;
     State state = State::Reading;
@@ -151,7 +162,8 @@
     size_t queuedBefore = 0; // When the delivery timer was armed.
     size_t droppedBytes = 0; // That came in state Closing.
     bool callerEnded = false; // The caller sends no more.
-    bool requestRejected = false; // The request that was being read.
+    int refusalStatus = 0; // Of the request that was being read, if it was rejected.
+    std::optional<RequestHead> droppedHead; // Of the first request that came in state Closing.
     bool readingBuffered = false; // Within readBuffered().
     bool chunked = false;
     bool keepAlive = true;
