membership: Bring an acknowledged departure to every instance in contact, until it is confirmed

Cause: in a fleet of more than 17 an instance pushes a change to 4 of its partners, each of which tells 4 of its own; nothing makes sure that this covers the fleet, and who was missed learns of it by a digest to one random partner every 2 s. Ruled out: pushes lost in the cut alone, since the senders were in touch.

Who acknowledges a departure now sends it to every peer in contact, with a request to confirm it, and repeats it each half second until it is confirmed, for 30 s; so a peer that comes back into contact gets it as well. Gossip and anti-entropy stay as they are. Cost: an update and a confirmation for each departure and instance. Weighed and left: a higher fan-out, which only lowers the odds, and shorter digest intervals, which cost without departures too.

Update and confirmation are new fields of MembershipUpdate; an older process ignores them and isn't asked to relay more.

--- a/source/samphirebridge/membership/targetdirectory.cpp
+++ b/source/samphirebridge/membership/targetdirectory.cpp
@@ -6,6 +6,7 @@
 #include "samphirebridge/membership/receivers.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace samphirebridge::membership
@@ -58,6 +59,7 @@
 TargetDirectory::TargetDirectory(core::InstanceId self, MembershipOptions options)
     : self(std::move(self))
     , options(options)
+    , departures(this->self)
 {
 }
 
@@ -96,7 +98,12 @@
     entry.heardAt = now;
     result.kind = AnnouncementKind::Change;
     result.effect.changed.push_back(entry.record);
-    this->push(result.effect.changed, Push{{}, true}, peers, result.effect.outgoing);
+    std::vector<Outgoing> &outgoing = result.effect.outgoing;
+    this->push(result.effect.changed, Push{{}, true}, peers, outgoing);
+    if (entry.record.state() == proto::LEAVING) {
+        this->departures.add(entry.record, outgoing, now);
+        std::ranges::move(this->departures.due(peers, now), std::back_inserter(outgoing));
+    }
     return result;
 }
 
@@ -106,6 +113,7 @@
 {
     DirectoryEffect effect;
     std::vector<proto::TargetRecord> refuted;
+    this->departures.confirm(update);
     for (const proto::TargetRecord &record : update.targets()) {
         if (!checkRelayedTarget(record).ok() || !isConsistent(record)) {
             ++this->droppedCount;
@@ -118,9 +126,27 @@
     const std::string_view source = refuted.empty() ? update.from() : std::string_view();
     this->push(
         relaysChanges ? effect.changed : refuted, Push{source, false}, peers, effect.outgoing);
+    if (update.confirm()) {
+        effect.outgoing.push_back(this->confirmationOf(update));
+    }
     return effect;
 }
 
+Outgoing TargetDirectory::confirmationOf(const proto::MembershipUpdate &update) const
+{
+    Outgoing confirmation{core::InstanceId(update.from()), {}};
+    confirmation.update.set_from(this->self.value);
+    for (const proto::TargetRecord &record : update.targets()) {
+        if (const proto::TargetRecord *stored = this->find(record.id())) {
+            proto::TargetVersion &version = *confirmation.update.add_confirmed();
+            version.set_id(stored->id());
+            version.set_incarnation(stored->incarnation());
+            version.set_revision(stored->revision());
+        }
+    }
+    return confirmation;
+}
+
 void TargetDirectory::mergeRecord(const proto::TargetRecord &record,
                                   bool heard,
                                   core::TimePoint now,
@@ -224,6 +250,7 @@
         effect.changed.push_back(std::move(gone));
     }
     this->push(effect.changed, Push{{}, false}, peers, effect.outgoing);
+    std::ranges::move(this->departures.due(peers, now), std::back_inserter(effect.outgoing));
     return effect;
 }
 
--- a/source/samphirebridge/membership/targetdirectory.h
+++ b/source/samphirebridge/membership/targetdirectory.h
@@ -11,6 +11,7 @@
 
 #include "samphirebridge/core/time.h"
 #include "samphirebridge/membership/antientropy.h"
+#include "samphirebridge/membership/departurespread.h"
 #include "samphirebridge/membership/membershipoptions.h"
 #include "samphirebridge/membership/outgoing.h"
 #include "samphirebridge/membership/targetentry.h"
@@ -56,8 +57,9 @@
     TargetDirectory(core::InstanceId self, MembershipOptions options);
 
     // Stores the record that a target announced to this instance, and assigns its revision. Returns
-    // updates that push a change to the peers or forward a renewal to the watchers.
-    // InvalidAnnouncement if checkTarget refuses the record.
+    // updates that push a change to the peers or forward a renewal to the watchers. A departure
+    // goes to every peer, see DepartureSpread. InvalidAnnouncement if checkTarget refuses the
+    // record.
     absl::StatusOr<AnnouncementEffect> announce(const proto::TargetRecord &record,
                                                 std::span<const core::InstanceId> peers,
                                                 core::TimePoint now);
@@ -74,13 +76,14 @@
     void setWatchers(std::vector<core::InstanceId> instances);
 
     // Merges a peer's records. Returns updates that relay changed records in a fleet above
-    // directPeerLimit, and that push refutations of GONE. An invalid record is dropped and counted.
+    // directPeerLimit, that push refutations of GONE, and that confirm what arrived where the peer
+    // asks for it. An invalid record is dropped and counted.
     DirectoryEffect merge(const proto::MembershipUpdate &update,
                           std::span<const core::InstanceId> peers,
                           core::TimePoint now);
 
     // Declares targets gone that this instance watches and that no longer announce themselves, and
-    // removes old tombstones. To be called about twice a second.
+    // removes old tombstones. Repeats departures. To be called about twice a second.
     DirectoryEffect tick(std::span<const core::InstanceId> peers, core::TimePoint now);
 
     // Returns the digest that starts an anti-entropy exchange. The caller sends it to a random peer
@@ -166,6 +169,8 @@
               const Push &how,
               std::span<const core::InstanceId> peers,
               std::vector<Outgoing> &outgoing) const;
+    // Returns the update that tells the sender which versions of its records are stored here.
+    [[nodiscard]] Outgoing confirmationOf(const proto::MembershipUpdate &update) const;
     // Adds an update for each other watcher of the target that renews the record.
     void forwardRenewal(const proto::TargetRecord &record,
                         std::span<const core::InstanceId> peers,
@@ -184,6 +189,7 @@
     std::optional<std::vector<core::InstanceId>> eligibleWatchers; // Set by setWatchers(), ordered.
     std::optional<core::TimePoint> lastTick;
     TargetEntries entries;
+    DepartureSpread departures;
     uint64_t declaredGoneCount = 0;
     uint64_t refutedCount = 0;
     uint64_t droppedCount = 0;
--- a/tests/membership/membershippropertytest.cpp
+++ b/tests/membership/membershippropertytest.cpp
@@ -153,6 +153,39 @@
     CHECK(fleet.allHave(all, "engine", 1, proto::READY));
 }
 
+// Guards against a target that gets new work after an instance has acknowledged that it leaves:
+// gossip missed some instances of a large fleet, and anti-entropy told them seconds later.
+TEST_CASE("an announced departure reaches every instance of a large fleet within its bound")
+{
+    constexpr size_t Instances = 88;
+    constexpr int BoundMs = 2000; // After the acknowledgement the target gets no new work.
+    std::vector<size_t> all;
+    for (size_t index = 0; index < Instances; ++index) {
+        all.push_back(index);
+    }
+    NetworkFaults faults;
+    SECTION("on a sound network")
+    {
+    }
+    SECTION("on a network that loses some messages")
+    {
+        faults.loss = 0.05;
+    }
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        SimulatedFleet fleet(Instances, faults, seed);
+        fleet.run(12'000);
+        proto::TargetRecord target = makeTarget("engine", 1);
+        for (size_t index = 0; index < Instances; ++index) {
+            fleet.announce(target, index);
+        }
+        fleet.run(1000);
+        target.set_state(proto::LEAVING);
+        fleet.announce(target, seed % Instances);
+        fleet.run(BoundMs);
+        CHECK(fleet.allHave(all, "engine", 1, proto::LEAVING));
+    }
+}
+
 // Prints the figures of docs/design/0004-membership.md and checks nothing. Run it by its tag.
 TEST_CASE("figures: messages and bytes by the numbers of instances and targets", "[.figures]")
 {
