forwarding, ingress: Keep the longer idle limit while a lower one spreads

What callers may see: a request that is lost since its connection became idle when the instance already had a lower limit and its caller did not.

A raise holds at once, as before.

--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -2,6 +2,7 @@
 // own.
 #pragma once
 
+#include "samphirebridge/forwarding/idlelimit.h"
 #include "samphirebridge/ingress/forwardsession.h"
 #include "samphirebridge/net/httpserver.h"
 
@@ -31,7 +32,8 @@
             telemetry::Logger &logger,
             const Interface &callerInterface,
             core::Duration limitsKnownWithin)
-        : reuseMargin(limitsKnownWithin + ReuseWays)
+        : idleLimit(limitsKnownWithin)
+        , reuseMargin(limitsKnownWithin + ReuseWays)
         , pool(eventLoop, {})
         , context{eventLoop,
                   entryNode,
@@ -115,14 +117,15 @@
     // packets that are sent again.
     static constexpr core::Duration ReuseWays = std::chrono::milliseconds(500);
 
-    [[nodiscard]] net::ServerLimits limits() const
+    net::ServerLimits limits()
     {
         const forwarding::CallerLimits &declared
             = this->context.node.declaration().routeTable()->declaration().limits;
         net::ServerLimits limits;
         limits.message = {declared.headBytes, declared.bodyBytes};
         limits.headTimeout = declared.headTimeout;
-        limits.idleTimeout = declared.idleTimeout;
+        limits.idleTimeout
+            = this->idleLimit.longest(declared.idleTimeout, this->context.clock.now());
         limits.reuseMargin = this->reuseMargin;
         return limits;
     }
@@ -241,6 +244,7 @@
         responder.sendWhole(std::move(answer.head), answer.body);
     }
 
+    forwarding::IdleLimit idleLimit;
     core::Duration reuseMargin; // See net::ServerLimits.
     net::TargetPool pool;
     IngressContext<Interface> context;
