--- a/source/samphirebridge/net/httpserver.h
+++ b/source/samphirebridge/net/httpserver.h
@@ -23,9 +23,9 @@
     using OnClosed = std::function<void(const ClosedConnection &)>;
     using OnRequest = std::function<void(IncomingRequest, std::shared_ptr<Responder>)>;
 
-    // Starts to listen on an IPv4 address "host:port". `limits` is called again for each part of a request,
-    // and before a connection is closed for its silence, so that changed limits take effect; a
-    // shorter one does so for the waits that begin after the change. Errors are those of
+    // Starts to listen on an IPv4 address "host:port". `limits` is called again for each part of a
+    // request, and before a connection is closed for its silence, so that changed limits take
+    // effect; a shorter one does so for the waits that begin after the change. Errors are those of
     // TcpListener::listen.
     static absl::StatusOr<std::unique_ptr<HttpServer>> listen(EventLoop &loop,
                                                               std::string_view address,
