http: Ask for no body that is refused already

What callers saw: 100 Continue, and then 413, for a body that the product's interface refuses by its announced length: the whole body was sent in vain. Cause: the interim answer came before the look at the length. tests/http: red before, passes after.

--- a/source/samphirebridge/http/server.cpp
+++ b/source/samphirebridge/http/server.cpp
@@ -76,14 +76,20 @@
     return lengths + encodings > 1;
 }
 
+bool isAnnouncedTooLarge(const mg_connection *connection, uint64_t maximumBytes)
+{
+    const long long announced = ::mg_get_request_info(connection)->content_length;
+    return announced > 0 && static_cast<uint64_t>(announced) > maximumBytes;
+}
+
 enum class BodyResult { Complete, TooLarge, Broken };
 
 BodyResult readBody(mg_connection *connection, uint64_t maximumBytes, std::string &body)
 {
-    const long long announced = ::mg_get_request_info(connection)->content_length;
-    if (announced > 0 && static_cast<uint64_t>(announced) > maximumBytes) {
+    if (isAnnouncedTooLarge(connection, maximumBytes)) {
         return BodyResult::TooLarge;
     }
+    const long long announced = ::mg_get_request_info(connection)->content_length;
     std::vector<char> buffer(ReadBufferBytes);
     while (true) {
         const int count = ::mg_read(connection, buffer.data(), buffer.size());
@@ -212,7 +218,9 @@
         refuse(writer, StatusBadRequest, "invalid_request", "The length of the body is ambiguous");
         return;
     }
-    if (equalIgnoringCase(request.headers.find("Expect").value_or(""), "100-continue")) {
+    const bool asksForBody = !isAnnouncedTooLarge(connection, this->settings.maximumBodyBytes);
+    if (asksForBody
+        && equalIgnoringCase(request.headers.find("Expect").value_or(""), "100-continue")) {
         constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         ::mg_write(connection, Continue.data(), Continue.size());
     }
--- a/source/samphirebridge/ingress/requestlog.h
+++ b/source/samphirebridge/ingress/requestlog.h
@@ -27,8 +27,8 @@
 // Writes one log line about a caller's connection that ended while a request was being read or
 // answered, or had arrived unread, or while a part of an answer waited to be sent. The id is that
 // of the request that was open or dropped, empty if it is not known; the status that of a request
-// that was rejected, else 0. The age of the version in force tells whether a declaration changed in the
-// life of the connection.
+// that was rejected, else 0. The age of the version in force tells whether a declaration changed in
+// the life of the connection.
 void logClosedConnection(telemetry::Logger &logger,
                          const RequestLogFields &fields,
                          const net::ClosedConnection &closed,
--- a/tests/http/servertest.cpp
+++ b/tests/http/servertest.cpp
@@ -169,6 +169,40 @@
     CHECK(calls == 1);
 }
 
+// Guards against a refusal that is lost in the reset of a connection which is closed over unread
+// bytes.
+TEST_CASE("a caller that first writes its whole body to the product's interface gets the refusal")
+{
+    ServerSettings settings;
+    settings.maximumBodyBytes = 8;
+    const auto server = serve(answerOk, settings);
+    const std::string excess(size_t{4} * 1024 * 1024, 'x');
+    const Peer caller = Peer::connect(server->port());
+    SECTION("a body that is announced too long")
+    {
+        caller.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4194304\r\n\r\n" + excess);
+    }
+    SECTION("a body that turns out too long")
+    {
+        caller.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n400000\r\n"
+                     + excess + "\r\n0\r\n\r\n");
+    }
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 413 "));
+    CHECK_FALSE(caller.wasReset());
+}
+
+// Guards against asking a caller for a body that is refused already.
+TEST_CASE("a caller of the product's interface is not asked for a body that is too long")
+{
+    ServerSettings settings;
+    settings.maximumBodyBytes = 8;
+    const auto server = serve(answerOk, settings);
+    CHECK(sendRaw(*server,
+                  "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+                  "Expect: 100-continue\r\n\r\n")
+              .starts_with("HTTP/1.1 413 "));
+}
+
 TEST_CASE("requests with too many or too long headers, or ambiguous or short bodies, never reach "
           "the handler")
 {
