daemon: Block signals before the settings are read

Cause: SIGTERM, SIGINT and SIGHUP were blocked only after the settings had been read, and until then the default action ends the process, for a reload too. They are blocked first now, and wait for sigwait.

tests/fleet, "a signal that comes while an instance reads its settings ...": a pipe as the settings file holds the process there. What comes before main() still ends it, when nothing has been started.

--- a/source/samphirebridge/daemon/processrunner.cpp
+++ b/source/samphirebridge/daemon/processrunner.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -82,6 +83,9 @@
     // the processor time of a process that opens many connections.
     absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     const CommandLine commandLine = parseCommandLine(arguments);
+    // Before anything that takes time: a supervisor may send signals from the start on.
+    const std::optional<sigset_t> signals
+        = commandLine.action == Action::Run ? std::optional(blockSignals()) : std::nullopt;
     auto settings = settings::loadSettings(commandLine.settingsPath);
     if (!settings.ok()) {
         return printError(settings.status());
@@ -94,7 +98,7 @@
         const absl::Status initialised = initialiseDataFolder(*settings);
         return initialised.ok() ? static_cast<int>(ExitCode::Success) : printError(initialised);
     }
-    return run(commandLine.settingsPath, std::move(*settings), attach, blockSignals());
+    return run(commandLine.settingsPath, std::move(*settings), attach, *signals);
 }
 
 } // namespace samphirebridge::daemon
--- a/tests/fleet/platformtest.cpp
+++ b/tests/fleet/platformtest.cpp
@@ -6,8 +6,11 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <sys/stat.h>
+
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -164,6 +167,41 @@
     CHECK(exitCodeAfterStop(settingsWithoutRunningSeed("control", Base, addresses), Base + 3) == 0);
 }
 
+// Guards against a process that is ended by a signal of its supervisor while it starts: nothing was
+// stopped in order, and a reload ended it.
+TEST_CASE("a signal that comes while an instance reads its settings waits for its start")
+{
+    constexpr uint16_t Base = 27100;
+    std::signal(SIGPIPE, SIG_IGN);
+    TemporaryFolder folder;
+    const std::filesystem::path file = folder.path() / "settings.yaml";
+    // Whoever opens a pipe waits for the other side, so the process is held while it reads.
+    REQUIRE(::mkfifo(file.c_str(), S_IRUSR | S_IWUSR) == 0);
+    const std::string readiness
+        = fmt::format("interface:\n  readiness: \"127.0.0.1:{}\"\n", Base + 4);
+    const std::string settings = settingsWithoutRunningSeed("entry", Base, readiness);
+    ChildProcess process(
+        platformProgram(), {"--settings=" + file.string()}, folder.path() / "log.txt");
+    std::ofstream first(file);
+    SECTION("to stop")
+    {
+        process.signal(SIGTERM);
+        first << settings << std::flush;
+        first.close();
+    }
+    SECTION("to reload")
+    {
+        process.signal(SIGHUP);
+        first << settings << std::flush;
+        first.close();
+        Fleet::waitFor("the process answers",
+                       [&] { return bodyAt(Base + 4, "/v1/readiness").has_value(); });
+        std::ofstream(file) << settings;
+        process.signal(SIGTERM);
+    }
+    CHECK(process.wait() == 0);
+}
+
 TEST_CASE("an entry instance tells why a connection ended over a request that was not read whole")
 {
     constexpr uint16_t Base = 26400;
