tests/net, tests/fleet: Ask for the margin itself, and fail in place of a hang

The case that a connection is closed after its margin passed without any margin; it asks for the age now. The case of signals at the start waited for ever for a process that has ended; it opens the pipe without blocking and gives up as the other cases do.

--- a/tests/fleet/platformtest.cpp
+++ b/tests/fleet/platformtest.cpp
@@ -6,11 +6,12 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <fcntl.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <csignal>
-#include <fstream>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -65,6 +66,23 @@
     return process.wait();
 }
 
+// Opens a pipe once a process reads from it.
+int openForReader(const std::filesystem::path &pipe)
+{
+    int descriptor = -1;
+    Fleet::waitFor("the pipe is read", [&] {
+        descriptor = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return descriptor >= 0;
+    });
+    return descriptor;
+}
+
+void writeAndClose(int descriptor, std::string_view text)
+{
+    CHECK(::write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    ::close(descriptor);
+}
+
 std::string requestText(const std::string &path, const std::string &id)
 {
     return fmt::format("GET {} HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: {}\r\n\r\n", path, id);
@@ -182,21 +200,19 @@
     const std::string settings = settingsWithoutRunningSeed("entry", Base, readiness);
     ChildProcess process(
         platformProgram(), {"--settings=" + file.string()}, folder.path() / "log.txt");
-    std::ofstream first(file);
+    const int first = openForReader(file);
     SECTION("to stop")
     {
         process.signal(SIGTERM);
-        first << settings << std::flush;
-        first.close();
+        writeAndClose(first, settings);
     }
     SECTION("to reload")
     {
         process.signal(SIGHUP);
-        first << settings << std::flush;
-        first.close();
+        writeAndClose(first, settings);
         Fleet::waitFor("the process answers",
                        [&] { return bodyAt(Base + 4, "/v1/readiness").has_value(); });
-        std::ofstream(file) << settings;
+        writeAndClose(openForReader(file), settings);
         process.signal(SIGTERM);
     }
     CHECK(process.wait() == 0);
--- a/tests/net/servertest.cpp
+++ b/tests/net/servertest.cpp
@@ -30,6 +30,7 @@
     size_t unsentBytes;
     std::string path; // Empty if no head was read.
     int refusalStatus;
+    core::Duration age;
 };
 
 // A server whose loop runs on a thread of its own. The path of a request selects how it is
@@ -197,7 +198,8 @@
                                 ended.unreadBytes,
                                 ended.unsentBytes,
                                 ended.head == nullptr ? "" : ended.head->target,
-                                ended.refusalStatus});
+                                ended.refusalStatus,
+                                ended.age});
     }
 
     void endStreams()
@@ -550,7 +552,9 @@
     {
         server.reuseMargin = 20ms;
         server.start();
-        CHECK(server.firstClosed().reason == core::CloseReason::IdleTimeout);
+        const Closed closed = server.firstClosed();
+        CHECK(closed.reason == core::CloseReason::IdleTimeout);
+        CHECK(closed.age >= server.limit.load() + server.reuseMargin.load());
     }
     SECTION("a request that does not go on has no margin")
     {
