--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -84,7 +84,7 @@
 constexpr Bounds HeartbeatMs{{10, 10'000}, 100};
 constexpr Bounds ElectionTimeoutMs{{50, 60'000}, 1000};
 constexpr Bounds FlushIntervalMs{{10, 10'000}, 100};
-constexpr Bounds LimitsKnownWithinMs{{0, 60'000}, 2000};
+constexpr Bounds LimitsKnownWithinMs{{0, 3'600'000}, 2000};
 constexpr Bounds ShutdownGraceMs{{0, 3'600'000}, 30'000};
 constexpr int64_t MinimumHeartbeatsPerElectionTimeout = 3;
 constexpr IntegerRange Ports{1, 65535};
