entry: Tell which instance is behind, since when, and who notified and answered it

- Control instances log instance_behind and instance_up_to_date by instance, with its age, and set declaration_lag_seconds.
- declaration_in_force names notifier, source, requests and failures; declaration_fetch_failed names the source.

For both, and for tests in virtual time, the schedule of the notices moves out of DeclarationPublisher into a class without I/O, NoticeSchedule. When notices are sent does not change.

--- a/source/samphirebridge/entry/declarationfetch.cpp
+++ b/source/samphirebridge/entry/declarationfetch.cpp
@@ -37,6 +37,7 @@
     }
     this->committedVersion = version;
     this->notifier = from;
+    this->currentEffort.notifier = from;
 }
 
 void DeclarationFetch::onCommitted(uint64_t version)
@@ -50,6 +51,7 @@
     this->committedVersion = std::max(this->committedVersion, version);
     this->needsFullContent = false;
     this->transfer = {};
+    this->currentEffort = {};
     this->nextRequestAt = now + ChangePause;
 }
 
@@ -60,6 +62,9 @@
     // An instance that holds no version asks without a notice: a version may have been committed
     // before it started.
     const bool isBehind = this->heldVersion < this->committedVersion || this->heldVersion == 0;
+    if (isBehind && this->currentEffort.behindSince == core::TimePoint{}) {
+        this->currentEffort.behindSince = now;
+    }
     if (!isBehind || !this->requestedFrom.empty() || now < this->nextRequestAt) {
         return std::nullopt;
     }
@@ -69,6 +74,8 @@
         return std::nullopt;
     }
     this->requestedFrom = outgoing.to;
+    this->currentEffort.source = outgoing.to;
+    ++this->currentEffort.requestCount;
     outgoing.request.set_known_version(this->needsFullContent ? 0 : this->heldVersion);
     outgoing.request.set_checksum(this->transfer.checksum);
     outgoing.request.set_offset(this->transfer.bytes.size());
@@ -117,6 +124,11 @@
     this->abandonRequest(now);
 }
 
+const FetchEffort &DeclarationFetch::effort() const
+{
+    return this->currentEffort;
+}
+
 // Prefers the instance that announced the version: it has applied it, and was reachable just now.
 // Otherwise the control instances are asked in turn.
 core::InstanceId DeclarationFetch::chooseSource(std::span<const core::InstanceId> controlInstances)
@@ -137,6 +149,7 @@
     }
     this->requestedFrom = {};
     this->nextRequestAt = now + RetryPause;
+    ++this->currentEffort.failureCount;
 }
 
 bool DeclarationFetch::appendPart(const proto::FetchDeclarationReply &reply)
--- a/source/samphirebridge/entry/declarationfetch.h
+++ b/source/samphirebridge/entry/declarationfetch.h
@@ -22,6 +22,15 @@
     proto::FetchDeclarationRequest request;
 };
 
+// What it took to get from the held version to the next one.
+struct FetchEffort {
+    core::TimePoint behindSince; // When a newer version was first known.
+    core::InstanceId notifier; // The last to announce a newer version; empty if none did.
+    core::InstanceId source; // The last instance asked.
+    size_t requestCount = 0;
+    size_t failureCount = 0; // Requests that failed or brought nothing new.
+};
+
 // At most one request is outstanding. A transfer that one instance began can be continued by
 // another: the parts received so far are kept. Not thread-safe; does no I/O: the host sends the
 // requests and passes the replies back.
@@ -59,6 +68,9 @@
     // does not apply to the held version.
     void restart(core::TimePoint now);
 
+    // Returns what was done since the held version came into force.
+    [[nodiscard]] const FetchEffort &effort() const;
+
 private:
     struct Transfer {
         uint64_t checksum = 0; // Of the complete transfer.
@@ -80,6 +92,7 @@
     core::TimePoint nextRequestAt;
     core::InstanceId requestedFrom; // Empty: no request is outstanding.
     Transfer transfer;
+    FetchEffort currentEffort;
 };
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -121,13 +121,15 @@
                               ? this->fetch.nextRequest(this->client.controlInstances(), now)
                               : std::nullopt;
     if (outgoing) {
-        this->sendFetch(outgoing->to, outgoing->request, [this](const auto &reply) {
-            this->onFetchReply(reply);
-        });
+        this->sendFetch(
+            outgoing->to, outgoing->request, [this, source = outgoing->to](const auto &reply) {
+                this->onFetchReply(source, reply);
+            });
     }
 }
 
-void DeclarationKeeper::onFetchReply(const absl::StatusOr<proto::FetchDeclarationReply> &reply)
+void DeclarationKeeper::onFetchReply(const core::InstanceId &source,
+                                     const absl::StatusOr<proto::FetchDeclarationReply> &reply)
 {
     const core::TimePoint now = this->clock.now();
     if (reply.ok()) {
@@ -136,8 +138,9 @@
     }
     const auto change = this->fetch.onReply(reply, now);
     if (!change.ok()) {
-        this->logger.change("declaration_fetch_failed",
-                            {{"error", std::string(core::messageOf(change.status()))}});
+        this->logger.change(
+            "declaration_fetch_failed",
+            {{"source", source.value}, {"error", std::string(core::messageOf(change.status()))}});
         return;
     }
     if (*change) {
@@ -198,11 +201,24 @@
     this->counters.count(telemetry::Event::ManifestsInForce);
     this->counters.set(telemetry::Gauge::ManifestVersion,
                        static_cast<double>(this->heldDeclaration.version()));
+    this->logInForce();
+    this->onDeclaration(this->currentTable->declaration());
+}
+
+void DeclarationKeeper::logInForce()
+{
+    const FetchEffort &effort = this->fetch.effort();
+    const auto behind = std::chrono::duration_cast<std::chrono::milliseconds>(this->currentSince
+                                                                              - effort.behindSince);
     this->logger.change(
         "declaration_in_force",
         {{"version", std::to_string(this->heldDeclaration.version())},
-         {"routes", std::to_string(this->currentTable->declaration().routes.size())}});
-    this->onDeclaration(this->currentTable->declaration());
+         {"routes", std::to_string(this->currentTable->declaration().routes.size())},
+         {"behind_ms", std::to_string(behind.count())},
+         {"notifier", effort.notifier.value},
+         {"source", effort.source.value},
+         {"requests", std::to_string(effort.requestCount)},
+         {"failed", std::to_string(effort.failureCount)}});
 }
 
 void DeclarationKeeper::logPurchases(const forwarding::Declaration &before)
--- a/source/samphirebridge/entry/declarationkeeper.h
+++ b/source/samphirebridge/entry/declarationkeeper.h
@@ -73,7 +73,8 @@
     void readCommittedVersion();
     void onCommittedVersion(const absl::StatusOr<proto::ReadDeclarationReply> &reply);
     void sendNextFetch(core::TimePoint now);
-    void onFetchReply(const absl::StatusOr<proto::FetchDeclarationReply> &reply);
+    void onFetchReply(const core::InstanceId &source,
+                      const absl::StatusOr<proto::FetchDeclarationReply> &reply);
     // Applies a fetched change to the held content and puts the result in force. If it does not
     // apply, the full content is requested instead.
     void applyChange(const proto::DeclarationChange &change, core::TimePoint now);
@@ -82,6 +83,8 @@
     // Decodes the held declaration and makes it current. If it can't be decoded, the current one
     // stays in force.
     void putInForce();
+    // Logs the version that came into force, and what it took to get it.
+    void logInForce();
     // Logs each organisation whose purchased tokens differ from those of the declaration before.
     void logPurchases(const forwarding::Declaration &before);
 
--- a/source/samphirebridge/entry/declarationpublisher.h
+++ b/source/samphirebridge/entry/declarationpublisher.h
@@ -3,13 +3,15 @@
 #pragma once
 
 #include "instance.pb.h"
+#include "samphirebridge/entry/noticeschedule.h"
 #include "samphirebridge/membership/instancedirectory.h"
 #include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/telemetry/logger.h"
 #include "samphirebridge/transport/peerset.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
-#include <span>
 #include <string>
 
 namespace samphirebridge::entry
@@ -24,9 +26,7 @@
                          telemetry::Counters &counters,
                          telemetry::Logger &logger);
 
-    // Sends the notices that are due to the instances in contact with an older version. Each entry
-    // instance has a primary notifier among the control instances in contact, which notifies it at
-    // once; the others do so only if it still has an older version some time later.
+    // Sends the notices that are due, see NoticeSchedule.
     void tick(uint64_t committedVersion,
               const membership::InstanceDirectory &instances,
               core::TimePoint now);
@@ -38,24 +38,22 @@
         bool isLogged = false; // The log line of the version is written.
     };
 
-    // Returns whether this control instance has the highest rendezvous weight for the instance
-    // among the control instances that are in contact and not leaving.
-    [[nodiscard]] bool isPrimaryNotifierOf(const std::string &instance,
-                                           std::span<const membership::InstanceView> views) const;
+    void sendNotice(const core::InstanceId &receiver);
 
     // Logs once for each version when all instances in contact have it, or when a newer one was
     // committed before. Versions without a notice are not logged.
-    void logPropagation(size_t instancesBehind, core::TimePoint now);
+    void logPropagation(core::TimePoint now);
+
+    // Logs once for each instance that it has been behind for long, and once that it no longer is.
+    void logLags();
 
     core::InstanceId self;
     transport::PeerSet &peers;
     telemetry::Counters &counters;
     telemetry::Logger &logger;
-    uint64_t version = 0;
-    core::TimePoint committedAt; // When this instance learned of the commit.
-    std::map<std::string, core::TimePoint> notifiedAt; // By instance, for the current version.
-    Propagation propagation; // For the current version.
-    size_t lastBehindCount = 0; // Instances in contact with an older version, at the last tick.
+    NoticeSchedule schedule;
+    Propagation propagation; // For the newest version.
+    std::map<std::string, InstanceLag> loggedLags; // By instance.
 };
 
 } // namespace samphirebridge::entry
--- /dev/null
+++ b/source/samphirebridge/entry/noticeschedule.h
@@ -0,0 +1,83 @@
+// Decides when a control instance notifies which entry instances of a committed declaration.
+#pragma once
+
+#include "samphirebridge/core/ids.h"
+#include "samphirebridge/core/time.h"
+#include "samphirebridge/membership/instancedirectory.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace samphirebridge::entry
+{
+
+// An entry instance in contact that has an older version than this control instance has applied.
+struct InstanceLag {
+    std::string instance;
+    uint64_t heldVersion = 0;
+    // The time since this control instance applied the first version that the instance lacks.
+    core::Duration age{};
+    bool isPrimary = false; // Whether this control instance is its primary notifier.
+    size_t noticeCount = 0; // Sent since the instance fell behind.
+    core::Duration sinceLastNotice{}; // 0 if none was sent.
+};
+
+// Each entry instance has a primary notifier among the control instances in contact, which notifies
+// it at once; the others do so only if it still has an older version some time later. Not
+// thread-safe; does no I/O: the host sends the notices.
+class NoticeSchedule
+{
+public:
+    // `self` is the control instance that sends the notices.
+    explicit NoticeSchedule(core::InstanceId self);
+
+    // Notes the newest version that this control instance has applied. Older ones are ignored.
+    void onApplied(uint64_t version, core::TimePoint now);
+
+    // Returns the instances in contact with an older version to which a notice is due, and counts
+    // them as notified.
+    std::vector<core::InstanceId> takeDue(std::span<const membership::InstanceView> views,
+                                          core::TimePoint now);
+
+    // Returns the newest version that was applied; 0: none.
+    [[nodiscard]] uint64_t version() const;
+
+    // Returns when this instance applied it.
+    [[nodiscard]] core::TimePoint appliedAt() const;
+
+    // Returns the instances in contact that had an older version at the last takeDue().
+    [[nodiscard]] const std::vector<InstanceLag> &lags() const;
+
+    // Returns how many instances were notified of the version.
+    [[nodiscard]] size_t notifiedCount() const;
+
+private:
+    // Returns whether this control instance has the highest rendezvous weight for the instance
+    // among the control instances that are in contact and not leaving.
+    [[nodiscard]] bool isPrimaryNotifierOf(const std::string &instance,
+                                           std::span<const membership::InstanceView> views) const;
+
+    // Returns the time since the first version above `heldVersion` was applied here.
+    [[nodiscard]] core::Duration lagAge(uint64_t heldVersion, core::TimePoint now) const;
+    InstanceLag makeLag(const proto::InstanceRecord &record, bool isPrimary, core::TimePoint now);
+
+    // The notices to an instance since it fell behind.
+    struct SentNotices {
+        size_t count = 0;
+        core::TimePoint last;
+    };
+
+    core::InstanceId self;
+    uint64_t newestVersion = 0;
+    core::TimePoint newestAppliedAt;
+    std::map<std::string, core::TimePoint> notifiedAt; // By instance, for the newest version.
+    std::map<uint64_t, core::TimePoint> recentVersions; // When each was applied.
+    std::map<std::string, SentNotices> sentNotices; // By instance that is behind.
+    std::vector<InstanceLag> currentLags;
+};
+
+} // namespace samphirebridge::entry
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -87,6 +87,9 @@
     {Gauge::StorageFull,
      "storage_full",
      "1 while the disk has no room for the replicated log, else 0."},
+    {Gauge::DeclarationLag,
+     "declaration_lag_seconds",
+     "Longest time that an entry instance in contact has lacked a declaration applied here."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -63,6 +63,7 @@
     CrashSuspects,
     HarmfulParts,
     StorageFull,
+    DeclarationLag,
 };
 
 // Durations that are recorded in a histogram.
