tests/entry: Show that changes in quick succession outrun the substitute notifier

A simulated fleet in virtual time, with the product's own schedule of notices, fetches, heartbeats and declaration source.

--- /dev/null
+++ b/tests/entry/declarationspreadtest.cpp
@@ -0,0 +1,100 @@
+// How long a confirmed declaration takes to reach every entry instance, in virtual time.
+#include "tests/entry/spreadfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <vector>
+
+using namespace samphirebridge;
+using namespace std::chrono_literals;
+using entry::tests::SpreadFleet;
+using entry::tests::Trouble;
+
+namespace
+{
+
+// The time that the users' rules allow from an acknowledgement to force (ConfigApplyMs).
+constexpr core::Duration Bound = 2s;
+
+constexpr size_t ControlInstances = 5;
+
+// How many control instances the deployments bear to lose at once.
+constexpr size_t ToleratedLosses = 2;
+
+// Commits a version at intervals of `gap`, for the given time.
+void commitEach(SpreadFleet &fleet, core::Duration gap, core::Duration time)
+{
+    const core::TimePoint end = fleet.now + time;
+    while (fleet.now < end) {
+        fleet.commit();
+        fleet.run(gap);
+    }
+}
+
+// Commits versions at random intervals, of which short ones are the most frequent, while control
+// instances get into trouble and out of it at random times.
+void playRandomDay(SpreadFleet &fleet, core::Duration time)
+{
+    constexpr core::Duration ShortestGap = 50ms;
+    constexpr uint64_t GapSteps = 4;
+    constexpr Trouble Troubles[]
+        = {Trouble::CutFromControl, Trouble::CutNear, Trouble::Frozen, Trouble::Full};
+    std::vector<bool> isTroubled(ControlInstances);
+    const core::TimePoint end = fleet.now + time;
+    while (fleet.now < end) {
+        fleet.commit();
+        fleet.run(ShortestGap
+                  * (1 + fleet.random() % (uint64_t{1} << fleet.random() % (GapSteps + 1))));
+        if (fleet.random() % 8 != 0) {
+            continue;
+        }
+        const size_t control = fleet.random() % ControlInstances;
+        if (isTroubled[control]) {
+            fleet.setTrouble(control, Trouble::None);
+            isTroubled[control] = false;
+        } else if (static_cast<size_t>(std::ranges::count(isTroubled, true)) < ToleratedLosses) {
+            fleet.setTrouble(control, Troubles[fleet.random() % std::size(Troubles)]);
+            isTroubled[control] = true;
+        }
+    }
+    fleet.run(Bound);
+}
+
+} // namespace
+
+// Guards against a substitute notifier that waits anew with each version: while one control
+// instance is cut off from the others, changes in quick succession reach its share of the fleet
+// only when they end.
+TEST_CASE("changes in quick succession are in force in time while a control instance is cut off")
+{
+    for (const Trouble trouble :
+         {Trouble::CutFromControl, Trouble::CutNear, Trouble::Frozen, Trouble::Full}) {
+        for (const core::Duration gap : {100ms, 300ms, 500ms, 590ms, 900ms}) {
+            for (size_t control = 0; control < ControlInstances; ++control) {
+                SpreadFleet fleet(ControlInstances, 6, 54);
+                fleet.setTrouble(control, trouble);
+                commitEach(fleet, gap, 8s);
+                fleet.run(Bound);
+                CAPTURE(static_cast<int>(trouble), gap.count(), control);
+                CHECK(fleet.longestWait() <= Bound);
+            }
+        }
+    }
+}
+
+// Guards against every wait on the way to force that another event begins anew, and against taking
+// an instance in contact for one that is able to do the work, in fleets of any size.
+TEST_CASE("at random intervals and under random losses every confirmed change is in force in time")
+{
+    constexpr uint64_t Seeds = 24;
+    constexpr size_t FleetSizes[] = {6, 8, 30, 82};
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        SpreadFleet fleet(ControlInstances, FleetSizes[seed % std::size(FleetSizes)], seed);
+        playRandomDay(fleet, 15s);
+        CAPTURE(seed);
+        CHECK(fleet.longestWait() <= Bound);
+    }
+}
--- /dev/null
+++ b/tests/entry/spreadfleet.cpp
@@ -0,0 +1,346 @@
+#include "tests/entry/spreadfleet.h"
+
+#include "samphirebridge/core/errors.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace samphirebridge::entry::tests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr core::Duration Step = 10ms;
+constexpr core::Duration Latency = 2ms;
+
+// The intervals of the daemon and of its settings on the platform.
+constexpr core::Duration PublishInterval = 50ms;
+constexpr core::Duration LeaderHeartbeat = 120ms;
+constexpr core::Duration ControlCheckInterval = 500ms;
+constexpr core::Duration FetchTimeout = 500ms;
+
+// How long a control instance that is well again takes to apply what it lacks.
+constexpr core::Duration CatchUpTime = 300ms;
+
+// The time in which the instances of a new fleet learn of each other.
+constexpr core::Duration DiscoveryTime = 20s;
+
+membership::MembershipOptions membershipOptions()
+{
+    membership::MembershipOptions options;
+    options.discoverPeers = true;
+    options.directPeerLimit = 16;
+    options.silentInstanceRetention = 60s;
+    return options;
+}
+
+} // namespace
+
+SpreadFleet::SpreadFleet(size_t controlInstances, size_t entryInstances, uint64_t seed)
+    : random(seed)
+{
+    this->start(controlInstances, entryInstances);
+    this->run(DiscoveryTime);
+    this->commit();
+    this->run(2s);
+    this->versions.clear();
+    this->noticeCount = 0;
+}
+
+void SpreadFleet::start(size_t controlInstances, size_t entryInstances)
+{
+    std::vector<core::InstanceId> seeds;
+    for (size_t number = 0; number < controlInstances; ++number) {
+        ControlProcess &control = *this->controls.emplace_back(std::make_unique<ControlProcess>());
+        control.id = core::InstanceId(fmt::format("control-{}", number));
+        control.directory = std::make_unique<membership::InstanceDirectory>(
+            control.id, core::Incarnation{1}, membershipOptions());
+        control.directory->setRoles(true, false);
+        control.schedule = std::make_unique<NoticeSchedule>(control.id);
+        if (seeds.size() < 3) {
+            seeds.push_back(control.id);
+        }
+    }
+    for (size_t number = 0; number < entryInstances; ++number) {
+        EntryProcess &entry = *this->entries.emplace_back(std::make_unique<EntryProcess>());
+        entry.id = core::InstanceId(fmt::format("entry-{}", number));
+        entry.directory = std::make_unique<membership::InstanceDirectory>(
+            entry.id, core::Incarnation{1}, membershipOptions());
+        entry.directory->setRoles(false, true);
+        entry.fetch = std::make_unique<DeclarationFetch>(number);
+    }
+    for (const auto &control : this->controls) {
+        control->directory->addSeeds(seeds);
+    }
+    for (const auto &entry : this->entries) {
+        entry->directory->addSeeds(seeds);
+        entry->controlInstances = seeds;
+    }
+}
+
+void SpreadFleet::run(core::Duration time)
+{
+    const core::TimePoint end = this->now + time;
+    while (this->now < end) {
+        this->now += Step;
+        while (!this->queue.empty() && this->queue.begin()->first <= this->now) {
+            const auto work = std::move(this->queue.extract(this->queue.begin()).mapped());
+            work();
+        }
+        for (const auto &control : this->controls) {
+            if (control->trouble != Trouble::Frozen) {
+                this->stepControl(*control);
+            }
+        }
+        for (const auto &entry : this->entries) {
+            this->stepEntry(*entry);
+        }
+    }
+}
+
+void SpreadFleet::commit()
+{
+    ++this->newestVersion;
+    this->versions[this->newestVersion].acknowledged = this->now;
+    for (const auto &control : this->controls) {
+        if (control->trouble == Trouble::None) {
+            this->applyWithin(*control, this->newestVersion, LeaderHeartbeat);
+        }
+    }
+}
+
+void SpreadFleet::setTrouble(size_t number, Trouble trouble)
+{
+    ControlProcess &control = *this->controls[number];
+    control.trouble = trouble;
+    std::erase_if(this->unreachable,
+                  [&](const auto &pair) { return pair.first == control.id.value; });
+    if (trouble == Trouble::CutNear) {
+        for (const auto &entry : this->entries) {
+            if (this->random() % 2 == 0) {
+                this->unreachable.emplace(control.id.value, entry->id.value);
+            }
+        }
+    }
+    if (trouble == Trouble::None) {
+        for (auto &work : std::exchange(control.held, {})) {
+            this->at(this->now, std::move(work));
+        }
+        this->applyWithin(control, this->newestVersion, CatchUpTime);
+    }
+}
+
+core::Duration SpreadFleet::longestWait() const
+{
+    core::Duration longest{};
+    for (const auto &[version, times] : this->versions) {
+        for (const auto &entry : this->entries) {
+            const auto inForce = times.inForce.find(entry->id.value);
+            const core::TimePoint end
+                = inForce == times.inForce.end() ? this->now : inForce->second;
+            longest = std::max(longest, end - times.acknowledged);
+        }
+    }
+    return longest;
+}
+
+size_t SpreadFleet::notices() const
+{
+    return this->noticeCount;
+}
+
+void SpreadFleet::applyWithin(ControlProcess &control, uint64_t version, core::Duration longest)
+{
+    this->at(this->now + this->randomUpTo(longest), [this, &control, version] {
+        if (control.trouble == Trouble::None) {
+            this->apply(control, version);
+        }
+    });
+}
+
+void SpreadFleet::apply(ControlProcess &control, uint64_t version)
+{
+    if (version <= control.ledger.declaration().version()) {
+        return;
+    }
+    proto::Command command;
+    proto::Declaration *declaration = command.mutable_replace_declaration()->mutable_declaration();
+    declaration->set_version(version);
+    declaration->set_content(fmt::format("content {}", version));
+    control.ledger.apply(command, ++control.logIndex);
+    control.schedule->onApplied(version, this->now);
+}
+
+void SpreadFleet::stepControl(ControlProcess &control)
+{
+    this->sendHeartbeats(control.id.value, control.directory->tick(this->now));
+    if (this->now - control.lastPublished < PublishInterval) {
+        return;
+    }
+    control.lastPublished = this->now;
+    const uint64_t version = control.ledger.declaration().version();
+    for (const core::InstanceId &receiver :
+         control.schedule->takeDue(control.directory->view(this->now), this->now)) {
+        ++this->noticeCount;
+        this->send(control.id.value,
+                   receiver.value,
+                   [this, from = control.id, to = receiver.value, version] {
+                       EntryProcess &entry = *this->findEntry(to);
+                       entry.fetch->onNotice(from, version);
+                       this->sendNextFetch(entry);
+                   });
+    }
+}
+
+void SpreadFleet::stepEntry(EntryProcess &entry)
+{
+    this->sendHeartbeats(entry.id.value, entry.directory->tick(this->now));
+    if (this->now - entry.lastControlCheck >= ControlCheckInterval) {
+        entry.lastControlCheck = this->now;
+        std::vector<core::InstanceId> inContact;
+        std::vector<core::InstanceId> silent;
+        for (const membership::InstanceView &view : entry.directory->view(this->now)) {
+            if (view.record.votes()) {
+                (view.inContact ? inContact : silent).emplace_back(view.record.id());
+            }
+        }
+        inContact.insert(inContact.end(), silent.begin(), silent.end());
+        if (!inContact.empty()) {
+            entry.controlInstances = std::move(inContact);
+        }
+    }
+    this->sendNextFetch(entry);
+}
+
+void SpreadFleet::sendNextFetch(EntryProcess &entry)
+{
+    const auto outgoing = entry.fetch->nextRequest(entry.controlInstances, this->now);
+    if (!outgoing) {
+        return;
+    }
+    // The reply or the timeout, whichever is first.
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer
+        = [this, &entry, answered](const absl::StatusOr<proto::FetchDeclarationReply> &reply) {
+              if (!std::exchange(*answered, true)) {
+                  this->onFetchReply(entry, reply);
+              }
+          };
+    this->at(this->now + FetchTimeout,
+             [answer] { answer(core::makeError(core::ErrorCode::Timeout, "no reply")); });
+    this->send(entry.id.value,
+               outgoing->to.value,
+               [this,
+                answer,
+                request = outgoing->request,
+                from = outgoing->to.value,
+                to = entry.id.value] {
+                   ControlProcess &control = *this->findControl(from);
+                   const auto reply = control.source.answer(request, control.ledger);
+                   this->send(from, to, [answer, reply] { answer(reply); });
+               });
+}
+
+void SpreadFleet::onFetchReply(EntryProcess &entry,
+                               const absl::StatusOr<proto::FetchDeclarationReply> &reply)
+{
+    const auto change = entry.fetch->onReply(reply, this->now);
+    if (change.ok() && *change) {
+        entry.heldVersion = (*change)->version();
+        for (auto &[version, times] : this->versions) {
+            if (version <= entry.heldVersion) {
+                times.inForce.try_emplace(entry.id.value, this->now);
+            }
+        }
+        entry.fetch->onVersionHeld(entry.heldVersion, this->now);
+        entry.directory->setDeclarationVersion(entry.heldVersion);
+    }
+    this->sendNextFetch(entry);
+}
+
+void SpreadFleet::sendHeartbeats(const std::string &from,
+                                 const std::vector<membership::Outgoing> &outgoing)
+{
+    for (const membership::Outgoing &message : outgoing) {
+        this->send(from, message.to.value, [this, to = message.to.value, update = message.update] {
+            this->onHeartbeat(to, update);
+        });
+    }
+}
+
+void SpreadFleet::onHeartbeat(const std::string &to, const proto::MembershipUpdate &update)
+{
+    ControlProcess *control = this->findControl(to);
+    membership::InstanceDirectory &directory
+        = control != nullptr ? *control->directory : *this->findEntry(to)->directory;
+    directory.merge(update, this->now);
+}
+
+bool SpreadFleet::isBlocked(const std::string &from, const std::string &to) const
+{
+    const auto isCut = [this](const std::string &id) {
+        return std::ranges::any_of(this->controls, [&](const auto &control) {
+            return control->id.value == id
+                   && (control->trouble == Trouble::CutFromControl
+                       || control->trouble == Trouble::CutNear);
+        });
+    };
+    const auto isControl = [this](const std::string &id) {
+        return std::ranges::any_of(this->controls,
+                                   [&](const auto &control) { return control->id.value == id; });
+    };
+    if (isControl(from) && isControl(to)) {
+        return isCut(from) || isCut(to);
+    }
+    return this->unreachable.contains({from, to}) || this->unreachable.contains({to, from});
+}
+
+ControlProcess *SpreadFleet::findControl(const std::string &id)
+{
+    const auto found = std::ranges::find_if(
+        this->controls, [&](const auto &control) { return control->id.value == id; });
+    return found == this->controls.end() ? nullptr : found->get();
+}
+
+EntryProcess *SpreadFleet::findEntry(const std::string &id)
+{
+    const auto found = std::ranges::find_if(
+        this->entries, [&](const auto &entry) { return entry->id.value == id; });
+    return found == this->entries.end() ? nullptr : found->get();
+}
+
+void SpreadFleet::send(const std::string &from, const std::string &to, std::function<void()> work)
+{
+    if (this->isBlocked(from, to)) {
+        return;
+    }
+    this->at(this->now + Latency + this->randomUpTo(Latency),
+             [this, to, work = std::move(work)] { this->runOn(to, work); });
+}
+
+void SpreadFleet::runOn(const std::string &instance, std::function<void()> work)
+{
+    ControlProcess *control = this->findControl(instance);
+    if (control != nullptr && control->trouble == Trouble::Frozen) {
+        control->held.push_back(std::move(work));
+        return;
+    }
+    work();
+}
+
+void SpreadFleet::at(core::TimePoint time, std::function<void()> work)
+{
+    this->queue.emplace(time, std::move(work));
+}
+
+core::Duration SpreadFleet::randomUpTo(core::Duration longest)
+{
+    return core::Duration(std::uniform_int_distribution<int64_t>(0, longest.count())(this->random));
+}
+
+} // namespace samphirebridge::entry::tests
