entry: Count a substitute notifier's wait from when the instance fell behind

Cause: each entry instance has a primary notifier among the control instances in contact. The others left it a head start of 0.6 s, which began anew with each version. A primary that the other control instances don't reach, or that is frozen or has a full disk, stays in contact for as long as entry instances relay its heartbeats, and has no version to announce. With changes less than 0.6 s apart nobody took its place.

Now the control instances in contact take turns by rendezvous weight. Each turn begins when the instance has lacked a version that this control instance holds for a time between 0 and 0.5 s, counted from the first such version, so that no later change can delay it. Between two notices from one control instance to an instance pass 0.3 s, so that a storm costs no more notices than its length allows.

Evidence: tests/entry, in virtual time. Lost notices are ruled out as a condition: the simulated network loses none between instances that are not cut off.

--- a/source/samphirebridge/entry/declarationpublisher.cpp
+++ b/source/samphirebridge/entry/declarationpublisher.cpp
@@ -67,6 +67,7 @@
     this->counters.count(telemetry::Event::DeclarationBytesSent,
                          static_cast<double>(envelope.ByteSizeLong()));
     ++this->propagation.noticeCount;
+    this->propagation.receivers.insert(receiver);
     channel->deliver(envelope);
 }
 
@@ -78,7 +79,7 @@
     this->propagation.isLogged = true;
     this->logger.change("declaration_spread",
                         {{"version", std::to_string(this->schedule.version())},
-                         {"instances", std::to_string(this->schedule.notifiedCount())},
+                         {"instances", std::to_string(this->propagation.receivers.size())},
                          {"behind", std::to_string(this->schedule.lags().size())},
                          {"notices", std::to_string(this->propagation.noticeCount)},
                          {"took_ms", millisecondsOf(now - this->schedule.appliedAt())}});
@@ -101,7 +102,7 @@
                                  {"held", std::to_string(lag.heldVersion)},
                                  {"version", std::to_string(this->schedule.version())},
                                  {"behind_ms", millisecondsOf(lag.age)},
-                                 {"primary", lag.isPrimary ? "true" : "false"},
+                                 {"rank", std::to_string(lag.rank)},
                                  {"notices", std::to_string(lag.noticeCount)},
                                  {"last_notice_ms", millisecondsOf(lag.sinceLastNotice)}});
         }
--- a/source/samphirebridge/entry/declarationpublisher.h
+++ b/source/samphirebridge/entry/declarationpublisher.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace samphirebridge::entry
@@ -35,6 +36,7 @@
     // The notices sent for one version.
     struct Propagation {
         size_t noticeCount = 0;
+        std::set<core::InstanceId> receivers;
         bool isLogged = false; // The log line of the version is written.
     };
 
--- a/source/samphirebridge/entry/noticeschedule.cpp
+++ b/source/samphirebridge/entry/noticeschedule.cpp
@@ -13,13 +13,12 @@
 namespace
 {
 
-// How long the other control instances leave the first notice to the primary notifier.
-constexpr core::Duration PrimaryHeadStart = std::chrono::milliseconds(600);
+// How long an instance has been behind when the last control instance notifies it. The turns of the
+// others are spread evenly before.
+constexpr core::Duration LongestHeadStart = std::chrono::milliseconds(500);
 
-// The time before a notice is repeated to an instance that has not reported the version yet, by the
-// primary notifier and by the other control instances.
-constexpr core::Duration PrimaryResendInterval = std::chrono::milliseconds(400);
-constexpr core::Duration OtherResendInterval = std::chrono::milliseconds(1000);
+// The minimum time between two notices from this control instance to one instance.
+constexpr core::Duration NoticeInterval = std::chrono::milliseconds(300);
 
 // How many applied versions are remembered. An instance that lacks an older one counts as behind
 // since the oldest of them.
@@ -39,7 +38,6 @@
     }
     this->newestVersion = version;
     this->newestAppliedAt = now;
-    this->notifiedAt.clear();
     this->recentVersions.emplace(version, now);
     if (this->recentVersions.size() > MaximumRecentVersions) {
         this->recentVersions.erase(this->recentVersions.begin());
@@ -49,29 +47,37 @@
 std::vector<core::InstanceId>
 NoticeSchedule::takeDue(std::span<const membership::InstanceView> views, core::TimePoint now)
 {
+    std::vector<uint64_t> controlChecksums;
+    for (const membership::InstanceView &view : views) {
+        if (view.record.votes() && view.inContact && !view.record.leaving()) {
+            controlChecksums.push_back(core::checksumOf(view.record.id()));
+        }
+    }
     std::vector<core::InstanceId> due;
+    std::map<std::string, SentNotices> stillBehind;
     this->currentLags.clear();
     for (const membership::InstanceView &view : views) {
         const std::string &id = view.record.id();
         if (!view.inContact || !view.record.serves() || id == this->self.value
             || view.record.declaration_version() >= this->newestVersion) {
-            this->sentNotices.erase(id);
             continue;
         }
-        const bool isPrimary = this->isPrimaryNotifierOf(id, views);
-        const auto lastNotice = this->notifiedAt.find(id);
-        const bool isDue = lastNotice == this->notifiedAt.end()
-                               ? isPrimary || now - this->newestAppliedAt >= PrimaryHeadStart
-                               : now - lastNotice->second
-                                     >= (isPrimary ? PrimaryResendInterval : OtherResendInterval);
-        if (isDue) {
-            this->notifiedAt[id] = now;
-            ++this->sentNotices[id].count;
-            this->sentNotices[id].last = now;
+        InstanceLag lag;
+        lag.instance = id;
+        lag.heldVersion = view.record.declaration_version();
+        lag.age = this->lagAge(lag.heldVersion, now);
+        lag.rank = this->rankFor(id, controlChecksums);
+        if (this->takeNotice(lag, controlChecksums.size(), now)) {
             due.emplace_back(id);
         }
-        this->currentLags.push_back(this->makeLag(view.record, isPrimary, now));
+        if (const auto sent = this->sentNotices.find(id); sent != this->sentNotices.end()) {
+            lag.noticeCount = sent->second.count;
+            lag.sinceLastNotice = now - sent->second.lastAt;
+            stillBehind.insert(*sent);
+        }
+        this->currentLags.push_back(std::move(lag));
     }
+    this->sentNotices = std::move(stillBehind);
     return due;
 }
 
@@ -90,11 +96,6 @@
     return this->currentLags;
 }
 
-size_t NoticeSchedule::notifiedCount() const
-{
-    return this->notifiedAt.size();
-}
-
 core::Duration NoticeSchedule::lagAge(uint64_t heldVersion, core::TimePoint now) const
 {
     const auto firstMissing = this->recentVersions.upper_bound(heldVersion);
@@ -102,30 +103,32 @@
                                                       : now - firstMissing->second;
 }
 
-InstanceLag
-NoticeSchedule::makeLag(const proto::InstanceRecord &record, bool isPrimary, core::TimePoint now)
+size_t NoticeSchedule::rankFor(const std::string &instance,
+                               std::span<const uint64_t> controlChecksums) const
 {
-    InstanceLag lag;
-    lag.instance = record.id();
-    lag.heldVersion = record.declaration_version();
-    lag.age = this->lagAge(lag.heldVersion, now);
-    lag.isPrimary = isPrimary;
-    if (const auto sent = this->sentNotices.find(record.id()); sent != this->sentNotices.end()) {
-        lag.noticeCount = sent->second.count;
-        lag.sinceLastNotice = now - sent->second.last;
-    }
-    return lag;
+    const uint64_t key = core::checksumOf(instance);
+    const uint64_t ownWeight = core::rendezvousWeight(key, core::checksumOf(this->self.value));
+    return static_cast<size_t>(std::ranges::count_if(controlChecksums, [&](uint64_t checksum) {
+        return core::rendezvousWeight(key, checksum) > ownWeight;
+    }));
 }
 
-bool NoticeSchedule::isPrimaryNotifierOf(const std::string &instance,
-                                         std::span<const membership::InstanceView> views) const
+bool NoticeSchedule::takeNotice(const InstanceLag &lag,
+                                size_t controlInstances,
+                                core::TimePoint now)
 {
-    const uint64_t key = core::checksumOf(instance);
-    const uint64_t ownWeight = core::rendezvousWeight(key, core::checksumOf(this->self.value));
-    return std::none_of(views.begin(), views.end(), [&](const membership::InstanceView &view) {
-        return view.record.votes() && view.inContact && !view.record.leaving()
-               && core::rendezvousWeight(key, core::checksumOf(view.record.id())) > ownWeight;
-    });
+    const auto lastRank = static_cast<int64_t>(std::max<size_t>(controlInstances, 2) - 1);
+    if (lag.age * lastRank < LongestHeadStart * static_cast<int64_t>(lag.rank)) {
+        return false;
+    }
+    const auto sent = this->sentNotices.find(lag.instance);
+    if (sent != this->sentNotices.end() && now - sent->second.lastAt < NoticeInterval) {
+        return false;
+    }
+    SentNotices &notices = this->sentNotices[lag.instance];
+    ++notices.count;
+    notices.lastAt = now;
+    return true;
 }
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/noticeschedule.h
+++ b/source/samphirebridge/entry/noticeschedule.h
@@ -21,14 +21,16 @@
     uint64_t heldVersion = 0;
     // The time since this control instance applied the first version that the instance lacks.
     core::Duration age{};
-    bool isPrimary = false; // Whether this control instance is its primary notifier.
+    size_t rank = 0; // This control instance's turn to notify it; 0: first.
     size_t noticeCount = 0; // Sent since the instance fell behind.
     core::Duration sinceLastNotice{}; // 0 if none was sent.
 };
 
-// Each entry instance has a primary notifier among the control instances in contact, which notifies
-// it at once; the others do so only if it still has an older version some time later. Not
-// thread-safe; does no I/O: the host sends the notices.
+// For each entry instance the control instances in contact take turns, in the order of their
+// rendezvous weights: the first notifies it at once, each further one only if the instance has been
+// behind for a longer time. That time counts from the first version that the instance lacks, so it
+// passes however often the declaration changes. Notices to one instance keep an interval, so their
+// number is bounded too. Not thread-safe; does no I/O: the host sends the notices.
 class NoticeSchedule
 {
 public:
@@ -52,29 +54,25 @@
     // Returns the instances in contact that had an older version at the last takeDue().
     [[nodiscard]] const std::vector<InstanceLag> &lags() const;
 
-    // Returns how many instances were notified of the version.
-    [[nodiscard]] size_t notifiedCount() const;
-
 private:
-    // Returns whether this control instance has the highest rendezvous weight for the instance
-    // among the control instances that are in contact and not leaving.
-    [[nodiscard]] bool isPrimaryNotifierOf(const std::string &instance,
-                                           std::span<const membership::InstanceView> views) const;
-
-    // Returns the time since the first version above `heldVersion` was applied here.
-    [[nodiscard]] core::Duration lagAge(uint64_t heldVersion, core::TimePoint now) const;
-    InstanceLag makeLag(const proto::InstanceRecord &record, bool isPrimary, core::TimePoint now);
-
     // The notices to an instance since it fell behind.
     struct SentNotices {
         size_t count = 0;
-        core::TimePoint last;
+        core::TimePoint lastAt;
     };
 
+    // Returns the time since the first version above `heldVersion` was applied here.
+    [[nodiscard]] core::Duration lagAge(uint64_t heldVersion, core::TimePoint now) const;
+    // Returns how many of the control instances have a higher weight for the instance than this
+    // one.
+    [[nodiscard]] size_t rankFor(const std::string &instance,
+                                 std::span<const uint64_t> controlChecksums) const;
+    // Returns whether a notice to the instance is due, and counts it as sent.
+    bool takeNotice(const InstanceLag &lag, size_t controlInstances, core::TimePoint now);
+
     core::InstanceId self;
     uint64_t newestVersion = 0;
     core::TimePoint newestAppliedAt;
-    std::map<std::string, core::TimePoint> notifiedAt; // By instance, for the newest version.
     std::map<uint64_t, core::TimePoint> recentVersions; // When each was applied.
     std::map<std::string, SentNotices> sentNotices; // By instance that is behind.
     std::vector<InstanceLag> currentLags;
