membership: Send a new declaration version to every control instance at once

An instance told four partners which version is in force, and the control instances of a large fleet learned of it by heartbeats that are relayed each 4 to 8 s. Until then they took it for one that is behind, and notified it.

One message to each control instance, a change. The new test fails without it: the record reaches no control instance that is not a partner.

--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -61,6 +61,7 @@
 void InstanceDirectory::setDeclarationVersion(uint64_t version)
 {
     this->ownRecord.set_declaration_version(version);
+    this->hasNewDeclaration = true;
     this->lastSentAt.reset();
     this->lastIncrementAt.reset();
 }
@@ -109,9 +110,26 @@
     for (core::InstanceId &receiver : this->heartbeatReceivers()) {
         outgoing.push_back(Outgoing{std::move(receiver), update});
     }
+    if (std::exchange(this->hasNewDeclaration, false)) {
+        this->addControlInstances(outgoing);
+    }
     return outgoing;
 }
 
+void InstanceDirectory::addControlInstances(std::vector<Outgoing> &outgoing) const
+{
+    proto::MembershipUpdate update;
+    update.set_from(this->self.value);
+    *update.add_instances() = this->ownRecord;
+    for (const auto &[id, entry] : this->entries) {
+        const bool isReceiver = std::ranges::any_of(
+            outgoing, [&id = id](const Outgoing &message) { return message.to.value == id; });
+        if (entry.record.votes() && !isReceiver) {
+            outgoing.push_back(Outgoing{core::InstanceId(id), update});
+        }
+    }
+}
+
 std::vector<core::InstanceId> InstanceDirectory::merge(const proto::MembershipUpdate &update,
                                                        core::TimePoint now)
 {
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -45,7 +45,8 @@
     // Sets whether this instance runs a control instance (votes) and an entry instance (serves).
     void setRoles(bool votes, bool serves);
 
-    // Sets the declaration version in force here; the next tick sends it to the peers.
+    // Sets the declaration version in force here; the next tick sends it to the peers, and to every
+    // control instance directly: they notify those that are behind.
     void setDeclarationVersion(uint64_t version);
 
     // Replaces the incarnation of this process, when the ledger has refused the first one because
@@ -112,6 +113,8 @@
     [[nodiscard]] int64_t intervalFactor() const;
     [[nodiscard]] bool inContact(const Entry &entry, core::TimePoint now) const;
     [[nodiscard]] std::vector<core::InstanceId> heartbeatReceivers() const;
+    // Adds a heartbeat for each control instance that is not among the receivers yet.
+    void addControlInstances(std::vector<Outgoing> &outgoing) const;
     // Adds the records of other instances that this one has not relayed yet, up to
     // relayedHeartbeatLimit. Does nothing in a fleet up to directPeerLimit without discoverPeers.
     void addRelayedHeartbeats(proto::MembershipUpdate &update);
@@ -123,6 +126,7 @@
     std::optional<core::TimePoint> lastSentAt;
     std::optional<core::TimePoint> lastIncrementAt;
     uint64_t round = 0;
+    bool hasNewDeclaration = false; // Its version was not sent yet.
 };
 
 } // namespace samphirebridge::membership
--- a/tests/membership/instancedirectorytest.cpp
+++ b/tests/membership/instancedirectorytest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <string>
+
 using namespace samphirebridge;
 using namespace std::chrono_literals;
 using membership::InstanceDirectory;
@@ -72,6 +75,41 @@
     CHECK(outgoing[0].update.instances(0).heartbeat() == 2);
 }
 
+// Guards against a control instance of a large fleet that notifies instances which have the version
+// long since, because it hears of that by relayed heartbeats only.
+TEST_CASE("a new declaration version is sent to every control instance at once, in any fleet")
+{
+    membership::MembershipOptions options;
+    options.discoverPeers = true;
+    options.directPeerLimit = 4;
+    InstanceDirectory directory(core::InstanceId("a"), 1, options);
+    const core::TimePoint now{1h};
+    proto::MembershipUpdate update;
+    for (int number = 0; number < 40; ++number) {
+        proto::InstanceRecord *record = update.add_instances();
+        record->set_id("i" + std::to_string(number));
+        record->set_incarnation(1);
+        record->set_heartbeat(1);
+        record->set_votes(number < 5);
+    }
+    directory.merge(update, now);
+    directory.tick(now);
+    CHECK(directory.tick(now + 10ms).empty());
+    directory.setDeclarationVersion(3);
+    const auto sent = directory.tick(now + 20ms);
+    for (int number = 0; number < 5; ++number) {
+        const auto isToControl = [number](const membership::Outgoing &message) {
+            return message.to.value == "i" + std::to_string(number);
+        };
+        CHECK(std::ranges::count_if(sent, isToControl) == 1);
+    }
+    CHECK(sent.size() <= 5 + options.fanOut);
+    for (const membership::Outgoing &message : sent) {
+        CHECK(message.update.instances(0).declaration_version() == 3);
+    }
+    CHECK(directory.tick(now + 30ms).empty());
+}
+
 TEST_CASE("a silent instance is removed from the list unless it is a seed")
 {
     InstanceDirectory directory(core::InstanceId("a"), 1, {});
