entry: Ask control instances for the newest version without waiting for a notice

What callers saw: an instance that is back in contact goes on serving an older declaration.

Cause: a notice goes to instances in contact only. Contact is learned from heartbeats, whose interval grows with the fleet.

Every 0.7 s without news an entry instance asks a control instance for its newest version. The answer tells how long ago a majority is known to have committed nothing newer. One that is cut off, frozen, behind or full can't confirm that, and the next is asked, all of them within 0.5 s. A fetch confirms as well, so that a storm costs no questions.

--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -5,6 +5,7 @@
 
 #include "instance.pb.h"
 #include "samphirebridge/consensus/durablenode.h"
+#include "samphirebridge/control/commitfreshness.h"
 #include "samphirebridge/control/declarationsource.h"
 #include "samphirebridge/control/joinplan.h"
 #include "samphirebridge/control/ledgermachine.h"
@@ -18,7 +19,9 @@
 #include "samphirebridge/transport/peerset.h"
 #include "samphirebridge/transport/rpcserver.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -92,6 +95,11 @@
     void step(const proto::RaftMessage &message, core::TimePoint now)
     {
         this->now = now;
+        const bool isFromLeader
+            = message.has_append_request() && message.term() >= this->durable->node().term();
+        if (isFromLeader && !this->durable->isStorageFull()) {
+            this->freshness.onCommitted(message.append_request().commit_index(), now);
+        }
         this->durable->step(message, now);
     }
 
@@ -110,6 +118,7 @@
         this->answerReads(*output);
         this->updateStorageFull();
         this->updateLeader();
+        this->updateFreshness();
         return absl::OkStatus();
     }
 
@@ -179,12 +188,21 @@
         });
     }
 
-    // Answers with a part of the declaration that this member has applied, without a quorum round.
+    // Answers with a part of the declaration that this member has applied, without a quorum round,
+    // and with how recently that was the newest that was committed.
     void fetchDeclaration(const proto::FetchDeclarationRequest &request,
+                          core::TimePoint now,
                           transport::Respond<proto::FetchDeclarationReply> respond)
     {
         proto::FetchDeclarationReply reply
             = this->declarations.answer(request, this->machine.state());
+        const auto age = this->freshness.age(now);
+        const bool isNewest = reply.version() == this->appliedDeclaration().version();
+        if (age && *age < LongestFreshness && isNewest) {
+            reply.set_confirmed(true);
+            reply.set_confirmed_ms_ago(
+                static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(*age).count()));
+        }
         this->counters.count(telemetry::Event::DeclarationBytesSent,
                              static_cast<double>(reply.part().size()));
         const auto answer = std::move(respond);
@@ -319,6 +337,9 @@
     // and the member may be back.
     static constexpr core::Duration ResignationLifetime = 2 * JoinInterval;
 
+    // What was known to be applied longer ago than this is not told to other instances.
+    static constexpr core::Duration LongestFreshness = std::chrono::hours(1);
+
     // The interval between two updates of the token gauges, which sum over all budgets.
     static constexpr core::Duration GaugeInterval = std::chrono::seconds(2);
 
@@ -591,6 +612,33 @@
                             {{"leader", leader}, {"term", std::to_string(raft.term())}});
     }
 
+    // Notes what a majority has confirmed to be committed, and what is applied.
+    void updateFreshness()
+    {
+        const consensus::RaftNode &raft = this->durable->node();
+        if (raft.leadsWithCommittedTerm()) {
+            this->freshness.onCommitted(raft.commitIndex(), this->lastQuorumContact());
+        }
+        this->freshness.onApplied(this->durable->appliedIndex());
+    }
+
+    // Returns until when a majority of the voters is known to have followed this leader.
+    [[nodiscard]] core::TimePoint lastQuorumContact() const
+    {
+        const consensus::RaftNode &raft = this->durable->node();
+        std::vector<core::TimePoint> contacts;
+        for (const std::string &voter : raft.configuration().voters()) {
+            contacts.push_back(voter == this->durable->member() ? this->now
+                                                                : raft.lastHeard(voter));
+        }
+        if (contacts.empty()) {
+            return {};
+        }
+        const auto majority = contacts.begin() + static_cast<std::ptrdiff_t>(contacts.size() / 2);
+        std::nth_element(contacts.begin(), majority, contacts.end(), std::greater<>());
+        return *majority;
+    }
+
     // Updates the gauges of the ledger's tokens.
     void updateGauges()
     {
@@ -611,6 +659,7 @@
     const LastContact lastContact;
     LedgerMachine machine;
     DeclarationSource declarations;
+    CommitFreshness freshness;
     core::BootClock clock{core::drawClockId()};
     core::MachineClock machineClock;
     std::unique_ptr<Durable> durable;
--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -386,8 +386,12 @@
     handlers.submit = onControlThread(this->queue, *this->voter, &Voter::submit);
     handlers.readManifest = onControlThread(this->queue, *this->voter, &Voter::readManifest);
     handlers.readDeclaration = onControlThread(this->queue, *this->voter, &Voter::readDeclaration);
-    handlers.fetchDeclaration
-        = onControlThread(this->queue, *this->voter, &Voter::fetchDeclaration);
+    handlers.fetchDeclaration = [this](const proto::FetchDeclarationRequest &request,
+                                       transport::Respond<proto::FetchDeclarationReply> respond) {
+        this->queue.post([this, request, respond = std::move(respond)]() mutable {
+            this->voter->fetchDeclaration(request, this->clock.now(), std::move(respond));
+        });
+    };
     handlers.readBudgets = onControlThread(this->queue, *this->voter, &Voter::readBudgets);
     handlers.readStatus = onControlThread(this->queue, *this->voter, &Voter::readStatus);
     handlers.changeVoters = onControlThread(this->queue, *this->voter, &Voter::changeVoters);
--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -39,6 +39,7 @@
     , logger(processLogger)
     , onDeclaration(std::move(declarationCallback))
     , fetch(core::checksumOf(self.value))
+    , watch(core::checksumOf(self.value))
     , currentTable(std::make_shared<const forwarding::RouteTable>())
 {
 }
@@ -68,6 +69,7 @@
         this->readCommittedVersion();
     }
     this->sendNextFetch(now);
+    this->sendNextQuestion(now);
 }
 
 void DeclarationKeeper::onNotice(const proto::DeclarationNotice &notice, core::TimePoint now)
@@ -120,21 +122,53 @@
     const auto outgoing = this->sendFetch
                               ? this->fetch.nextRequest(this->client.controlInstances(), now)
                               : std::nullopt;
-    if (outgoing) {
-        this->sendFetch(
-            outgoing->to, outgoing->request, [this, source = outgoing->to](const auto &reply) {
-                this->onFetchReply(source, reply);
-            });
+    if (!outgoing) {
+        return;
+    }
+    this->sendFetch(
+        outgoing->to, outgoing->request, [this, source = outgoing->to, now](const auto &reply) {
+            this->onFetchReply(source, now, reply);
+        });
+}
+
+void DeclarationKeeper::sendNextQuestion(core::TimePoint now)
+{
+    const auto source = this->sendFetch
+                            ? this->watch.nextQuestion(this->client.controlInstances(), now)
+                            : std::nullopt;
+    if (!source) {
+        return;
+    }
+    proto::FetchDeclarationRequest request;
+    request.set_known_version(MaximumVersion);
+    this->sendFetch(*source, request, [this, source = *source, now](const auto &reply) {
+        if (reply.ok()) {
+            this->noteVersion(source, now, *reply);
+            this->sendNextFetch(this->clock.now());
+        }
+    });
+}
+
+void DeclarationKeeper::noteVersion(const core::InstanceId &source,
+                                    core::TimePoint sentAt,
+                                    const proto::FetchDeclarationReply &reply)
+{
+    this->fetch.onNotice(source, reply.version());
+    if (reply.confirmed()) {
+        this->watch.onConfirmed(source,
+                                sentAt - std::chrono::milliseconds(reply.confirmed_ms_ago()));
     }
 }
 
 void DeclarationKeeper::onFetchReply(const core::InstanceId &source,
+                                     core::TimePoint sentAt,
                                      const absl::StatusOr<proto::FetchDeclarationReply> &reply)
 {
     const core::TimePoint now = this->clock.now();
     if (reply.ok()) {
         this->counters.count(telemetry::Event::DeclarationBytesReceived,
                              static_cast<double>(reply->part().size()));
+        this->noteVersion(source, sentAt, *reply);
     }
     const auto change = this->fetch.onReply(reply, now);
     if (!change.ok()) {
--- a/source/samphirebridge/entry/declarationkeeper.h
+++ b/source/samphirebridge/entry/declarationkeeper.h
@@ -7,6 +7,7 @@
 #include "samphirebridge/control/ledgerclient.h"
 #include "samphirebridge/core/time.h"
 #include "samphirebridge/entry/declarationfetch.h"
+#include "samphirebridge/entry/versionwatch.h"
 #include "samphirebridge/forwarding/routetable.h"
 #include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/telemetry/logger.h"
@@ -52,8 +53,9 @@
     // Sets how requests reach other instances. Until then nothing is fetched.
     void setFetchSender(FetchSender sendFetch);
 
-    // Reads the committed version through the quorum until one is known, and requests a newer
-    // version than the held one if there may be one. Call it regularly.
+    // Reads the committed version through the quorum until one is known, asks control instances for
+    // newer versions, and requests the content of a newer version than the held one. Call it
+    // regularly.
     void tick(core::TimePoint now);
 
     // Notes that another instance has applied a version, and requests it if it is newer.
@@ -74,7 +76,15 @@
     void onCommittedVersion(const absl::StatusOr<proto::ReadDeclarationReply> &reply);
     void sendNextFetch(core::TimePoint now);
     void onFetchReply(const core::InstanceId &source,
+                      core::TimePoint sentAt,
                       const absl::StatusOr<proto::FetchDeclarationReply> &reply);
+    // Asks a control instance for its newest version if such a question is due.
+    void sendNextQuestion(core::TimePoint now);
+    // Notes which version the reply names, and until when the reply confirms that there was no
+    // newer one.
+    void noteVersion(const core::InstanceId &source,
+                     core::TimePoint sentAt,
+                     const proto::FetchDeclarationReply &reply);
     // Applies a fetched change to the held content and puts the result in force. If it does not
     // apply, the full content is requested instead.
     void applyChange(const proto::DeclarationChange &change, core::TimePoint now);
@@ -96,6 +106,7 @@
     FetchSender sendFetch;
     core::SteadyClock clock;
     DeclarationFetch fetch;
+    VersionWatch watch;
     proto::Declaration heldDeclaration; // Only version and content are set.
     uint64_t confirmedVersion = 0; // Read through the quorum; 0: none yet.
     std::shared_ptr<const forwarding::RouteTable> currentTable;
--- a/tests/entry/declarationspreadtest.cpp
+++ b/tests/entry/declarationspreadtest.cpp
@@ -85,6 +85,46 @@
     }
 }
 
+// Guards against an instance that learns of a version by notices only, which it gets once a control
+// instance has heard its heartbeat: in a large fleet that may take longer than the change may.
+TEST_CASE("an instance that was cut off has the newest version in time once it is back")
+{
+    constexpr size_t FleetSizes[] = {6, 82, 190};
+    for (const size_t size : FleetSizes) {
+        for (const core::Duration isolation : {5s, 40s}) {
+            SpreadFleet fleet(ControlInstances, size, 54);
+            for (size_t entry = 0; entry < size; entry += 5) {
+                fleet.setCutOff(entry, true);
+            }
+            fleet.run(isolation - 100ms);
+            fleet.commit();
+            fleet.run(100ms);
+            for (size_t entry = 0; entry < size; entry += 5) {
+                fleet.setCutOff(entry, false);
+            }
+            fleet.run(12s);
+            CAPTURE(size, isolation.count());
+            CHECK(fleet.longestWait() <= Bound);
+        }
+    }
+}
+
+// Guards against notices that are repeated although the instances have the version, and against
+// questions that cost more than the heartbeats.
+TEST_CASE(
+    "a change costs at most one notice of each control instance, and a quiet fleet few questions")
+{
+    for (const size_t size : {6, 82, 190}) {
+        SpreadFleet fleet(ControlInstances, size, 54);
+        fleet.commit();
+        fleet.run(10s);
+        CAPTURE(size);
+        CHECK(fleet.notices() <= ControlInstances * size);
+        CHECK(fleet.questions() <= 2 * size * 10);
+        CHECK(fleet.longestWait() <= Bound);
+    }
+}
+
 // Guards against every wait on the way to force that another event begins anew, and against taking
 // an instance in contact for one that is able to do the work, in fleets of any size.
 TEST_CASE("at random intervals and under random losses every confirmed change is in force in time")
