entry: Ask another control instance while a reply is late

An instance that is behind asked one control instance at a time, and waited 0.5 s for one that hangs or is cut off before the next, each time anew: the one that had failed last came up again in its turn, and each failure cost a pause.

After 0.15 s another instance is asked as well, and the first reply counts. One that failed, was late or had nothing new is asked last for 2 s, unless it announces a version. A reply that builds on what is no longer held, or on another state of the transfer, is dropped.

The tests of DeclarationFetch name the source of a reply now, and check what they checked. Two new ones ask for the above.

--- a/source/samphirebridge/entry/declarationfetch.cpp
+++ b/source/samphirebridge/entry/declarationfetch.cpp
@@ -20,6 +20,15 @@
 // decoded.
 constexpr core::Duration ChangePause = std::chrono::milliseconds(400);
 
+// The time without a reply after which another instance is asked as well, and how many requests may
+// be outstanding.
+constexpr core::Duration LateReply = std::chrono::milliseconds(150);
+constexpr size_t MaximumPending = 3;
+
+// How long an instance that failed, was late or had nothing new is asked only if no other is left
+// or if it announces a version.
+constexpr core::Duration FailureMemory = std::chrono::seconds(2);
+
 // Larger transfers are refused.
 constexpr uint64_t MaximumTransferBytes = uint64_t{64} * 1024 * 1024;
 
@@ -65,43 +74,56 @@
     if (isBehind && this->currentEffort.behindSince == core::TimePoint{}) {
         this->currentEffort.behindSince = now;
     }
-    if (!isBehind || !this->requestedFrom.empty() || now < this->nextRequestAt) {
+    if (!isBehind || !this->mayRequest(now) || now < this->nextRequestAt) {
         return std::nullopt;
     }
     OutgoingFetch outgoing;
-    outgoing.to = this->chooseSource(controlInstances);
+    outgoing.to = this->chooseSource(controlInstances, now);
     if (outgoing.to.empty()) {
         return std::nullopt;
     }
-    this->requestedFrom = outgoing.to;
+    if (!this->pending.empty()) {
+        this->failedAt[this->pending.back().to] = now;
+    }
+    this->pending.push_back(PendingRequest{outgoing.to,
+                                           now,
+                                           this->baseVersion(),
+                                           this->transfer.checksum,
+                                           this->transfer.bytes.size()});
     this->currentEffort.source = outgoing.to;
     ++this->currentEffort.requestCount;
-    outgoing.request.set_known_version(this->needsFullContent ? 0 : this->heldVersion);
+    outgoing.request.set_known_version(this->baseVersion());
     outgoing.request.set_checksum(this->transfer.checksum);
     outgoing.request.set_offset(this->transfer.bytes.size());
     return outgoing;
 }
 
 absl::StatusOr<std::optional<proto::DeclarationChange>>
-DeclarationFetch::onReply(const absl::StatusOr<proto::FetchDeclarationReply> &reply,
+DeclarationFetch::onReply(const core::InstanceId &source,
+                          const absl::StatusOr<proto::FetchDeclarationReply> &reply,
                           core::TimePoint now)
 {
+    const auto request = this->takePending(source);
     if (!reply.ok()) {
-        this->abandonRequest(now);
+        this->onFailure(source, now);
         return reply.status();
     }
+    if (!request || !this->isCurrent(*request)) {
+        // Another instance has replied before.
+        return std::nullopt;
+    }
     if (reply->version() <= this->heldVersion || reply->part().empty()) {
         // The instance has not applied a newer version yet.
-        this->abandonRequest(now);
+        this->onFailure(source, now);
         return std::nullopt;
     }
     if (!this->appendPart(*reply)) {
-        this->abandonRequest(now);
+        this->onFailure(source, now);
         return core::makeError(core::ErrorCode::InvalidRequest,
                                "found a part with an offset or size that does not fit its "
                                "transfer; accepted is the next");
     }
-    this->requestedFrom = {};
+    this->failedAt.erase(source);
     if (this->transfer.bytes.size() < reply->total_bytes()) {
         return std::nullopt;
     }
@@ -121,7 +143,8 @@
 {
     this->needsFullContent = true;
     this->transfer = {};
-    this->abandonRequest(now);
+    ++this->currentEffort.failureCount;
+    this->nextRequestAt = now + RetryPause;
 }
 
 const FetchEffort &DeclarationFetch::effort() const
@@ -131,25 +154,79 @@
 
 // Prefers the instance that announced the version: it has applied it, and was reachable just now.
 // Otherwise the control instances are asked in turn.
-core::InstanceId DeclarationFetch::chooseSource(std::span<const core::InstanceId> controlInstances)
+core::InstanceId DeclarationFetch::chooseSource(std::span<const core::InstanceId> controlInstances,
+                                                core::TimePoint now)
 {
-    if (!this->notifier.empty()) {
+    if (!this->notifier.empty() && !this->isPending(this->notifier)) {
         return this->notifier;
     }
-    if (controlInstances.empty()) {
-        return {};
+    const auto hasFailed = [&](const core::InstanceId &instance) {
+        const auto failure = this->failedAt.find(instance);
+        return failure != this->failedAt.end() && now - failure->second < FailureMemory;
+    };
+    core::InstanceId lastResort;
+    for (size_t tried = 0; tried < controlInstances.size(); ++tried) {
+        const core::InstanceId &instance
+            = controlInstances[this->nextControlIndex++ % controlInstances.size()];
+        if (this->isPending(instance)) {
+            continue;
+        }
+        if (!hasFailed(instance)) {
+            return instance;
+        }
+        if (lastResort.empty()) {
+            lastResort = instance;
+        }
     }
-    return controlInstances[this->nextControlIndex++ % controlInstances.size()];
+    return lastResort;
 }
 
-void DeclarationFetch::abandonRequest(core::TimePoint now)
+uint64_t DeclarationFetch::baseVersion() const
 {
-    if (this->notifier == this->requestedFrom) {
-        this->notifier = {};
+    return this->needsFullContent ? 0 : this->heldVersion;
+}
+
+bool DeclarationFetch::isCurrent(const PendingRequest &request) const
+{
+    return request.knownVersion == this->baseVersion()
+           && request.checksum == this->transfer.checksum
+           && request.offset == this->transfer.bytes.size();
+}
+
+bool DeclarationFetch::isPending(const core::InstanceId &instance) const
+{
+    return std::ranges::count(this->pending, instance, &PendingRequest::to) > 0;
+}
+
+bool DeclarationFetch::mayRequest(core::TimePoint now) const
+{
+    return this->pending.empty()
+           || (this->pending.size() < MaximumPending
+               && now - this->pending.back().sentAt >= LateReply);
+}
+
+std::optional<DeclarationFetch::PendingRequest>
+DeclarationFetch::takePending(const core::InstanceId &source)
+{
+    const auto found = std::ranges::find(this->pending, source, &PendingRequest::to);
+    if (found == this->pending.end()) {
+        return std::nullopt;
     }
-    this->requestedFrom = {};
-    this->nextRequestAt = now + RetryPause;
+    PendingRequest request = std::move(*found);
+    this->pending.erase(found);
+    return request;
+}
+
+void DeclarationFetch::onFailure(const core::InstanceId &source, core::TimePoint now)
+{
     ++this->currentEffort.failureCount;
+    this->failedAt[source] = now;
+    if (this->notifier == source) {
+        this->notifier = {};
+    }
+    if (this->pending.empty()) {
+        this->nextRequestAt = now + RetryPause;
+    }
 }
 
 bool DeclarationFetch::appendPart(const proto::FetchDeclarationReply &reply)
--- a/source/samphirebridge/entry/declarationfetch.h
+++ b/source/samphirebridge/entry/declarationfetch.h
@@ -9,9 +9,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace samphirebridge::entry
 {
@@ -31,9 +33,10 @@
     size_t failureCount = 0; // Requests that failed or brought nothing new.
 };
 
-// At most one request is outstanding. A transfer that one instance began can be continued by
-// another: the parts received so far are kept. Not thread-safe; does no I/O: the host sends the
-// requests and passes the replies back.
+// One request is outstanding; while its reply is late, further ones are sent to other instances,
+// and the first reply counts. A transfer that one instance began can be continued by another: the
+// parts received so far are kept. Not thread-safe; does no I/O: the host sends the requests and
+// passes the replies back.
 class DeclarationFetch
 {
 public:
@@ -53,16 +56,18 @@
     void onVersionHeld(uint64_t version, core::TimePoint now);
 
     // Returns the request to send now, if one is due: to the instance that announced the newest
-    // version, otherwise to one of controlInstances. Its reply or failure must be passed to
-    // onReply().
+    // version, otherwise to one of controlInstances, those that failed lately last. Its reply or
+    // failure must be passed to onReply().
     std::optional<OutgoingFetch> nextRequest(std::span<const core::InstanceId> controlInstances,
                                              core::TimePoint now);
 
-    // Processes the reply to the outstanding request. Returns the change once all of its parts have
-    // arrived, otherwise nothing. Errors: that of the reply; InvalidRequest for a part that does
-    // not fit the transfer; StorageCorrupt for a transfer that is damaged.
+    // Processes the reply of an instance to its request. Returns the change once all of its parts
+    // have arrived, otherwise nothing. Errors: that of the reply; InvalidRequest for a part that
+    // does not fit the transfer; StorageCorrupt for a transfer that is damaged.
     absl::StatusOr<std::optional<proto::DeclarationChange>>
-    onReply(const absl::StatusOr<proto::FetchDeclarationReply> &reply, core::TimePoint now);
+    onReply(const core::InstanceId &source,
+            const absl::StatusOr<proto::FetchDeclarationReply> &reply,
+            core::TimePoint now);
 
     // Discards the transfer and requests the full content next: the received change is damaged or
     // does not apply to the held version.
@@ -77,9 +82,29 @@
         std::string bytes; // The parts received so far.
     };
 
-    core::InstanceId chooseSource(std::span<const core::InstanceId> controlInstances);
-    // Ends the outstanding request without a part, and pauses before the next.
-    void abandonRequest(core::TimePoint now);
+    // A request without a reply yet, and the transfer that it continues.
+    struct PendingRequest {
+        core::InstanceId to;
+        core::TimePoint sentAt;
+        uint64_t knownVersion = 0;
+        uint64_t checksum = 0;
+        size_t offset = 0;
+    };
+
+    [[nodiscard]] core::InstanceId chooseSource(std::span<const core::InstanceId> controlInstances,
+                                                core::TimePoint now);
+    [[nodiscard]] bool isPending(const core::InstanceId &instance) const;
+    // Returns whether no request is outstanding, or the last one is late.
+    [[nodiscard]] bool mayRequest(core::TimePoint now) const;
+    // Returns the version that the next change is to build on; 0: the full content is needed.
+    [[nodiscard]] uint64_t baseVersion() const;
+    // Returns whether the request still asks for what is needed next.
+    [[nodiscard]] bool isCurrent(const PendingRequest &request) const;
+    // Removes the instance's request from those outstanding.
+    std::optional<PendingRequest> takePending(const core::InstanceId &source);
+    // Notes that a request failed or brought nothing new, and pauses before the next if no other is
+    // outstanding.
+    void onFailure(const core::InstanceId &source, core::TimePoint now);
     // Appends the part to the transfer that it continues, or starts a new transfer with it. Returns
     // false, and drops the transfer, if the part has a wrong offset or size.
     bool appendPart(const proto::FetchDeclarationReply &reply);
@@ -90,7 +115,8 @@
     uint64_t heldVersion = 0;
     bool needsFullContent = false;
     core::TimePoint nextRequestAt;
-    core::InstanceId requestedFrom; // Empty: no request is outstanding.
+    std::vector<PendingRequest> pending; // At most one for each instance, the oldest first.
+    std::map<core::InstanceId, core::TimePoint> failedAt; // The last failure of each instance.
     Transfer transfer;
     FetchEffort currentEffort;
 };
--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -170,7 +170,7 @@
                              static_cast<double>(reply->part().size()));
         this->noteVersion(source, sentAt, *reply);
     }
-    const auto change = this->fetch.onReply(reply, now);
+    const auto change = this->fetch.onReply(source, reply, now);
     if (!change.ok()) {
         this->logger.change(
             "declaration_fetch_failed",
--- a/tests/entry/declarationfetchtest.cpp
+++ b/tests/entry/declarationfetchtest.cpp
@@ -75,7 +75,7 @@
             }
             const proto::FetchDeclarationReply reply = source.answer(outgoing->request);
             received += reply.part().size();
-            const auto change = this->fetch.onReply(reply, this->now);
+            const auto change = this->fetch.onReply(outgoing->to, reply, this->now);
             REQUIRE(change.ok());
             if (*change) {
                 this->applyChange(**change);
@@ -180,7 +180,8 @@
     REQUIRE(lost);
     CHECK(lost->to == First);
     CHECK_FALSE(
-        instance.fetch.onReply(core::makeError(core::ErrorCode::Timeout, "no answer"), instance.now)
+        instance.fetch
+            .onReply(lost->to, core::makeError(core::ErrorCode::Timeout, "no answer"), instance.now)
             .ok());
     CHECK_FALSE(
         instance.fetch.nextRequest(Control, instance.now)); // Pauses before the next request.
@@ -204,7 +205,7 @@
     auto outgoing = instance.fetch.nextRequest(Control, instance.now);
     REQUIRE(outgoing);
     CHECK(outgoing->to == Second);
-    REQUIRE(instance.fetch.onReply(behind.answer(outgoing->request), instance.now).ok());
+    REQUIRE(instance.fetch.onReply(Second, behind.answer(outgoing->request), instance.now).ok());
     CHECK_FALSE(instance.fetch.nextRequest(Control, instance.now));
     instance.now += 1s;
     instance.sendRequests(ahead);
@@ -254,9 +255,69 @@
     reply.set_checksum(1);
     reply.set_total_bytes(4);
     reply.set_part("12345");
-    CHECK_FALSE(instance.fetch.onReply(reply, instance.now).ok());
+    CHECK_FALSE(instance.fetch.onReply(outgoing->to, reply, instance.now).ok());
     instance.now += 1s;
-    REQUIRE(instance.fetch.nextRequest(Control, instance.now));
+    const auto next = instance.fetch.nextRequest(Control, instance.now);
+    REQUIRE(next);
     reply.set_part("1234");
-    CHECK_FALSE(instance.fetch.onReply(reply, instance.now).ok()); // Does not match the checksum.
+    CHECK_FALSE(
+        instance.fetch.onReply(next->to, reply, instance.now).ok()); // Does not match the checksum.
+}
+
+// Guards against an instance that waits for one that hangs, although others would answer.
+TEST_CASE("while a reply is late another control instance is asked, and the first reply counts")
+{
+    Source source;
+    source.declare(1, "one");
+    Instance instance;
+    instance.fetch.onNotice(First, 1);
+    const auto late = instance.fetch.nextRequest(Control, instance.now);
+    REQUIRE(late);
+    CHECK(late->to == First);
+    instance.now += 100ms;
+    CHECK_FALSE(instance.fetch.nextRequest(Control, instance.now));
+    instance.now += 50ms;
+    const auto other = instance.fetch.nextRequest(Control, instance.now);
+    REQUIRE(other);
+    CHECK(other->to == Second);
+    const auto change = instance.fetch.onReply(Second, source.answer(other->request), instance.now);
+    REQUIRE(change.ok());
+    REQUIRE(*change);
+    instance.applyChange(**change);
+    // The late reply builds on a version that is no longer held.
+    source.declare(2, "two");
+    const auto overtaken
+        = instance.fetch.onReply(First, source.answer(late->request), instance.now);
+    REQUIRE(overtaken.ok());
+    CHECK_FALSE(*overtaken);
+    CHECK(instance.content == "one");
+}
+
+// Guards against a control instance that is cut off from the leader and is asked first each time.
+TEST_CASE("an instance that had nothing new is asked last unless it announces a version")
+{
+    const std::vector<core::InstanceId> control{First, Second, core::InstanceId("c3")};
+    Source behind;
+    behind.declare(1, "one");
+    Instance instance;
+    instance.sendRequests(behind);
+    instance.now += 1s;
+    instance.fetch.onNotice(First, 2);
+    const auto first = instance.fetch.nextRequest(control, instance.now);
+    REQUIRE(first);
+    CHECK(first->to == First);
+    REQUIRE(instance.fetch.onReply(First, behind.answer(first->request), instance.now).ok());
+    const auto failure = core::makeError(core::ErrorCode::Timeout, "no answer");
+    for (int request = 0; request < 2; ++request) {
+        instance.now += 100ms;
+        const auto next = instance.fetch.nextRequest(control, instance.now);
+        REQUIRE(next);
+        CHECK(next->to != First);
+        CHECK_FALSE(instance.fetch.onReply(next->to, failure, instance.now).ok());
+    }
+    instance.now += 100ms;
+    instance.fetch.onNotice(First, 3);
+    const auto announced = instance.fetch.nextRequest(control, instance.now);
+    REQUIRE(announced);
+    CHECK(announced->to == First);
 }
--- a/tests/entry/spreadfleet.cpp
+++ b/tests/entry/spreadfleet.cpp
@@ -335,10 +335,10 @@
 }
 
 void SpreadFleet::onFetchReply(EntryProcess &entry,
-                               const core::InstanceId & /*source*/,
+                               const core::InstanceId &source,
                                const absl::StatusOr<proto::FetchDeclarationReply> &reply)
 {
-    const auto change = entry.fetch->onReply(reply, this->now);
+    const auto change = entry.fetch->onReply(source, reply, this->now);
     if (change.ok() && *change) {
         entry.heldVersion = (*change)->version();
         for (auto &[version, times] : this->versions) {
