membership: Relay the heartbeats that have waited the longest first

A heartbeat relays up to 32 records of other instances that it has not relayed yet, in the order of their ids. Where more have a new heartbeat each time, the last ones never had a turn: of 200 instances with a heartbeat each second 32 are relayed in 10 s, the others not at all, so that an instance which hears them only by relays loses contact with them, or never learns of them.

Each record keeps its turn now.

--- a/source/samphirebridge/membership/instancedirectory.cpp
+++ b/source/samphirebridge/membership/instancedirectory.cpp
@@ -61,7 +61,12 @@
 void InstanceDirectory::setDeclarationVersion(uint64_t version)
 {
     this->ownRecord.set_declaration_version(version);
-    this->hasNewDeclaration = true;
+    this->reportToControl();
+}
+
+void InstanceDirectory::reportToControl()
+{
+    this->reportsToControl = true;
     this->lastSentAt.reset();
     this->lastIncrementAt.reset();
 }
@@ -110,7 +115,7 @@
     for (core::InstanceId &receiver : this->heartbeatReceivers()) {
         outgoing.push_back(Outgoing{std::move(receiver), update});
     }
-    if (std::exchange(this->hasNewDeclaration, false)) {
+    if (std::exchange(this->reportsToControl, false)) {
         this->addControlInstances(outgoing);
     }
     return outgoing;
@@ -264,12 +269,11 @@
             unrelayed.push_back(&entry);
         }
     }
-    std::sort(unrelayed.begin(), unrelayed.end(), [](const Entry *left, const Entry *right) {
-        return left->relayCount < right->relayCount;
-    });
+    std::ranges::stable_sort(unrelayed, {}, &Entry::lastRelay);
     unrelayed.resize(std::min(unrelayed.size(), this->options.relayedHeartbeatLimit));
     for (Entry *entry : unrelayed) {
         ++entry->relayCount;
+        entry->lastRelay = this->round + 1;
         *update.add_instances() = entry->record;
     }
 }
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -45,10 +45,14 @@
     // Sets whether this instance runs a control instance (votes) and an entry instance (serves).
     void setRoles(bool votes, bool serves);
 
-    // Sets the declaration version in force here; the next tick sends it to the peers, and to every
-    // control instance directly: they notify those that are behind.
+    // Sets the declaration version in force here; the next tick sends it as reportToControl() says:
+    // control instances notify those that are behind.
     void setDeclarationVersion(uint64_t version);
 
+    // Makes the next tick send a new heartbeat at once, to every control instance too. In a large
+    // fleet they would otherwise hear of it only when others relay it.
+    void reportToControl();
+
     // Replaces the incarnation of this process, when the ledger has refused the first one because
     // an earlier process had one at least as high.
     void setIncarnation(core::Incarnation incarnation);
@@ -104,6 +108,7 @@
         std::optional<core::TimePoint> heardAt;
         bool isSeed = false; // Added by addSeeds().
         uint32_t relayCount = 0; // How many of our heartbeats have relayed this record.
+        uint64_t lastRelay = 0; // The round of the last heartbeat that relayed any of its records.
     };
 
     // Returns those of the instances that this one sends a digest to.
@@ -116,7 +121,8 @@
     // Adds a heartbeat for each control instance that is not among the receivers yet.
     void addControlInstances(std::vector<Outgoing> &outgoing) const;
     // Adds the records of other instances that this one has not relayed yet, up to
-    // relayedHeartbeatLimit. Does nothing in a fleet up to directPeerLimit without discoverPeers.
+    // relayedHeartbeatLimit, those first that have waited the longest for their turn. Does nothing
+    // in a fleet up to directPeerLimit without discoverPeers.
     void addRelayedHeartbeats(proto::MembershipUpdate &update);
 
     core::InstanceId self;
@@ -126,7 +132,7 @@
     std::optional<core::TimePoint> lastSentAt;
     std::optional<core::TimePoint> lastIncrementAt;
     uint64_t round = 0;
-    bool hasNewDeclaration = false; // Its version was not sent yet.
+    bool reportsToControl = false; // The next heartbeat goes to every control instance.
 };
 
 } // namespace samphirebridge::membership
--- a/tests/membership/instancedirectorytest.cpp
+++ b/tests/membership/instancedirectorytest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 using namespace samphirebridge;
@@ -110,6 +111,35 @@
     CHECK(directory.tick(now + 30ms).empty());
 }
 
+// Guards against instances whose heartbeats are never relayed, because others have new ones each
+// time.
+TEST_CASE("every instance's heartbeat is relayed in its turn, however many have new ones")
+{
+    membership::MembershipOptions options;
+    options.discoverPeers = true;
+    InstanceDirectory directory(core::InstanceId("a"), 1, options);
+    constexpr int Instances = 200;
+    std::set<std::string> relayed;
+    core::TimePoint now{1h};
+    for (uint64_t second = 1; second <= 10; ++second, now += 1s) {
+        proto::MembershipUpdate update;
+        for (int number = 0; number < Instances; ++number) {
+            proto::InstanceRecord *record = update.add_instances();
+            record->set_id("i" + std::to_string(number));
+            record->set_incarnation(1);
+            record->set_heartbeat(second);
+        }
+        directory.merge(update, now);
+        const auto sent = directory.tick(now);
+        REQUIRE_FALSE(sent.empty());
+        for (const proto::InstanceRecord &record : sent.front().update.instances()) {
+            relayed.insert(record.id());
+        }
+    }
+    relayed.erase("a");
+    CHECK(relayed.size() == Instances);
+}
+
 TEST_CASE("a silent instance is removed from the list unless it is a seed")
 {
     InstanceDirectory directory(core::InstanceId("a"), 1, {});
