entry: Keep a transfer with its source while others announce versions

Each notice made its sender the source of the next part. Several control instances announce a version now, and one that can't continue the transfer under way begins it anew, so a long one might restart with each notice.

The source changes only when none is chosen or it fails. The new test fails without it.

--- a/source/samphirebridge/entry/declarationfetch.cpp
+++ b/source/samphirebridge/entry/declarationfetch.cpp
@@ -45,8 +45,11 @@
         return;
     }
     this->committedVersion = version;
-    this->notifier = from;
     this->currentEffort.notifier = from;
+    // Another instance may not have the transfer that is under way, and would begin it anew.
+    if (this->transfer.bytes.empty() || this->notifier.empty()) {
+        this->notifier = from;
+    }
 }
 
 void DeclarationFetch::onCommitted(uint64_t version)
@@ -124,6 +127,9 @@
                                "transfer; accepted is the next");
     }
     this->failedAt.erase(source);
+    if (this->notifier.empty()) {
+        this->notifier = source;
+    }
     if (this->transfer.bytes.size() < reply->total_bytes()) {
         return std::nullopt;
     }
--- a/source/samphirebridge/entry/declarationfetch.h
+++ b/source/samphirebridge/entry/declarationfetch.h
@@ -110,7 +110,7 @@
     bool appendPart(const proto::FetchDeclarationReply &reply);
 
     size_t nextControlIndex;
-    core::InstanceId notifier; // Announced the newest version; empty if none.
+    core::InstanceId notifier; // Announced a newer version, or sent a part of it; empty if none.
     uint64_t committedVersion = 0; // The highest known.
     uint64_t heldVersion = 0;
     bool needsFullContent = false;
--- a/tests/entry/declarationfetchtest.cpp
+++ b/tests/entry/declarationfetchtest.cpp
@@ -264,6 +264,22 @@
         instance.fetch.onReply(next->to, reply, instance.now).ok()); // Does not match the checksum.
 }
 
+// Guards against a long transfer that each notice moves to another instance, which may begin it
+// anew.
+TEST_CASE("a transfer under way stays with its source although others announce versions")
+{
+    Source source;
+    source.declare(1, randomContent(100'000));
+    Instance instance;
+    instance.fetch.onNotice(First, 1);
+    instance.sendRequests(source, 2);
+    instance.fetch.onNotice(Second, 1);
+    instance.fetch.onNotice(Second, 2);
+    const auto next = instance.fetch.nextRequest(Control, instance.now);
+    REQUIRE(next);
+    CHECK(next->to == First);
+}
+
 // Guards against an instance that waits for one that hangs, although others would answer.
 TEST_CASE("while a reply is late another control instance is asked, and the first reply counts")
 {
