entry: Keep the pause after a change when a request of before fails

A request that is late is not waited for any more, so it may fail after another reply has brought a version into force. Its failure then set the next request to 0.1 s later, in place of the 0.4 s that pass between two versions, and the whole content was decoded once more than planned.

The new test fails without it.

--- a/source/samphirebridge/entry/declarationfetch.cpp
+++ b/source/samphirebridge/entry/declarationfetch.cpp
@@ -231,7 +231,7 @@
         this->notifier = {};
     }
     if (this->pending.empty()) {
-        this->nextRequestAt = now + RetryPause;
+        this->nextRequestAt = std::max(this->nextRequestAt, now + RetryPause);
     }
 }
 
--- a/tests/entry/declarationfetchtest.cpp
+++ b/tests/entry/declarationfetchtest.cpp
@@ -337,3 +337,23 @@
     REQUIRE(announced);
     CHECK(announced->to == First);
 }
+
+// Guards against a second decoding right after a change because a request of before has failed.
+TEST_CASE("a late failure does not shorten the pause after a change")
+{
+    Source source;
+    source.declare(1, "one");
+    Instance instance;
+    instance.fetch.onNotice(First, 1);
+    REQUIRE(instance.fetch.nextRequest(Control, instance.now));
+    instance.now += 150ms;
+    instance.sendRequests(source);
+    REQUIRE(instance.version == 1);
+    instance.fetch.onNotice(Second, 2);
+    const auto failure = core::makeError(core::ErrorCode::Timeout, "no answer");
+    CHECK_FALSE(instance.fetch.onReply(First, failure, instance.now).ok());
+    instance.now += 390ms;
+    CHECK_FALSE(instance.fetch.nextRequest(Control, instance.now));
+    instance.now += 10ms;
+    CHECK(instance.fetch.nextRequest(Control, instance.now));
+}
