--- a/tests/entry/noticescheduletest.cpp
+++ b/tests/entry/noticescheduletest.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <string>
 #include <vector>
 
 using namespace samphirebridge;
@@ -29,6 +31,7 @@
 std::vector<membership::InstanceView> fleetWithEntryAt(uint64_t version)
 {
     std::vector<membership::InstanceView> views;
+    views.reserve(Control.size() + 1);
     for (const std::string &id : Control) {
         views.push_back(viewOf(id, true));
     }
@@ -43,6 +46,7 @@
 std::vector<core::Duration> firstNotices()
 {
     std::vector<core::Duration> delays;
+    delays.reserve(Control.size());
     const auto views = fleetWithEntryAt(1);
     for (const std::string &id : Control) {
         NoticeSchedule schedule{core::InstanceId(id)};
--- a/tests/entry/versionwatchtest.cpp
+++ b/tests/entry/versionwatchtest.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <set>
+#include <string>
 #include <vector>
 
 using namespace samphirebridge;
@@ -16,6 +17,7 @@
 std::vector<core::InstanceId> makeControl(size_t count)
 {
     std::vector<core::InstanceId> control;
+    control.reserve(count);
     for (size_t number = 0; number < count; ++number) {
         control.emplace_back("c" + std::to_string(number));
     }
