--- a/tests/control/controlnodetest.cpp
+++ b/tests/control/controlnodetest.cpp
@@ -52,6 +52,18 @@
         REQUIRE(this->node->flush(this->now).ok());
     }
 
+    // Returns the answer to a question for the newest declaration that arrives `later` from now.
+    proto::FetchDeclarationReply askForDeclaration(core::Duration later)
+    {
+        std::optional<proto::FetchDeclarationReply> answer;
+        this->node->fetchDeclaration(
+            {}, this->now + later, [&answer](const proto::FetchDeclarationReply &reply) {
+                answer = reply;
+            });
+        REQUIRE(answer);
+        return *answer;
+    }
+
     // Submits a command and stores the reply's status.
     void submit(std::optional<proto::SubmitReply::Status> &status)
     {
@@ -176,3 +188,48 @@
     CHECK(first == proto::SubmitReply::UNKNOWN);
     CHECK(third == proto::SubmitReply::UNKNOWN);
 }
+
+// Guards against a member that is cut off, or has applied less than was committed, and vouches for
+// an old declaration.
+TEST_CASE("a member vouches for its declaration as of the last commit index that it has applied")
+{
+    MemberOfThree member;
+    CHECK_FALSE(member.askForDeclaration(0ms).confirmed());
+    proto::RaftMessage heartbeat;
+    heartbeat.mutable_append_request();
+    member.deliver(heartbeat, 1);
+    CHECK(member.askForDeclaration(0ms).confirmed());
+    CHECK(member.askForDeclaration(80ms).confirmed_ms_ago() == 80);
+
+    SECTION("no append arrives")
+    {
+        CHECK(member.askForDeclaration(5s).confirmed_ms_ago() == 5000);
+    }
+    SECTION("the leader has committed what this member lacks")
+    {
+        member.now += 1s;
+        heartbeat.mutable_append_request()->set_commit_index(7);
+        heartbeat.mutable_append_request()->set_previous_index(7);
+        heartbeat.mutable_append_request()->set_previous_term(1);
+        member.deliver(heartbeat, 1);
+        CHECK(member.askForDeclaration(0ms).confirmed_ms_ago() == 1000);
+    }
+    SECTION("a leader of an earlier term sends an append")
+    {
+        member.deliver(heartbeat, 3);
+        member.now += 1s;
+        member.deliver(heartbeat, 2);
+        CHECK(member.askForDeclaration(0ms).confirmed_ms_ago() == 1000);
+    }
+}
+
+TEST_CASE("a leader vouches for its declaration as of its last contact with a majority")
+{
+    SingleVoter alone;
+    CHECK(alone.askForDeclaration(0ms).confirmed());
+    CHECK(alone.askForDeclaration(0ms).confirmed_ms_ago() == 0);
+
+    MemberOfThree member;
+    member.lead(2);
+    CHECK_FALSE(member.askForDeclaration(0ms).confirmed());
+}
