tests/entry: Count the waits for a version that an isolation ends

Cause: the simulated fleet judged all waits of an entry instance by when its last isolation ended. A version that had come late, or not at all, before the instance was cut off was taken for one that need not be there yet, so the property passed over it.

Waits are counted when they end now, by force or by an isolation.

--- a/tests/entry/spreadfleet.cpp
+++ b/tests/entry/spreadfleet.cpp
@@ -55,6 +55,7 @@
     this->commit();
     this->run(2s);
     this->versions.clear();
+    this->longestPastWait = {};
     this->noticeCount = 0;
     this->questionCount = 0;
 }
@@ -146,29 +147,44 @@
 void SpreadFleet::setCutOff(size_t number, bool isCutOff)
 {
     EntryProcess &entry = *this->entries[number];
+    if (isCutOff) {
+        this->endWaits(entry, this->newestVersion);
+    } else {
+        entry.backSince = this->now;
+    }
     entry.isCutOff = isCutOff;
-    entry.backSince = this->now;
 }
 
 core::Duration SpreadFleet::longestWait() const
 {
-    core::Duration longest{};
-    for (const auto &[version, times] : this->versions) {
+    core::Duration longest = this->longestPastWait;
+    for (const auto &[version, spread] : this->versions) {
         for (const auto &entry : this->entries) {
-            const auto inForce = times.inForce.find(entry->id.value);
-            const bool isInForce = inForce != times.inForce.end();
-            if (entry->isCutOff && !isInForce) {
-                continue;
-            }
-            const core::TimePoint end = isInForce ? inForce->second : this->now;
-            const core::TimePoint begin
-                = std::max(times.acknowledged, entry->backSince + (ContactTime - ApplyTime));
-            longest = std::max(longest, end - begin);
+            longest = std::max(longest, this->waitOf(spread, *entry));
         }
     }
     return longest;
 }
 
+core::Duration SpreadFleet::waitOf(const Spread &spread, const EntryProcess &entry) const
+{
+    if (entry.isCutOff || spread.inForceAt.contains(entry.id.value)) {
+        return {};
+    }
+    const core::TimePoint begin
+        = std::max(spread.acknowledged, entry.backSince + (ContactTime - ApplyTime));
+    return this->now - begin;
+}
+
+void SpreadFleet::endWaits(const EntryProcess &entry, uint64_t version)
+{
+    const auto end = this->versions.upper_bound(version);
+    for (auto spread = this->versions.begin(); spread != end; ++spread) {
+        this->longestPastWait
+            = std::max(this->longestPastWait, this->waitOf(spread->second, entry));
+    }
+}
+
 bool SpreadFleet::isInContact(size_t entry) const
 {
     const std::string &id = this->entries[entry]->id.value;
@@ -353,9 +369,10 @@
     const auto change = entry.fetch->onReply(source, reply, this->now);
     if (change.ok() && *change) {
         entry.heldVersion = (*change)->version();
-        for (auto &[version, times] : this->versions) {
+        this->endWaits(entry, entry.heldVersion);
+        for (auto &[version, spread] : this->versions) {
             if (version <= entry.heldVersion) {
-                times.inForce.try_emplace(entry.id.value, this->now);
+                spread.inForceAt.insert(entry.id.value);
             }
         }
         entry.fetch->onVersionHeld(entry.heldVersion, this->now);
--- a/tests/entry/spreadfleet.h
+++ b/tests/entry/spreadfleet.h
@@ -56,14 +56,14 @@
     uint64_t heldVersion = 0;
     core::TimePoint lastControlCheck;
     bool isCutOff = false; // No message reaches or leaves the instance.
-    core::TimePoint backSince; // When its last isolation ended.
+    core::TimePoint backSince; // When its last isolation ended; unset: it had none.
 };
 
-// When a version was acknowledged, and when it, or a newer one, came into force at the last entry
-// instance.
-struct SpreadTimes {
+// When a version was acknowledged, and the entry instances in which it, or a newer one, is in
+// force.
+struct Spread {
     core::TimePoint acknowledged;
-    std::map<std::string, core::TimePoint> inForce;
+    std::set<std::string> inForceAt;
 };
 
 // One control instance without trouble leads; elections take no time.
@@ -86,7 +86,9 @@
     void setCutOff(size_t entry, bool isCutOff);
 
     // Returns the longest time from an acknowledgement to force at an entry instance. A version
-    // that is not in force anywhere yet counts with the time that it waits already.
+    // that is not in force there yet counts with the time that it waits already. The time of an
+    // isolation, and the first of ContactTime after it, do not count: an instance that is back need
+    // not be in time before.
     [[nodiscard]] core::Duration longestWait() const;
 
     // Returns whether every control instance without trouble has the entry instance in contact.
@@ -123,6 +125,10 @@
     void onFetchReply(EntryProcess &entry,
                       const core::InstanceId &source,
                       const absl::StatusOr<proto::FetchDeclarationReply> &reply);
+    // Returns how long the version has been waiting at the instance, see longestWait().
+    [[nodiscard]] core::Duration waitOf(const Spread &spread, const EntryProcess &entry) const;
+    // Adds the waits of the instance for the versions up to this one to those that are over.
+    void endWaits(const EntryProcess &entry, uint64_t version);
     void sendHeartbeats(const std::string &from, const std::vector<membership::Outgoing> &outgoing);
     void onHeartbeat(const std::string &to, const proto::MembershipUpdate &update);
     [[nodiscard]] bool isBlocked(const std::string &from, const std::string &to) const;
@@ -139,7 +145,8 @@
     // The entry instances that a control instance with CutNear does not reach.
     std::set<std::pair<std::string, std::string>> unreachable;
     std::multimap<core::TimePoint, std::function<void()>> queue;
-    std::map<uint64_t, SpreadTimes> versions;
+    std::map<uint64_t, Spread> versions;
+    core::Duration longestPastWait{}; // Of waits that force or an isolation has ended.
     uint64_t newestVersion = 0;
     size_t noticeCount = 0;
     size_t questionCount = 0;
