control, entry: State once when a member vouches, and drop what is held twice

- The simulated fleet repeated what ControlNode::fetchDeclaration() does to confirm a reply.
CommitFreshness::confirm() serves both.
- NoticeSchedule held the newest version and its time beside the list whose last element they are.
- VersionWatch::confirmedUntil() served one check of a test.
The test asks for no question 699 ms after the confirmation and for one at 700 ms instead, which holds the same moment from both sides.

--- a/source/samphirebridge/control/commitfreshness.h
+++ b/source/samphirebridge/control/commitfreshness.h
@@ -1,6 +1,7 @@
 // Tells how recently a control instance is known to have applied everything that was committed.
 #pragma once
 
+#include "instance.pb.h"
 #include "samphirebridge/core/time.h"
 
 #include <cstdint>
@@ -25,6 +26,10 @@
     // nothing if that was never known.
     [[nodiscard]] std::optional<core::Duration> age(core::TimePoint now) const;
 
+    // Sets in a reply that names the newest applied version how recently nothing newer was
+    // committed.
+    void confirm(proto::FetchDeclarationReply &reply, core::TimePoint now) const;
+
 private:
     uint64_t committedIndex = 0; // What onCommitted() has named and is not applied yet.
     std::optional<core::TimePoint> committedAt;
--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -196,12 +196,8 @@
     {
         proto::FetchDeclarationReply reply
             = this->declarations.answer(request, this->machine.state());
-        const auto age = this->freshness.age(now);
-        const bool isNewest = reply.version() == this->appliedDeclaration().version();
-        if (age && *age < LongestFreshness && isNewest) {
-            reply.set_confirmed(true);
-            reply.set_confirmed_ms_ago(
-                static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(*age).count()));
+        if (reply.version() == this->appliedDeclaration().version()) {
+            this->freshness.confirm(reply, now);
         }
         this->counters.count(telemetry::Event::DeclarationBytesSent,
                              static_cast<double>(reply.part().size()));
@@ -337,9 +333,6 @@
     // and the member may be back.
     static constexpr core::Duration ResignationLifetime = 2 * JoinInterval;
 
-    // What was known to be applied longer ago than this is not told to other instances.
-    static constexpr core::Duration LongestFreshness = std::chrono::hours(1);
-
     // The interval between two updates of the token gauges, which sum over all budgets.
     static constexpr core::Duration GaugeInterval = std::chrono::seconds(2);
 
--- a/source/samphirebridge/entry/noticeschedule.cpp
+++ b/source/samphirebridge/entry/noticeschedule.cpp
@@ -33,11 +33,9 @@
 
 void NoticeSchedule::onApplied(uint64_t version, core::TimePoint now)
 {
-    if (version <= this->newestVersion) {
+    if (version <= this->version()) {
         return;
     }
-    this->newestVersion = version;
-    this->newestAppliedAt = now;
     this->recentVersions.emplace(version, now);
     if (this->recentVersions.size() > MaximumRecentVersions) {
         this->recentVersions.erase(this->recentVersions.begin());
@@ -59,7 +57,7 @@
     for (const membership::InstanceView &view : views) {
         const std::string &id = view.record.id();
         if (!view.inContact || !view.record.serves() || id == this->self.value
-            || view.record.declaration_version() >= this->newestVersion) {
+            || view.record.declaration_version() >= this->version()) {
             continue;
         }
         InstanceLag lag;
@@ -83,12 +81,12 @@
 
 uint64_t NoticeSchedule::version() const
 {
-    return this->newestVersion;
+    return this->recentVersions.empty() ? 0 : this->recentVersions.rbegin()->first;
 }
 
 core::TimePoint NoticeSchedule::appliedAt() const
 {
-    return this->newestAppliedAt;
+    return this->recentVersions.empty() ? core::TimePoint{} : this->recentVersions.rbegin()->second;
 }
 
 const std::vector<InstanceLag> &NoticeSchedule::lags() const
--- a/source/samphirebridge/entry/noticeschedule.h
+++ b/source/samphirebridge/entry/noticeschedule.h
@@ -48,7 +48,7 @@
     // Returns the newest version that was applied; 0: none.
     [[nodiscard]] uint64_t version() const;
 
-    // Returns when this instance applied it.
+    // Returns when this instance applied it; the default time point if there is none.
     [[nodiscard]] core::TimePoint appliedAt() const;
 
     // Returns the instances in contact that had an older version at the last takeDue().
@@ -71,8 +71,6 @@
     bool takeNotice(const InstanceLag &lag, size_t controlInstances, core::TimePoint now);
 
     core::InstanceId self;
-    uint64_t newestVersion = 0;
-    core::TimePoint newestAppliedAt;
     std::map<uint64_t, core::TimePoint> recentVersions; // When each was applied.
     std::map<std::string, SentNotices> sentNotices; // By instance that is behind.
     std::vector<InstanceLag> currentLags;
--- a/source/samphirebridge/entry/versionwatch.cpp
+++ b/source/samphirebridge/entry/versionwatch.cpp
@@ -60,9 +60,4 @@
     return isBack;
 }
 
-core::TimePoint VersionWatch::confirmedUntil() const
-{
-    return this->lastConfirmed;
-}
-
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/versionwatch.h
+++ b/source/samphirebridge/entry/versionwatch.h
@@ -32,9 +32,6 @@
     // for long, so that the instance may have been out of contact.
     bool onConfirmed(const core::InstanceId &source, core::TimePoint asOf);
 
-    // Returns until when the instance is known to have missed no version.
-    [[nodiscard]] core::TimePoint confirmedUntil() const;
-
 private:
     size_t nextControlIndex;
     core::InstanceId lastSource; // Gave the last confirmation; empty: none did.
--- a/tests/entry/spreadfleet.cpp
+++ b/tests/entry/spreadfleet.cpp
@@ -302,11 +302,8 @@
                                                  const proto::FetchDeclarationRequest &request)
 {
     proto::FetchDeclarationReply reply = control.source.answer(request, control.ledger);
-    const auto age = control.freshness.age(this->now);
-    if (age && reply.version() == control.ledger.declaration().version()) {
-        reply.set_confirmed(true);
-        reply.set_confirmed_ms_ago(
-            static_cast<uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(*age).count()));
+    if (reply.version() == control.ledger.declaration().version()) {
+        control.freshness.confirm(reply, this->now);
     }
     return reply;
 }
--- a/tests/entry/versionwatchtest.cpp
+++ b/tests/entry/versionwatchtest.cpp
@@ -74,6 +74,6 @@
     VersionWatch watch(0);
     watch.onConfirmed(control[1], Begin);
     watch.onConfirmed(control[2], Begin - 1s);
-    CHECK(watch.confirmedUntil() == Begin);
-    CHECK(watch.nextQuestion(control, Begin + 1s) == control[1]);
+    CHECK_FALSE(watch.nextQuestion(control, Begin + 699ms));
+    CHECK(watch.nextQuestion(control, Begin + 700ms) == control[1]);
 }
