entry: Count an instance as behind from when it is seen to be

What operators saw: after each restart of an entry instance, or its return into contact, instance_behind and declaration_lag_seconds told hours, the age of the oldest remembered version that it lacked, and an alert on the gauge would fire.

Cause: both took the age that decides whose turn it is to notify. That age is right for the turns, as such an instance is to be notified at once.

Log and gauge take the shorter of that age and the time since the instance was first seen behind without a break. Turns and notices stay as they are.

--- a/source/samphirebridge/entry/declarationpublisher.cpp
+++ b/source/samphirebridge/entry/declarationpublisher.cpp
@@ -14,6 +14,12 @@
 // The time behind after which an instance is logged.
 constexpr core::Duration LoggedLag = std::chrono::milliseconds(1000);
 
+// An instance that has just started lacks versions that are much older than it.
+core::Duration behindFor(const InstanceLag &lag)
+{
+    return std::min(lag.age, lag.seenFor);
+}
+
 std::string millisecondsOf(core::Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -90,9 +96,10 @@
     core::Duration longest{};
     std::map<std::string, InstanceLag> stillBehind;
     for (const InstanceLag &lag : this->schedule.lags()) {
-        longest = std::max(longest, lag.age);
+        const core::Duration behind = behindFor(lag);
+        longest = std::max(longest, behind);
         const bool wasLogged = this->loggedLags.contains(lag.instance);
-        if (lag.age < LoggedLag && !wasLogged) {
+        if (behind < LoggedLag && !wasLogged) {
             continue;
         }
         stillBehind[lag.instance] = lag;
@@ -101,7 +108,7 @@
                                 {{"peer", lag.instance},
                                  {"held", std::to_string(lag.heldVersion)},
                                  {"version", std::to_string(this->schedule.version())},
-                                 {"behind_ms", millisecondsOf(lag.age)},
+                                 {"behind_ms", millisecondsOf(behindFor(lag))},
                                  {"rank", std::to_string(lag.rank)},
                                  {"notices", std::to_string(lag.noticeCount)},
                                  {"last_notice_ms", millisecondsOf(lag.sinceLastNotice)}});
@@ -111,7 +118,7 @@
         if (!stillBehind.contains(instance)) {
             this->logger.change("instance_up_to_date",
                                 {{"peer", instance},
-                                 {"behind_ms", millisecondsOf(lag.age)},
+                                 {"behind_ms", millisecondsOf(behindFor(lag))},
                                  {"notices", std::to_string(lag.noticeCount)}});
         }
     }
--- a/source/samphirebridge/entry/noticeschedule.cpp
+++ b/source/samphirebridge/entry/noticeschedule.cpp
@@ -24,6 +24,18 @@
 // since the oldest of them.
 constexpr size_t MaximumRecentVersions = 256;
 
+// Returns the checksums of the ids of the control instances that are in contact and not leaving.
+std::vector<uint64_t> notifierChecksums(std::span<const membership::InstanceView> views)
+{
+    std::vector<uint64_t> checksums;
+    for (const membership::InstanceView &view : views) {
+        if (view.record.votes() && view.inContact && !view.record.leaving()) {
+            checksums.push_back(core::checksumOf(view.record.id()));
+        }
+    }
+    return checksums;
+}
+
 } // namespace
 
 NoticeSchedule::NoticeSchedule(core::InstanceId ownId)
@@ -45,14 +57,9 @@
 std::vector<core::InstanceId>
 NoticeSchedule::takeDue(std::span<const membership::InstanceView> views, core::TimePoint now)
 {
-    std::vector<uint64_t> controlChecksums;
-    for (const membership::InstanceView &view : views) {
-        if (view.record.votes() && view.inContact && !view.record.leaving()) {
-            controlChecksums.push_back(core::checksumOf(view.record.id()));
-        }
-    }
+    const std::vector<uint64_t> controlChecksums = notifierChecksums(views);
     std::vector<core::InstanceId> due;
-    std::map<std::string, SentNotices> stillBehind;
+    std::map<std::string, BehindInstance> stillBehind;
     this->currentLags.clear();
     for (const membership::InstanceView &view : views) {
         const std::string &id = view.record.id();
@@ -65,17 +72,26 @@
         lag.heldVersion = view.record.declaration_version();
         lag.age = this->lagAge(lag.heldVersion, now);
         lag.rank = this->rankFor(id, controlChecksums);
-        if (this->takeNotice(lag, controlChecksums.size(), now)) {
+        BehindInstance &instance = stillBehind[id];
+        if (const auto known = this->behindInstances.find(id);
+            known != this->behindInstances.end()) {
+            instance = known->second;
+        } else {
+            instance.seenAt = now;
+        }
+        if (isNoticeDue(lag, instance, controlChecksums.size(), now)) {
+            ++instance.noticeCount;
+            instance.lastNoticeAt = now;
             due.emplace_back(id);
         }
-        if (const auto sent = this->sentNotices.find(id); sent != this->sentNotices.end()) {
-            lag.noticeCount = sent->second.count;
-            lag.sinceLastNotice = now - sent->second.lastAt;
-            stillBehind.insert(*sent);
+        lag.seenFor = now - instance.seenAt;
+        lag.noticeCount = instance.noticeCount;
+        if (instance.noticeCount > 0) {
+            lag.sinceLastNotice = now - instance.lastNoticeAt;
         }
         this->currentLags.push_back(std::move(lag));
     }
-    this->sentNotices = std::move(stillBehind);
+    this->behindInstances = std::move(stillBehind);
     return due;
 }
 
@@ -111,22 +127,15 @@
     }));
 }
 
-bool NoticeSchedule::takeNotice(const InstanceLag &lag,
-                                size_t controlInstances,
-                                core::TimePoint now)
+bool NoticeSchedule::isNoticeDue(const InstanceLag &lag,
+                                 const BehindInstance &instance,
+                                 size_t controlInstances,
+                                 core::TimePoint now)
 {
     const auto lastRank = static_cast<int64_t>(std::max<size_t>(controlInstances, 2) - 1);
-    if (lag.age * lastRank < LongestHeadStart * static_cast<int64_t>(lag.rank)) {
-        return false;
-    }
-    const auto sent = this->sentNotices.find(lag.instance);
-    if (sent != this->sentNotices.end() && now - sent->second.lastAt < NoticeInterval) {
-        return false;
-    }
-    SentNotices &notices = this->sentNotices[lag.instance];
-    ++notices.count;
-    notices.lastAt = now;
-    return true;
+    const bool isItsTurn = lag.age * lastRank >= LongestHeadStart * static_cast<int64_t>(lag.rank);
+    const bool isTooSoon = instance.noticeCount > 0 && now - instance.lastNoticeAt < NoticeInterval;
+    return isItsTurn && !isTooSoon;
 }
 
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/noticeschedule.h
+++ b/source/samphirebridge/entry/noticeschedule.h
@@ -21,6 +21,9 @@
     uint64_t heldVersion = 0;
     // The time since this control instance applied the first version that the instance lacks.
     core::Duration age{};
+    // The time since it was first seen behind here without a break. Shorter than the age if it has
+    // just started, or has just come into contact.
+    core::Duration seenFor{};
     size_t rank = 0; // This control instance's turn to notify it; 0: first.
     size_t noticeCount = 0; // Sent since the instance fell behind.
     core::Duration sinceLastNotice{}; // 0 if none was sent.
@@ -55,10 +58,11 @@
     [[nodiscard]] const std::vector<InstanceLag> &lags() const;
 
 private:
-    // The notices to an instance since it fell behind.
-    struct SentNotices {
-        size_t count = 0;
-        core::TimePoint lastAt;
+    // What was noted of an instance since it was first seen behind.
+    struct BehindInstance {
+        core::TimePoint seenAt;
+        size_t noticeCount = 0;
+        core::TimePoint lastNoticeAt;
     };
 
     // Returns the time since the first version above `heldVersion` was applied here.
@@ -67,12 +71,15 @@
     // one.
     [[nodiscard]] size_t rankFor(const std::string &instance,
                                  std::span<const uint64_t> controlChecksums) const;
-    // Returns whether a notice to the instance is due, and counts it as sent.
-    bool takeNotice(const InstanceLag &lag, size_t controlInstances, core::TimePoint now);
+    // Returns whether a notice to the instance is due.
+    [[nodiscard]] static bool isNoticeDue(const InstanceLag &lag,
+                                          const BehindInstance &instance,
+                                          size_t controlInstances,
+                                          core::TimePoint now);
 
     core::InstanceId self;
     std::map<uint64_t, core::TimePoint> recentVersions; // When each was applied.
-    std::map<std::string, SentNotices> sentNotices; // By instance that is behind.
+    std::map<std::string, BehindInstance> behindInstances; // By id.
     std::vector<InstanceLag> currentLags;
 };
 
--- a/tests/entry/noticescheduletest.cpp
+++ b/tests/entry/noticescheduletest.cpp
@@ -118,3 +118,22 @@
     REQUIRE(schedule.lags().size() == 1);
     CHECK(schedule.lags().front().age == 1s);
 }
+
+// Guards against a restart that looks like an instance which has been behind for hours.
+TEST_CASE("an instance that has just started is seen behind from then on")
+{
+    NoticeSchedule schedule{core::InstanceId("c1")};
+    schedule.onApplied(1, Begin - 1h);
+    schedule.takeDue(fleetWithEntryAt(1), Begin);
+    CHECK(schedule.lags().empty());
+    for (const core::Duration since : {0ms, 400ms}) {
+        schedule.takeDue(fleetWithEntryAt(0), Begin + since);
+        REQUIRE(schedule.lags().size() == 1);
+        CHECK(schedule.lags().front().seenFor == since);
+        CHECK(schedule.lags().front().age == 1h + since);
+    }
+    schedule.takeDue(fleetWithEntryAt(1), Begin + 1s);
+    schedule.takeDue(fleetWithEntryAt(0), Begin + 2s);
+    REQUIRE(schedule.lags().size() == 1);
+    CHECK(schedule.lags().front().seenFor == 0ms);
+}
