--- a/source/samphirebridge/core/reasons.cpp
+++ b/source/samphirebridge/core/reasons.cpp
@@ -57,6 +57,10 @@
         return "targets_failed";
     case RefusalReason::TargetsPaused:
         return "targets_paused";
+    case RefusalReason::TargetsCold:
+        return "targets_cold";
+    case RefusalReason::NoTargetInRegion:
+        return "no_target_in_region";
     case RefusalReason::CrashSuspect:
         return "crash_suspect";
     case RefusalReason::HarmfulPrompt:
@@ -154,6 +158,8 @@
         return 502;
     case RefusalReason::BudgetUnconfirmed:
     case RefusalReason::TargetsPaused:
+    case RefusalReason::TargetsCold:
+    case RefusalReason::NoTargetInRegion:
     case RefusalReason::ClaimUnavailable:
     case RefusalReason::NoTarget:
     case RefusalReason::RetryBudgetExhausted:
--- a/source/samphirebridge/core/reasons.h
+++ b/source/samphirebridge/core/reasons.h
@@ -37,6 +37,8 @@
     RetryBudgetExhausted,
     TargetsFailed,
     TargetsPaused, // Every target that is left has asked for no requests for a while.
+    TargetsCold, // Every usable target is cold, and has no free slot of an allotment here.
+    NoTargetInRegion, // No ready target is in a region that the request's declaration allows.
     CrashSuspect, // The request was running on targets that crashed, and may have caused it.
     HarmfulPrompt, // A part of its prompt crashes the targets that begin to answer it.
     AnswerBroken, // The answer ended early, and the request must not be retried or resumed.
@@ -91,6 +93,8 @@
     RefusalReason::RetryBudgetExhausted,
     RefusalReason::TargetsFailed,
     RefusalReason::TargetsPaused,
+    RefusalReason::TargetsCold,
+    RefusalReason::NoTargetInRegion,
     RefusalReason::CrashSuspect,
     RefusalReason::HarmfulPrompt,
     RefusalReason::AnswerBroken,
--- a/source/samphirebridge/forwarding/callerrequest.h
+++ b/source/samphirebridge/forwarding/callerrequest.h
@@ -54,6 +54,7 @@
     bool notRun = false; // The target has not run the request and never will.
     bool leaving = false; // The target takes no more requests.
     std::optional<core::Duration> retryAfter{}; // When the target wants requests again.
+    std::optional<core::Duration> coldRemaining{}; // How much longer the target is cold.
 };
 
 } // namespace samphirebridge::forwarding
--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -41,6 +41,8 @@
     int32_t priority = 0; // Lower runs first.
     uint32_t maximumTargets = 1; // Targets that may run one request; those that refuse don't count.
     std::vector<ServiceShare> services{};
+    // Names of the regions whose targets may serve its requests; empty: all.
+    std::vector<std::string> allowedRegions{};
 };
 
 // Properties that all engines of a service share.
@@ -54,6 +56,9 @@
     core::ServiceId id;
     uint32_t connectionsPerTarget = 0; // A target's limit over all instances; 0: not stated.
     std::optional<EngineTraits> engine{};
+    // What a target can handle from the whole fleet while it is cold; 0: not stated, no limit.
+    double coldRequestsPerSecond = 0;
+    core::Duration coldStart{}; // How long a target is cold after it starts.
 };
 
 struct Organisation {
@@ -61,6 +66,9 @@
     std::vector<std::string> keys{}; // API keys of its callers.
     std::optional<int32_t> priority{}; // Overrides the route's.
     std::optional<core::Tokens> purchased{}; // What it may spend in total; empty: unlimited.
+    // Names of the regions whose targets may serve its requests, beside those of the route; empty:
+    // all.
+    std::vector<std::string> allowedRegions{};
 };
 
 // Limits on the size of a caller's request and on the time that its connection may take.
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -6,6 +6,7 @@
 #include "samphirebridge/core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -88,6 +89,7 @@
 struct TargetNotice {
     bool leaving = false; // It takes no more requests.
     core::Duration pause{}; // It wants no requests from this instance for so long; 0: not said.
+    std::optional<core::Duration> coldRemaining{}; // How much longer it is cold; empty: not said.
 };
 
 // A complete answer.
