platform: Decode allowed regions, cold rates and X-Cold-Ms

Routes and organisations of a declaration may have AllowedRegions. A list of another type is an error, so that no restriction is lost; null counts as absent, as encoders write it for an empty list. ColdStartS and ColdPerS of a service may be fractions; negative values become zero and extreme ones are limited, since they are converted to integer types later. X-Cold-Ms is read like Retry-After: only if it is stated once, as a number that is not negative.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -622,6 +622,7 @@
         }
         routing::TargetNotice notice;
         notice.leaving = metadata.leaving;
+        notice.coldRemaining = metadata.coldRemaining;
         if (status == StatusUnavailable) {
             notice.pause = metadata.retryAfter.value_or(core::Duration::zero());
         }
--- a/tests/platform/callerwiretest.cpp
+++ b/tests/platform/callerwiretest.cpp
@@ -154,4 +154,13 @@
         CHECK_FALSE(decode({{"Retry-After", invalid}}).retryAfter);
     }
     CHECK_FALSE(decode({{"Retry-After", "2"}, {"Retry-After", "3"}}).retryAfter);
+    CHECK_FALSE(decode({}).coldRemaining);
+    CHECK(decode({{"X-Cold-Ms", "1500"}}).coldRemaining == core::Duration(1500ms));
+    CHECK(decode({{"X-Cold-Ms", "0.5"}}).coldRemaining == core::Duration(500us));
+    CHECK(decode({{"X-Cold-Ms", "0"}}).coldRemaining == core::Duration());
+    CHECK(decode({{"X-Cold-Ms", "1e30"}}).coldRemaining == core::Duration(24h));
+    for (const char *invalid : {"-1", "nan", "", "soon"}) {
+        CHECK_FALSE(decode({{"X-Cold-Ms", invalid}}).coldRemaining);
+    }
+    CHECK_FALSE(decode({{"X-Cold-Ms", "2"}, {"X-Cold-Ms", "3"}}).coldRemaining);
 }
--- a/tests/platform/declarationwiretest.cpp
+++ b/tests/platform/declarationwiretest.cpp
@@ -3,8 +3,10 @@
 #include "samphirebridge/core/errors.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <string>
+#include <vector>
 
 using namespace samphirebridge;
 using namespace std::chrono_literals;
@@ -89,3 +91,70 @@
           == core::ErrorCode::InvalidManifest);
     CHECK(errorOf("[]") == core::ErrorCode::InvalidManifest);
 }
+
+TEST_CASE("allowed regions of routes and organisations and the cold rates of services are decoded")
+{
+    const auto plain = decodeDeclaration(Document);
+    REQUIRE(plain.ok());
+    CHECK(plain->routes[0].allowedRegions.empty());
+    CHECK(plain->organisations[0].allowedRegions.empty());
+    CHECK(plain->services[0].coldRequestsPerSecond == 0);
+    CHECK(plain->services[0].coldStart == core::Duration());
+
+    const auto route = decodeDeclaration(
+        documentWith("\"Sticky\":true", R"("Sticky":true,"AllowedRegions":["andes","iberia"])"));
+    REQUIRE(route.ok());
+    CHECK(route->routes[0].allowedRegions == std::vector<std::string>{"andes", "iberia"});
+    CHECK(route->routes[1].allowedRegions.empty());
+
+    const auto organisation = decodeDeclaration(
+        documentWith("\"Prepaid\":", R"("AllowedRegions":["andes"],"Prepaid":)"));
+    REQUIRE(organisation.ok());
+    CHECK(organisation->organisations[0].allowedRegions == std::vector<std::string>{"andes"});
+
+    const auto service = decodeDeclaration(
+        documentWith("\"MaxConnections\":96", R"("ColdStartS":2.5,"ColdPerS":0.25)"));
+    REQUIRE(service.ok());
+    CHECK(service->services[1].coldStart == core::Duration(2500ms));
+    CHECK(service->services[1].coldRequestsPerSecond == 0.25);
+    CHECK(service->services[0].coldRequestsPerSecond == 0);
+}
+
+// Guards against a list that is taken for absent, and then restricts nothing.
+TEST_CASE(
+    "allowed regions of another type are refused, and an empty or null list restricts nothing")
+{
+    const auto withRegions = [](const std::string &value) {
+        return documentWith("\"Sticky\":true", "\"Sticky\":true,\"AllowedRegions\":" + value);
+    };
+    for (const char *value : {"[]", "null"}) {
+        const auto declaration = decodeDeclaration(withRegions(value));
+        REQUIRE(declaration.ok());
+        CHECK(declaration->routes[0].allowedRegions.empty());
+    }
+    for (const char *value :
+         {"\"andes\"", "[\"andes\",7]", "[null]", "{\"andes\":true}", "false"}) {
+        INFO(value);
+        CHECK(errorOf(withRegions(value)) == core::ErrorCode::InvalidManifest);
+        CHECK(errorOf(documentWith("\"Prepaid\":",
+                                   fmt::format("\"AllowedRegions\":{},\"Prepaid\":", value)))
+              == core::ErrorCode::InvalidManifest);
+    }
+}
+
+// Guards against values beyond the range of the integer types that they are converted to.
+TEST_CASE("extreme cold rates and times of a service are limited")
+{
+    const auto declaration = decodeDeclaration(
+        documentWith("\"MaxConnections\":96", R"("ColdStartS":1e300,"ColdPerS":1e300)"));
+    REQUIRE(declaration.ok());
+    CHECK(declaration->services[1].coldStart == core::Duration(24h));
+    CHECK(declaration->services[1].coldRequestsPerSecond == 1e6);
+    const auto negative = decodeDeclaration(
+        documentWith("\"MaxConnections\":96", R"("ColdStartS":-1,"ColdPerS":-1)"));
+    REQUIRE(negative.ok());
+    CHECK(negative->services[1].coldStart == core::Duration());
+    CHECK(negative->services[1].coldRequestsPerSecond == 0);
+    CHECK(errorOf(documentWith("\"MaxConnections\":96", R"("ColdPerS":"14")"))
+          == core::ErrorCode::InvalidManifest);
+}
