settings, routing: Read the regions of data centres

The map data_centre_regions reaches the router through EntryOptions and RoutingOptions; nothing reads it there yet. A key without a value and an empty map are accepted, since that is what the deploy templates render for an empty table Zones. A data centre without a region, or with an empty one, is in no region; the alternative, to refuse the file, would keep instances from starting.

FleetView takes RoutingOptions in place of the data centre.

--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -125,6 +125,7 @@
     entry::EntryOptions options;
     options.holder = core::HolderId{settings.instance, newIncarnation()};
     options.dataCentre = settings.dataCentre;
+    options.dataCentreRegions = settings.dataCentreRegions;
     options.escrowFlushInterval = settings.escrowFlushInterval;
     options.seed = core::checksumOf(settings.instance.value) ^ options.holder.incarnation;
     options.votes = settings.roles.control;
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -55,6 +55,14 @@
     return membership;
 }
 
+routing::RoutingOptions routingOptions(const EntryOptions &options)
+{
+    routing::RoutingOptions routing;
+    routing.subset.dataCentre = options.dataCentre.value;
+    routing.dataCentreRegions = options.dataCentreRegions;
+    return routing;
+}
+
 budget::EscrowOptions escrowOptions(core::Duration flushInterval)
 {
     budget::EscrowOptions options;
@@ -89,7 +97,7 @@
     , logger(processLogger)
     , fleetView(this->options.holder.instance,
                 this->options.holder.incarnation,
-                this->options.dataCentre,
+                routingOptions(this->options),
                 membershipOptions(this->options),
                 peers,
                 processCounters,
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -11,6 +11,8 @@
 #include "samphirebridge/entry/registration.h"
 
 #include <atomic>
+#include <map>
+#include <string>
 
 namespace samphirebridge::entry
 {
@@ -18,6 +20,8 @@
 struct EntryOptions {
     core::HolderId holder;
     core::DataCentreId dataCentre;
+    // See routing::RoutingOptions.
+    std::map<std::string, std::string> dataCentreRegions{};
     core::Duration escrowFlushInterval = std::chrono::milliseconds(100);
     uint64_t seed = 1;
     // The roles of the process, which its heartbeats tell the other instances.
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -30,13 +30,6 @@
 // Crash reports are gathered for this time into one message.
 constexpr core::Duration CrashReportInterval = std::chrono::milliseconds(50);
 
-routing::RoutingOptions routingOptions(const core::DataCentreId &dataCentre)
-{
-    routing::RoutingOptions options;
-    options.subset.dataCentre = dataCentre.value;
-    return options;
-}
-
 std::string stateName(proto::TargetState state)
 {
     switch (state) {
@@ -76,7 +69,7 @@
 
 FleetView::FleetView(core::InstanceId ownId,
                      core::Incarnation incarnation,
-                     const core::DataCentreId &dataCentre,
+                     const routing::RoutingOptions &routingOptions,
                      const membership::MembershipOptions &membershipOptions,
                      transport::PeerSet &peers,
                      telemetry::Counters &processCounters,
@@ -90,7 +83,7 @@
     , targetDirectory(this->self, membershipOptions)
     , instanceDirectory(this->self, incarnation, membershipOptions)
     , crashDirectory(this->self, membershipOptions)
-    , targetRouter(this->self, routingOptions(dataCentre), std::mt19937_64(seed + 1))
+    , targetRouter(this->self, routingOptions, std::mt19937_64(seed + 1))
 {
     this->targetDirectory.setFleetSize(peers.ids().size() + 1);
     this->instanceDirectory.addSeeds(peers.ids(), core::SteadyClock().now());
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -29,7 +29,7 @@
 
     FleetView(core::InstanceId self,
               core::Incarnation incarnation,
-              const core::DataCentreId &dataCentre,
+              const routing::RoutingOptions &routingOptions,
               const membership::MembershipOptions &membershipOptions,
               transport::PeerSet &peers,
               telemetry::Counters &counters,
--- a/source/samphirebridge/routing/routingoptions.h
+++ b/source/samphirebridge/routing/routingoptions.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace samphirebridge::routing
@@ -149,6 +150,9 @@
     PartOptions part;
     AdmissionOptions admission;
     SubsetOptions subset;
+    // The region of each data centre. The targets of a data centre that is not listed, or whose
+    // region is empty, are in no region.
+    std::map<std::string, std::string> dataCentreRegions;
     // Targets compared in one decision that are sampled at random, besides those that cache the
     // beginning of the prompt.
     size_t sampleSize = 4;
--- a/source/samphirebridge/settings/settings.h
+++ b/source/samphirebridge/settings/settings.h
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -93,6 +94,8 @@
 struct Settings {
     core::InstanceId instance;
     core::DataCentreId dataCentre;
+    // The region of each data centre of the fleet; empty for one that is in no region.
+    std::map<std::string, std::string> dataCentreRegions;
     Roles roles;
     HttpSettings http;
     Address rpcListen;
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -14,9 +14,10 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 17> TopKeys{
+constexpr std::array<std::string_view, 18> TopKeys{
     "instance",
     "data_centre",
+    "data_centre_regions",
     "roles",
     "http",
     "rpc",
@@ -70,6 +71,7 @@
     = "HOST:PORT with a port from 1 to 65535, IPv6 addresses in brackets";
 constexpr std::string_view AcceptedRoles = "a list of entry, control or both";
 constexpr size_t MaximumFolderBytes = 1024;
+constexpr size_t MaximumRegionBytes = 128;
 constexpr size_t MaximumPeers = 1024;
 
 // A value's accepted range and its default.
@@ -215,6 +217,49 @@
     return peer;
 }
 
+// Reads the region of one data centre. A data centre without one, by no value or an empty text, is
+// in no region: a template may render a missing value as either.
+std::string readRegion(const DocumentNode &node, const Place &place, ProblemCollector &problems)
+{
+    const bool isEmpty
+        = node.kind == NodeKind::Null || (node.kind == NodeKind::Scalar && node.value.empty());
+    if (isEmpty) {
+        return {};
+    }
+    return readText(node, place, MaximumRegionBytes, problems).value_or("");
+}
+
+// Reads the regions of the data centres. A key without a value is accepted like an empty map, since
+// that is what a template renders for an empty table.
+void readDataCentreRegions(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const DocumentNode *node = top.find("data_centre_regions");
+    if (node == nullptr || node->kind == NodeKind::Null) {
+        return;
+    }
+    const Place place = top.placeOf("data_centre_regions");
+    if (node->kind != NodeKind::Map) {
+        problems.add(
+            node->line, place, describeValue(*node), "a map of data centres to their regions");
+        return;
+    }
+    for (const DocumentNode &child : node->children) {
+        const Place childPlace{.parent = &place, .key = child.key};
+        if (!core::checkName(child.key).ok()) {
+            problems.add(child.line,
+                         childPlace,
+                         "a key that names no data centre",
+                         "1 to 128 letters, digits, '-', '_', '.', '/'");
+            continue;
+        }
+        const std::string region = readRegion(child, childPlace, problems);
+        if (!settings.dataCentreRegions.emplace(child.key, region).second) {
+            problems.add(
+                child.line, childPlace, "the data centre a second time", "each data centre once");
+        }
+    }
+}
+
 // Reports ids and addresses that occur in more than one peer.
 class DuplicatePeerCheck
 {
@@ -501,6 +546,7 @@
     }
     settings.instance = core::InstanceId(top.name("instance"));
     settings.dataCentre = core::DataCentreId(top.name("data_centre"));
+    readDataCentreRegions(top, settings, problems);
     settings.roles = readRoles(top, problems);
     readHttp(top, settings, problems);
     readRpc(top, settings, problems);
--- a/tests/settings/settingstest.cpp
+++ b/tests/settings/settingstest.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 
 using namespace samphirebridge::settings;
@@ -144,3 +145,45 @@
     CHECK(errorCodeOf(loadSettings(Root + "/no-such-file").status()) == ErrorCode::InvalidSettings);
     CHECK(errorCodeOf(loadSettings(Root).status()) == ErrorCode::InvalidSettings);
 }
+
+TEST_CASE("the regions of data centres are read")
+{
+    const auto settings = parseSettings(
+        Valid + "data_centre_regions:\n  quito-1: andes\n  \"lisbon-1\": \"Iberia West\"\n",
+        "a.yaml");
+    REQUIRE(settings.ok());
+    CHECK(settings->dataCentreRegions
+          == std::map<std::string, std::string>{{"quito-1", "andes"}, {"lisbon-1", "Iberia West"}});
+}
+
+// Guards against an instance that doesn't start because a template rendered an empty table.
+TEST_CASE("an empty map of regions, a missing one and data centres without a region are accepted")
+{
+    for (const char *value : {"data_centre_regions:\n", "data_centre_regions: {}\n", ""}) {
+        INFO(value);
+        const auto settings = parseSettings(Valid + value, "a.yaml");
+        REQUIRE(settings.ok());
+        CHECK(settings->dataCentreRegions.empty());
+    }
+    for (const char *value : {"quito-1:", "quito-1: \"\"", "quito-1: null"}) {
+        INFO(value);
+        const auto settings
+            = parseSettings(Valid + "data_centre_regions:\n  " + value + "\n", "a.yaml");
+        REQUIRE(settings.ok());
+        CHECK(settings->dataCentreRegions == std::map<std::string, std::string>{{"quito-1", ""}});
+    }
+}
+
+TEST_CASE("a map of regions with a wrong form, key or value is refused")
+{
+    for (const char *value : {"andes",
+                              "[andes]",
+                              "{quito-1: [andes]}",
+                              "{quito-1: {region: andes}}",
+                              "{\"quito 1\": andes}",
+                              "{quito-1: andes, quito-1: iberia}"}) {
+        INFO(value);
+        const Problem problem = problemOf(Valid + "data_centre_regions: " + value + "\n");
+        CHECK(problem.line == 20);
+    }
+}
