routing: Restrict requests to allowed regions

RouteRequest::allowedRegions limits a request to the targets whose data centre is in one of these regions; an empty list allows none. If none of them is READY the request is refused with no_target_in_region, as it is where an unrestricted one gets no_target.

Filtering the subset of 64 targets that an instance uses would refuse requests while ready targets are in the region, since the subset prefers the data centre of the instance. Each list of regions in use therefore has a pool and a subset of its own, with the same weights. candidatesFor() checks the region of each candidate again, so that targets that are added to the candidates later are checked too.

--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -56,6 +56,13 @@
         });
 }
 
+// Returns the reason of a refusal because no target takes the request.
+core::RefusalReason noTargetReason(const RouteRequest &request)
+{
+    return request.allowedRegions ? core::RefusalReason::NoTargetInRegion
+                                  : core::RefusalReason::NoTarget;
+}
+
 // Tells whether nothing that is known of the target matters any more.
 bool isForgettable(const RoutedTarget &target, core::TimePoint now)
 {
@@ -227,6 +234,9 @@
     if (now >= request.deadline) {
         return this->refuse(core::RefusalReason::DeadlineExceeded, {});
     }
+    if (auto refusal = this->refuseOutsideRegions(request)) {
+        return *refusal;
+    }
     PromptParts parts = promptPartsOf(request);
     if (auto refusal = this->refuseHarmful(parts, request, now)) {
         return *refusal;
@@ -243,7 +253,7 @@
         return this->refuse(core::RefusalReason::CrashSuspect, this->options.suspect.retryAfter);
     }
     if (targets.empty()) {
-        return this->refuse(core::RefusalReason::NoTarget, DefaultRetryAfter);
+        return this->refuse(noTargetReason(request), DefaultRetryAfter);
     }
     // A failed probe costs a retry. So a request that failed before is not used as a probe, nor is
     // any request while the retry budget is less than half full.
@@ -252,7 +262,7 @@
     const SelectionRules rules{idleRequirementOf(treatment), allowProbe};
     const Selection selection = this->selector.select(targets, request, rules, now);
     this->counts.prefixOverflows += selection.cachedTargetOverloaded ? 1 : 0;
-    if (auto refusal = this->refuseIfNoneAccepts(selection, now)) {
+    if (auto refusal = this->refuseIfNoneAccepts(request, selection, now)) {
         return *refusal;
     }
     if (!selection.best && !selection.anyBreakerAdmits) {
@@ -279,13 +289,40 @@
 
 std::vector<RoutedTarget *> Dispatcher::candidatesFor(const RouteRequest &request)
 {
-    const auto known = this->pools.candidates(request.service, request.model);
+    const auto known = this->targetsInRegions(request);
     std::vector<RoutedTarget *> targets(known.begin(), known.end());
-    std::erase_if(targets,
-                  [&request](const RoutedTarget *target) { return isOpenAt(request, *target); });
+    std::erase_if(targets, [this, &request](const RoutedTarget *target) {
+        return isOpenAt(request, *target) || !this->isRegionAllowed(request, *target);
+    });
     return targets;
 }
 
+std::span<RoutedTarget *const> Dispatcher::targetsInRegions(const RouteRequest &request)
+{
+    if (!request.allowedRegions) {
+        return this->pools.candidates(request.service, request.model);
+    }
+    return this->pools.candidatesIn(request.service, request.model, *request.allowedRegions);
+}
+
+bool Dispatcher::isRegionAllowed(const RouteRequest &request, const RoutedTarget &target) const
+{
+    if (!request.allowedRegions) {
+        return true;
+    }
+    const std::string_view region = this->pools.regionOf(target.record);
+    const std::vector<std::string> &allowed = *request.allowedRegions;
+    return !region.empty() && std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
+std::optional<Refusal> Dispatcher::refuseOutsideRegions(const RouteRequest &request)
+{
+    if (!request.allowedRegions || !this->targetsInRegions(request).empty()) {
+        return std::nullopt;
+    }
+    return this->refuse(core::RefusalReason::NoTargetInRegion, DefaultRetryAfter);
+}
+
 bool Dispatcher::isOpenElsewhere(const RouteRequest &request) const
 {
     return std::any_of(
@@ -483,6 +520,9 @@
     case core::RefusalReason::DeadlineExceeded:
         ++this->counts.refusedDeadline;
         break;
+    case core::RefusalReason::NoTargetInRegion:
+        ++this->counts.refusedNoTargetInRegion;
+        break;
     default:
         ++this->counts.refusedNoTarget;
         break;
@@ -513,14 +553,15 @@
     return std::nullopt;
 }
 
-std::optional<Refusal> Dispatcher::refuseIfNoneAccepts(const Selection &selection,
+std::optional<Refusal> Dispatcher::refuseIfNoneAccepts(const RouteRequest &request,
+                                                       const Selection &selection,
                                                        core::TimePoint now)
 {
     if (selection.best) {
         return std::nullopt;
     }
     if (!selection.anyStays) {
-        return this->refuse(core::RefusalReason::NoTarget, DefaultRetryAfter);
+        return this->refuse(noTargetReason(request), DefaultRetryAfter);
     }
     if (!selection.nextPauseEnd) {
         return std::nullopt;
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -44,6 +44,7 @@
     uint64_t refusedSuspect = 0;
     uint64_t refusedHarmful = 0;
     uint64_t refusedNoTarget = 0;
+    uint64_t refusedNoTargetInRegion = 0;
     uint64_t refusedDeadline = 0;
 };
 
@@ -99,6 +100,11 @@
     // that counts as load until its ticket ends; a retry is charged to the service's retry budget.
     Decision choose(const RouteRequest &request, core::TimePoint now);
 
+    // Returns the refusal of a request if no READY target is in a region that it allows, which
+    // choose() would refuse too; nothing for a request that is not restricted. Only the service,
+    // the model and the regions of the request matter.
+    [[nodiscard]] std::optional<Refusal> refuseOutsideRegions(const RouteRequest &request);
+
     // Records that the attempt's first byte may have been sent.
     void onSent(Ticket ticket, core::TimePoint now);
 
@@ -190,7 +196,8 @@
     // Returns a refusal if the treatment is to refuse the request, else nothing.
     [[nodiscard]] std::optional<Refusal> refuseSuspect(SuspectTreatment treatment);
     // Refuses a request that no target accepts because of what all of them said of themselves.
-    [[nodiscard]] std::optional<Refusal> refuseIfNoneAccepts(const Selection &selection,
+    [[nodiscard]] std::optional<Refusal> refuseIfNoneAccepts(const RouteRequest &request,
+                                                             const Selection &selection,
                                                              core::TimePoint now);
     // Returns a refusal if even the best target can't meet the request's deadline, or if the
     // expected wait exceeds the admission limit; the limit does not apply to retries.
@@ -202,7 +209,13 @@
                                       SuspectTreatment treatment,
                                       PromptParts parts,
                                       core::TimePoint now);
-    // Returns the targets that serve the request's model, without those that hold the request.
+    // Returns the targets that serve the request's model in a region that it allows.
+    [[nodiscard]] std::span<RoutedTarget *const> targetsInRegions(const RouteRequest &request);
+    // Tells whether the request may be served in the region of the target.
+    [[nodiscard]] bool isRegionAllowed(const RouteRequest &request,
+                                       const RoutedTarget &target) const;
+    // Returns the targets that serve the request's model in a region that it allows, without those
+    // that hold the request.
     [[nodiscard]] std::vector<RoutedTarget *> candidatesFor(const RouteRequest &request);
     // Tells whether an attempt of the request is open at a target that has not been replaced.
     [[nodiscard]] bool isOpenElsewhere(const RouteRequest &request) const;
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -51,6 +51,9 @@
     core::Duration rendezvousSlack{};
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0; // Expected length of the answer, not its limit.
+    // The regions whose targets may serve the request, each once and in ascending order; no value:
+    // all regions. An empty list allows no target.
+    std::optional<std::vector<std::string>> allowedRegions{};
     int32_t priority = 0; // Lower runs sooner, in steps of one.
     core::TimePoint deadline = core::TimePoint::max(); // For the first token.
     // 1 for the first attempt; later ones are charged to the retry budget.
@@ -75,7 +78,8 @@
     uint32_t cachedTokens = 0;
 };
 
-// The request is not to be sent now. The reason is NoTarget, Overloaded, DeadlineExceeded,
+// The request is not to be sent now. The reason is NoTarget, NoTargetInRegion, Overloaded,
+// DeadlineExceeded,
 // RetryBudgetExhausted, TargetsFailed (every target's breaker refuses requests), TargetsPaused,
 // CrashSuspect or HarmfulPrompt.
 struct Refusal {
--- a/source/samphirebridge/routing/targetpools.cpp
+++ b/source/samphirebridge/routing/targetpools.cpp
@@ -1,8 +1,19 @@
 #include "samphirebridge/routing/targetpools.h"
 
+#include <algorithm>
+
 namespace samphirebridge::routing
 {
 
+namespace
+{
+
+// The most lists of regions that have pools. Beyond it they are formed anew, which visits every
+// target. Lists name regions of the settings only, so that three regions have seven lists.
+constexpr size_t MaximumRegionLists = 256;
+
+} // namespace
+
 TargetPools::TargetPools(core::InstanceId self, const RoutingOptions &options)
     : self(std::move(self))
     , options(&options)
@@ -52,7 +63,54 @@
 std::span<RoutedTarget *const> TargetPools::candidates(const core::ServiceId &service,
                                                        const core::ModelId &model)
 {
-    const auto entry = this->pools.find(Key{service.value, model.value});
+    return this->candidatesOf(Key{service.value, model.value});
+}
+
+std::span<RoutedTarget *const> TargetPools::candidatesIn(const core::ServiceId &service,
+                                                         const core::ModelId &model,
+                                                         std::span<const std::string> regions)
+{
+    std::vector<std::string> known;
+    for (const std::string &region : regions) {
+        const bool isKnown = std::any_of(
+            this->options->dataCentreRegions.begin(),
+            this->options->dataCentreRegions.end(),
+            [&region](const auto &dataCentre) { return dataCentre.second == region; });
+        if (isKnown && !region.empty()) {
+            known.push_back(region);
+        }
+    }
+    if (known.empty()) {
+        return {};
+    }
+    this->addRegionList(known);
+    return this->candidatesOf(Key{service.value, model.value, std::move(known)});
+}
+
+std::string_view TargetPools::regionOf(const proto::TargetRecord &record) const
+{
+    const auto entry = this->options->dataCentreRegions.find(record.data_centre());
+    return entry == this->options->dataCentreRegions.end() ? std::string_view() : entry->second;
+}
+
+void TargetPools::addRegionList(const std::vector<std::string> &regions)
+{
+    if (this->regionLists.contains(regions)) {
+        return;
+    }
+    if (this->regionLists.size() >= MaximumRegionLists) {
+        this->regionLists.clear();
+        absl::erase_if(this->pools, [](const auto &entry) { return !entry.first.regions.empty(); });
+    }
+    this->regionLists.insert(regions);
+    for (const auto &[id, target] : this->targets) {
+        this->addToPools(target->record);
+    }
+}
+
+std::span<RoutedTarget *const> TargetPools::candidatesOf(const Key &key)
+{
+    const auto entry = this->pools.find(key);
     if (entry == this->pools.end()) {
         return {};
     }
@@ -76,6 +134,15 @@
     for (const std::string &model : record.models()) {
         keys.push_back(Key{service->second, model});
     }
+    const std::string_view region
+        = this->regionLists.empty() ? std::string_view() : this->regionOf(record);
+    const size_t unrestricted = region.empty() ? 0 : keys.size();
+    for (const std::vector<std::string> &regions : this->regionLists) {
+        const bool contains = std::binary_search(regions.begin(), regions.end(), region);
+        for (size_t index = 0; contains && index < unrestricted; ++index) {
+            keys.push_back(Key{keys[index].service, keys[index].model, regions});
+        }
+    }
     return keys;
 }
 
--- a/source/samphirebridge/routing/targetpools.h
+++ b/source/samphirebridge/routing/targetpools.h
@@ -6,12 +6,13 @@
 #include "samphirebridge/routing/routedtarget.h"
 #include "samphirebridge/routing/targetsubset.h"
 
-#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -41,6 +42,16 @@
     [[nodiscard]] std::span<RoutedTarget *const> candidates(const core::ServiceId &service,
                                                             const core::ModelId &model);
 
+    // The same for a request that only targets in one of the regions may serve. The subset is
+    // chosen among these targets, so that it is empty only if none of them is READY. The regions
+    // are in ascending order, each once.
+    [[nodiscard]] std::span<RoutedTarget *const> candidatesIn(const core::ServiceId &service,
+                                                              const core::ModelId &model,
+                                                              std::span<const std::string> regions);
+
+    // Returns the region of the target's data centre; empty if it is in none.
+    [[nodiscard]] std::string_view regionOf(const proto::TargetRecord &record) const;
+
     // Returns all targets by id, including those in state LEAVING or GONE.
     [[nodiscard]] const absl::flat_hash_map<std::string, std::unique_ptr<RoutedTarget>> &
     allTargets() const
@@ -52,13 +63,14 @@
     struct Key {
         std::string service;
         std::string model;
+        std::vector<std::string> regions{}; // Of its targets; empty: of all regions and of none.
         // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero in <=> for a pointer.
         friend auto operator<=>(const Key &, const Key &) = default;
 
         template <typename H>
         friend H AbslHashValue(H state, const Key &key)
         {
-            return H::combine(std::move(state), key.service, key.model);
+            return H::combine(std::move(state), key.service, key.model, key.regions);
         }
     };
     struct Pool {
@@ -66,7 +78,10 @@
         std::vector<RoutedTarget *> members;
     };
 
+    [[nodiscard]] std::span<RoutedTarget *const> candidatesOf(const Key &key);
     [[nodiscard]] std::vector<Key> keysOf(const proto::TargetRecord &record) const;
+    // Groups all targets by the list of regions too, unless they are.
+    void addRegionList(const std::vector<std::string> &regions);
     void removeFromPools(const proto::TargetRecord &record);
     void addToPools(const proto::TargetRecord &record);
 
@@ -75,6 +90,8 @@
     absl::flat_hash_map<std::string, std::string> serviceOfKind;
     absl::flat_hash_map<std::string, std::unique_ptr<RoutedTarget>> targets;
     absl::flat_hash_map<Key, Pool> pools;
+    // The lists of regions by which requests were restricted, which have pools of their own.
+    absl::btree_set<std::vector<std::string>> regionLists;
 };
 
 } // namespace samphirebridge::routing
