forwarding, entry: Serve requests in their allowed regions

The regions of a request are those that both its route and its organisation allow. The forward machine asks its host for them before each choice of a target, so that retries, standby and resumed attempts follow the lists in force when they are sent. A request that nothing may serve is refused before it waits for tokens.

An instance that had no confirmation of the newest declaration for 5 s allows no region. DeclarationFreshness decides it from the answers to VersionWatch's questions and from the quorum read at the start; a confirmation of a newer version counts once that version is in force.

--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -3,6 +3,7 @@
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/delta/contentdelta.h"
+#include "samphirebridge/forwarding/allowedregions.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -75,6 +76,7 @@
     }
     this->sendNextFetch(now);
     this->sendNextQuestion(now);
+    this->reportFreshness(now);
 }
 
 void DeclarationKeeper::onNotice(const proto::DeclarationNotice &notice, core::TimePoint now)
@@ -102,6 +104,23 @@
     return this->quorumAnswered && version > 0 && version >= this->confirmedVersion;
 }
 
+bool DeclarationKeeper::mayBeOld(core::TimePoint now) const
+{
+    return this->freshness.mayBeOld(now);
+}
+
+void DeclarationKeeper::reportFreshness(core::TimePoint now)
+{
+    const bool refuses = this->restrictsRegions && this->mayBeOld(now);
+    if (refuses == this->refusesRestricted) {
+        return;
+    }
+    this->refusesRestricted = refuses;
+    this->counters.set(telemetry::Gauge::RegionsUnconfirmed, refuses ? 1 : 0);
+    this->logger.change(refuses ? "regions_unconfirmed" : "regions_confirmed",
+                        {{"version", std::to_string(this->heldDeclaration.version())}});
+}
+
 void DeclarationKeeper::readCommittedVersion()
 {
     this->isReading = true;
@@ -118,6 +137,7 @@
     }
     this->quorumAnswered = true;
     this->confirmedVersion = reply->version();
+    this->freshness.onConfirmed(reply->version(), this->lastReadAt);
     this->fetch.onCommitted(reply->version());
     this->sendNextFetch(this->clock.now());
 }
@@ -163,6 +183,7 @@
         return;
     }
     const core::TimePoint asOf = sentAt - std::chrono::milliseconds(reply.confirmed_ms_ago());
+    this->freshness.onConfirmed(reply.version(), asOf);
     if (this->watch.onConfirmed(source, asOf) && this->onContact) {
         this->onContact();
     }
@@ -237,6 +258,8 @@
     const std::shared_ptr<const forwarding::RouteTable> before = this->currentTable;
     this->currentTable = std::make_shared<const forwarding::RouteTable>(std::move(*decoded));
     this->currentSince = this->clock.now();
+    this->freshness.onInForce(this->heldDeclaration.version());
+    this->restrictsRegions = forwarding::restrictsRegions(this->currentTable->declaration());
     if (before != nullptr) {
         this->logPurchases(before->declaration());
     }
--- a/source/samphirebridge/entry/declarationkeeper.h
+++ b/source/samphirebridge/entry/declarationkeeper.h
@@ -7,6 +7,7 @@
 #include "samphirebridge/control/ledgerclient.h"
 #include "samphirebridge/core/time.h"
 #include "samphirebridge/entry/declarationfetch.h"
+#include "samphirebridge/entry/declarationfreshness.h"
 #include "samphirebridge/entry/versionwatch.h"
 #include "samphirebridge/forwarding/routetable.h"
 #include "samphirebridge/telemetry/counters.h"
@@ -75,6 +76,10 @@
     // version that it named, or of a newer one, is in force.
     [[nodiscard]] bool isConfirmed() const;
 
+    // Returns whether the declaration in force may have been replaced by one that is not in force
+    // here: no control instance has confirmed it as the newest for some seconds.
+    [[nodiscard]] bool mayBeOld(core::TimePoint now) const;
+
 private:
     void readCommittedVersion();
     void onCommittedVersion(const absl::StatusOr<proto::ReadDeclarationReply> &reply);
@@ -99,6 +104,9 @@
     void putInForce();
     // Logs the version that came into force, and what it took to get it.
     void logInForce();
+    // Logs and counts whether requests with allowed regions are refused because the declaration may
+    // be old.
+    void reportFreshness(core::TimePoint now);
     // Logs each organisation whose purchased tokens differ from those of the declaration before.
     void logPurchases(const forwarding::Declaration &before);
 
@@ -112,6 +120,9 @@
     core::SteadyClock clock;
     DeclarationFetch fetch;
     VersionWatch watch;
+    DeclarationFreshness freshness;
+    bool restrictsRegions = false; // The declaration in force has allowed regions.
+    bool refusesRestricted = false; // As last logged.
     proto::Declaration heldDeclaration; // Only version and content are set.
     uint64_t confirmedVersion = 0; // Read through the quorum; 0: none yet.
     std::shared_ptr<const forwarding::RouteTable> currentTable;
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -12,6 +12,7 @@
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/reasons.h"
 #include "samphirebridge/core/tokens.h"
+#include "samphirebridge/forwarding/allowedregions.h"
 #include "samphirebridge/forwarding/answercheck.h"
 #include "samphirebridge/forwarding/callerrequest.h"
 #include "samphirebridge/forwarding/declaration.h"
@@ -118,6 +119,11 @@
     {
         host.timeoutInForce()
         } -> std::same_as<core::Duration>;
+    // Returns the regions whose targets may get the request, by the declaration in force; an empty
+    // list if that may have been replaced by one that the instance doesn't know.
+    {
+        host.allowedRegionsInForce()
+        } -> std::same_as<AllowedRegions>;
     // Calls onTimer() at the time; a later call replaces an earlier one.
     host.setTimer(time);
     host.logEvent(ForwardLogEvent{});
@@ -151,6 +157,10 @@
     void start()
     {
         this->armTimer();
+        // Checked before the request waits for tokens.
+        if (this->refuseOutsideRegions()) {
+            return;
+        }
         const core::Tokens bound{this->reservationBound()};
         if (bound.count == 0) {
             this->chooseTarget();
@@ -408,6 +418,27 @@
         return this->route.priority;
     }
 
+    // Refuses a request if no ready target is in a region that it allows. Returns whether it was.
+    bool refuseOutsideRegions()
+    {
+        routing::RouteRequest query;
+        query.allowedRegions = this->host.allowedRegionsInForce();
+        if (!query.allowedRegions) {
+            return false;
+        }
+        query.service = this->service == nullptr ? core::ServiceId() : this->service->id;
+        query.model = core::ModelId(this->request.model);
+        const auto refusal = this->host.router().refuseOutsideRegions(query);
+        if (refusal) {
+            this->logEvent("no_target",
+                           fmt::format("reason={} regions={}",
+                                       core::refusalName(refusal->reason),
+                                       fmt::join(*query.allowedRegions, ",")));
+            this->giveUp(refusal->reason, refusal->retryAfter);
+        }
+        return refusal.has_value();
+    }
+
     // Begins the next attempt at the target that the router chooses; gives up if there is none.
     void chooseTarget()
     {
@@ -496,6 +527,7 @@
         query.outputTokens
             = this->request.expectedOutputTokens.value_or(this->request.maximumOutputTokens);
         query.priority = this->priority();
+        query.allowedRegions = this->host.allowedRegionsInForce();
         query.deadline = this->deadline;
         query.attempt = this->attempts + 1;
         query.excluded = this->failedTargets;
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -268,6 +268,21 @@
         return isSame ? route->timeout : this->resolved.route->timeout;
     }
 
+    forwarding::AllowedRegions allowedRegionsInForce()
+    {
+        const entry::DeclarationKeeper &declarations = this->context.node.declaration();
+        const auto &table = declarations.routeTable();
+        const forwarding::Route &route = *this->resolved.route;
+        auto regions
+            = table == this->resolved.table
+                  ? forwarding::allowedRegionsOf(route, this->resolved.organisation)
+                  : forwarding::allowedRegionsIn(*table, route, this->resolved.organisation);
+        if (regions && declarations.mayBeOld(this->now())) {
+            regions->clear();
+        }
+        return regions;
+    }
+
     void setTimer(core::TimePoint due)
     {
         this->timer.start(due - this->now());
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -90,6 +90,9 @@
     {Gauge::DeclarationLag,
      "declaration_lag_seconds",
      "Longest time that an entry instance in contact has lacked a declaration applied here."},
+    {Gauge::RegionsUnconfirmed,
+     "regions_unconfirmed",
+     "1 while requests with allowed regions are refused as the declaration may be old, else 0."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,12 +20,20 @@
 namespace
 {
 
+// The data centre "dc-a" is in the region "a", "dc-b" in "b".
+routing::RoutingOptions optionsWithRegions()
+{
+    routing::RoutingOptions options;
+    options.dataCentreRegions = {{"dc-a", "a"}, {"dc-b", "b"}};
+    return options;
+}
+
 // Records the machine's decisions without carrying them out.
 class RecordingHost
 {
 public:
     RecordingHost()
-        : targets(core::InstanceId("self"), {}, std::mt19937_64(1))
+        : targets(core::InstanceId("self"), optionsWithRegions(), std::mt19937_64(1))
     {
         proto::TargetKind kind;
         kind.set_id("letters");
@@ -32,13 +41,14 @@
         this->targets.setKinds(std::vector{kind});
     }
 
-    void addTarget(const std::string &id)
+    void addTarget(const std::string &id, const std::string &dataCentre = {})
     {
         proto::TargetRecord record;
         record.set_id(id);
         record.set_incarnation(1);
         record.set_address("10.0.0.1:80");
         record.set_kind("letters");
+        record.set_data_centre(dataCentre);
         record.set_state(proto::READY);
         record.mutable_load()->set_capacity(8);
         this->records[id] = record;
@@ -139,6 +149,10 @@
     {
         return this->timeout;
     }
+    forwarding::AllowedRegions allowedRegionsInForce()
+    {
+        return this->allowedRegions;
+    }
     void setTimer(core::TimePoint due)
     {
         this->timer = due;
@@ -171,6 +185,7 @@
     bool relayedWhole = false;
     bool aborted = false;
     std::optional<forwarding::ForwardRefusal> refusal;
+    forwarding::AllowedRegions allowedRegions{};
     core::Duration timeout{}; // Of the route, by the declaration in force.
     core::TimePoint timer;
     std::vector<std::string> loggedEvents;
@@ -1332,3 +1347,93 @@
     REQUIRE(request.host.sentTo.size() == 2);
     CHECK(request.host.metadata.timeout == 4s);
 }
+
+// Guards against attempts outside the allowed regions when the targets inside fail or are silent:
+// t1 and t2 are in no region.
+TEST_CASE("every attempt of a request goes to a target in the allowed regions")
+{
+    const bool fails = GENERATE(false, true); // Otherwise the target is silent.
+    Fixture request(RequestKind::Stream, true);
+    request.host.allowedRegions = std::vector<std::string>{"a"};
+    request.host.addTarget("a1", "dc-a");
+    request.host.addTarget("b1", "dc-b");
+    SECTION("with another target there")
+    {
+        request.host.addTarget("a2", "dc-a");
+        request.start();
+        request.reportSent();
+        REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(Fixture::event(1));
+        if (fails) {
+            request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        } else {
+            request.beSilent(3s);
+        }
+        REQUIRE(request.host.sentTo.size() == 2);
+        CHECK(request.host.metadata.lastEventId == 1);
+        CHECK(request.host.lastRole == (fails ? AttemptRole::Current : AttemptRole::Standby));
+        CHECK(std::set<std::string>(request.host.sentTo.begin(), request.host.sentTo.end())
+              == std::set<std::string>{"a1", "a2"});
+    }
+    SECTION("with no other target there")
+    {
+        request.start();
+        request.reportSent();
+        REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(Fixture::event(1));
+        if (fails) {
+            request.host.setTargetState("a1", proto::GONE);
+            request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+            CHECK(request.host.aborted);
+        } else {
+            request.beSilent(3s);
+            CHECK_FALSE(request.machine->done());
+        }
+        CHECK(request.host.sentTo == std::vector<std::string>{"a1"});
+    }
+}
+
+// Guards against a request that waits for tokens, or is retried, though nothing may serve it.
+TEST_CASE("a request without a target in its allowed regions is refused before it reserves tokens")
+{
+    Fixture request(RequestKind::Repeatable);
+    request.organisation = &request.limitedOrganisation;
+    request.host.allowedRegions
+        = GENERATE(std::vector<std::string>{}, std::vector<std::string>{"b"});
+    request.host.addTarget("a1", "dc-a");
+    request.start();
+    REQUIRE(request.host.refusal);
+    CHECK(request.host.refusal->reason == core::RefusalReason::NoTargetInRegion);
+    CHECK(request.host.refusal->outcome == core::Outcome::NotRun);
+    CHECK(request.host.refusal->retryAfter > core::Duration::zero());
+    CHECK_FALSE(request.host.reserved);
+    CHECK_FALSE(request.host.released);
+    CHECK(request.host.sentTo.empty());
+    CHECK(request.machine->done());
+}
+
+// Guards against a retry by lists that may have been replaced: the host then allows no region.
+TEST_CASE("a retry follows the regions that are allowed when it is sent")
+{
+    Fixture request(RequestKind::Repeatable);
+    request.host.allowedRegions = std::vector<std::string>{"a"};
+    request.host.addTarget("a1", "dc-a");
+    request.host.addTarget("b1", "dc-b");
+    request.start();
+    request.reportSent();
+    SECTION("other regions")
+    {
+        request.host.allowedRegions = std::vector<std::string>{"b"};
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        CHECK(request.host.sentTo == std::vector<std::string>{"a1", "b1"});
+    }
+    SECTION("none")
+    {
+        request.host.allowedRegions.emplace();
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        REQUIRE(request.host.refusal);
+        CHECK(request.host.refusal->reason == core::RefusalReason::NoTargetInRegion);
+        CHECK(request.host.refusal->outcome == core::Outcome::Unknown);
+        CHECK(request.host.sentTo == std::vector<std::string>{"a1"});
+    }
+}
