tests/fleet: Show without chance that a request may leave the regions

The test expected that 40 requests one after the other, without allowed regions, use both targets. The router promises no such spread: in a run of the fleet tests two at a time all went to one target (36 of 37 cases passed). Now the two targets in the regions are killed while a third one, in no region, is left: requests without a list are served there, those with one are refused.

--- a/tests/fleet/regionstest.cpp
+++ b/tests/fleet/regionstest.cpp
@@ -18,6 +18,7 @@
 constexpr int EntryOnly = 3;
 constexpr int AndesPort = 70;
 constexpr int IberiaPort = 71;
+constexpr int NonePort = 72; // Of a target whose data centre is in no region.
 
 // Routes "/andes/", "/unknown/" (a region without targets) and "/any/", and an organisation that is
 // restricted to "iberia".
@@ -43,22 +44,36 @@
 class RegionScene
 {
 public:
-    explicit RegionScene(uint16_t basePort)
-        : fleet({.basePort = basePort,
+    explicit RegionScene(uint16_t firstPort)
+        : fleet({.basePort = firstPort,
                  .instances = 4,
                  .relays = true,
                  .platform = true,
                  .additionalSettings = "data_centre_regions: {d-1: andes, e-1: iberia}\n"})
+        , basePort(firstPort)
     {
         this->fleet.start();
         this->fleet.sendDeclaration(0, declaration(1, ""));
         this->fleet.waitForDeclaration(1);
-        this->fleet.startPlatformTarget(
-            "t-andes", basePort + AndesPort, "s", this->argumentsOf("t-andes", "d-1"));
-        this->fleet.startPlatformTarget(
-            "t-iberia", basePort + IberiaPort, "s", this->argumentsOf("t-iberia", "e-1"));
+        this->andes = &this->startTarget("t-andes", AndesPort, "d-1");
+        this->iberia = &this->startTarget("t-iberia", IberiaPort, "e-1");
+        this->waitForTargets(2);
+    }
+
+    ChildProcess &
+    startTarget(const std::string &name, int portOffset, const std::string &dataCentre)
+    {
+        return this->fleet.startPlatformTarget(
+            name,
+            this->basePort + portOffset,
+            "s",
+            {"--data-centre=" + dataCentre, "--run-log=" + this->runLog(name).string()});
+    }
+
+    void waitForTargets(int count)
+    {
         for (int index = 0; index <= EntryOnly; ++index) {
-            this->fleet.waitForTargets(index, 2);
+            this->fleet.waitForTargets(index, count);
         }
     }
 
@@ -89,7 +104,7 @@
             const std::string answer = this->call(round % (EntryOnly + 1), path, key);
             INFO(answer);
             REQUIRE(answer.starts_with("200"));
-            for (const char *target : {"t-andes", "t-iberia"}) {
+            for (const char *target : {"t-andes", "t-iberia", "t-none"}) {
                 if (this->hasRun(target, this->lastId)) {
                     targets.insert(target);
                 }
@@ -106,6 +121,8 @@
     }
 
     Fleet fleet;
+    ChildProcess *andes = nullptr;
+    ChildProcess *iberia = nullptr;
 
 private:
     [[nodiscard]] std::filesystem::path runLog(const std::string &target) const
@@ -113,12 +130,7 @@
         return this->fleet.folder() / (target + ".runs");
     }
 
-    [[nodiscard]] std::vector<std::string> argumentsOf(const std::string &target,
-                                                       const std::string &dataCentre) const
-    {
-        return {"--data-centre=" + dataCentre, "--run-log=" + this->runLog(target).string()};
-    }
-
+    uint16_t basePort;
     uint64_t lastId = 0;
 };
 
@@ -135,7 +147,6 @@
 {
     RegionScene scene(31100);
     using Names = std::set<std::string>;
-    CHECK(scene.targetsOf("/any/a") == Names{"t-andes", "t-iberia"});
     CHECK(scene.targetsOf("/andes/a") == Names{"t-andes"});
     CHECK(scene.targetsOf("/any/a", "key-o") == Names{"t-iberia"});
     // The route and the organisation share no region; then a region has no target.
@@ -146,6 +157,18 @@
     scene.fleet.sendDeclaration(1, declaration(2, R"("iberia")"));
     scene.fleet.waitForDeclaration(2);
     CHECK(scene.targetsOf("/any/a") == Names{"t-iberia"});
+
+    // Without a list a request may go to a target in no region, with one it may not.
+    scene.fleet.sendDeclaration(2, declaration(3, ""));
+    scene.fleet.waitForDeclaration(3);
+    scene.startTarget("t-none", NonePort, "f-1");
+    scene.waitForTargets(3);
+    scene.andes->kill();
+    scene.iberia->kill();
+    scene.waitForTargets(1);
+    CHECK(scene.targetsOf("/any/a") == Names{"t-none"});
+    CHECK(isRegionRefusal(scene.call(EntryOnly, "/andes/a")));
+    CHECK(isRegionRefusal(scene.call(0, "/any/a", "key-o")));
 }
 
 // Guards against an instance that goes on by lists that were replaced while it was out of contact.
