ingress, net: Report an instance as not ready while its link is busy

Callers saw late answers and budget_unconfirmed refusals in one data centre while the others were served: the balancer spreads connections, and the connections of a few callers filled the link of one instance. Reports to the ledger waited behind the answers.

LinkLoad measures the busier direction of the instance's link from the bytes of its connections and the capacity in the new setting link.mbps. The readiness check says no from 0.4 on until less than 0.2 is used.

--- /dev/null
+++ b/source/samphirebridge/forwarding/linkload.cpp
@@ -0,0 +1,57 @@
+#include "samphirebridge/forwarding/linkload.h"
+
+#include <algorithm>
+
+namespace samphirebridge::forwarding
+{
+
+namespace
+{
+
+// The utilisation at which the link becomes busy. The balancer takes up to two seconds to react,
+// and the requests of that time and the answers under way still have to pass the link without a
+// queue.
+constexpr double BusyUtilisation = 0.4;
+
+// The utilisation below which the link is no longer busy.
+constexpr double CalmUtilisation = 0.2;
+
+} // namespace
+
+LinkLoad::LinkLoad(double linkBytesPerSecond)
+    : bytesPerSecond(linkBytesPerSecond)
+{
+}
+
+void LinkLoad::onTraffic(uint64_t receivedBytes, uint64_t sentBytes, core::TimePoint now)
+{
+    if (this->sampleCount > 0 && now - this->samples[this->newest].at < IntervalLength) {
+        return;
+    }
+    this->newest = (this->newest + 1) % this->samples.size();
+    this->samples[this->newest] = {now, receivedBytes, sentBytes};
+    this->sampleCount = std::min(this->sampleCount + 1, this->samples.size());
+}
+
+bool LinkLoad::isBusy()
+{
+    const double limit = this->busy ? CalmUtilisation : BusyUtilisation;
+    this->busy = this->utilisation() >= limit;
+    return this->busy;
+}
+
+double LinkLoad::utilisation() const
+{
+    if (this->bytesPerSecond <= 0 || this->sampleCount < 2) {
+        return 0;
+    }
+    const size_t size = this->samples.size();
+    const Sample &last = this->samples[this->newest];
+    const Sample &first = this->samples[(this->newest + size + 1 - this->sampleCount) % size];
+    const double seconds = std::chrono::duration<double>(last.at - first.at).count();
+    const uint64_t bytes
+        = std::max(last.receivedBytes - first.receivedBytes, last.sentBytes - first.sentBytes);
+    return static_cast<double>(bytes) / (this->bytesPerSecond * seconds);
+}
+
+} // namespace samphirebridge::forwarding
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "samphirebridge/forwarding/idlelimit.h"
+#include "samphirebridge/forwarding/linkload.h"
 #include "samphirebridge/ingress/forwardsession.h"
 #include "samphirebridge/net/httpserver.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
+#include <fmt/format.h>
 
 #include <cstdint>
 #include <memory>
@@ -25,13 +27,15 @@
 {
 public:
     // All references must outlive the ingress. A change of the declared limits takes at most
-    // `limitsKnownWithin` until every instance and caller knows it.
+    // `limitsKnownWithin` until every instance and caller knows it. `linkBytesPerSecond` is the
+    // capacity of the instance's network link in one direction, 0 if it is not known.
     Ingress(net::EventLoop &eventLoop,
             entry::EntryNode &entryNode,
             telemetry::Counters &counters,
             telemetry::Logger &logger,
             const Interface &callerInterface,
-            core::Duration limitsKnownWithin)
+            core::Duration limitsKnownWithin,
+            double linkBytesPerSecond)
         : idleLimit(limitsKnownWithin)
         , reuseMargin(limitsKnownWithin + ReuseWays)
         , pool(eventLoop, {})
@@ -47,6 +51,7 @@
                       return this->server->queueMemory();
                   }}
         , startedAt(this->context.clock.now())
+        , linkLoad(linkBytesPerSecond)
     {
     }
 
@@ -85,6 +90,21 @@
         return this->sessions.empty() && !this->server->delivering();
     }
 
+    // Tells whether further connections should go to other instances, because the network link of
+    // this one is close to its capacity. Requests are still served.
+    [[nodiscard]] bool isLinkBusy()
+    {
+        this->sampleLink();
+        const bool isBusy = this->linkLoad.isBusy();
+        this->context.counters.set(telemetry::Gauge::LinkUtilisation, this->linkLoad.utilisation());
+        if (isBusy != std::exchange(this->loggedLinkBusy, isBusy)) {
+            this->context.logger.change(
+                isBusy ? "link_busy" : "link_not_busy",
+                {{"utilisation", fmt::format("{:.2f}", this->linkLoad.utilisation())}});
+        }
+        return isBusy;
+    }
+
     // Ends all requests in progress, as at the shutdown's deadline, and closes the listener and all
     // idle connections. Requests that have arrived are still read, and refused once
     // entry::EntryNode::beginShutdown() was called.
@@ -133,6 +153,7 @@
     void onRequest(net::IncomingRequest incoming, std::shared_ptr<net::Responder> responder)
     {
         this->context.counters.count(telemetry::Event::RequestsReceived);
+        this->sampleLink();
         auto request = this->context.interface.decodeRequest(incoming);
         if (!request.ok()) {
             this->refuse({}, {core::RefusalReason::InvalidRequest}, *responder);
@@ -211,6 +232,13 @@
         return std::nullopt;
     }
 
+    void sampleLink()
+    {
+        const net::Traffic &traffic = this->context.loop.traffic();
+        this->linkLoad.onTraffic(
+            traffic.receivedBytes, traffic.sentBytes, this->context.clock.now());
+    }
+
     // Makes and counts the refusal of a request that comes too late before the instance stops.
     forwarding::ForwardRefusal makeStopRefusal()
     {
@@ -250,6 +278,8 @@
     IngressContext<Interface> context;
     core::TimePoint startedAt;
     uint64_t refusedAtStop = 0;
+    forwarding::LinkLoad linkLoad;
+    bool loggedLinkBusy = false;
     std::unique_ptr<net::HttpServer> server;
     absl::flat_hash_map<Session *, std::shared_ptr<Session>> sessions;
 };
--- a/source/samphirebridge/net/eventloop.h
+++ b/source/samphirebridge/net/eventloop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "samphirebridge/core/time.h"
+#include "samphirebridge/net/traffic.h"
 
 #include <memory>
 
@@ -38,12 +39,19 @@
     // Drops a timer that was passed to fireAfterSockets() and has not fired.
     void dropDue(const Timer &timer);
 
+    // Returns the traffic of the loop's connections.
+    [[nodiscard]] Traffic &traffic()
+    {
+        return this->loopTraffic;
+    }
+
     // Returns the libuv loop, owned by this object.
     [[nodiscard]] uv_loop_s *handle();
 
 private:
     struct Impl;
     std::unique_ptr<Impl> impl;
+    Traffic loopTraffic;
 };
 
 } // namespace samphirebridge::net
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -77,7 +77,8 @@
 } // namespace
 
 TcpStream::TcpStream(EventLoop &loop)
-    : handle(new uv_tcp_t)
+    : traffic(&loop.traffic())
+    , handle(new uv_tcp_t)
 {
     uv_tcp_init(loop.handle(), this->handle);
     this->handle->data = this;
@@ -187,6 +188,7 @@
                 stream->reportEnd(closed ? StreamEnd::Closed : StreamEnd::Broken);
                 return;
             }
+            stream->traffic->receivedBytes += static_cast<uint64_t>(count);
             const auto onData = stream->events.onData;
             if (onData) {
                 onData(std::string_view(buffer->base, static_cast<size_t>(count)));
@@ -210,6 +212,7 @@
         const uv_buf_t buffer
             = uv_buf_init(const_cast<char *>(bytes.data()), static_cast<unsigned>(bytes.size()));
         const int written = uv_try_write(reinterpret_cast<uv_stream_t *>(this->handle), &buffer, 1);
+        this->traffic->sentBytes += written > 0 ? static_cast<uint64_t>(written) : 0;
         if (written == static_cast<int>(bytes.size())) {
             return;
         }
@@ -252,6 +255,7 @@
 void TcpStream::onWritten(size_t bytes, int status)
 {
     this->pendingBytes -= bytes;
+    this->traffic->sentBytes += status == 0 ? bytes : 0;
     this->failedBytes += status == 0 ? 0 : bytes;
     if (!this->isOpen()) {
         return;
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -119,6 +119,7 @@
     void onWritten(size_t bytes, int status);
     void queueWrite(std::string_view bytes);
 
+    Traffic *traffic; // Of the loop.
     uv_tcp_s *handle;
     StreamEvents events;
     size_t pendingBytes = 0; // Of writes that have not ended.
--- a/source/samphirebridge/settings/settings.h
+++ b/source/samphirebridge/settings/settings.h
@@ -69,6 +69,11 @@
     core::Duration limitsKnownWithin{};
 };
 
+// The network link of the machine that the instance runs on.
+struct LinkSettings {
+    double mbps = 0; // Capacity in Mbit/s of each direction; 0: not known.
+};
+
 // Limits the retries that the whole fleet sends to the targets of one service: over any interval,
 // at most share * requests + slack.
 struct RetrySettings {
@@ -100,6 +105,7 @@
         peers; // In the file's order, with this instance; may be empty with discovery.
     std::optional<DiscoverySettings> discovery;
     InterfaceSettings interface;
+    LinkSettings link;
     RetrySettings retries;
     FaultInjectionSettings faultInjection;
     std::string dataFolder; // Empty without the role control. Existence isn't checked here.
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 17> TopKeys{
+constexpr std::array<std::string_view, 18> TopKeys{
     "instance",
     "data_centre",
     "roles",
@@ -23,6 +23,7 @@
     "peers",
     "discovery",
     "interface",
+    "link",
     "data_folder",
     "operator_token_sha256",
     "consensus",
@@ -50,9 +51,10 @@
     "control",
     "limits_known_within_ms",
 };
+constexpr std::array<std::string_view, 1> LinkKeys{"mbps"};
 constexpr std::array<std::string_view, 2> RetryKeys{"share", "slack"};
 constexpr std::array<std::string_view, 2> FaultInjectionKeys{"lose_unsynced", "sync_delay_ms"};
-constexpr std::array<SettingSection, 10> Sections{{
+constexpr std::array<SettingSection, 11> Sections{{
     {"", TopKeys},
     {"http", HttpKeys},
     {"rpc", RpcKeys},
@@ -61,6 +63,7 @@
     {"escrow", EscrowKeys},
     {"discovery", DiscoveryKeys},
     {"interface", InterfaceKeys},
+    {"link", LinkKeys},
     {"retries", RetryKeys},
     {"fault_injection", FaultInjectionKeys},
 }};
@@ -89,6 +92,7 @@
 constexpr int64_t MinimumHeartbeatsPerElectionTimeout = 3;
 constexpr IntegerRange Ports{1, 65535};
 constexpr DecimalRange RetryShare{0, 1};
+constexpr DecimalRange LinkMbps{0, 1'000'000};
 constexpr DecimalRange RetrySlack{0, 1'000'000};
 constexpr DecimalRange StopWithinSeconds{0.1, 3600};
 
@@ -358,6 +362,13 @@
         = readMilliseconds(reader, "limits_known_within_ms", LimitsKnownWithinMs);
 }
 
+void readLink(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Place place = top.placeOf("link");
+    MapReader reader(sectionOrEmpty(top, "link"), place, LinkKeys, problems);
+    settings.link.mbps = reader.decimal("mbps", LinkMbps, settings.link.mbps);
+}
+
 void readRetries(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
     const Place place = top.placeOf("retries");
@@ -513,6 +524,7 @@
     readConsensus(top, settings, problems);
     readEscrow(top, settings, problems);
     readFaultInjection(top, settings, problems);
+    readLink(top, settings, problems);
     readRetries(top, settings, problems);
     readShutdown(top, settings);
     const auto info = static_cast<size_t>(LogLevel::Info);
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -90,6 +90,9 @@
     {Gauge::DeclarationLag,
      "declaration_lag_seconds",
      "Longest time that an entry instance in contact has lacked a declaration applied here."},
+    {Gauge::LinkUtilisation,
+     "link_utilisation",
+     "Share of the network link that was used when the readiness was last asked for."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -64,6 +64,7 @@
     HarmfulParts,
     StorageFull,
     DeclarationLag,
+    LinkUtilisation,
 };
 
 // Durations that are recorded in a histogram.
