--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -93,6 +93,9 @@
     {Gauge::RegionsUnconfirmed,
      "regions_unconfirmed",
      "1 while requests with allowed regions are refused as the declaration may be old, else 0."},
+    {Gauge::LinkUtilisation,
+     "link_utilisation",
+     "Share of the network link that was used when the readiness was last asked for."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -65,6 +65,7 @@
     StorageFull,
     DeclarationLag,
     RegionsUnconfirmed,
+    LinkUtilisation,
 };
 
 // Durations that are recorded in a histogram.
