net: Refuse answers whose status HTTP does not define

Callers could get an answer with a status of 600 to 999, and a target that sent 000, 099, 20 or 2 was taken to send an interim answer: the body of that was handed on without a head, which forwarding does not expect. 0200 was taken for 200, and 101 was skipped although no request asks to switch protocols.

Cause: the parser compared the number with 200 only, and http_parser reads a status code of any number of digits.

Ruled out: letters, 1000 and more, and an empty status were refused before; an answer that ends after interim answers was incomplete before, and interim answers were bounded (by 192 KiB).

Now a status must have three digits from 100 to 599 and not be 101; otherwise the message is malformed, before any part of it is handed on. The parser pauses after each interim answer, so that the digits of each status line are counted.

--- a/source/samphirebridge/net/messageparser.cpp
+++ b/source/samphirebridge/net/messageparser.cpp
@@ -64,6 +64,53 @@
               });
 }
 
+// Counts the digits of the status code in the status line of a response, which http_parser reads as
+// a number of any length.
+class StatusDigits
+{
+public:
+    // Reads bytes of a message, from its first one on.
+    void read(std::string_view bytes)
+    {
+        for (const char letter : bytes) {
+            if (this->part == Part::Rest) {
+                return;
+            }
+            this->readLetter(letter);
+        }
+    }
+
+    [[nodiscard]] int count() const
+    {
+        return this->digits;
+    }
+
+private:
+    enum class Part : uint8_t {
+        EmptyLines,
+        Version,
+        Code,
+        Rest,
+    };
+
+    void readLetter(char letter)
+    {
+        const bool endsLine = letter == '\r' || letter == '\n';
+        if (this->part == Part::EmptyLines) {
+            this->part = endsLine ? Part::EmptyLines : Part::Version;
+        } else if (this->part == Part::Version) {
+            this->part = letter == ' ' ? Part::Code : Part::Version;
+        } else if (absl::ascii_isdigit(static_cast<unsigned char>(letter))) {
+            ++this->digits;
+        } else if (letter != ' ' || this->digits > 0) {
+            this->part = Part::Rest;
+        }
+    }
+
+    Part part = Part::EmptyLines;
+    int digits = 0;
+};
+
 } // namespace
 
 struct MessageParser::Impl {
@@ -120,6 +167,8 @@
         this->headDone = false;
         this->anyByteRead = false;
         this->messageComplete = false;
+        this->statusDigits = {};
+        this->interim = false;
         this->error.reset();
     }
 
@@ -231,6 +280,11 @@
         if (this->readingValue && this->finishField() != ContinueParsing) {
             return StopParsing;
         }
+        if (this->kind == MessageKind::Response && !this->hasValidStatus()) {
+            return this->failInvalid(
+                "found a status that HTTP does not define for this answer; accepted are three "
+                "digits from 100 to 599 without 101");
+        }
         const auto framing = this->framing();
         if (!framing) {
             return this->failInvalid(
@@ -250,6 +304,19 @@
         return isTooLong ? this->failBodyTooLong() : this->reportResponse(*framing, length);
     }
 
+    // Tells whether the status of the response is one that HTTP defines the class of, or an interim
+    // one that may come unasked: protocols are never asked to be switched.
+    [[nodiscard]] bool hasValidStatus() const
+    {
+        constexpr int StatusDigitCount = 3;
+        constexpr int FirstInterim = 100;
+        constexpr int SwitchingProtocols = 101;
+        constexpr int EndOfFinal = 600;
+        const auto status = static_cast<int>(this->parser.status_code);
+        return this->statusDigits.count() == StatusDigitCount && status >= FirstInterim
+               && status < EndOfFinal && status != SwitchingProtocols;
+    }
+
     int reportRequest(BodyFraming framing, uint64_t length)
     {
         if (!isRequestTarget(this->target)) {
@@ -317,15 +384,44 @@
         if (this->readingValue && this->finishField() != ContinueParsing) {
             return StopParsing;
         }
-        if (std::exchange(this->interim, false)) {
-            return ContinueParsing;
-        }
-        this->messageComplete = true;
+        this->messageComplete = !this->interim;
         // Makes http_parser_execute return at the last byte of the message.
         http_parser_pause(&this->parser, 1);
         return ContinueParsing;
     }
 
+    // Parses up to the end of the bytes, of the message or of an interim response in front of it.
+    // Returns how many bytes that took.
+    absl::StatusOr<size_t> execute(std::string_view bytes)
+    {
+        this->anyByteRead = true;
+        if (this->kind == MessageKind::Response) {
+            this->statusDigits.read(bytes);
+        }
+        const size_t read
+            = http_parser_execute(&this->parser, &this->settings, bytes.data(), bytes.size());
+        if (this->error) {
+            return *this->error;
+        }
+        const auto result = static_cast<http_errno>(this->parser.http_errno);
+        if (this->messageComplete && (result == HPE_PAUSED || result == HPE_OK)) {
+            return read;
+        }
+        if (result == HPE_PAUSED) {
+            http_parser_pause(&this->parser, 0);
+            this->interim = false;
+            this->statusDigits = {};
+        } else if (result != HPE_OK) {
+            this->error
+                = core::makeError(core::ErrorCode::InvalidRequest, http_errno_description(result));
+            return *this->error;
+        }
+        if (!this->addReadBytes(read)) {
+            return *this->error;
+        }
+        return read;
+    }
+
     MessageKind kind;
     MessageLimits limits;
     MessageEvents events;
@@ -343,6 +439,7 @@
     bool isResponseToHead = false;
     bool headDone = false;
     bool interim = false; // The message being read is a 1xx response.
+    StatusDigits statusDigits; // Of the response being read, which may be interim.
     bool anyByteRead = false;
     bool messageComplete = false;
     std::optional<absl::Status> error;
@@ -358,30 +455,17 @@
 absl::StatusOr<size_t> MessageParser::feed(std::string_view bytes)
 {
     Impl &state = *this->impl;
-    if (state.messageComplete || state.error || bytes.empty()) {
-        return 0;
-    }
-    state.anyByteRead = true;
-    const size_t read
-        = http_parser_execute(&state.parser, &state.settings, bytes.data(), bytes.size());
-    if (state.error) {
-        return *state.error;
-    }
-    const auto error = static_cast<http_errno>(state.parser.http_errno);
-    if (error == HPE_PAUSED || (state.messageComplete && error == HPE_OK)) {
-        const bool complete = state.messageComplete;
-        if (complete) {
-            state.events.onComplete();
+    size_t read = 0;
+    while (read < bytes.size() && !state.messageComplete && !state.error) {
+        const absl::StatusOr<size_t> consumed = state.execute(bytes.substr(read));
+        if (!consumed.ok()) {
+            return consumed.status();
+        }
+        read += *consumed;
+        if (state.messageComplete) {
+            state.events.onComplete(); // May begin the next message.
+            return read;
         }
-        return read;
-    }
-    if (error != HPE_OK) {
-        state.error
-            = core::makeError(core::ErrorCode::InvalidRequest, http_errno_description(error));
-        return *state.error;
-    }
-    if (!state.addReadBytes(read)) {
-        return *state.error;
     }
     return read;
 }
--- a/tests/net/messageparsertest.cpp
+++ b/tests/net/messageparsertest.cpp
@@ -240,3 +240,82 @@
     REQUIRE(reader.parser.feed("0\r\n\r\n").ok());
     CHECK(reader.completed == 1);
 }
+
+// Guards against a status that is no final status of HTTP and yet is relayed or skipped: of 000 or
+// 20, which were skipped, the body was handed on without a head.
+TEST_CASE("an answer whose status is no final status of HTTP is refused before any part of it")
+{
+    const std::string status = GENERATE(as<std::string>{},
+                                        "000",
+                                        "099",
+                                        "99",
+                                        "20",
+                                        "2",
+                                        "600",
+                                        "799",
+                                        "999",
+                                        "1000",
+                                        "2000",
+                                        "0200",
+                                        "00200",
+                                        "0100",
+                                        "20x",
+                                        "abc",
+                                        "2 00",
+                                        "-20",
+                                        "101",
+                                        "");
+    const std::string inFront = GENERATE(as<std::string>{},
+                                         "",
+                                         "\r\n",
+                                         "HTTP/1.1 100 Continue\r\n\r\n",
+                                         "HTTP/1.1 103 Early Hints\nLink: </a>\n\n\r\n");
+    const std::string rest
+        = GENERATE(as<std::string>{},
+                   " OK\r\nContent-Length: 4\r\n\r\nbody",
+                   " OK\r\n\r\nbody",
+                   "\n\nbody",
+                   " OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    const std::string text = std::string(inFront).append("HTTP/1.1 ").append(status).append(rest);
+    INFO(text);
+    Reader whole(MessageKind::Response);
+    CHECK(core::errorCodeOf(whole.parser.feed(text).status()) == core::ErrorCode::InvalidRequest);
+    Reader slow(MessageKind::Response);
+    CHECK(slow.feedSlowly(text) == core::ErrorCode::InvalidRequest);
+    for (const Reader *reader : {&whole, &slow}) {
+        CHECK_FALSE(reader->response);
+        CHECK(reader->body.empty());
+        CHECK(reader->completed == 0);
+    }
+}
+
+// Guards against an interim answer that ends the exchange, as if it were the final one.
+TEST_CASE("an answer that ends after interim answers is incomplete")
+{
+    Reader reader(MessageKind::Response);
+    CHECK(reader.feedSlowly("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Any\r\nX: y\r\n\r\n")
+          == core::ErrorCode::None);
+    CHECK_FALSE(reader.parser.finish().ok());
+    CHECK_FALSE(reader.response);
+    CHECK(reader.completed == 0);
+}
+
+// Guards against sound answers that the check of the status refuses.
+TEST_CASE("each status from 200 to 599 is accepted, in every form of its line")
+{
+    for (int status = 200; status < 600; ++status) {
+        const std::string line = "HTTP/1.1 " + std::to_string(status);
+        for (const std::string rest : {" OK\r\n", "\r\n", " \r\n", " 1234\n", "\n"}) {
+            Reader reader(MessageKind::Response);
+            const std::string text = "\r\nHTTP/1.0 103\r\nConnection: keep-alive\r\n\r\n" + line
+                                     + rest + "Content-Length: 0\r\n\r\n";
+            INFO(text);
+            CHECK(reader.feedSlowly(text) == core::ErrorCode::None);
+            CHECK(reader.completed == 1);
+            Reader whole(MessageKind::Response);
+            CHECK(whole.parser.feed(text + "next").value_or(0) == text.size());
+            REQUIRE(whole.response);
+            CHECK(whole.response->status == status);
+        }
+    }
+}
