net: Refuse an interim answer with a body

A target that sent 100 Continue with Content-Length: 4 had the four bytes handed on as a body without a head, which forwarding does not expect. HTTP allows no body there, and readers differ on whether the length counts, so the message is now malformed.

Before, the new test failed in all 6 assertions, for a length and for chunks; now it passes.

--- a/source/samphirebridge/net/messageparser.cpp
+++ b/source/samphirebridge/net/messageparser.cpp
@@ -343,6 +343,9 @@
         constexpr int FirstFinal = 200;
         const auto status = static_cast<int>(this->parser.status_code);
         if (status < FirstFinal) {
+            if (framing == BodyFraming::Chunked || length > 0) {
+                return this->failInvalid("found an interim response with a body");
+            }
             this->headers = {};
             this->reason.clear();
             this->headDone = false;
--- a/tests/net/messageparsertest.cpp
+++ b/tests/net/messageparsertest.cpp
@@ -300,6 +300,23 @@
     CHECK(reader.completed == 0);
 }
 
+// Guards against the body of an interim answer, which HTTP doesn't allow, that is handed on without
+// a head, or in front of the final one.
+TEST_CASE("an interim answer with a body is refused")
+{
+    const std::string body
+        = GENERATE(as<std::string>{},
+                   "Content-Length: 4\r\n\r\nbody",
+                   "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    const std::string text
+        = "HTTP/1.1 100 Continue\r\n" + body + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    INFO(text);
+    Reader reader(MessageKind::Response);
+    CHECK(reader.feedSlowly(text) == core::ErrorCode::InvalidRequest);
+    CHECK_FALSE(reader.response);
+    CHECK(reader.body.empty());
+}
+
 // Guards against sound answers that the check of the status refuses.
 TEST_CASE("each status from 200 to 599 is accepted, in every form of its line")
 {
