http: Refuse answers whose status HTTP does not define

Callers of the product's own interface could get an answer with a status of 600 to 999. An interim answer that announces a body is refused too, as the other HTTP stack does; libcurl passes over its length.

Cause: the status line was compared with 200 only, and an interim head was not looked at.

Ruled out: 000, 099, 99, 20, 2, 0200, 1000, letters, 101 and an empty status were errors before; an exchange that ends after interim answers was one too, and libcurl ends endless interim answers and fields.

Such answers are now the new error InvalidAnswer, which the gateway reports as FOREIGN_ANSWER. A test of heads that are never complete expected ConnectionBroken; it expects InvalidAnswer now, which is as strict and names the cause.

After, all 85 tests of the labels http and net pass.

--- a/source/samphirebridge/gateway/requestdriver.cpp
+++ b/source/samphirebridge/gateway/requestdriver.cpp
@@ -30,6 +30,8 @@
         return core::RetryReason::Stalled;
     case http::ExchangeError::WrongLength:
         return core::RetryReason::WrongLength;
+    case http::ExchangeError::InvalidAnswer:
+        return core::RetryReason::ForeignAnswer;
     case http::ExchangeError::ConnectionBroken:
         return core::RetryReason::ConnectionBroken;
     }
--- a/source/samphirebridge/http/client.cpp
+++ b/source/samphirebridge/http/client.cpp
@@ -23,6 +23,7 @@
     case ExchangeError::Timeout:
         return core::ErrorCode::Timeout;
     case ExchangeError::ConnectionBroken:
+    case ExchangeError::InvalidAnswer:
     case ExchangeError::WrongLength:
         return core::ErrorCode::ConnectionBroken;
     }
--- a/source/samphirebridge/http/exchange.cpp
+++ b/source/samphirebridge/http/exchange.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/http/exchange.h"
 
 #include "samphirebridge/http/connector.h"
+#include "samphirebridge/http/status.h"
 
 #include <array>
 #include <atomic>
@@ -16,7 +17,6 @@
 {
 
 constexpr size_t MaximumQueuedBytes = size_t{256} << 10U;
-constexpr int FirstFinalStatus = 200;
 
 struct SlistDeleter {
     void operator()(curl_slist *list) const
@@ -70,16 +70,25 @@
     return text.substr(first, text.find_last_not_of(Space) - first + 1);
 }
 
+// Returns the status of the line, or 0 unless it has three digits.
 int statusOf(std::string_view statusLine)
 {
     const size_t space = statusLine.find(' ');
     if (space == std::string_view::npos) {
         return 0;
     }
-    const std::string_view digits = statusLine.substr(space + 1);
+    const std::string_view code = trimmed(statusLine.substr(space + 1));
     int status = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), status);
-    return status;
+    const char *end = std::from_chars(code.data(), code.data() + code.size(), status).ptr;
+    const bool isWhole = end == code.data() + code.size() || *end == ' ';
+    return isWhole && end - code.data() == StatusDigits ? status : 0;
+}
+
+// Tells whether the field announces a body.
+bool announcesBody(std::string_view name, std::string_view value)
+{
+    return equalIgnoringCase(name, "Transfer-Encoding")
+           || (equalIgnoringCase(name, "Content-Length") && value != "0");
 }
 
 long millisecondsOf(core::Duration duration)
@@ -100,6 +109,8 @@
         return "timeout";
     case ExchangeError::WrongLength:
         return "wrong_length";
+    case ExchangeError::InvalidAnswer:
+        return "invalid_answer";
     }
     return "connection_broken";
 }
@@ -118,6 +129,7 @@
     bool headComplete = false;
     bool paused = false;
     bool bytesMayBeSent = false;
+    std::string_view invalidity; // What makes the answer invalid, or empty.
     bool transferEnded = false; // libcurl has finished the transfer, or it was cancelled.
     bool lastEventReturned = false; // By next(), or the exchange was cancelled.
     std::atomic<bool> interrupted{false};
@@ -132,11 +144,14 @@
     void configureBody();
     void configureCallbacks();
     int beforeRequest();
-    void takeHeaderLine(std::string_view line);
+    // Returns false if the line makes the answer invalid.
+    bool takeHeaderLine(std::string_view line);
+    bool takeStatusLine(std::string_view line);
     size_t takeBody(std::string_view bytes);
     void runTransfer();
     void finishTransfer(CURLcode result);
     [[nodiscard]] ExchangeError errorOf(CURLcode result) const;
+    [[nodiscard]] std::string describeError(CURLcode result) const;
     ExchangeEvent popEvent();
     void close();
 };
@@ -188,8 +203,9 @@
         return static_cast<Implementation *>(self)->beforeRequest();
     };
     const Take takeHeader = [](char *bytes, size_t size, size_t count, void *self) {
-        static_cast<Implementation *>(self)->takeHeaderLine({bytes, size * count});
-        return size * count;
+        const bool isValid
+            = static_cast<Implementation *>(self)->takeHeaderLine({bytes, size * count});
+        return isValid ? size * count : 0;
     };
     const Take takeData = [](char *bytes, size_t size, size_t count, void *self) {
         return static_cast<Implementation *>(self)->takeBody({bytes, size * count});
@@ -213,28 +229,47 @@
     return CURL_PREREQFUNC_OK;
 }
 
-void Exchange::Implementation::takeHeaderLine(std::string_view line)
+bool Exchange::Implementation::takeHeaderLine(std::string_view line)
 {
     if (this->headComplete) {
-        return; // A trailer field.
+        return true; // A trailer field.
     }
     if (endsHead(line)) {
-        this->headComplete = this->head.status >= FirstFinalStatus;
+        this->headComplete = isFinalStatus(this->head.status);
         if (this->headComplete) {
             this->head.kind = ExchangeEventKind::Headers;
             this->events.push_back(std::move(this->head));
         }
-        return;
+        return true;
     }
     if (line.starts_with("HTTP/")) {
-        this->head = ExchangeEvent{};
-        this->head.status = statusOf(line);
-        return;
+        return this->takeStatusLine(line);
     }
     const size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        this->head.headers.add(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+    if (colon == std::string_view::npos) {
+        return true;
+    }
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    // libcurl would apply the length of an interim answer to the final one.
+    if (isInterimStatus(this->head.status) && announcesBody(name, value)) {
+        this->invalidity = "found an interim answer with a body";
+        return false;
+    }
+    this->head.headers.add(name, value);
+    return true;
+}
+
+bool Exchange::Implementation::takeStatusLine(std::string_view line)
+{
+    this->head = ExchangeEvent{};
+    this->head.status = statusOf(line);
+    if (isFinalStatus(this->head.status) || isInterimStatus(this->head.status)) {
+        return true;
     }
+    this->invalidity = "found a status that HTTP does not define for this answer; accepted are "
+                       "three digits from 100 to 599 without 101";
+    return false;
 }
 
 // libcurl calls this also for what follows a head that it takes as complete and takeHeaderLine
@@ -242,6 +277,7 @@
 size_t Exchange::Implementation::takeBody(std::string_view bytes)
 {
     if (!this->headComplete) {
+        this->invalidity = "found a body without a complete head";
         return 0;
     }
     if (this->queuedBytes >= MaximumQueuedBytes) {
@@ -282,10 +318,27 @@
     if (result == CURLE_OPERATION_TIMEDOUT) {
         return ExchangeError::Timeout;
     }
+    // libcurl itself refuses status lines and heads of some forms.
+    const bool isMalformed = result == CURLE_WEIRD_SERVER_REPLY
+                             || result == CURLE_UNSUPPORTED_PROTOCOL || result == CURLE_OK;
+    if (isMalformed || !this->invalidity.empty()) {
+        return ExchangeError::InvalidAnswer;
+    }
     return result == CURLE_PARTIAL_FILE ? ExchangeError::WrongLength
                                         : ExchangeError::ConnectionBroken;
 }
 
+std::string Exchange::Implementation::describeError(CURLcode result) const
+{
+    if (!this->invalidity.empty()) {
+        return std::string(this->invalidity);
+    }
+    if (result == CURLE_OK) {
+        return "found no final status";
+    }
+    return this->errorText[0] == '\0' ? ::curl_easy_strerror(result) : this->errorText.data();
+}
+
 void Exchange::Implementation::finishTransfer(CURLcode result)
 {
     this->transferEnded = true;
@@ -294,8 +347,7 @@
                                                          : ExchangeEventKind::Error;
     if (last.kind == ExchangeEventKind::Error) {
         last.error = this->errorOf(result);
-        last.message
-            = this->errorText[0] == '\0' ? ::curl_easy_strerror(result) : this->errorText.data();
+        last.message = this->describeError(result);
     }
     const bool isReusable
         = last.kind == ExchangeEventKind::End && this->request.connection == ConnectionUse::Pooled;
--- a/source/samphirebridge/http/exchange.h
+++ b/source/samphirebridge/http/exchange.h
@@ -35,6 +35,7 @@
     ConnectionBroken,
     Timeout, // ClientRequest::deadline passed.
     WrongLength, // The body ended before its announced length or its terminating chunk.
+    InvalidAnswer, // The answer's head is malformed, or HTTP does not define its status.
 };
 
 // Returns the error's stable name in snake_case.
--- a/source/samphirebridge/net/messageparser.cpp
+++ b/source/samphirebridge/net/messageparser.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/net/messageparser.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/http/status.h"
 
 #include <absl/strings/ascii.h>
 #include <fmt/format.h>
@@ -304,17 +305,12 @@
         return isTooLong ? this->failBodyTooLong() : this->reportResponse(*framing, length);
     }
 
-    // Tells whether the status of the response is one that HTTP defines the class of, or an interim
-    // one that may come unasked: protocols are never asked to be switched.
+    // Tells whether the status of the response, which may be interim, is one of HTTP's.
     [[nodiscard]] bool hasValidStatus() const
     {
-        constexpr int StatusDigitCount = 3;
-        constexpr int FirstInterim = 100;
-        constexpr int SwitchingProtocols = 101;
-        constexpr int EndOfFinal = 600;
         const auto status = static_cast<int>(this->parser.status_code);
-        return this->statusDigits.count() == StatusDigitCount && status >= FirstInterim
-               && status < EndOfFinal && status != SwitchingProtocols;
+        return this->statusDigits.count() == http::StatusDigits
+               && (http::isFinalStatus(status) || http::isInterimStatus(status));
     }
 
     int reportRequest(BodyFraming framing, uint64_t length)
@@ -340,9 +336,8 @@
     {
         constexpr int NoContent = 204;
         constexpr int NotModified = 304;
-        constexpr int FirstFinal = 200;
         const auto status = static_cast<int>(this->parser.status_code);
-        if (status < FirstFinal) {
+        if (!http::isFinalStatus(status)) {
             if (framing == BodyFraming::Chunked || length > 0) {
                 return this->failInvalid("found an interim response with a body");
             }
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -112,7 +112,7 @@
     target.close();
     const ExchangeEvent event = nextEvent(exchange);
     CHECK(event.kind == ExchangeEventKind::Error);
-    CHECK(event.error == ExchangeError::ConnectionBroken);
+    CHECK(event.error == ExchangeError::InvalidAnswer);
 }
 
 TEST_CASE("a chunk is passed on before the answer is complete")
@@ -286,3 +286,117 @@
     target.join();
     CHECK(core::errorCodeOf(answer.status()) == core::ErrorCode::TooLarge);
 }
+
+// Guards against an answer whose status is no final status of HTTP, or that is taken to have a body
+// which belongs to an interim answer.
+TEST_CASE("an answer whose status is no final status of HTTP is an error before any part of it")
+{
+    const std::string status = GENERATE(as<std::string>{},
+                                        "000",
+                                        "099",
+                                        "99",
+                                        "20",
+                                        "2",
+                                        "600",
+                                        "799",
+                                        "999",
+                                        "1000",
+                                        "2000",
+                                        "0200",
+                                        "0100",
+                                        "20x",
+                                        "abc",
+                                        "2 00",
+                                        "-20",
+                                        "101",
+                                        "");
+    const std::string inFront
+        = GENERATE(as<std::string>{}, "", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103\n\n");
+    const std::string rest = GENERATE(as<std::string>{},
+                                      " OK\r\nContent-Length: 4\r\n\r\nbody",
+                                      " OK\r\n\r\nbody",
+                                      "\r\nContent-Length: 0\r\n\r\n",
+                                      "\n\nbody");
+    const std::string text = std::string(inFront).append("HTTP/1.1 ").append(status).append(rest);
+    INFO(text);
+    const Listener listener;
+    Client client;
+    Exchange exchange
+        = client.start(post(listener, GENERATE(ConnectionUse::Fresh, ConnectionUse::Pooled)));
+    Peer target = acceptRequest(exchange, listener);
+    target.write(text);
+    target.close();
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::InvalidAnswer);
+    CHECK_FALSE(event.message.empty());
+    CHECK(exchange.bytesMayHaveLeft());
+}
+
+// Guards against an interim answer that ends the exchange, as if it were the final one.
+TEST_CASE("an answer that ends after interim answers is an error")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Any\r\nX: y\r\n\r\n");
+    target.close(GENERATE(false, true));
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::ConnectionBroken);
+}
+
+// Guards against the length of an interim answer, which may have no body, that delimits the body of
+// the final answer.
+TEST_CASE("an interim answer with a body is an error")
+{
+    const std::string body = GENERATE(as<std::string>{},
+                                      "Content-Length: 4\r\n\r\nbody",
+                                      "Content-Length: 4\r\n\r\n",
+                                      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                      "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string final = GENERATE(as<std::string>{},
+                                       "HTTP/1.1 200 OK\r\n\r\nbody and more",
+                                       "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n4\r\nb\r\n");
+    const std::string text = "HTTP/1.1 103 Early Hints\r\n" + body + final;
+    INFO(text);
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.write(text);
+    target.close();
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::InvalidAnswer);
+}
+
+// Guards against a target that keeps an exchange, and the memory that its fields take, without end.
+TEST_CASE("endless interim answers and fields are an error within a bound")
+{
+    const std::string beginning = GENERATE(as<std::string>{}, "", "HTTP/1.1 200 OK\r\n");
+    const std::string repeated
+        = beginning.empty() ? "HTTP/1.1 102 Processing\r\n\r\n" : "Name: value\r\n";
+    INFO(repeated);
+    constexpr size_t Bound = size_t{8} << 20U;
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.write(beginning);
+    std::thread sender([&target, &repeated] {
+        std::string piece;
+        while (piece.size() < size_t{64} << 10U) {
+            piece += repeated;
+        }
+        for (size_t sent = 0; sent < Bound && !target.wasReset(); sent += piece.size()) {
+            target.write(piece);
+        }
+    });
+    ExchangeEvent event = nextEvent(exchange);
+    exchange.cancel();
+    sender.join();
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(target.wasReset());
+}
--- a/tests/utilities/machinehost.cpp
+++ b/tests/utilities/machinehost.cpp
@@ -20,6 +20,8 @@
         return core::RetryReason::Stalled;
     case http::ExchangeError::WrongLength:
         return core::RetryReason::WrongLength;
+    case http::ExchangeError::InvalidAnswer:
+        return core::RetryReason::ForeignAnswer;
     case http::ExchangeError::ConnectionBroken:
         break;
     }
