net: Remember a reset that the kernel reported to a write

A part of an answer without a length could count as whole: a stream whose reset was reported to a write, or to hasUnreadBytes() or isQuiet(), reported an orderly end when it was read in the same turn of the loop, before the callback of the failed write.

Cause: the kernel reports the error of a connection once; the peek that tells a reset from an orderly close then finds neither error nor bytes. write() left the error to the queued write, whose callback runs later.

Ruled out: a write that was queued earlier and fails in its turn reports the end itself, ahead of any read.

The stream now remembers that a write or a look at the socket failed, and no longer reports an orderly end after that.

--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -213,6 +213,7 @@
         if (written == static_cast<int>(bytes.size())) {
             return;
         }
+        this->resetSeen = this->resetSeen || (written < 0 && written != UV_EAGAIN);
         bytes.remove_prefix(written > 0 ? static_cast<size_t>(written) : 0);
     }
     this->queueWrite(bytes);
@@ -236,7 +237,7 @@
     if (started != 0) {
         const std::unique_ptr<WriteRequest> request(writing);
         this->pendingBytes -= bytes.size();
-        // The connection is broken; the read callback reports its end.
+        this->resetSeen = true; // The read callback reports the end.
     }
 }
 
@@ -253,6 +254,7 @@
 {
     this->pendingBytes -= bytes;
     this->failedBytes += status == 0 ? 0 : bytes;
+    this->resetSeen = this->resetSeen || status != 0;
     if (!this->isOpen()) {
         return;
     }
@@ -270,10 +272,11 @@
 }
 
 // When a hang-up arrives together with the last bytes, libuv reports the end of the stream without
-// another read, for a reset as for an orderly close. Only reading from the socket tells them apart.
+// another read, for a reset as for an orderly close. Only reading from the socket tells them apart,
+// unless the error was taken before.
 bool TcpStream::wasReset() const
 {
-    return this->peek() != 0;
+    return this->resetSeen || this->peek() != 0;
 }
 
 bool TcpStream::hasUnreadBytes() const
@@ -316,7 +319,9 @@
         return -1;
     }
     char next = 0;
-    return recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t count = recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    this->resetSeen = this->resetSeen || (count < 0 && errno != EAGAIN && errno != EINTR);
+    return count;
 }
 
 void TcpStream::reportEnd(StreamEnd end)
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -125,6 +125,9 @@
     size_t failedBytes = 0; // Of writes that did not succeed.
     bool ended = false; // No more bytes come.
     bool broken = false;
+    // A write or a look at the socket has failed. The kernel reports a reset once only, after which
+    // the end looks orderly to a read.
+    mutable bool resetSeen = false;
 };
 
 } // namespace samphirebridge::net
--- a/tests/net/eventlooptest.cpp
+++ b/tests/net/eventlooptest.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <csignal>
+#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
@@ -140,3 +142,107 @@
     }
     CHECK(*receivedAtTimer == "answeranswer");
 }
+
+namespace
+{
+
+// Two streams to peers, of which one is read ahead of the other.
+struct StreamPair {
+    StreamPair()
+    {
+        std::signal(SIGPIPE, SIG_IGN); // As the program does.
+        for (int number = 0; number < 2; ++number) {
+            this->opening.push_back(net::TcpStream::connect(
+                this->loop, this->listener.address(), [this](auto connected) {
+                    REQUIRE(connected.ok());
+                    this->streams.push_back(*connected);
+                }));
+            this->peers.push_back(this->listener.accept());
+            while (this->streams.size() < this->peers.size()) {
+                this->loop.runUntil({});
+            }
+        }
+    }
+
+    // Reads from both streams; bytes of the first one start `step`.
+    void start(std::function<void()> step)
+    {
+        this->streams[0]->setEvents(
+            {[step = std::move(step)](std::string_view /*bytes*/) { step(); }, nullptr, nullptr});
+        this->streams[1]->setEvents({[this](std::string_view bytes) { this->received += bytes; },
+                                     [this](net::StreamEnd end) { this->ends.push_back(end); },
+                                     nullptr});
+        this->streams[0]->startReading();
+        this->streams[1]->startReading();
+        this->loop.runUntil({});
+    }
+
+    void runToEnd()
+    {
+        while (this->ends.empty()) {
+            this->loop.runUntil(core::SteadyClock().now() + 1ms);
+        }
+    }
+
+    net::EventLoop loop;
+    http::Listener listener;
+    std::vector<std::shared_ptr<net::TcpStream>> opening;
+    std::vector<std::shared_ptr<net::TcpStream>> streams;
+    std::vector<http::Peer> peers;
+    std::string received;
+    std::vector<net::StreamEnd> ends; // Of the second stream.
+};
+
+} // namespace
+
+// Guards against a part of an answer that counts as whole since its end looks orderly: the kernel
+// reports a reset once, and that was to a write.
+TEST_CASE("a stream whose reset was reported to a write has ended by it")
+{
+    const bool large = GENERATE(false, true);
+    const bool answered = GENERATE(false, true);
+    StreamPair pair;
+    const std::string bytes(large ? size_t{8} << 20U : 1, 'x');
+    pair.start([&] { pair.streams[1]->write(bytes); });
+    // Both are read in one turn of the loop, the first stream ahead of the second.
+    pair.peers[0].write("go");
+    pair.peers[1].write(answered ? "part" : "");
+    pair.peers[1].close(true);
+    pair.runToEnd();
+    CHECK(pair.ends.front() == net::StreamEnd::Broken);
+    CHECK(pair.received == (answered ? "part" : ""));
+}
+
+// Guards against the same where looking at the connection takes the reset.
+TEST_CASE("a stream whose reset was reported to a look at it has ended by it")
+{
+    const bool unread = GENERATE(false, true);
+    StreamPair pair;
+    pair.start([&] {
+        if (unread) {
+            CHECK_FALSE(pair.streams[1]->hasUnreadBytes());
+        } else {
+            CHECK_FALSE(pair.streams[1]->isQuiet());
+        }
+    });
+    pair.peers[0].write("go");
+    pair.peers[1].close(true);
+    pair.runToEnd();
+    CHECK(pair.ends.front() == net::StreamEnd::Broken);
+}
+
+// Guards against sound answers that count as broken off.
+TEST_CASE("a stream that its peer closes in order has ended so, whatever was written before")
+{
+    StreamPair pair;
+    pair.start([&] {
+        pair.streams[1]->write("request");
+        CHECK_FALSE(pair.streams[1]->isQuiet());
+    });
+    pair.peers[0].write("go");
+    pair.peers[1].write("whole");
+    pair.peers[1].endWriting();
+    pair.runToEnd();
+    CHECK(pair.ends.front() == net::StreamEnd::Closed);
+    CHECK(pair.received == "whole");
+}
