net: Take no early end for the whole of a success

A target that stops in an upload leaves a reset or an orderly end, by whether it had read what had arrived. After the latter a part of a 200 without a length counted as whole, although its target can't have had the request.

Such a response is now broken off if its status is a success and bytes of the request are still queued. An early error without a length stays complete, since targets refuse too long requests by it, and so does a success with a length or chunks.

Ruled out: a reset in an upload.

Before, the new test failed in all 4 cases; now it passes.

--- a/source/samphirebridge/net/targetconnection.cpp
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -14,6 +14,9 @@
 // Upper bound for the bytes of responses to other requests that are skipped for one request.
 constexpr size_t MaximumSkippedBytes = size_t{256} * 1024;
 
+constexpr int FirstSuccess = 200;
+constexpr int FirstRedirect = 300;
+
 // Returns the `timeout` parameter, in seconds, of the Keep-Alive field; zero if there is none.
 core::Duration keepAliveTimeoutOf(const http::Headers &headers)
 {
@@ -148,6 +151,7 @@
 void TargetConnection::onHead(ResponseHead head)
 {
     this->keepAlive = head.keepAlive;
+    this->isSuccess = head.status >= FirstSuccess && head.status < FirstRedirect;
     this->keepAliveTimeout = keepAliveTimeoutOf(head.headers);
     const auto onHead = this->events.onHead;
     if (!onHead) {
@@ -179,7 +183,7 @@
         this->markUnusable();
         return;
     }
-    if (end == StreamEnd::Closed && this->parser.finish().ok()
+    if (end == StreamEnd::Closed && !this->precedesRequest() && this->parser.finish().ok()
         && std::exchange(this->messageComplete, false) && !this->skipping) {
         this->keepAlive = false;
         this->onComplete();
@@ -191,6 +195,14 @@
                                    : "the target reset the connection"));
 }
 
+// The connection's end delimits such a response only if the target meant it so. One that stopped in
+// an upload leaves an orderly end too, if it had read what had arrived. An early error is accepted:
+// targets refuse a request that is too long by it.
+bool TargetConnection::precedesRequest() const
+{
+    return this->isSuccess && this->stream->queuedBytes() > 0;
+}
+
 void TargetConnection::fail(const absl::Status &error)
 {
     this->busy = false;
--- a/source/samphirebridge/net/targetconnection.h
+++ b/source/samphirebridge/net/targetconnection.h
@@ -65,6 +65,8 @@
     void onHead(ResponseHead head);
     void onComplete();
     void onStreamEnd(StreamEnd end);
+    // Tells whether the response is a success although its request was not sent whole.
+    [[nodiscard]] bool precedesRequest() const;
     void fail(const absl::Status &error);
     void markUnusable();
 
@@ -78,6 +80,7 @@
     bool isResponseToHead = false;
     bool messageComplete = false;
     bool keepAlive = false;
+    bool isSuccess = false; // By the status of the current response.
     bool unusable = false;
     size_t skippedBytes = 0; // Of dropped responses since the request was sent.
     bool foreignAnswerSeen = false; // A response to another request was received.
--- a/tests/http/peer.cpp
+++ b/tests/http/peer.cpp
@@ -79,6 +79,22 @@
     return received;
 }
 
+std::string Peer::readBytes(size_t bytes) const
+{
+    std::string received(bytes, '\0');
+    size_t filled = 0;
+    while (filled < bytes) {
+        const ssize_t count = ::recv(this->descriptor, received.data() + filled, bytes - filled, 0);
+        if (count <= 0) {
+            this->broken = this->broken || count < 0;
+            break;
+        }
+        filled += static_cast<size_t>(count);
+    }
+    received.resize(filled);
+    return received;
+}
+
 std::string Peer::readToEnd() const
 {
     return this->readUntil("");
--- a/tests/http/peer.h
+++ b/tests/http/peer.h
@@ -27,6 +27,9 @@
     // Reads until the text was received or the other side closed; returns everything read.
     [[nodiscard]] std::string readUntil(std::string_view text) const;
 
+    // Reads that many bytes, or to the end if the other side closes before; returns them.
+    [[nodiscard]] std::string readBytes(size_t bytes) const;
+
     // Reads until the other side closed; returns everything read.
     [[nodiscard]] std::string readToEnd() const;
 
--- a/tests/net/exchangetest.cpp
+++ b/tests/net/exchangetest.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <csignal>
 #include <optional>
 #include <thread>
 
@@ -26,6 +27,7 @@
         : pool(this->loop, {.connectTimeout = 10s})
         , endpoint{"127.0.0.1:" + std::to_string(listener.port()), 1}
     {
+        std::signal(SIGPIPE, SIG_IGN); // As the program does.
     }
 
     ~Caller()
@@ -44,12 +46,16 @@
     }
 
     // Sends a request; with an id given, accepts only the answer that carries it in X-Id.
-    void send(std::string_view wantedId = {}, std::string_view method = "GET")
+    void send(std::string_view wantedId = {},
+              std::string_view method = "GET",
+              std::string_view upload = {})
     {
         net::RequestHead head;
         head.method = method;
         head.target = "/";
         head.headers.set("Host", "target");
+        head.framing = upload.empty() ? net::BodyFraming::None : net::BodyFraming::Length;
+        head.contentLength = upload.size();
         net::ExchangeEvents events;
         events.onHead = [this, wanted = std::string(wantedId)](const net::ResponseHead &answer) {
             this->status = answer.status;
@@ -65,7 +71,7 @@
         events.onFailed = [this](const absl::Status & /*error*/) {
             this->complete = false;
         };
-        this->connection->send(head, {}, std::move(events));
+        this->connection->send(head, upload, std::move(events));
     }
 
     template <typename Condition>
@@ -306,3 +312,95 @@
     CHECK_FALSE(*caller.complete);
     CHECK(caller.body.empty());
 }
+
+namespace
+{
+
+// When a target ends the connection in an upload, and how.
+struct UploadFault {
+    size_t uploadBytes = 0;
+    size_t readBytes = 0; // Of the request, before the target answers.
+    bool endsWriting = false; // The target ends its answer in order before the reset.
+    bool readsLate = false; // The caller reads only after the reset.
+};
+
+// Lets a target answer and then reset the connection as told.
+void runFault(Caller &caller,
+              const Listener &listener,
+              const UploadFault &fault,
+              const std::string &answer)
+{
+    caller.connect();
+    Peer target = listener.accept();
+    caller.send({}, "POST", std::string(fault.uploadBytes, 'u'));
+    (void)target.readBytes(fault.readBytes);
+    target.write(answer);
+    if (fault.endsWriting) {
+        target.endWriting();
+    }
+    if (!fault.readsLate) {
+        caller.runUntil([&] { return caller.heads > 0 || answer.size() < 12 || caller.complete; });
+    }
+    target.close(true);
+}
+
+} // namespace
+
+// Guards against a part of an answer that a caller gets as whole, from a target that answers early
+// and resets the connection while the request is still being sent.
+TEST_CASE("an answer without a length is incomplete if the target resets an upload")
+{
+    UploadFault fault;
+    fault.uploadBytes = GENERATE(size_t{1}, size_t{64} << 10U, size_t{16} << 20U);
+    fault.readBytes = GENERATE(size_t{0}, size_t{1}, size_t{200});
+    fault.readsLate = GENERATE(false, true);
+    const std::string answer
+        = GENERATE(as<std::string>{},
+                   "",
+                   "HTTP/1.1 20",
+                   "HTTP/1.1 200 OK\r\n\r\n",
+                   "HTTP/1.1 200 OK\r\n\r\npart",
+                   "HTTP/1.1 200 OK\r\n\r\n" + std::string(size_t{64} << 10U, 'p'));
+    if (fault.uploadBytes == 1 && fault.readBytes == 200) {
+        return; // The request is shorter.
+    }
+    INFO(fault.uploadBytes << ' ' << fault.readBytes << ' ' << fault.readsLate << ' '
+                           << answer.substr(0, 30));
+    const Listener listener;
+    Caller caller(listener);
+    runFault(caller, listener, fault, answer);
+    CHECK_FALSE(caller.waitForEnd());
+}
+
+// Guards against the same where the end of the answer comes in order: a target that stopped before
+// it had read the request leaves an end or a reset, by what had arrived.
+TEST_CASE("a success without a length is incomplete if it ends while the request is being sent")
+{
+    const bool readsLate = GENERATE(false, true);
+    const std::string status = GENERATE(as<std::string>{}, "200 OK", "201 Created");
+    const Listener listener;
+    Caller caller(listener);
+    runFault(caller,
+             listener,
+             {size_t{32} << 20U, 1, true, readsLate},
+             "HTTP/1.1 " + status + "\r\n\r\npart");
+    CHECK_FALSE(caller.waitForEnd());
+}
+
+// Guards against refusals of a request that is too long which get lost.
+TEST_CASE("an early error without a length, and an early success with one, are complete")
+{
+    const std::string answer = GENERATE(as<std::string>{},
+                                        "HTTP/1.1 413 Content Too Large\r\n\r\nwhole",
+                                        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    const Listener listener;
+    Caller caller(listener);
+    caller.connect();
+    const Peer target = listener.accept();
+    caller.send({}, "POST", std::string(size_t{32} << 20U, 'u'));
+    target.write(answer);
+    target.endWriting();
+    CHECK(caller.waitForEnd());
+    CHECK(caller.body == "whole");
+    CHECK_FALSE(caller.connection->reusable());
+}
