http: Take no early end for the whole of a success

libcurl reports success when the connection ends after the head of an answer without a length, also while it is still sending the request. A target that stopped in an upload thus gave a part of a 200 as whole.

Such an exchange now ends with ConnectionBroken if the status is a success and libcurl sent less than the body. An early 413 stays complete.

Ruled out: a reset in an upload.

--- a/source/samphirebridge/http/exchange.cpp
+++ b/source/samphirebridge/http/exchange.cpp
@@ -91,6 +91,14 @@
            || (equalIgnoringCase(name, "Content-Length") && value != "0");
 }
 
+// Tells whether the answer is a success whose body ends with its connection.
+bool isUnbounded(const ExchangeEvent &head)
+{
+    constexpr int NoContent = 204;
+    return isSuccessStatus(head.status) && head.status != NoContent
+           && !head.headers.find("Content-Length") && !head.headers.find("Transfer-Encoding");
+}
+
 long millisecondsOf(core::Duration duration)
 {
     return static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
@@ -127,6 +135,7 @@
     size_t queuedBytes = 0;
     ExchangeEvent head; // Collects the status and headers until the head is complete.
     bool headComplete = false;
+    bool isUnboundedSuccess = false; // The answer is a success that ends with its connection.
     bool paused = false;
     bool bytesMayBeSent = false;
     std::string_view invalidity; // What makes the answer invalid, or empty.
@@ -150,6 +159,8 @@
     size_t takeBody(std::string_view bytes);
     void runTransfer();
     void finishTransfer(CURLcode result);
+    // Tells whether libcurl has finished without the whole answer.
+    [[nodiscard]] bool isCutOff() const;
     [[nodiscard]] ExchangeError errorOf(CURLcode result) const;
     [[nodiscard]] std::string describeError(CURLcode result) const;
     ExchangeEvent popEvent();
@@ -238,6 +249,7 @@
         this->headComplete = isFinalStatus(this->head.status);
         if (this->headComplete) {
             this->head.kind = ExchangeEventKind::Headers;
+            this->isUnboundedSuccess = isUnbounded(this->head);
             this->events.push_back(std::move(this->head));
         }
         return true;
@@ -310,11 +322,24 @@
     }
 }
 
+// The connection's end delimits an answer only if the target meant it so. One that stopped in an
+// upload leaves an orderly end too, if it had read what had arrived. An early error is accepted:
+// targets refuse a request that is too long by it.
+bool Exchange::Implementation::isCutOff() const
+{
+    curl_off_t sent = 0;
+    ::curl_easy_getinfo(this->channel.easy.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+    return this->isUnboundedSuccess && static_cast<uint64_t>(sent) < this->request.body.size();
+}
+
 ExchangeError Exchange::Implementation::errorOf(CURLcode result) const
 {
     if (!this->bytesMayBeSent) {
         return ExchangeError::ConnectFailed;
     }
+    if (result == CURLE_OK && this->headComplete) {
+        return ExchangeError::ConnectionBroken; // It was cut off.
+    }
     if (result == CURLE_OPERATION_TIMEDOUT) {
         return ExchangeError::Timeout;
     }
@@ -334,7 +359,8 @@
         return std::string(this->invalidity);
     }
     if (result == CURLE_OK) {
-        return "found no final status";
+        return this->headComplete ? "the target ended its answer before it had the request"
+                                  : "found no final status";
     }
     return this->errorText[0] == '\0' ? ::curl_easy_strerror(result) : this->errorText.data();
 }
@@ -343,8 +369,9 @@
 {
     this->transferEnded = true;
     ExchangeEvent last;
-    last.kind = result == CURLE_OK && this->headComplete ? ExchangeEventKind::End
-                                                         : ExchangeEventKind::Error;
+    last.kind = result == CURLE_OK && this->headComplete && !this->isCutOff()
+                    ? ExchangeEventKind::End
+                    : ExchangeEventKind::Error;
     if (last.kind == ExchangeEventKind::Error) {
         last.error = this->errorOf(result);
         last.message = this->describeError(result);
--- a/source/samphirebridge/http/status.h
+++ b/source/samphirebridge/http/status.h
@@ -15,6 +15,13 @@
     return status >= FirstFinalStatus && status < EndOfFinalStatus;
 }
 
+// Tells whether the status says that the request succeeded.
+constexpr bool isSuccessStatus(int status)
+{
+    constexpr int FirstRedirect = 300;
+    return status >= FirstFinalStatus && status < FirstRedirect;
+}
+
 // Tells whether the status is that of an interim answer which may come unasked. 101 may not: no
 // request asks to switch protocols.
 constexpr bool isInterimStatus(int status)
--- a/source/samphirebridge/net/targetconnection.cpp
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/net/targetconnection.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/http/status.h"
 
 #include <charconv>
 #include <utility>
@@ -14,9 +15,6 @@
 // Upper bound for the bytes of responses to other requests that are skipped for one request.
 constexpr size_t MaximumSkippedBytes = size_t{256} * 1024;
 
-constexpr int FirstSuccess = 200;
-constexpr int FirstRedirect = 300;
-
 // Returns the `timeout` parameter, in seconds, of the Keep-Alive field; zero if there is none.
 core::Duration keepAliveTimeoutOf(const http::Headers &headers)
 {
@@ -151,7 +149,7 @@
 void TargetConnection::onHead(ResponseHead head)
 {
     this->keepAlive = head.keepAlive;
-    this->isSuccess = head.status >= FirstSuccess && head.status < FirstRedirect;
+    this->isSuccess = http::isSuccessStatus(head.status);
     this->keepAliveTimeout = keepAliveTimeoutOf(head.headers);
     const auto onHead = this->events.onHead;
     if (!onHead) {
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -400,3 +400,97 @@
     CHECK(event.kind == ExchangeEventKind::Error);
     CHECK(target.wasReset());
 }
+
+// Guards against a part of an answer that a caller gets as whole, from a target that answers early
+// and ends the connection while the request is still being sent.
+TEST_CASE("an answer without a length is an error if its target stops in an upload")
+{
+    const size_t uploadBytes = GENERATE(size_t{1}, size_t{64} << 10U, size_t{16} << 20U);
+    const size_t readBytes = GENERATE(size_t{0}, size_t{1}, size_t{60});
+    const bool readsLate = GENERATE(false, true); // The caller reads only after the reset.
+    const ConnectionUse use = GENERATE(ConnectionUse::Fresh, ConnectionUse::Pooled);
+    const std::string answer
+        = GENERATE(as<std::string>{},
+                   "",
+                   "HTTP/1.1 20",
+                   "HTTP/1.1 200 OK\r\n\r\n",
+                   "HTTP/1.1 200 OK\r\n\r\npart",
+                   "HTTP/1.1 200 OK\r\n\r\n" + std::string(size_t{64} << 10U, 'p'));
+    INFO(uploadBytes << ' ' << readBytes << ' ' << readsLate << ' ' << answer.substr(0, 30));
+    const Listener listener;
+    Client client;
+    ClientRequest request = post(listener, use);
+    request.body.assign(uploadBytes, 'u');
+    Exchange exchange = client.start(request);
+    while (!exchange.bytesMayHaveLeft()) {
+        exchange.next(Short);
+    }
+    exchange.next(std::chrono::milliseconds(0));
+    Peer target = listener.accept();
+    (void)target.readBytes(readBytes);
+    target.write(answer);
+    ExchangeEvent event;
+    if (!readsLate && answer.ends_with('p')) {
+        event = nextEvent(exchange);
+        CHECK(event.kind == ExchangeEventKind::Headers);
+    }
+    target.close(true);
+    while (!exchange.finished()) {
+        event = nextEvent(exchange);
+    }
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(exchange.bytesMayHaveLeft());
+}
+
+// Guards against the same where the end of the answer comes in order: a target that stopped before
+// it had read the request leaves an end or a reset, by what had arrived.
+TEST_CASE("a success without a length is an error if it ends while the request is being sent")
+{
+    const bool resets = GENERATE(false, true);
+    const std::string status = GENERATE(as<std::string>{}, "200 OK", "201 Created");
+    const Listener listener;
+    Client client;
+    ClientRequest request = post(listener);
+    request.body.assign(size_t{32} << 20U, 'u');
+    Exchange exchange = client.start(request);
+    while (!exchange.bytesMayHaveLeft()) {
+        exchange.next(Short);
+    }
+    exchange.next(std::chrono::milliseconds(0));
+    Peer target = listener.accept();
+    (void)target.readBytes(1);
+    target.write("HTTP/1.1 " + status + "\r\n\r\npart");
+    target.endWriting();
+    if (resets) {
+        target.close(true);
+    }
+    ExchangeEvent event;
+    while (!exchange.finished()) {
+        event = nextEvent(exchange);
+    }
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::ConnectionBroken);
+}
+
+// Guards against refusals of a request that is too long which get lost.
+TEST_CASE("an early error with or without a length ends in order")
+{
+    const std::string answer = GENERATE(as<std::string>{},
+                                        "HTTP/1.1 413 Content Too Large\r\n\r\nwhole",
+                                        "HTTP/1.1 413 Large\r\nContent-Length: 5\r\n\r\nwhole");
+    const Listener listener;
+    Client client;
+    ClientRequest request = post(listener);
+    request.body.assign(size_t{32} << 20U, 'u');
+    Exchange exchange = client.start(request);
+    while (!exchange.bytesMayHaveLeft()) {
+        exchange.next(Short);
+    }
+    exchange.next(std::chrono::milliseconds(0));
+    const Peer target = listener.accept();
+    target.write(answer);
+    target.endWriting();
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::Headers);
+    CHECK(nextEvent(exchange).bytes == "whole");
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::End);
+}
