forwarding: Relay no answer whose status HTTP does not define

classifyAnswer() relayed any status below 500 but a few and retried or relayed any above, so 000 and 600 too. They count as unusable before anything else that the head states is looked at: the attempt fails with FOREIGN_ANSWER, repeatable and resumable requests are retried within their limits, and others end with 502 and an unknown outcome.

--- a/source/samphirebridge/forwarding/answercheck.cpp
+++ b/source/samphirebridge/forwarding/answercheck.cpp
@@ -1,5 +1,7 @@
 #include "samphirebridge/forwarding/answercheck.h"
 
+#include "samphirebridge/http/status.h"
+
 namespace samphirebridge::forwarding
 {
 
@@ -7,8 +9,6 @@
 {
 
 constexpr int FirstFailure = 500;
-constexpr int FirstSuccess = 200;
-constexpr int FirstRedirect = 300;
 
 // Tells whether callers take the status as a promise that their request has not run. Such a status
 // is only relayed if the target states as much.
@@ -21,6 +21,9 @@
 
 AnswerClass classifyAnswer(std::string_view requestId, int status, const AnswerMetadata &metadata)
 {
+    if (!http::isFinalStatus(status)) {
+        return AnswerClass::Unusable;
+    }
     if (!metadata.requestId.empty() && metadata.requestId != requestId) {
         return AnswerClass::Foreign;
     }
@@ -28,8 +31,7 @@
     if (metadata.notRun || status == MisdirectedRequest) {
         return AnswerClass::NotRun;
     }
-    const bool success = status >= FirstSuccess && status < FirstRedirect;
-    if (success && !metadata.signedByTarget) {
+    if (http::isSuccessStatus(status) && !metadata.signedByTarget) {
         return AnswerClass::Unusable;
     }
     if (promisesNotRun(status)) {
--- a/tests/forwarding/answerchecktest.cpp
+++ b/tests/forwarding/answerchecktest.cpp
@@ -30,3 +30,15 @@
         CHECK(classifyAnswer("a", status, {"a", true, false}) == AnswerClass::Unusable);
     }
 }
+
+// Guards against a status that callers can't interpret, also if the target says that it did not run
+// the request or answers another one: nothing that such a head states is to be trusted.
+TEST_CASE("an answer whose status is no final status of HTTP is not relayed")
+{
+    for (const int status : {-1, 0, 20, 99, 100, 101, 199, 600, 799, 999, 1000}) {
+        CHECK(classifyAnswer("a", status, {"a", true, false}) == AnswerClass::Unusable);
+        CHECK(classifyAnswer("a", status, {"a", true, true}) == AnswerClass::Unusable);
+        CHECK(classifyAnswer("a", status, {"b", true, false}) == AnswerClass::Unusable);
+    }
+    CHECK(classifyAnswer("a", 599, {"a", true, false}) == AnswerClass::Failed);
+}
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -449,6 +449,57 @@
     CHECK(request.host.refusal->retryAfter > core::Duration::zero());
 }
 
+// Guards against a malformed answer that is relayed, retried where the request may have run, or
+// told to the caller as not run.
+TEST_CASE("a request whose target answers with an invalid status is handled by what may have run")
+{
+    struct Case {
+        RequestKind kind;
+        bool resumable;
+        size_t attempts;
+    };
+    const Case expected = GENERATE(Case{RequestKind::Once, false, 1},
+                                   Case{RequestKind::Repeatable, false, 2},
+                                   Case{RequestKind::Stream, false, 1},
+                                   Case{RequestKind::Stream, true, 2});
+    const int status = GENERATE(0, 99, 100, 101, 600, 999);
+    const bool byParser = GENERATE(false, true);
+    Fixture request(expected.kind, expected.resumable);
+    request.start();
+    size_t attempts = 0;
+    while (!request.machine->done()) {
+        REQUIRE(++attempts <= expected.attempts);
+        request.reportSent();
+        if (byParser) {
+            request.machine->onFailed({core::RetryReason::ForeignAnswer, true});
+        } else {
+            CHECK(request.receiveHead(status) == AnswerHandling::Abandoned);
+        }
+    }
+    CHECK(request.host.sentTo.size() == expected.attempts);
+    CHECK(request.host.relayedHeads == 0);
+    REQUIRE(request.host.refusal);
+    CHECK(request.host.refusal->reason == core::RefusalReason::TargetsFailed);
+    CHECK(request.host.refusal->outcome == core::Outcome::Unknown);
+}
+
+// Guards against the same in a stream of which the caller has a part.
+TEST_CASE("a stream goes on at another target after an invalid status, and ends after the last one")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.start();
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(1));
+    request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    REQUIRE(request.host.sentTo.size() == 2);
+    request.reportSent();
+    CHECK(request.receiveHead(600) == AnswerHandling::Abandoned);
+    CHECK(request.host.aborted);
+    CHECK(request.host.body == Fixture::event(1));
+    CHECK_FALSE(request.host.answerEnded);
+}
+
 TEST_CASE("a repeatable request that failed is sent to no more targets than its route allows")
 {
     Fixture request(RequestKind::Repeatable);
