requests: Take no status that HTTP does not define as an answer

RequestMachine forwarded 000 and 600 to 999 and kept them as the answer of a key. The attempt fails with FOREIGN_ANSWER: a request that may be repeated is retried, another ends in doubt.

--- a/source/samphirebridge/requests/requestmachine.cpp
+++ b/source/samphirebridge/requests/requestmachine.cpp
@@ -15,6 +15,7 @@
 constexpr int StatusOk = 200;
 
 constexpr int StatusInternalError = 500;
+constexpr int EndOfFinalStatus = 600; // The first number above all statuses that HTTP defines.
 constexpr core::Duration RetryAfterFailure = std::chrono::seconds(1);
 
 // How often another target is looked for while the current one is silent.
@@ -139,6 +140,11 @@
         this->endAttempt(core::RetryReason::ForeignAnswer, true);
         return;
     }
+    if (event.status < StatusOk || event.status >= EndOfFinalStatus) {
+        this->cancelAttempt();
+        this->endAttempt(core::RetryReason::ForeignAnswer, true);
+        return;
+    }
     this->lastProgress = this->now;
     this->status = event.status;
     this->contentType = event.contentType;
--- a/tests/requests/requestmachinetest.cpp
+++ b/tests/requests/requestmachinetest.cpp
@@ -226,6 +226,23 @@
     CHECK(driver(BytesArrived{attempt.attempt, std::string(Answer)}).empty());
 }
 
+// Guards against a status that callers can't interpret, and that is kept as the key's answer.
+TEST_CASE("an answer whose status is no final status of HTTP is handled by what may have run")
+{
+    const int status = GENERATE(0, 20, 99, 100, 101, 199, 600, 799, 999);
+    Driver never(plainSpecification(proto::NEVER));
+    checkInDoubt(never.receiveHead(never.startAttempt(), status));
+    const bool isChat = GENERATE(false, true);
+    Driver repeatable(isChat ? chatSpecification(GENERATE(false, true))
+                             : plainSpecification(proto::REPEATABLE));
+    const StartAttempt attempt = repeatable.startAttempt();
+    const Actions actions = repeatable.receiveHead(attempt, status);
+    CHECK(findAction<CancelAttempt>(actions) != nullptr);
+    REQUIRE(findAction<ChooseTarget>(actions) != nullptr);
+    CHECK(findAction<ChooseTarget>(actions)->reason == RetryReason::ForeignAnswer);
+    CHECK(repeatable(BytesArrived{attempt.attempt, std::string(Answer)}).empty());
+}
+
 TEST_CASE("retries at a target that deduplicates keep the key, and the request ends in doubt")
 {
     Driver driver(plainSpecification(proto::TARGET_DEDUPLICATES));
