ingress, forwarding: Count a malformed answer as one, not as a crash

The ingress reported every failure of an exchange as CONNECTION_BROKEN, so a request whose target answers malformed was suspected of crashing it. A message that the parser refuses is now FOREIGN_ANSWER, as at the product's own interface.

The new test of failureReasonOf() could not fail before, since the function is new: the ingress used ConnectionBroken for all errors.

--- a/source/samphirebridge/forwarding/answercheck.cpp
+++ b/source/samphirebridge/forwarding/answercheck.cpp
@@ -1,5 +1,6 @@
 #include "samphirebridge/forwarding/answercheck.h"
 
+#include "samphirebridge/core/errors.h"
 #include "samphirebridge/http/status.h"
 
 namespace samphirebridge::forwarding
@@ -40,6 +41,14 @@
     return status >= FirstFailure ? AnswerClass::Failed : AnswerClass::Relay;
 }
 
+core::RetryReason failureReasonOf(const absl::Status &error)
+{
+    // The answer was malformed. The target goes on, so this is no crash.
+    return core::errorCodeOf(error) == core::ErrorCode::InvalidRequest
+               ? core::RetryReason::ForeignAnswer
+               : core::RetryReason::ConnectionBroken;
+}
+
 bool mayRetryAfterRun(const Route &route)
 {
     switch (route.kind) {
--- a/source/samphirebridge/forwarding/answercheck.h
+++ b/source/samphirebridge/forwarding/answercheck.h
@@ -1,9 +1,12 @@
 // Classifies the head of a target's answer: relay it, skip it, or treat the attempt as failed.
 #pragma once
 
+#include "samphirebridge/core/reasons.h"
 #include "samphirebridge/forwarding/callerrequest.h"
 #include "samphirebridge/forwarding/declaration.h"
 
+#include <absl/status/status.h>
+
 #include <cstdint>
 #include <string_view>
 
@@ -21,6 +24,9 @@
 // Classifies an answer to the request `requestId` by its status and what its head states.
 AnswerClass classifyAnswer(std::string_view requestId, int status, const AnswerMetadata &metadata);
 
+// Returns why an attempt failed on whose connection that error ended the exchange.
+core::RetryReason failureReasonOf(const absl::Status &error);
+
 // Tells whether a request of the route that may already have run may be sent again.
 bool mayRetryAfterRun(const Route &route);
 
--- a/source/samphirebridge/ingress/forwardsession.h
+++ b/source/samphirebridge/ingress/forwardsession.h
@@ -439,9 +439,10 @@
                 session.machine.onAnswerEnd(role);
             });
         };
-        events.onFailed = [runIfOpen](const absl::Status & /*error*/) {
-            runIfOpen([](ForwardSession &session, AttemptRole role) {
-                session.machine.onFailed({core::RetryReason::ConnectionBroken, true}, role);
+        events.onFailed = [runIfOpen](const absl::Status &error) {
+            const core::RetryReason reason = forwarding::failureReasonOf(error);
+            runIfOpen([reason](ForwardSession &session, AttemptRole role) {
+                session.machine.onFailed({reason, true}, role);
             });
         };
         acquired->send(head, this->request.body, std::move(events));
--- a/tests/forwarding/answerchecktest.cpp
+++ b/tests/forwarding/answerchecktest.cpp
@@ -1,5 +1,7 @@
 #include "samphirebridge/forwarding/answercheck.h"
 
+#include "samphirebridge/core/errors.h"
+
 #include <catch2/catch.hpp>
 
 using namespace samphirebridge;
@@ -42,3 +44,14 @@
     }
     CHECK(classifyAnswer("a", 599, {"a", true, false}) == AnswerClass::Failed);
 }
+
+// Guards against a malformed answer that counts as a crash, which the request is then suspected of.
+TEST_CASE("a malformed answer is told apart from a broken connection")
+{
+    const auto reasonOf = [](core::ErrorCode code) {
+        return forwarding::failureReasonOf(core::makeError(code, "ended"));
+    };
+    CHECK(reasonOf(core::ErrorCode::InvalidRequest) == core::RetryReason::ForeignAnswer);
+    CHECK(reasonOf(core::ErrorCode::ConnectionBroken) == core::RetryReason::ConnectionBroken);
+    CHECK(reasonOf(core::ErrorCode::TooLarge) == core::RetryReason::ConnectionBroken);
+}
