net: Read no body of an interim answer whatever its fields are

http_parser takes a field whose name begins with Transfer-Encoding, such as Transfer-Encodings, for framing. In an interim answer all that followed was then a body without a head, up to the connection's end.

The parser now skips the body of each interim answer.

--- a/source/samphirebridge/net/messageparser.cpp
+++ b/source/samphirebridge/net/messageparser.cpp
@@ -345,7 +345,7 @@
             this->reason.clear();
             this->headDone = false;
             this->interim = true;
-            return ContinueParsing;
+            return SkipBody; // http_parser takes some unknown fields for framing.
         }
         const bool hasNoBody
             = this->isResponseToHead || status == NoContent || status == NotModified;
--- a/tests/net/messageparsertest.cpp
+++ b/tests/net/messageparsertest.cpp
@@ -316,6 +316,20 @@
     CHECK(reader.body.empty());
 }
 
+// Guards against a body without a head: http_parser takes a field whose name begins like
+// Transfer-Encoding for framing.
+TEST_CASE("an interim answer has no body whatever its fields are")
+{
+    Reader reader(MessageKind::Response);
+    CHECK(reader.feedSlowly("HTTP/1.1 100 Continue\r\nTransfer-Encodings: x\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+          == core::ErrorCode::None);
+    CHECK(reader.completed == 1);
+    REQUIRE(reader.response);
+    CHECK(reader.response->status == 200);
+    CHECK(reader.body == "ok");
+}
+
 // Guards against sound answers that the check of the status refuses.
 TEST_CASE("each status from 200 to 599 is accepted, in every form of its line")
 {
