--- a/tests/net/messageparsertest.cpp
+++ b/tests/net/messageparsertest.cpp
@@ -335,10 +335,13 @@
 {
     for (int status = 200; status < 600; ++status) {
         const std::string line = "HTTP/1.1 " + std::to_string(status);
-        for (const std::string rest : {" OK\r\n", "\r\n", " \r\n", " 1234\n", "\n"}) {
+        for (const std::string_view rest : {" OK\r\n", "\r\n", " \r\n", " 1234\n", "\n"}) {
             Reader reader(MessageKind::Response);
-            const std::string text = "\r\nHTTP/1.0 103\r\nConnection: keep-alive\r\n\r\n" + line
-                                     + rest + "Content-Length: 0\r\n\r\n";
+            const std::string text
+                = std::string("\r\nHTTP/1.0 103\r\nConnection: keep-alive\r\n\r\n")
+                      .append(line)
+                      .append(rest)
+                      .append("Content-Length: 0\r\n\r\n");
             INFO(text);
             CHECK(reader.feedSlowly(text) == core::ErrorCode::None);
             CHECK(reader.completed == 1);
