--- a/source/samphirebridge/http/exchange.cpp
+++ b/source/samphirebridge/http/exchange.cpp
@@ -263,7 +263,7 @@
     }
     const std::string_view name = line.substr(0, colon);
     const std::string_view value = trimmed(line.substr(colon + 1));
-    // libcurl would apply the length of an interim answer to the final one.
+    // Readers differ on whether such a length counts; the other HTTP stack refuses it too.
     if (isInterimStatus(this->head.status) && announcesBody(name, value)) {
         this->invalidity = "found an interim answer with a body";
         return false;
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -359,8 +359,8 @@
     CHECK(event.error == ExchangeError::ConnectionBroken);
 }
 
-// Guards against the length of an interim answer, which may have no body, that delimits the body of
-// the final answer.
+// Guards against the length of an interim answer, which may have no body, that one reader counts
+// and another does not.
 TEST_CASE("an interim answer with a body is an error")
 {
     const std::string body = GENERATE(as<std::string>{},
