--- a/source/samphirebridge/net/targetconnection.cpp
+++ b/source/samphirebridge/net/targetconnection.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/net/targetconnection.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/http/status.h"
 
 #include <charconv>
 #include <utility>
@@ -148,6 +149,7 @@
 void TargetConnection::onHead(ResponseHead head)
 {
     this->keepAlive = head.keepAlive;
+    this->isSuccess = http::isSuccessStatus(head.status);
     this->keepAliveTimeout = keepAliveTimeoutOf(head.headers);
     const auto onHead = this->events.onHead;
     if (!onHead) {
@@ -179,7 +181,7 @@
         this->markUnusable();
         return;
     }
-    if (end == StreamEnd::Closed && this->parser.finish().ok()
+    if (end == StreamEnd::Closed && !this->precedesRequest() && this->parser.finish().ok()
         && std::exchange(this->messageComplete, false) && !this->skipping) {
         this->keepAlive = false;
         this->onComplete();
@@ -191,6 +193,14 @@
                                    : "the target reset the connection"));
 }
 
+// The connection's end delimits such a response only if the target meant it so. One that stopped in
+// an upload leaves an orderly end too, if it had read what had arrived. An early error is accepted:
+// targets refuse a request that is too long by it.
+bool TargetConnection::precedesRequest() const
+{
+    return this->isSuccess && this->stream->queuedBytes() > 0;
+}
+
 void TargetConnection::fail(const absl::Status &error)
 {
     this->busy = false;
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 18> TopKeys{
+constexpr std::array<std::string_view, 19> TopKeys{
     "instance",
     "data_centre",
     "data_centre_regions",
--- a/tests/http/clienttest.cpp
+++ b/tests/http/clienttest.cpp
@@ -41,6 +41,17 @@
     return peer;
 }
 
+// The same without a wait for an event, and without reading the request.
+Peer acceptUpload(Exchange &exchange, const Listener &listener)
+{
+    constexpr auto None = std::chrono::milliseconds(0);
+    while (!exchange.bytesMayHaveLeft()) {
+        exchange.next(None);
+    }
+    exchange.next(None);
+    return listener.accept();
+}
+
 ExchangeEvent nextEvent(Exchange &exchange)
 {
     return exchange.next(Long);
@@ -112,7 +123,7 @@
     target.close();
     const ExchangeEvent event = nextEvent(exchange);
     CHECK(event.kind == ExchangeEventKind::Error);
-    CHECK(event.error == ExchangeError::ConnectionBroken);
+    CHECK(event.error == ExchangeError::InvalidAnswer);
 }
 
 TEST_CASE("a chunk is passed on before the answer is complete")
@@ -286,3 +297,200 @@
     target.join();
     CHECK(core::errorCodeOf(answer.status()) == core::ErrorCode::TooLarge);
 }
+
+// Guards against an answer whose status is no final status of HTTP, or that is taken to have a body
+// which belongs to an interim answer.
+TEST_CASE("an answer whose status is no final status of HTTP is an error before any part of it")
+{
+    const std::string status = GENERATE(as<std::string>{},
+                                        "000",
+                                        "099",
+                                        "99",
+                                        "20",
+                                        "2",
+                                        "600",
+                                        "799",
+                                        "999",
+                                        "1000",
+                                        "2000",
+                                        "0200",
+                                        "0100",
+                                        "20x",
+                                        "abc",
+                                        "2 00",
+                                        "-20",
+                                        "101",
+                                        "");
+    const std::string inFront
+        = GENERATE(as<std::string>{}, "", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103\n\n");
+    const std::string rest = GENERATE(as<std::string>{},
+                                      " OK\r\nContent-Length: 4\r\n\r\nbody",
+                                      " OK\r\n\r\nbody",
+                                      "\r\nContent-Length: 0\r\n\r\n",
+                                      "\n\nbody");
+    const std::string text = std::string(inFront).append("HTTP/1.1 ").append(status).append(rest);
+    INFO(text);
+    const Listener listener;
+    Client client;
+    Exchange exchange
+        = client.start(post(listener, GENERATE(ConnectionUse::Fresh, ConnectionUse::Pooled)));
+    Peer target = acceptUpload(exchange, listener);
+    static_cast<void>(target.readUntil(RequestEnd));
+    target.write(text);
+    target.close();
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::InvalidAnswer);
+    CHECK_FALSE(event.message.empty());
+    CHECK(exchange.bytesMayHaveLeft());
+}
+
+// Guards against an interim answer that ends the exchange, as if it were the final one.
+TEST_CASE("an answer that ends after interim answers is an error")
+{
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Any\r\nX: y\r\n\r\n");
+    target.close(GENERATE(false, true));
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::ConnectionBroken);
+}
+
+// Guards against the length of an interim answer, which may have no body, that one reader counts
+// and another does not.
+TEST_CASE("an interim answer with a body is an error")
+{
+    const std::string body = GENERATE(as<std::string>{},
+                                      "Content-Length: 4\r\n\r\nbody",
+                                      "Content-Length: 4\r\n\r\n",
+                                      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                      "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string final = GENERATE(as<std::string>{},
+                                       "HTTP/1.1 200 OK\r\n\r\nbody and more",
+                                       "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n4\r\nb\r\n");
+    const std::string text = "HTTP/1.1 103 Early Hints\r\n" + body + final;
+    INFO(text);
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.write(text);
+    target.close();
+    const ExchangeEvent event = nextEvent(exchange);
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::InvalidAnswer);
+}
+
+// Guards against a target that keeps an exchange, and the memory that its fields take, without end.
+TEST_CASE("endless interim answers and fields are an error within a bound")
+{
+    const std::string beginning = GENERATE(as<std::string>{}, "", "HTTP/1.1 200 OK\r\n");
+    const std::string repeated
+        = beginning.empty() ? "HTTP/1.1 102 Processing\r\n\r\n" : "Name: value\r\n";
+    INFO(repeated);
+    constexpr size_t Bound = size_t{8} << 20U;
+    const Listener listener;
+    Client client;
+    Exchange exchange = client.start(post(listener));
+    Peer target = acceptRequest(exchange, listener);
+    target.write(beginning);
+    std::thread sender([&target, &repeated] {
+        std::string piece;
+        while (piece.size() < size_t{64} << 10U) {
+            piece += repeated;
+        }
+        for (size_t sent = 0; sent < Bound && !target.wasReset(); sent += piece.size()) {
+            target.write(piece);
+        }
+    });
+    ExchangeEvent event = nextEvent(exchange);
+    exchange.cancel();
+    sender.join();
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(target.wasReset());
+}
+
+// Guards against a part of an answer that a caller gets as whole, from a target that answers early
+// and ends the connection while the request is still being sent.
+TEST_CASE("an answer without a length is an error if its target stops in an upload")
+{
+    const size_t uploadBytes = GENERATE(size_t{1}, size_t{64} << 10U, size_t{16} << 20U);
+    const size_t readBytes = GENERATE(size_t{0}, size_t{1}, size_t{60});
+    const bool readsLate = GENERATE(false, true); // The caller reads only after the reset.
+    const ConnectionUse use = GENERATE(ConnectionUse::Fresh, ConnectionUse::Pooled);
+    const std::string answer
+        = GENERATE(as<std::string>{},
+                   "",
+                   "HTTP/1.1 20",
+                   "HTTP/1.1 200 OK\r\n\r\n",
+                   "HTTP/1.1 200 OK\r\n\r\npart",
+                   "HTTP/1.1 200 OK\r\n\r\n" + std::string(size_t{64} << 10U, 'p'));
+    INFO(uploadBytes << ' ' << readBytes << ' ' << readsLate << ' ' << answer.substr(0, 30));
+    const Listener listener;
+    Client client;
+    ClientRequest request = post(listener, use);
+    request.body.assign(uploadBytes, 'u');
+    Exchange exchange = client.start(request);
+    Peer target = acceptUpload(exchange, listener);
+    (void)target.readBytes(readBytes);
+    target.write(answer);
+    ExchangeEvent event;
+    if (!readsLate && answer.ends_with('p')) {
+        event = nextEvent(exchange);
+        CHECK(event.kind == ExchangeEventKind::Headers);
+    }
+    target.close(true);
+    while (!exchange.finished()) {
+        event = nextEvent(exchange);
+    }
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(exchange.bytesMayHaveLeft());
+}
+
+// Guards against the same where the end of the answer comes in order: a target that stopped before
+// it had read the request leaves an end or a reset, by what had arrived.
+TEST_CASE("a success without a length is an error if it ends while the request is being sent")
+{
+    const bool resets = GENERATE(false, true);
+    const std::string status = GENERATE(as<std::string>{}, "200 OK", "201 Created");
+    const Listener listener;
+    Client client;
+    ClientRequest request = post(listener);
+    request.body.assign(size_t{32} << 20U, 'u');
+    Exchange exchange = client.start(request);
+    Peer target = acceptUpload(exchange, listener);
+    (void)target.readBytes(1);
+    target.write("HTTP/1.1 " + status + "\r\n\r\npart");
+    target.endWriting();
+    if (resets) {
+        target.close(true);
+    }
+    ExchangeEvent event;
+    while (!exchange.finished()) {
+        event = nextEvent(exchange);
+    }
+    CHECK(event.kind == ExchangeEventKind::Error);
+    CHECK(event.error == ExchangeError::ConnectionBroken);
+}
+
+// Guards against refusals of a request that is too long which get lost.
+TEST_CASE("an early error with or without a length ends in order")
+{
+    const std::string answer = GENERATE(as<std::string>{},
+                                        "HTTP/1.1 413 Content Too Large\r\n\r\nwhole",
+                                        "HTTP/1.1 413 Large\r\nContent-Length: 5\r\n\r\nwhole");
+    const Listener listener;
+    Client client;
+    ClientRequest request = post(listener);
+    request.body.assign(size_t{32} << 20U, 'u');
+    Exchange exchange = client.start(request);
+    const Peer target = acceptUpload(exchange, listener);
+    target.write(answer);
+    target.endWriting();
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::Headers);
+    CHECK(nextEvent(exchange).bytes == "whole");
+    CHECK(nextEvent(exchange).kind == ExchangeEventKind::End);
+}
