routing: Limit what an instance sends to cold targets

Cause: a target that has just started can handle a few requests per second from the whole fleet together, and crashes well above that. The instances do not consult each other before a request.

Change: every instance derives its share of a cold target's limit from its own list of entry instances (ColdAllotment). A choice takes a slot, which is freed a second after the request was sent, or at once if it never is (ColdSlots). A cold target without a free slot is not usable for that choice; if no other is, the request is refused as targets_cold. Requests are recorded while a target is warm too, so that those of the last second count when it becomes cold. Cold targets in which the instance has a share are added to the subset that it uses.

Within an incarnation the longest statement holds: a renewal that was sent before the target became cold may arrive after the notification. Services that state no limit are not affected.

--- a/source/samphirebridge/routing/candidateselector.cpp
+++ b/source/samphirebridge/routing/candidateselector.cpp
@@ -98,6 +98,9 @@
         }
     }
     std::vector<RoutedTarget *> usable = this->usableTargets(targets, request, rules, now);
+    if (usable.empty()) {
+        selection.nextColdSlot = this->nextColdSlot(targets, now);
+    }
     if (rules.idleRequirement != IdleRequirement::Optional) {
         std::vector<RoutedTarget *> idle;
         std::copy_if(usable.begin(),
@@ -162,6 +165,24 @@
 }
 
 bool CandidateSelector::isUsable(const RoutedTarget &target, core::TimePoint now) const
+{
+    return !target.cold.withheldUntil && this->isUsableUnlessCold(target, now);
+}
+
+std::optional<core::TimePoint>
+CandidateSelector::nextColdSlot(std::span<RoutedTarget *const> targets, core::TimePoint now) const
+{
+    std::optional<core::TimePoint> next;
+    for (const RoutedTarget *target : targets) {
+        if (target->cold.withheldUntil && this->isUsableUnlessCold(*target, now)) {
+            next
+                = std::min(next.value_or(*target->cold.withheldUntil), *target->cold.withheldUntil);
+        }
+    }
+    return next;
+}
+
+bool CandidateSelector::isUsableUnlessCold(const RoutedTarget &target, core::TimePoint now) const
 {
     return target.record.state() == proto::READY && !target.saidLeaving && now >= target.pausedUntil
            && !target.exclusiveTicket && target.breaker.admits(this->options->breaker, now);
--- a/source/samphirebridge/routing/candidateselector.h
+++ b/source/samphirebridge/routing/candidateselector.h
@@ -48,6 +48,8 @@
     bool anyStays = false;
     // The earliest end of the pauses that targets asked for.
     std::optional<core::TimePoint> nextPauseEnd;
+    // Set if every usable target is cold without a free slot: when the first may be used again.
+    std::optional<core::TimePoint> nextColdSlot;
     // The earliest time at which a breaker that refuses requests now admits a probe.
     std::optional<core::TimePoint> nextProbeAt;
 };
@@ -74,6 +76,11 @@
 
 private:
     [[nodiscard]] bool isUsable(const RoutedTarget &target, core::TimePoint now) const;
+    // The same, whether or not the target is cold without a free slot.
+    [[nodiscard]] bool isUsableUnlessCold(const RoutedTarget &target, core::TimePoint now) const;
+    // Returns when the first target that only its coldness makes unusable may be used again.
+    [[nodiscard]] std::optional<core::TimePoint>
+    nextColdSlot(std::span<RoutedTarget *const> targets, core::TimePoint now) const;
     [[nodiscard]] std::vector<RoutedTarget *> usableTargets(std::span<RoutedTarget *const> targets,
                                                             const RouteRequest &request,
                                                             const SelectionRules &rules,
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -21,8 +21,8 @@
 // incarnation may be heard again.
 constexpr core::Duration NoticeRetention = std::chrono::hours(1);
 
-// Callers refused during a pause are told to return within this part of the rest of it after its
-// end, so that they don't return together.
+// Callers refused during a pause, or while all targets are cold, are told to return within this
+// part of the rest of it after its end, so that they don't return together.
 constexpr int PauseSpreadDivisor = 4;
 
 // What one step of the caller's priority, and being a long request, add to the priority sent to an
@@ -88,10 +88,13 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(core::InstanceId self, RoutingOptions options, RandomSource nextRandom)
+Dispatcher::Dispatcher(const core::InstanceId &self,
+                       RoutingOptions options,
+                       RandomSource nextRandom)
     : options(std::move(options))
     , nextRandom(nextRandom)
-    , pools(std::move(self), this->options)
+    , pools(self, this->options)
+    , cold(self, this->pools)
     , selector(this->options, std::move(nextRandom))
     , retryOptions(this->options.retry)
     , suspects(this->options.suspect)
@@ -133,6 +136,39 @@
     return this->retryBudgets.try_emplace(service, this->retryOptions).first->second;
 }
 
+void Dispatcher::setColdLimits(std::span<const ColdLimit> limits)
+{
+    this->cold.setLimits(limits);
+}
+
+void Dispatcher::setColdMembers(std::span<const core::InstanceId> members,
+                                bool isPermitted,
+                                core::TimePoint now)
+{
+    this->cold.allotment().setMembers(members);
+    this->cold.allotment().setPermitted(isPermitted, now);
+}
+
+void Dispatcher::assumeCold(std::string_view dataCentre, core::TimePoint now)
+{
+    this->cold.assumeCold(dataCentre, now);
+}
+
+std::vector<ColdChange> Dispatcher::takeColdChanges()
+{
+    return this->cold.takeChanges();
+}
+
+size_t Dispatcher::coldTargets(core::TimePoint now) const
+{
+    return this->cold.count(now);
+}
+
+bool Dispatcher::hasColdLimits() const
+{
+    return this->cold.hasLimits();
+}
+
 void Dispatcher::onTarget(const proto::TargetRecord &record, core::TimePoint now)
 {
     RoutedTarget *known = this->pools.findTarget(record.id());
@@ -169,6 +205,7 @@
         this->partSuspects.onLeaving(target.targetIncarnation());
     }
     target.load.onReport(record.load(), now);
+    this->cold.onRecord(target, successor, now);
 }
 
 void Dispatcher::updateTargets(std::span<const proto::TargetRecord> records, core::TimePoint now)
@@ -199,6 +236,10 @@
     RoutedTarget *known = this->pools.findTarget(target);
     if (known != nullptr && known->record.incarnation() == incarnation) {
         known->load.onReport(load, now);
+        this->cold.onStated(*known,
+                            std::chrono::milliseconds(load.cold_remaining_ms()),
+                            ColdSource::Announcement,
+                            now);
     }
 }
 
@@ -238,7 +279,7 @@
     if (auto refusal = this->refuseSuspect(treatment)) {
         return *refusal;
     }
-    const std::vector<RoutedTarget *> targets = this->candidatesFor(request);
+    const std::vector<RoutedTarget *> targets = this->candidatesFor(request, now);
     if (treatment == SuspectTreatment::RequireExclusive && this->isOpenElsewhere(request)) {
         return this->refuse(core::RefusalReason::CrashSuspect, this->options.suspect.retryAfter);
     }
@@ -250,6 +291,7 @@
     const bool allowProbe
         = request.attempt == 1 && this->retryBudgetOf(request.service).isHalfFull();
     const SelectionRules rules{idleRequirementOf(treatment), allowProbe};
+    this->counts.coldSkips += this->cold.withhold(request.service, targets, now) ? 1 : 0;
     const Selection selection = this->selector.select(targets, request, rules, now);
     this->counts.prefixOverflows += selection.cachedTargetOverloaded ? 1 : 0;
     if (auto refusal = this->refuseIfNoneAccepts(selection, now)) {
@@ -277,10 +319,12 @@
     return this->startAttempt(request, *selection.best, treatment, std::move(parts), now);
 }
 
-std::vector<RoutedTarget *> Dispatcher::candidatesFor(const RouteRequest &request)
+std::vector<RoutedTarget *> Dispatcher::candidatesFor(const RouteRequest &request,
+                                                      core::TimePoint now)
 {
     const auto known = this->pools.candidates(request.service, request.model);
     std::vector<RoutedTarget *> targets(known.begin(), known.end());
+    this->cold.addCandidates(request.service, request.model, targets, now);
     std::erase_if(targets,
                   [&request](const RoutedTarget *target) { return isOpenAt(request, *target); });
     return targets;
@@ -300,6 +344,9 @@
     const auto entry = this->attempts.find(ticket);
     if (entry != this->attempts.end() && !entry->second.sentAt) {
         entry->second.sentAt = now;
+        if (RoutedTarget *target = this->currentTarget(entry->second)) {
+            this->cold.onSent(*target, ticket, now);
+        }
     }
 }
 
@@ -328,6 +375,8 @@
     if (target == nullptr) {
         return false;
     }
+    this->cold.onStated(
+        *target, notice.coldRemaining.value_or(core::Duration::zero()), ColdSource::Answer, now);
     const bool departs = notice.leaving && !std::exchange(target->saidLeaving, notice.leaving);
     this->counts.departuresSaid += departs ? 1 : 0;
     const core::TimePoint until = now + std::min(notice.pause, MaximumPause);
@@ -442,6 +491,7 @@
     for (const std::string &id : gone) {
         this->pools.eraseTarget(id);
     }
+    this->cold.removeEnded(now);
 }
 
 bool Dispatcher::clearPart(std::string_view fingerprint, core::TimePoint now)
@@ -468,6 +518,9 @@
     case core::RefusalReason::Overloaded:
         ++this->counts.refusedOverloaded;
         break;
+    case core::RefusalReason::TargetsCold:
+        ++this->counts.refusedCold;
+        break;
     case core::RefusalReason::TargetsPaused:
         ++this->counts.refusedPaused;
         break;
@@ -522,13 +575,25 @@
     if (!selection.anyStays) {
         return this->refuse(core::RefusalReason::NoTarget, DefaultRetryAfter);
     }
+    if (selection.nextColdSlot) {
+        return this->refuseCold(*selection.nextColdSlot, now);
+    }
     if (!selection.nextPauseEnd) {
         return std::nullopt;
     }
-    const core::Duration rest = *selection.nextPauseEnd - now;
-    const auto spread = static_cast<uint64_t>((rest / PauseSpreadDivisor).count()) + 1;
-    const core::Duration extra(static_cast<core::Duration::rep>(this->nextRandom() % spread));
-    return this->refuse(core::RefusalReason::TargetsPaused, rest + extra);
+    return this->refuse(core::RefusalReason::TargetsPaused,
+                        this->spread(*selection.nextPauseEnd - now));
+}
+
+Refusal Dispatcher::refuseCold(core::TimePoint nextSlot, core::TimePoint now)
+{
+    return this->refuse(core::RefusalReason::TargetsCold, this->spread(nextSlot - now));
+}
+
+core::Duration Dispatcher::spread(core::Duration duration)
+{
+    const auto range = static_cast<uint64_t>((duration / PauseSpreadDivisor).count()) + 1;
+    return duration + core::Duration(static_cast<core::Duration::rep>(this->nextRandom() % range));
 }
 
 std::optional<Refusal> Dispatcher::refuseIfOverloaded(const RouteRequest &request,
@@ -591,6 +656,7 @@
     target.prefix.onSent(request.prefix);
     target.breaker.onSent(now);
     target.attempts.insert(ticket);
+    this->counts.coldChoices += this->cold.onChosen(target, ticket, now) ? 1 : 0;
     if (treatment == SuspectTreatment::RequireExclusive) {
         target.exclusiveTicket = ticket;
         target.drainUntil = core::TimePoint();
@@ -624,6 +690,7 @@
     const Attempt &attempt = ended.attempt;
     ended.target->load.onEnd(attempt.firstTokenAt ? 0 : attempt.uncachedTokens);
     ended.target->attempts.erase(ticket);
+    ended.target->cold.slots.release(ticket);
     if (ended.target->exclusiveTicket == ticket) {
         ended.target->exclusiveTicket.reset();
     }
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -8,6 +8,7 @@
 #include "manifest.pb.h"
 #include "membership.pb.h"
 #include "samphirebridge/routing/candidateselector.h"
+#include "samphirebridge/routing/coldtargets.h"
 #include "samphirebridge/routing/fairadmission.h"
 #include "samphirebridge/routing/partsuspects.h"
 #include "samphirebridge/routing/retrybudget.h"
@@ -38,6 +39,9 @@
     uint64_t cacheGaps = 0; // Cache events that were ignored because earlier ones are missing.
     uint64_t departuresSaid = 0; // Target incarnations that said they are leaving.
     uint64_t pausesSaid = 0; // Pauses that targets asked for.
+    uint64_t coldChoices = 0; // Choices that used the allotment of a cold target.
+    uint64_t coldSkips = 0; // Choices for which a cold target without a free slot was left out.
+    uint64_t refusedCold = 0;
     uint64_t refusedPaused = 0;
     uint64_t refusedOverloaded = 0;
     uint64_t refusedRetryBudget = 0;
@@ -53,7 +57,7 @@
     // A source of uniform 64-bit numbers.
     using RandomSource = std::function<uint64_t()>;
 
-    Dispatcher(core::InstanceId self, RoutingOptions options, RandomSource nextRandom);
+    Dispatcher(const core::InstanceId &self, RoutingOptions options, RandomSource nextRandom);
     ~Dispatcher() = default;
     Dispatcher(const Dispatcher &) = delete;
     Dispatcher &operator=(const Dispatcher &) = delete;
@@ -72,6 +76,28 @@
     // many unused retries it may accumulate.
     void setRetryShare(uint32_t percent, double burst);
 
+    // Sets the services that state a limit for their cold targets.
+    void setColdLimits(std::span<const ColdLimit> limits);
+
+    // Sets the entry instances among which the limits are divided, and whether this one may use its
+    // share. To be repeated at least every ColdAllotment::PermissionLifetime.
+    void setColdMembers(std::span<const core::InstanceId> members,
+                        bool isPermitted,
+                        core::TimePoint now);
+
+    // Makes the targets of the data centre count as cold for the coldStart of their service. To be
+    // called when its evacuation ends: they may be cold, and the notification may be late.
+    void assumeCold(std::string_view dataCentre, core::TimePoint now);
+
+    // Returns and clears what became known of cold targets.
+    std::vector<ColdChange> takeColdChanges();
+
+    // Returns the number of READY targets that are cold and whose service states a limit.
+    [[nodiscard]] size_t coldTargets(core::TimePoint now) const;
+
+    // Tells whether any service states a limit for its cold targets.
+    [[nodiscard]] bool hasColdLimits() const;
+
     // Applies a changed record from membership; a record of an earlier incarnation is ignored. If
     // an incarnation that was READY is followed by a higher one, or is declared GONE after a
     // connection to it broke, it counts as crashed; takeCrashReports returns the resulting reports.
@@ -192,6 +218,10 @@
     // Refuses a request that no target accepts because of what all of them said of themselves.
     [[nodiscard]] std::optional<Refusal> refuseIfNoneAccepts(const Selection &selection,
                                                              core::TimePoint now);
+    // Returns the refusal of a request whose usable targets are all cold without a free slot.
+    [[nodiscard]] Refusal refuseCold(core::TimePoint nextSlot, core::TimePoint now);
+    // Returns the duration, lengthened at random by up to a quarter.
+    [[nodiscard]] core::Duration spread(core::Duration duration);
     // Returns a refusal if even the best target can't meet the request's deadline, or if the
     // expected wait exceeds the admission limit; the limit does not apply to retries.
     [[nodiscard]] std::optional<Refusal>
@@ -203,7 +233,8 @@
                                       PromptParts parts,
                                       core::TimePoint now);
     // Returns the targets that serve the request's model, without those that hold the request.
-    [[nodiscard]] std::vector<RoutedTarget *> candidatesFor(const RouteRequest &request);
+    [[nodiscard]] std::vector<RoutedTarget *> candidatesFor(const RouteRequest &request,
+                                                            core::TimePoint now);
     // Tells whether an attempt of the request is open at a target that has not been replaced.
     [[nodiscard]] bool isOpenElsewhere(const RouteRequest &request) const;
     // Returns the attempt's target, or nullptr if it was erased or is in another incarnation.
@@ -233,6 +264,7 @@
     RoutingOptions options;
     RandomSource nextRandom;
     TargetPools pools;
+    ColdTargets cold;
     CandidateSelector selector;
     RetryOptions retryOptions;
     absl::flat_hash_map<core::ServiceId, RetryBudget> retryBudgets;
--- a/source/samphirebridge/routing/routedtarget.h
+++ b/source/samphirebridge/routing/routedtarget.h
@@ -3,6 +3,7 @@
 
 #include "membership.pb.h"
 #include "samphirebridge/routing/breaker.h"
+#include "samphirebridge/routing/coldslots.h"
 #include "samphirebridge/routing/loadestimator.h"
 #include "samphirebridge/routing/partsuspects.h"
 #include "samphirebridge/routing/prefixmap.h"
@@ -11,6 +12,7 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <string>
@@ -29,6 +31,22 @@
     bool accused = false; // Its parts are accused already.
 };
 
+// Whether the target is cold, and what this instance may send to it then.
+struct TargetColdness {
+    [[nodiscard]] core::TimePoint end() const
+    {
+        return std::max(this->statedUntil, this->assumedUntil);
+    }
+
+    core::TimePoint statedUntil; // As the incarnation said itself.
+    core::TimePoint assumedUntil; // As follows from the end of an evacuation.
+    ColdSlots slots;
+    ColdShare share; // As of shareVersion.
+    uint64_t shareVersion = 0; // ColdAllotment::version, 0: not computed.
+    // Set for one choice in which the target is not usable: when it may be again.
+    std::optional<core::TimePoint> withheldUntil;
+};
+
 struct RoutedTarget {
     explicit RoutedTarget(const RoutingOptions &options)
         : load(options.load)
@@ -54,6 +72,7 @@
     core::TimePoint pausedUntil; // It wants no requests from this instance until then.
     bool connectionBroken = false; // Since the incarnation last answered.
     std::deque<UnprovedAttempt> unproved; // Bounded.
+    TargetColdness cold;
 };
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/routing/router.h
+++ b/source/samphirebridge/routing/router.h
@@ -20,8 +20,8 @@
 {
 public:
     // self is the id of this instance; the calls are documented in Dispatcher.
-    Router(core::InstanceId self, RoutingOptions options, Random random)
-        : Dispatcher(std::move(self), std::move(options), [this] { return this->drawRandom(); })
+    Router(const core::InstanceId &self, RoutingOptions options, Random random)
+        : Dispatcher(self, std::move(options), [this] { return this->drawRandom(); })
         , random(std::move(random))
     {
     }
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -77,7 +77,7 @@
 
 // The request is not to be sent now. The reason is NoTarget, Overloaded, DeadlineExceeded,
 // RetryBudgetExhausted, TargetsFailed (every target's breaker refuses requests), TargetsPaused,
-// CrashSuspect or HarmfulPrompt.
+// TargetsCold, CrashSuspect or HarmfulPrompt.
 struct Refusal {
     core::RefusalReason reason = core::RefusalReason::NoTarget;
     core::Duration retryAfter{};
--- a/source/samphirebridge/routing/targetpools.cpp
+++ b/source/samphirebridge/routing/targetpools.cpp
@@ -1,5 +1,7 @@
 #include "samphirebridge/routing/targetpools.h"
 
+#include <algorithm>
+
 namespace samphirebridge::routing
 {
 
@@ -66,6 +68,22 @@
     return pool.members;
 }
 
+std::string_view TargetPools::serviceOf(const proto::TargetRecord &record) const
+{
+    const auto service = this->serviceOfKind.find(record.kind());
+    return service == this->serviceOfKind.end() ? std::string_view() : service->second;
+}
+
+bool TargetPools::serves(const proto::TargetRecord &record,
+                         const core::ServiceId &service,
+                         const core::ModelId &model) const
+{
+    const bool hasModel = model.value.empty()
+                          || std::find(record.models().begin(), record.models().end(), model.value)
+                                 != record.models().end();
+    return record.state() == proto::READY && hasModel && this->serviceOf(record) == service.value;
+}
+
 std::vector<TargetPools::Key> TargetPools::keysOf(const proto::TargetRecord &record) const
 {
     const auto service = this->serviceOfKind.find(record.kind());
--- a/source/samphirebridge/routing/targetpools.h
+++ b/source/samphirebridge/routing/targetpools.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -41,6 +42,15 @@
     [[nodiscard]] std::span<RoutedTarget *const> candidates(const core::ServiceId &service,
                                                             const core::ModelId &model);
 
+    // Returns the service that the target's kind serves; empty if none does.
+    [[nodiscard]] std::string_view serviceOf(const proto::TargetRecord &record) const;
+
+    // Tells whether the target is READY and serves the model, which may be empty as in
+    // candidates().
+    [[nodiscard]] bool serves(const proto::TargetRecord &record,
+                              const core::ServiceId &service,
+                              const core::ModelId &model) const;
+
     // Returns all targets by id, including those in state LEAVING or GONE.
     [[nodiscard]] const absl::flat_hash_map<std::string, std::unique_ptr<RoutedTarget>> &
     allTargets() const
