membership, entry: Count the instances that share a cold target's limit

Cause: the shares only add up to at most the limit if every instance that uses one lists all others that do, and if all instances know that a target is cold.

Change: AllotmentMembers counts the entry instances and permits the use of a share.

An announcement by which a target is cold for at least 500 ms longer than was known is a change, for kinds of targets whose service states a limit. Records that are forwarded later state the cold time that remains. A longer cold time counts also in a record of the same revision, since two instances may each have given it to an announcement. FleetView wires this to the router, logs target_cold, cold_share_ready and cold_share_lost, and counts.

--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -27,6 +29,10 @@
 
 constexpr core::Duration RouterTickInterval = std::chrono::seconds(1);
 
+// The time between two updates of the instances among which the limits of cold targets are divided.
+// Well below routing::ColdAllotment::PermissionLifetime.
+constexpr core::Duration ColdMembersInterval = std::chrono::milliseconds(100);
+
 // Crash reports are gathered for this time into one message.
 constexpr core::Duration CrashReportInterval = std::chrono::milliseconds(50);
 
@@ -67,6 +73,32 @@
     }
 }
 
+std::string coldSourceName(routing::ColdSource source)
+{
+    switch (source) {
+    case routing::ColdSource::Announcement:
+        return "announcement";
+    case routing::ColdSource::Answer:
+        return "answer";
+    default:
+        return "evacuation";
+    }
+}
+
+std::string shareStateName(membership::ShareState state)
+{
+    switch (state) {
+    case membership::ShareState::Isolated:
+        return "isolated";
+    case membership::ShareState::Suspended:
+        return "suspended";
+    case membership::ShareState::Leaving:
+        return "leaving";
+    default:
+        return "starting";
+    }
+}
+
 std::string subjectName(proto::CrashSubject subject)
 {
     return subject == proto::PROMPT_PART ? "prompt_part" : "request";
@@ -90,6 +122,8 @@
     , targetDirectory(this->self, membershipOptions)
     , instanceDirectory(this->self, incarnation, membershipOptions)
     , crashDirectory(this->self, membershipOptions)
+    , coldMembers(this->self, membershipOptions)
+    , bootClock(core::drawClockId())
     , targetRouter(this->self, routingOptions(dataCentre), std::mt19937_64(seed + 1))
 {
     this->targetDirectory.setFleetSize(peers.ids().size() + 1);
@@ -140,7 +174,7 @@
 
 void FleetView::onDigest(const proto::MembershipDigest &digest, core::TimePoint now)
 {
-    const membership::DigestAnswer answer = this->targetDirectory.answer(digest);
+    const membership::DigestAnswer answer = this->targetDirectory.answer(digest, now);
     const auto crashes = this->crashDirectory.answer(digest, now);
     transport::PeerChannel *channel = this->peerSet.channelTo(core::InstanceId(digest.from()));
     if (channel == nullptr || (!answer.update && !answer.digest && !crashes)) {
@@ -173,6 +207,8 @@
         this->lastDigest = now;
         this->sendDigest(now);
     }
+    this->updateColdMembers(now);
+    this->reportColdTargets();
     if (now - this->lastRouterTick >= RouterTickInterval) {
         this->lastRouterTick = now;
         this->targetRouter.tick(now);
@@ -180,6 +216,8 @@
         this->updateRetryShare(now);
         this->crashDirectory.tick(now);
         this->countWithheldReports();
+        this->counters.set(telemetry::Gauge::TargetsCold,
+                           static_cast<double>(this->targetRouter.coldTargets(now)));
         this->counters.set(telemetry::Gauge::CrashSuspects,
                            static_cast<double>(this->targetRouter.crashSuspects()));
         this->counters.set(telemetry::Gauge::HarmfulParts,
@@ -221,10 +259,82 @@
         kind.set_service(service.id.value);
     }
     this->targetRouter.setKinds(kinds);
+    this->setColdLimits(declaration);
     this->instanceDirectory.setDeclarationVersion(declaration.version);
     this->send(this->instanceDirectory.tick(now));
 }
 
+void FleetView::setColdLimits(const forwarding::Declaration &declaration)
+{
+    std::vector<routing::ColdLimit> limits;
+    std::set<std::string, std::less<>> kinds;
+    for (const forwarding::Service &service : declaration.services) {
+        if (service.coldRequestsPerSecond > 0) {
+            limits.push_back({service.id, service.coldRequestsPerSecond, service.coldStart});
+            kinds.insert(service.id.value);
+        }
+    }
+    this->targetRouter.setColdLimits(limits);
+    this->targetDirectory.setColdKinds(std::move(kinds));
+}
+
+// The state is kept without limits too, so that a declaration that adds one need not wait for it.
+void FleetView::updateColdMembers(core::TimePoint now)
+{
+    this->coldMembers.onRunning(
+        now, core::TimePoint(std::chrono::milliseconds(this->bootClock.read().atMs)));
+    const bool wasReady = this->loggedShareState == membership::ShareState::Ready;
+    const bool isReady = this->coldMembers.state() == membership::ShareState::Ready;
+    if (now - this->lastColdMembers < ColdMembersInterval && wasReady == isReady) {
+        return;
+    }
+    this->lastColdMembers = now;
+    this->coldMembers.update(this->instanceDirectory, now);
+    this->targetRouter.setColdMembers(this->coldMembers.members(),
+                                      this->coldMembers.state() == membership::ShareState::Ready,
+                                      now);
+    this->logColdShare();
+}
+
+void FleetView::logColdShare()
+{
+    const membership::ShareState state = this->coldMembers.state();
+    const membership::ShareState before = std::exchange(this->loggedShareState, state);
+    const bool isReady = state == membership::ShareState::Ready;
+    const bool wasReady = before == membership::ShareState::Ready;
+    const bool isConcerned
+        = this->targetRouter.hasColdLimits() && this->instanceDirectory.own().serves();
+    if (isReady == wasReady || !isConcerned) {
+        return;
+    }
+    this->logger.change(isReady ? "cold_share_ready" : "cold_share_lost",
+                        {{"reason", shareStateName(isReady ? before : state)},
+                         {"instances", std::to_string(this->coldMembers.members().size())}});
+}
+
+void FleetView::reportColdTargets()
+{
+    for (const routing::ColdChange &change : this->targetRouter.takeColdChanges()) {
+        const auto remaining
+            = std::chrono::duration_cast<std::chrono::milliseconds>(change.remaining);
+        this->logger.change("target_cold",
+                            {{"target", change.target},
+                             {"incarnation", std::to_string(change.incarnation)},
+                             {"remaining_ms", std::to_string(remaining.count())},
+                             {"share", std::to_string(change.share.requests)},
+                             {"source", coldSourceName(change.source)}});
+    }
+    const routing::RoutingCounters &counts = this->targetRouter.counters();
+    this->counters.count(
+        telemetry::Event::ColdAllotmentsUsed,
+        static_cast<double>(counts.coldChoices
+                            - std::exchange(this->countedColdChoices, counts.coldChoices)));
+    this->counters.count(
+        telemetry::Event::ColdTargetsSkipped,
+        static_cast<double>(counts.coldSkips
+                            - std::exchange(this->countedColdSkips, counts.coldSkips)));
+}
+
 void FleetView::addSeeds(std::span<const core::InstanceId> seeds)
 {
     this->instanceDirectory.addSeeds(seeds);
@@ -415,6 +525,9 @@
         this->targetDepartureCount += record.state() == proto::READY ? 0 : 1;
         this->targetRouter.onTarget(record, now);
     }
+    for (const proto::TargetRecord &record : effect.colder) {
+        this->targetRouter.onLoad(record.id(), record.incarnation(), record.load(), now);
+    }
     for (const proto::TargetRecord &record : effect.renewed) {
         this->targetRouter.onLoad(record.id(), record.incarnation(), record.load(), now);
         this->targetRouter.onAnnounced(record.id(), record.incarnation(), now);
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "instance.pb.h"
+#include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/forwarding/declaration.h"
 #include "samphirebridge/manifest/catalogue.h"
+#include "samphirebridge/membership/allotmentmembers.h"
 #include "samphirebridge/membership/crashdirectory.h"
 #include "samphirebridge/membership/instancedirectory.h"
 #include "samphirebridge/membership/targetdirectory.h"
@@ -118,6 +120,15 @@
     void applyEffect(const membership::DirectoryEffect &effect, core::TimePoint now);
     // Divides the retry budget of the fleet among the entry instances.
     void updateRetryShare(core::TimePoint now);
+    // Applies the limits of the services whose targets are cold for a while.
+    void setColdLimits(const forwarding::Declaration &declaration);
+    // Tells the router among which instances those limits are divided, and whether this instance
+    // may use its part.
+    void updateColdMembers(core::TimePoint now);
+    // Logs that this instance may use its part again, or no longer.
+    void logColdShare();
+    // Logs and counts what became known of cold targets.
+    void reportColdTargets();
     // Logs reports that this instance made. Those of others stand in their logs.
     void logCrashReports(std::span<const proto::CrashReport> reports);
     // Logs the parts of prompts that have become known as harmful or as sound again.
@@ -135,12 +146,18 @@
     membership::TargetDirectory targetDirectory;
     membership::InstanceDirectory instanceDirectory;
     membership::CrashDirectory crashDirectory;
+    membership::AllotmentMembers coldMembers;
+    core::BootClock bootClock;
     Router targetRouter;
     uint32_t retrySharePercent = 0;
     double fleetRetryBurst = 0;
     uint64_t targetChangeCount = 0;
     uint64_t targetDepartureCount = 0;
     uint64_t countedWithheldReports = 0;
+    uint64_t countedColdChoices = 0;
+    uint64_t countedColdSkips = 0;
+    membership::ShareState loggedShareState = membership::ShareState::Starting;
+    core::TimePoint lastColdMembers;
     core::TimePoint lastSweep;
     core::TimePoint lastDigest;
     core::TimePoint lastRouterTick;
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -625,6 +625,7 @@
         if (status == StatusUnavailable) {
             notice.pause = metadata.retryAfter.value_or(core::Duration::zero());
         }
+        notice.coldRemaining = metadata.coldRemaining;
         const routing::Choice &choice = this->attemptOf(role).choice;
         if (this->host.router().onTargetNotice(choice.ticket, notice, this->host.now())) {
             this->logEvent("target_notice",
--- a/source/samphirebridge/membership/antientropy.cpp
+++ b/source/samphirebridge/membership/antientropy.cpp
@@ -113,6 +113,7 @@
 // asks for those that this instance lacks or has in an older version.
 void answerDetails(const TargetEntries &entries,
                    const proto::MembershipDigest &digest,
+                   core::TimePoint now,
                    proto::MembershipUpdate &update,
                    proto::MembershipDigest &wanted)
 {
@@ -129,13 +130,13 @@
             addVersion(found->second, wanted);
         }
         if (isNewer(found->second, version)) {
-            *update.add_targets() = found->second.record;
+            *update.add_targets() = recordAt(found->second, now);
         }
     }
     for (const auto &[id, entry] : entries) {
         const bool inCoveredBucket = coveredBuckets.contains(static_cast<uint32_t>(bucketOf(id)));
         if (entry.inDigests && inCoveredBucket && !listedIds.contains(id)) {
-            *update.add_targets() = entry.record;
+            *update.add_targets() = recordAt(entry, now);
         }
     }
     wanted.set_wanted(true);
@@ -144,12 +145,13 @@
 // Answers a request for records with those that are newer than the version that the peer has.
 void answerWanted(const TargetEntries &entries,
                   const proto::MembershipDigest &digest,
+                  core::TimePoint now,
                   proto::MembershipUpdate &update)
 {
     for (const Version &version : digest.targets()) {
         const auto found = entries.find(version.id());
         if (found != entries.end() && isNewer(found->second, version)) {
-            *update.add_targets() = found->second.record;
+            *update.add_targets() = recordAt(found->second, now);
         }
     }
 }
@@ -168,16 +170,17 @@
 
 DigestAnswer answerDigest(const core::InstanceId &self,
                           const TargetEntries &entries,
-                          const proto::MembershipDigest &digest)
+                          const proto::MembershipDigest &digest,
+                          core::TimePoint now)
 {
     proto::MembershipUpdate update;
     proto::MembershipDigest next;
     if (digest.wanted()) {
-        answerWanted(entries, digest, update);
+        answerWanted(entries, digest, now, update);
     } else if (digest.bucket_checksums_size() == static_cast<int>(Buckets)) {
         answerSummary(entries, digest, next);
     } else {
-        answerDetails(entries, digest, update, next);
+        answerDetails(entries, digest, now, update, next);
     }
     DigestAnswer answer;
     if (update.targets_size() > 0) {
--- a/source/samphirebridge/membership/antientropy.h
+++ b/source/samphirebridge/membership/antientropy.h
@@ -21,9 +21,11 @@
 proto::MembershipDigest summariseTargets(const core::InstanceId &self,
                                          const TargetEntries &entries);
 
-// Answers a digest: a summary, a list of versions or a request for records.
+// Answers a digest: a summary, a list of versions or a request for records. The records state the
+// cold time that remains at `now`.
 DigestAnswer answerDigest(const core::InstanceId &self,
                           const TargetEntries &entries,
-                          const proto::MembershipDigest &digest);
+                          const proto::MembershipDigest &digest,
+                          core::TimePoint now);
 
 } // namespace samphirebridge::membership
--- a/source/samphirebridge/membership/instancedirectory.h
+++ b/source/samphirebridge/membership/instancedirectory.h
@@ -86,6 +86,15 @@
     // Returns when a new heartbeat of the instance last arrived, directly or relayed, if ever.
     [[nodiscard]] std::optional<core::TimePoint> lastHeard(std::string_view instance) const;
 
+    // Returns the factor by which intervals and timeouts grow in a fleet above FullRateInstances.
+    [[nodiscard]] int64_t intervalFactor() const;
+
+    // Returns the record of this instance.
+    [[nodiscard]] const proto::InstanceRecord &own() const
+    {
+        return this->ownRecord;
+    }
+
     // Calls visitor(record, inContact) for all listed instances, this one included, without copies
     // and in no particular order.
     template <std::invocable<const proto::InstanceRecord &, bool> Visitor>
@@ -97,6 +106,16 @@
         }
     }
 
+    // Calls visitor(record, heardAt) for all listed instances but this one, in the order of their
+    // ids. heardAt is as in lastHeard().
+    template <std::invocable<const proto::InstanceRecord &, std::optional<core::TimePoint>> Visitor>
+    void visitOthers(Visitor visitor) const
+    {
+        for (const auto &[id, entry] : this->entries) {
+            visitor(entry.record, entry.heardAt);
+        }
+    }
+
     // Returns the instances in contact, this one included, whose manifest is older than `version`.
     // An apply waits for them.
     [[nodiscard]] std::vector<core::InstanceId> withOlderManifest(uint64_t version,
@@ -114,8 +133,6 @@
     // Returns those of the instances that this one sends a digest to.
     [[nodiscard]] std::vector<core::InstanceId>
     digestReceivers(const absl::btree_set<core::InstanceId> &instances, core::TimePoint now) const;
-    // The factor by which intervals and timeouts grow in a fleet above FullRateInstances.
-    [[nodiscard]] int64_t intervalFactor() const;
     [[nodiscard]] bool inContact(const Entry &entry, core::TimePoint now) const;
     [[nodiscard]] std::vector<core::InstanceId> heartbeatReceivers() const;
     // Adds a heartbeat for each control instance that is not among the receivers yet.
--- a/source/samphirebridge/membership/targetdirectory.cpp
+++ b/source/samphirebridge/membership/targetdirectory.cpp
@@ -24,6 +24,20 @@
 // proportion to their number.
 constexpr int PartialContactFactor = 2;
 
+// A target that is cold for so much longer than every instance was told is announced to all again.
+// Lower values would push renewals whose delay varies.
+constexpr core::Duration ColdExtension = std::chrono::milliseconds(500);
+
+// The longest cold time that is believed; a longer one is likely a fault of the target.
+constexpr core::Duration MaximumColdTime = std::chrono::hours(1);
+
+// Returns until when the target is cold according to a record received now; `now` if it is not.
+core::TimePoint coldUntilOf(const proto::TargetRecord &record, core::TimePoint now)
+{
+    const core::Duration remaining = std::chrono::milliseconds(record.load().cold_remaining_ms());
+    return now + std::min(remaining, MaximumColdTime);
+}
+
 uint64_t checksumOfContent(const proto::TargetRecord &record)
 {
     proto::TargetRecord content = record;
@@ -84,13 +98,15 @@
     if (hasLeavingBit(revision)) {
         announced.set_state(proto::LEAVING);
     }
-    if (sameIncarnation && checksumOfContent(announced) == found->second.checksum) {
+    if (sameIncarnation && checksumOfContent(announced) == found->second.checksum
+        && !this->extendsColdTime(found->second, coldUntilOf(announced, now), now)) {
         *found->second.record.mutable_load() = announced.load();
+        found->second.coldUntil = std::max(found->second.coldUntil, coldUntilOf(announced, now));
         found->second.heardAt = now;
         found->second.expiryStart = now;
         result.kind = AnnouncementKind::Renewal;
-        result.effect.renewed.push_back(found->second.record);
-        this->forwardRenewal(found->second.record, peers, result.effect.outgoing);
+        result.effect.renewed.push_back(recordAt(found->second, now));
+        this->forwardRenewal(result.effect.renewed.back(), peers, result.effect.outgoing);
         this->spreadDeparture(found->second, peers, now, result.effect.outgoing);
         return result;
     }
@@ -99,7 +115,7 @@
     Entry &entry = this->store(std::move(announced), now);
     entry.heardAt = now;
     result.kind = AnnouncementKind::Change;
-    result.effect.changed.push_back(entry.record);
+    result.effect.changed.push_back(recordAt(entry, now));
     this->push(result.effect.changed, Push{{}, true}, peers, result.effect.outgoing);
     this->spreadDeparture(entry, peers, now, result.effect.outgoing);
     return result;
@@ -116,7 +132,7 @@
         return core::makeError(core::ErrorCode::NotFound,
                                "no target of that id is known on this instance");
     }
-    proto::TargetRecord leaving = *known;
+    proto::TargetRecord leaving = recordAt(this->entries.find(target)->second, now);
     leaving.set_state(proto::LEAVING);
     leaving.set_incarnation(incarnation.value_or(known->incarnation()));
     return this->announce(leaving, peers, now);
@@ -153,6 +169,9 @@
     const std::string_view source = refuted.empty() ? update.from() : std::string_view();
     this->push(
         relaysChanges ? effect.changed : refuted, Push{source, false}, peers, effect.outgoing);
+    if (relaysChanges) {
+        this->push(effect.colder, Push{update.from(), false}, peers, effect.outgoing);
+    }
     if (update.confirm()) {
         effect.outgoing.push_back(this->confirmationOf(update));
     }
@@ -188,20 +207,51 @@
         if (sameIncarnation && record.state() == proto::GONE
             && this->canRefuteGone(found->second, now)) {
             found->second.record.set_revision(record.revision());
-            this->refuteGone(found->second, found->second.record, now, effect, refuted);
+            this->refuteGone(found->second, recordAt(found->second, now), now, effect, refuted);
             return;
         }
         const auto heardBefore = sameIncarnation ? found->second.heardAt : std::nullopt;
         Entry &entry = this->store(record, now);
         entry.heardAt = heard ? std::optional(now) : heardBefore;
-        effect.changed.push_back(entry.record);
+        effect.changed.push_back(recordAt(entry, now));
         return;
     }
+    if (record.incarnation() == found->second.record.incarnation()) {
+        this->applyColdTime(found->second, record, now, effect);
+    }
     if (heard && record.incarnation() == found->second.record.incarnation()) {
         this->applyForwardedRenewal(found->second, record, now, effect, refuted);
     }
 }
 
+void TargetDirectory::setColdKinds(std::set<std::string, std::less<>> kinds)
+{
+    this->coldKinds = std::move(kinds);
+}
+
+bool TargetDirectory::extendsColdTime(const Entry &entry,
+                                      core::TimePoint coldUntil,
+                                      core::TimePoint now) const
+{
+    return this->coldKinds.contains(entry.record.kind())
+           && coldUntil - std::max(entry.toldColdUntil, now) >= ColdExtension;
+}
+
+void TargetDirectory::applyColdTime(Entry &entry,
+                                    const proto::TargetRecord &record,
+                                    core::TimePoint now,
+                                    DirectoryEffect &effect)
+{
+    const core::TimePoint coldUntil = coldUntilOf(record, now);
+    if (entry.record.state() == proto::GONE || !this->extendsColdTime(entry, coldUntil, now)) {
+        entry.coldUntil = std::max(entry.coldUntil, coldUntil);
+        return;
+    }
+    entry.coldUntil = std::max(entry.coldUntil, coldUntil);
+    entry.toldColdUntil = coldUntil;
+    effect.colder.push_back(recordAt(entry, now));
+}
+
 void TargetDirectory::applyForwardedRenewal(Entry &entry,
                                             const proto::TargetRecord &record,
                                             core::TimePoint now,
@@ -215,7 +265,7 @@
         return;
     }
     *entry.record.mutable_load() = record.load();
-    effect.renewed.push_back(entry.record);
+    effect.renewed.push_back(recordAt(entry, now));
 }
 
 void TargetDirectory::refuteGone(Entry &entry,
@@ -231,8 +281,8 @@
     Entry &stored = this->store(std::move(record), now);
     stored.heardAt = heardAt;
     ++this->refutedCount;
-    effect.changed.push_back(stored.record);
-    refuted.push_back(stored.record);
+    effect.changed.push_back(recordAt(stored, now));
+    refuted.push_back(effect.changed.back());
 }
 
 void TargetDirectory::setWatchers(std::vector<core::InstanceId> instances)
@@ -355,6 +405,10 @@
     if (entry.record.id().empty()) {
         entry.watcherRank = this->ownWatcherRank(record.id(), this->rankedPeers);
     }
+    const bool sameIncarnation = entry.record.incarnation() == record.incarnation();
+    const core::TimePoint coldUntil = coldUntilOf(record, now);
+    entry.coldUntil = sameIncarnation ? std::max(entry.coldUntil, coldUntil) : coldUntil;
+    entry.toldColdUntil = entry.coldUntil;
     entry.checksum = checksumOfContent(record);
     entry.departureSpread
         = entry.departureSpread && entry.record.incarnation() == record.incarnation();
--- a/source/samphirebridge/membership/targetdirectory.h
+++ b/source/samphirebridge/membership/targetdirectory.h
@@ -7,6 +7,10 @@
 // leaving target never becomes ready again within its incarnation, however often other instances
 // raised the revision. A watcher sets GONE when announcements stop. An instance that heard the same
 // incarnation recently, or hears it again, refutes this with a higher revision.
+//
+// The load is no content of a record, with one exception: that a target is cold for much longer
+// than was known is a change, since every instance must know it. The countdown and its end are
+// none.
 #pragma once
 
 #include "samphirebridge/core/ids.h"
@@ -19,7 +23,9 @@
 
 #include <absl/status/statusor.h>
 
+#include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -42,6 +48,9 @@
     std::vector<proto::TargetRecord> changed;
     // Records of which only the load is newer; for routing::Router::onLoad.
     std::vector<proto::TargetRecord> renewed;
+    // Records that are not newer, but state a longer cold time than was known; for
+    // routing::Router::onLoad. They are no sign of life.
+    std::vector<proto::TargetRecord> colder;
 };
 
 struct AnnouncementEffect {
@@ -86,6 +95,10 @@
     // first call every instance does.
     void setWatchers(std::vector<core::InstanceId> instances);
 
+    // Sets the kinds of targets whose cold time every instance must know. For others it is a part
+    // of the load like any other. Before the first call there are none.
+    void setColdKinds(std::set<std::string, std::less<>> kinds);
+
     // Merges a peer's records. Returns updates that relay changed records in a fleet above
     // directPeerLimit, that push refutations of GONE, and that confirm what arrived where the peer
     // asks for it. An invalid record is dropped and counted.
@@ -105,9 +118,10 @@
     }
 
     // Returns the answer to a peer's digest; see antientropy.h.
-    [[nodiscard]] DigestAnswer answer(const proto::MembershipDigest &digest) const
+    [[nodiscard]] DigestAnswer answer(const proto::MembershipDigest &digest,
+                                      core::TimePoint now) const
     {
-        return answerDigest(this->self, this->entries, digest);
+        return answerDigest(this->self, this->entries, digest, now);
     }
 
     // Returns the watchers of the target by descending weight, this instance included if it is one.
@@ -160,6 +174,15 @@
     // Returns how long a watcher of that rank waits for an announcement before it declares a target
     // gone, with `eligibleInContact` eligible instances in contact, this one included.
     [[nodiscard]] core::Duration expiryTimeout(size_t rank, size_t eligibleInContact) const;
+    // Applies a record of the stored incarnation that is not newer. It may have crossed another one
+    // with the same revision, so a longer cold time counts all the same.
+    void applyColdTime(Entry &entry,
+                       const proto::TargetRecord &record,
+                       core::TimePoint now,
+                       DirectoryEffect &effect);
+    // Tells whether every instance must be told that the target is cold for longer.
+    [[nodiscard]] bool
+    extendsColdTime(const Entry &entry, core::TimePoint coldUntil, core::TimePoint now) const;
     // Tells whether the target was heard recently enough to refute that it is gone.
     [[nodiscard]] bool canRefuteGone(const Entry &entry, core::TimePoint now) const;
     // Merges one record of a peer. `heard` says that the target announced itself to that peer just
@@ -205,6 +228,7 @@
     size_t fleetSize = 0;
     std::optional<std::vector<core::InstanceId>> eligibleWatchers; // Set by setWatchers(), ordered.
     std::optional<core::TimePoint> lastTick;
+    std::set<std::string, std::less<>> coldKinds;
     TargetEntries entries;
     DepartureSpread departures;
     uint64_t declaredGoneCount = 0;
--- a/source/samphirebridge/membership/targetentry.h
+++ b/source/samphirebridge/membership/targetentry.h
@@ -23,10 +23,17 @@
     core::TimePoint expiryStart;
     // This instance's position among the target's watchers; unset if it is no watcher.
     std::optional<size_t> watcherRank;
+    // Until when the target is cold, as it said last; and until when every instance is told that it
+    // is, with the stored revision or later.
+    core::TimePoint coldUntil;
+    core::TimePoint toldColdUntil;
     bool inDigests = true; // Old tombstones are left out of digests.
     bool departureSpread = false; // This instance has begun to spread its departure.
 };
 
+// Returns the record to be sent at that time: it states the cold time that remains.
+proto::TargetRecord recordAt(const TargetEntry &entry, core::TimePoint now);
+
 using TargetEntries = absl::btree_map<std::string, TargetEntry, std::less<>>;
 
 } // namespace samphirebridge::membership
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -62,6 +62,12 @@
     {Event::CrashReportsWithheld,
      "crash_reports_withheld_total",
      "Reports that were too many to be pushed at once or to be stored."},
+    {Event::ColdAllotmentsUsed,
+     "cold_allotments_used_total",
+     "Choices of a cold target within the part of its limit that this instance has."},
+    {Event::ColdTargetsSkipped,
+     "cold_targets_skipped_total",
+     "Choices that left out a cold target since this instance may send it nothing at the time."},
 };
 
 constexpr Description<Gauge> Gauges[] = {
@@ -90,6 +96,7 @@
     {Gauge::DeclarationLag,
      "declaration_lag_seconds",
      "Longest time that an entry instance in contact has lacked a declaration applied here."},
+    {Gauge::TargetsCold, "targets_cold", "Targets that are cold and whose service limits that."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/tests/membership/simulatedfleet.cpp
+++ b/tests/membership/simulatedfleet.cpp
@@ -195,7 +195,8 @@
         this->sendAll(message.to, effect.outgoing);
         return;
     }
-    const auto answer = member.targets.answer(std::get<proto::MembershipDigest>(message.payload));
+    const auto answer
+        = member.targets.answer(std::get<proto::MembershipDigest>(message.payload), this->now);
     if (answer.update) {
         this->send(message.to, message.from, *answer.update);
     }
--- a/tests/membership/targetdirectorytest.cpp
+++ b/tests/membership/targetdirectorytest.cpp
@@ -241,7 +241,7 @@
     }
     CHECK(directory.find("t")->state() == proto::GONE);
     const TargetDirectory empty = makeDirectory();
-    CHECK_FALSE(directory.answer(empty.digest()).digest.has_value());
+    CHECK_FALSE(directory.answer(empty.digest(), {}).digest.has_value());
     for (; now < core::TimePoint(11min); now += 1s) {
         directory.tick({}, now);
     }
@@ -257,10 +257,10 @@
     }
     TargetDirectory empty(core::InstanceId("b"), {});
     int rounds = 0;
-    for (; full.answer(empty.digest()).digest; ++rounds) {
-        const auto wanted = empty.answer(*full.answer(empty.digest()).digest);
+    for (; full.answer(empty.digest(), {}).digest; ++rounds) {
+        const auto wanted = empty.answer(*full.answer(empty.digest(), {}).digest, {});
         REQUIRE(wanted.digest.has_value());
-        empty.merge(*full.answer(*wanted.digest).update, {}, {});
+        empty.merge(*full.answer(*wanted.digest, {}).update, {}, {});
     }
     CHECK(empty.records().size() == Targets);
     CHECK(rounds <= 4);
