routing: Apply an ended evacuation to limits that are declared later

Cause: setLimits did not know the time, so a new declaration could report a cold time that was over.

Change: it takes the time. Tests for that and for limits below one request per second. Services without limits skip the look-up of the service.

--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -259,12 +259,12 @@
         kind.set_service(service.id.value);
     }
     this->targetRouter.setKinds(kinds);
-    this->setColdLimits(declaration);
+    this->setColdLimits(declaration, now);
     this->instanceDirectory.setDeclarationVersion(declaration.version);
     this->send(this->instanceDirectory.tick(now));
 }
 
-void FleetView::setColdLimits(const forwarding::Declaration &declaration)
+void FleetView::setColdLimits(const forwarding::Declaration &declaration, core::TimePoint now)
 {
     std::vector<routing::ColdLimit> limits;
     std::set<std::string, std::less<>> kinds;
@@ -274,7 +274,7 @@
             kinds.insert(service.id.value);
         }
     }
-    this->targetRouter.setColdLimits(limits);
+    this->targetRouter.setColdLimits(limits, now);
     this->targetDirectory.setColdKinds(std::move(kinds));
 }
 
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -121,7 +121,7 @@
     // Divides the retry budget of the fleet among the entry instances.
     void updateRetryShare(core::TimePoint now);
     // Applies the limits of the services whose targets are cold for a while.
-    void setColdLimits(const forwarding::Declaration &declaration);
+    void setColdLimits(const forwarding::Declaration &declaration, core::TimePoint now);
     // Tells the router among which instances those limits are divided, and whether this instance
     // may use its part.
     void updateColdMembers(core::TimePoint now);
--- a/source/samphirebridge/routing/coldtargets.cpp
+++ b/source/samphirebridge/routing/coldtargets.cpp
@@ -31,7 +31,7 @@
 {
 }
 
-void ColdTargets::setLimits(std::span<const ColdLimit> newLimits)
+void ColdTargets::setLimits(std::span<const ColdLimit> newLimits, core::TimePoint now)
 {
     this->limits.clear();
     for (const ColdLimit &limit : newLimits) {
@@ -43,7 +43,7 @@
     for (const auto &[id, target] : this->pools->allTargets()) {
         target->cold.shareVersion = 0;
         target->cold.withheldUntil.reset();
-        this->applyAssumption(*target, {});
+        this->applyAssumption(*target, now);
     }
 }
 
@@ -99,8 +99,7 @@
     }
     const core::TimePoint knownUntil = target.cold.end();
     target.cold.assumedUntil = until;
-    this->addChange(
-        target, knownUntil, until, ColdSource::Evacuation, std::max(now, since->second));
+    this->addChange(target, knownUntil, until, ColdSource::Evacuation, now);
 }
 
 void ColdTargets::addChange(RoutedTarget &target,
@@ -194,7 +193,7 @@
 
 bool ColdTargets::onChosen(RoutedTarget &target, Ticket ticket, core::TimePoint now)
 {
-    if (this->limitOf(this->pools->serviceOf(target.record)) == nullptr) {
+    if (!this->hasLimits() || this->limitOf(this->pools->serviceOf(target.record)) == nullptr) {
         return false;
     }
     target.cold.slots.take(ticket);
@@ -203,6 +202,9 @@
 
 void ColdTargets::onSent(RoutedTarget &target, Ticket ticket, core::TimePoint now)
 {
+    if (!this->hasLimits()) {
+        return;
+    }
     if (const ColdLimit *limit = this->limitOf(this->pools->serviceOf(target.record))) {
         target.cold.slots.onSent(ticket, slotLimitOf(*limit), now);
     }
--- a/source/samphirebridge/routing/coldtargets.h
+++ b/source/samphirebridge/routing/coldtargets.h
@@ -47,7 +47,7 @@
     ColdTargets(const core::InstanceId &self, TargetPools &pools);
 
     // Replaces all limits. One of 0 or less, or that is not finite, is left out.
-    void setLimits(std::span<const ColdLimit> limits);
+    void setLimits(std::span<const ColdLimit> limits, core::TimePoint now);
 
     [[nodiscard]] bool hasLimits() const
     {
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -136,9 +136,9 @@
     return this->retryBudgets.try_emplace(service, this->retryOptions).first->second;
 }
 
-void Dispatcher::setColdLimits(std::span<const ColdLimit> limits)
+void Dispatcher::setColdLimits(std::span<const ColdLimit> limits, core::TimePoint now)
 {
-    this->cold.setLimits(limits);
+    this->cold.setLimits(limits, now);
 }
 
 void Dispatcher::setColdMembers(std::span<const core::InstanceId> members,
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -77,7 +77,7 @@
     void setRetryShare(uint32_t percent, double burst);
 
     // Sets the services that state a limit for their cold targets.
-    void setColdLimits(std::span<const ColdLimit> limits);
+    void setColdLimits(std::span<const ColdLimit> limits, core::TimePoint now);
 
     // Sets the entry instances among which the limits are divided, and whether this one may use its
     // share. To be repeated at least every ColdAllotment::PermissionLifetime.
--- a/tests/routing/coldfleet.cpp
+++ b/tests/routing/coldfleet.cpp
@@ -95,7 +95,7 @@
     kind.set_service("chat");
     process.router->setKinds({&kind, 1});
     const routing::ColdLimit limit{core::ServiceId("chat"), this->options.perSecond, ColdStart};
-    process.router->setColdLimits({&limit, 1});
+    process.router->setColdLimits({&limit, 1}, this->clockOf(process));
     for (size_t target = 0; target < this->targets.size() && this->options.alwaysCold; ++target) {
         proto::TargetRecord record = this->recordOf(target);
         record.mutable_load()->set_cold_remaining_ms(3'600'000);
--- a/tests/routing/coldtargetstest.cpp
+++ b/tests/routing/coldtargetstest.cpp
@@ -26,10 +26,10 @@
     return ids;
 }
 
-void setLimit(TestRouter &router, double perSecond)
+void setLimit(TestRouter &router, double perSecond, core::TimePoint now = Start)
 {
     const routing::ColdLimit limit{core::ServiceId("chat"), perSecond, 3s};
-    router.setColdLimits({&limit, 1});
+    router.setColdLimits({&limit, 1}, now);
 }
 
 // The router of the instance "a" whose service states a limit, with so many targets.
@@ -192,6 +192,37 @@
     CHECK(router.coldTargets(Start + 3s) == 0);
 }
 
+// Guards against a log line about a cold time that is over.
+TEST_CASE("the end of an evacuation counts for a limit that is declared later, until it is over")
+{
+    ColdRouter router(14, 6, 0);
+    router.setColdLimits({}, Start);
+    router.onTarget(coldRecord("t0", 0), Start);
+    router.assumeCold("dc", Start);
+    CHECK(router.coldTargets(Start) == 0);
+    setLimit(router, 14, Start + 1s);
+    CHECK(router.coldTargets(Start + 1s) == 1);
+    CHECK(router.takeColdChanges().front().remaining == 2s);
+    CHECK(offer(router, "t0", Start + 1s) == 2);
+    router.onTarget(coldRecord("t1", 0), Start + 3s);
+    setLimit(router, 14, Start + 4s);
+    CHECK(router.takeColdChanges().empty());
+}
+
+TEST_CASE("a target that may get less than one request per second gets one in so many seconds")
+{
+    ColdRouter router(0.5, 1, 1);
+    router.onTarget(coldRecord("t0", 60'000), Start);
+    size_t sent = 0;
+    for (int tick = 1; tick <= 200; ++tick) {
+        const core::TimePoint now = Start + tick * 100ms;
+        router.setColdMembers(instances(1), true, now);
+        sent += offer(router, "t0", now);
+        CHECK((tick >= 20 || sent == 0)); // An earlier process may have sent one.
+    }
+    CHECK(sent == 10);
+}
+
 TEST_CASE("a request that was never sent frees its slot, and a retry takes one")
 {
     ColdRouter router(14, 14, 1);
