membership: Let new instances divide half of a cold target's limit

Cause: an instance that starts while others are isolated hears nothing of them, and they nothing of it. With 14 instances for 14 per second, 13 of them isolated for 6 s when the last one restarted, a cold target got 27 requests in a second; the users' limit is 26.

Change: an instance divides half of the limit until those that were isolated before it settled have given up their shares: half of silentInstanceRetention times the interval factor, 30 s in a small fleet. Both sides together then stay within 1.5 times the rate. Ruled out: to wait for that time without any share, since no cold target would get a request after a restart of the whole fleet.

Result: at most 21 in that case, as the new test checks.

--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -292,7 +292,8 @@
     this->coldMembers.update(this->instanceDirectory, now);
     this->targetRouter.setColdMembers(this->coldMembers.members(),
                                       this->coldMembers.state() == membership::ShareState::Ready,
-                                      now);
+                                      now,
+                                      this->coldMembers.part());
     this->logColdShare();
 }
 
--- a/source/samphirebridge/membership/allotmentmembers.cpp
+++ b/source/samphirebridge/membership/allotmentmembers.cpp
@@ -139,6 +139,8 @@
     } else if (!this->settlingSince) {
         this->settlingSince = now;
     }
+    const core::Duration newTime = this->options.silentInstanceRetention * this->heldFactor / 2;
+    this->isNew = !this->settlingSince || now - *this->settlingSince < newTime;
     const bool hasSettled
         = this->settlingSince && now - *this->settlingSince >= interval * SettlingIntervals;
     if (own.leaving()) {
--- a/source/samphirebridge/membership/allotmentmembers.h
+++ b/source/samphirebridge/membership/allotmentmembers.h
@@ -50,6 +50,16 @@
         return this->currentState;
     }
 
+    // Returns the part of each limit that this instance divides among the members. It is
+    // NewInstancePart until an instance that was isolated before this one started has given up its
+    // share, since neither knows of the other: together they then stay below 1 + NewInstancePart.
+    [[nodiscard]] double part() const
+    {
+        return this->isNew ? NewInstancePart : 1;
+    }
+
+    static constexpr double NewInstancePart = 0.5;
+
     // A leaving instance is counted for this time after its notice, so that the requests that it
     // sent before still count. Longer than the second to which the limit of a target applies.
     static constexpr core::Duration LeavingGrace = std::chrono::seconds(2);
@@ -87,6 +97,7 @@
     core::TimePoint factorHeldAt;
     bool isolated = true; // Until a majority was heard of.
     std::optional<core::TimePoint> settlingSince;
+    bool isNew = true;
     ShareState reason = ShareState::Starting; // Of the last restart.
     ShareState currentState = ShareState::Starting;
     std::optional<core::TimePoint> lastRunning;
--- a/source/samphirebridge/routing/coldallotment.cpp
+++ b/source/samphirebridge/routing/coldallotment.cpp
@@ -59,14 +59,15 @@
     return true;
 }
 
-void ColdAllotment::setPermitted(bool isPermitted, core::TimePoint now)
+void ColdAllotment::setPermitted(bool isPermitted, core::TimePoint now, double newPart)
 {
     const bool lapsed = this->permitted && now - this->confirmedAt > PermissionLifetime;
     if (isPermitted && (!this->permitted || lapsed)) {
         this->permittedSince = now;
     }
-    this->changes += isPermitted != this->permitted ? 1 : 0;
+    this->changes += isPermitted != this->permitted || newPart != this->part ? 1 : 0;
     this->permitted = isPermitted;
+    this->part = newPart;
     this->confirmedAt = now;
 }
 
@@ -80,8 +81,9 @@
 
 ColdShare ColdAllotment::shareOf(std::string_view target,
                                  core::Incarnation incarnation,
-                                 double perSecond) const
+                                 double limitPerSecond) const
 {
+    const double perSecond = limitPerSecond * this->part;
     ColdShare share{0, intervalOf(perSecond)};
     if (!this->isMember) {
         return share;
--- a/source/samphirebridge/routing/coldallotment.h
+++ b/source/samphirebridge/routing/coldallotment.h
@@ -31,8 +31,9 @@
     bool setMembers(std::span<const core::InstanceId> members);
 
     // Sets whether this instance may use its shares. The permission lapses when it has not been
-    // repeated for PermissionLifetime, because the process was suspended meanwhile.
-    void setPermitted(bool isPermitted, core::TimePoint now);
+    // repeated for PermissionLifetime, because the process was suspended meanwhile. `part` is the
+    // fraction of each limit that is divided among the members.
+    void setPermitted(bool isPermitted, core::TimePoint now, double part = 1);
 
     // Tells whether a share with that interval may be used. After a start, no request that an
     // earlier process sent may still count, so a longer interval than a second is waited for first.
@@ -59,6 +60,7 @@
     std::vector<uint64_t> members; // Checksums of the ids, in ascending order.
     bool isMember = false;
     bool permitted = false;
+    double part = 1;
     core::TimePoint permittedSince;
     core::TimePoint confirmedAt;
     uint64_t changes = 1;
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -143,10 +143,11 @@
 
 void Dispatcher::setColdMembers(std::span<const core::InstanceId> members,
                                 bool isPermitted,
-                                core::TimePoint now)
+                                core::TimePoint now,
+                                double part)
 {
     this->cold.allotment().setMembers(members);
-    this->cold.allotment().setPermitted(isPermitted, now);
+    this->cold.allotment().setPermitted(isPermitted, now, part);
 }
 
 void Dispatcher::assumeCold(std::string_view dataCentre, core::TimePoint now)
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -80,10 +80,12 @@
     void setColdLimits(std::span<const ColdLimit> limits, core::TimePoint now);
 
     // Sets the entry instances among which the limits are divided, and whether this one may use its
-    // share. To be repeated at least every ColdAllotment::PermissionLifetime.
+    // share, of that part of each limit. To be repeated at least every
+    // ColdAllotment::PermissionLifetime.
     void setColdMembers(std::span<const core::InstanceId> members,
                         bool isPermitted,
-                        core::TimePoint now);
+                        core::TimePoint now,
+                        double part = 1);
 
     // Makes the targets of the data centre count as cold for the coldStart of their service. To be
     // called when its evacuation ends: they may be cold, and the notification may be late.
--- a/tests/entry/coldlimittest.cpp
+++ b/tests/entry/coldlimittest.cpp
@@ -94,13 +94,15 @@
     instance.run(2500ms);
     CHECK(instance.offer() == 0); // It is starting.
     instance.run(1500ms);
+    CHECK(instance.offer() == 7); // It is new.
+    instance.run(300s);
     CHECK(instance.offer() == 14);
     instance.run(1s);
     CHECK(instance.offer() == 14);
     instance.run(1s);
     CHECK(instance.hasMetric("targets_cold 1"));
-    CHECK(instance.hasMetric("cold_allotments_used_total 28"));
-    CHECK(instance.hasMetric("cold_targets_skipped_total 272"));
+    CHECK(instance.hasMetric("cold_allotments_used_total 35"));
+    CHECK(instance.hasMetric("cold_targets_skipped_total 365"));
 }
 
 // Guards against a change for services that state no limit, and against a limit that outlives its
--- a/tests/membership/allotmentmemberstest.cpp
+++ b/tests/membership/allotmentmemberstest.cpp
@@ -74,6 +74,11 @@
         return this->members.state();
     }
 
+    [[nodiscard]] double part() const
+    {
+        return this->members.part();
+    }
+
     [[nodiscard]] size_t count() const
     {
         return this->members.members().size();
@@ -102,6 +107,10 @@
     instance.run(300ms, Fleet);
     CHECK(instance.state() == ShareState::Ready);
     CHECK(instance.count() == 3); // Those that vote only send nothing to targets.
+    // An instance that was isolated before the start may use its share for 30 s still.
+    CHECK(instance.part() == 0.5);
+    instance.run(28s, Fleet);
+    CHECK(instance.part() == 1);
 }
 
 TEST_CASE("an instance gives up its share half a retention before the others stop counting it")
--- a/tests/routing/coldallotmenttest.cpp
+++ b/tests/routing/coldallotmenttest.cpp
@@ -108,6 +108,19 @@
     }
 }
 
+// Guards against the use of the whole limit by instances that do not know of isolated ones.
+TEST_CASE("a new instance divides a part of the limit only")
+{
+    ColdAllotment allotment(idOf(0));
+    allotment.setMembers(idsUpTo(3));
+    const uint64_t before = allotment.version();
+    allotment.setPermitted(true, Start, 0.5);
+    CHECK(allotment.shareOf("t0", 1, 14).requests == 2);
+    CHECK(allotment.version() != before);
+    allotment.setPermitted(true, Start, 1);
+    CHECK(allotment.shareOf("t0", 1, 14).requests == 4);
+}
+
 // Guards against a process that stood still and sends before it has noticed.
 TEST_CASE("the permission to use a share lapses unless it is repeated")
 {
--- a/tests/routing/coldfleet.cpp
+++ b/tests/routing/coldfleet.cpp
@@ -188,7 +188,8 @@
     process.members->update(*process.instances, clock);
     process.router->setColdMembers(process.members->members(),
                                    process.members->state() == membership::ShareState::Ready,
-                                   clock);
+                                   clock,
+                                   process.members->part());
 }
 
 void ColdFleet::offerRequests(Process &process)
--- a/tests/routing/coldfleettest.cpp
+++ b/tests/routing/coldfleettest.cpp
@@ -49,7 +49,7 @@
 {
     for (const size_t instances : {6, 80}) {
         ColdFleet fleet({.entryInstances = instances, .targets = 1});
-        fleet.run(40s);
+        fleet.run(instances > 25 ? 140s : 40s); // None is new any more.
         fleet.takeLargestSum();
         fleet.takeCold();
         fleet.run(20s);
@@ -123,6 +123,22 @@
     CHECK(fleet.takeLargestSum() <= 14);
 }
 
+// Guards against instances that start while others are isolated: neither side knows of the other.
+TEST_CASE("instances that start do not exceed the limit together with isolated ones")
+{
+    ColdFleet fleet({.entryInstances = 14, .targets = 1, .loss = 0});
+    fleet.run(40s);
+    for (size_t instance = 0; instance < 13; ++instance) {
+        fleet.setSide(instance, 1);
+    }
+    fleet.run(6s);
+    fleet.restart(13);
+    fleet.takeLargestSum();
+    fleet.run(60s);
+    CHECK(fleet.stateOf(13) == ShareState::Ready);
+    CHECK(fleet.takeLargestSum() <= 21); // One and a half times what it can handle.
+}
+
 TEST_CASE("a target that becomes cold while in operation is not overrun")
 {
     ColdFleet fleet({.targets = 4, .alwaysCold = false, .offered = 1});
