--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -45,6 +45,8 @@
     CrashReportsMade,
     CrashReportsReceived,
     CrashReportsWithheld,
+    ColdAllotmentsUsed,
+    ColdTargetsSkipped,
 };
 
 // Metrics whose value can rise and fall.
@@ -66,6 +68,7 @@
     DeclarationLag,
     RegionsUnconfirmed,
     LinkUtilisation,
+    TargetsCold,
 };
 
 // Durations that are recorded in a histogram.
