ledger: Order evacuations of data centres and number each change by a revision

An operator's order to evacuate a data centre must survive a loss of power of all instances and reach them within the bound of a declaration. It is therefore a command, and its list is part of the state that the ledger already keeps and propagates as the declaration.

The command ChangeEvacuation holds the number of the last order that its sender knew. It is applied only if that still matches; an order for the state in force is accepted. It raises the number too: otherwise an opposite order that is still under way would undo an order that was acknowledged after it, because the number had not moved.

--- a/source/samphirebridge/control/controlnode.h
+++ b/source/samphirebridge/control/controlnode.h
@@ -13,6 +13,7 @@
 #include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/ledger/clockreadings.h"
+#include "samphirebridge/ledger/revision.h"
 #include "samphirebridge/storage/memberidentity.h"
 #include "samphirebridge/telemetry/counters.h"
 #include "samphirebridge/telemetry/logger.h"
@@ -167,8 +168,8 @@
         });
     }
 
-    // Answers with the declaration's version, and with the declaration itself if the known version
-    // is older, once the quorum has confirmed the read.
+    // Answers with the declaration's version and revision and the evacuations, and with the
+    // declaration itself if the known version is older, once the quorum has confirmed the read.
     void readDeclaration(const proto::ReadDeclarationRequest &request,
                          transport::Respond<proto::ReadDeclarationReply> respond)
     {
@@ -180,6 +181,8 @@
             const proto::Declaration &newest = this->appliedDeclaration();
             if (confirmed) {
                 reply.set_version(newest.version());
+                ledger::setRevision(reply, ledger::revisionOf(newest));
+                *reply.mutable_evacuations() = newest.evacuations();
             }
             if (confirmed && newest.version() > knownVersion) {
                 *reply.mutable_declaration() = newest;
@@ -196,7 +199,7 @@
     {
         proto::FetchDeclarationReply reply
             = this->declarations.answer(request, this->machine.state());
-        if (reply.version() == this->appliedDeclaration().version()) {
+        if (reply.version() == ledger::revisionOf(this->appliedDeclaration())) {
             this->freshness.confirm(reply, now);
         }
         this->counters.count(telemetry::Event::DeclarationBytesSent,
--- a/source/samphirebridge/control/declarationsource.cpp
+++ b/source/samphirebridge/control/declarationsource.cpp
@@ -1,6 +1,7 @@
 #include "samphirebridge/control/declarationsource.h"
 
 #include "samphirebridge/core/digest.h"
+#include "samphirebridge/ledger/revision.h"
 
 #include <algorithm>
 #include <string_view>
@@ -27,8 +28,9 @@
                           const ledger::Ledger &ledger)
 {
     proto::FetchDeclarationReply reply;
-    if (request.known_version() >= ledger.declaration().version()) {
-        reply.set_version(ledger.declaration().version());
+    const uint64_t newest = ledger::revisionOf(ledger.declaration());
+    if (request.known_version() >= newest) {
+        reply.set_version(newest);
         return reply;
     }
     const Transfer &transfer = this->findOrCreate(request, ledger);
@@ -36,7 +38,7 @@
         = transfer.checksum == request.checksum() && request.offset() < transfer.bytes.size();
     const size_t offset = isContinued ? request.offset() : 0;
     const std::string_view part = std::string_view(transfer.bytes).substr(offset, PartBytes);
-    reply.set_version(transfer.version);
+    reply.set_version(transfer.revision);
     reply.set_checksum(transfer.checksum);
     reply.set_total_bytes(transfer.bytes.size());
     reply.set_offset(offset);
@@ -48,20 +50,20 @@
 DeclarationSource::findOrCreate(const proto::FetchDeclarationRequest &request,
                                 const ledger::Ledger &ledger)
 {
-    const uint64_t newest = ledger.declaration().version();
+    const uint64_t newest = ledger::revisionOf(ledger.declaration());
     const auto existing = std::find_if(
         this->transfers.begin(), this->transfers.end(), [&](const Transfer &transfer) {
             const bool isSameTransfer
                 = request.offset() > 0 && transfer.checksum == request.checksum();
-            return transfer.baseVersion == request.known_version()
-                   && (isSameTransfer || transfer.version == newest);
+            return transfer.baseRevision == request.known_version()
+                   && (isSameTransfer || transfer.revision == newest);
         });
     if (existing != this->transfers.end()) {
         return *existing;
     }
     Transfer transfer;
-    transfer.baseVersion = request.known_version();
-    transfer.version = newest;
+    transfer.baseRevision = request.known_version();
+    transfer.revision = newest;
     transfer.bytes = ledger.declarationSince(request.known_version()).SerializeAsString();
     transfer.checksum = core::checksumOf(transfer.bytes);
     this->totalBytes += transfer.bytes.size();
--- a/source/samphirebridge/daemon/processhost.h
+++ b/source/samphirebridge/daemon/processhost.h
@@ -48,8 +48,9 @@
         this->node.tick(now);
         if (this->voter != nullptr && now - this->lastPublished >= PublishInterval) {
             this->lastPublished = now;
-            this->publisher.tick(
-                this->voter->appliedDeclaration().version(), this->node.fleet().instances(), now);
+            this->publisher.tick(ledger::revisionOf(this->voter->appliedDeclaration()),
+                                 this->node.fleet().instances(),
+                                 now);
         }
     }
 
--- a/source/samphirebridge/ledger/commands.h
+++ b/source/samphirebridge/ledger/commands.h
@@ -42,6 +42,10 @@
 proto::CommandResult replaceDeclaration(LedgerState &state,
                                         const proto::ReplaceDeclaration &command);
 
+// Starts or ends the evacuation of a data centre. VersionConflict if that would change its state
+// and its number is no longer the one that the sender knew; InvalidRequest if the list is full.
+proto::CommandResult changeEvacuation(LedgerState &state, const proto::ChangeEvacuation &command);
+
 // Assigns the next order number to the change.
 proto::CommandResult numberOrder(LedgerState &state, const proto::NumberOrder &command);
 
--- a/source/samphirebridge/ledger/declarationcommands.cpp
+++ b/source/samphirebridge/ledger/declarationcommands.cpp
@@ -2,6 +2,7 @@
 #include "samphirebridge/delta/contentdelta.h"
 #include "samphirebridge/ledger/commands.h"
 #include "samphirebridge/ledger/ledgerstate.h"
+#include "samphirebridge/ledger/revision.h"
 
 #include <fmt/format.h>
 
@@ -58,22 +59,40 @@
                              command.content_delta());
 }
 
+// Returns the revision after the declaration in force is replaced by that of the version.
+uint64_t nextRevision(const LedgerState &state, uint64_t version)
+{
+    return std::max(revisionOf(state.declaration) + 1, version);
+}
+
 // Adds the change from the declaration in force to the history.
 void recordChange(LedgerState &state,
                   const proto::ReplaceDeclaration &command,
                   std::string_view content)
 {
-    const uint64_t base = state.declaration.version();
+    const uint64_t base = revisionOf(state.declaration);
     if (base == 0) {
         return;
     }
-    const bool hasDelta = command.has_content_delta() && command.base_version() == base;
+    const bool hasDelta
+        = command.has_content_delta() && command.base_version() == state.declaration.version();
     state.declarationHistory.add(base,
-                                 command.declaration().version(),
+                                 nextRevision(state, command.declaration().version()),
                                  hasDelta ? command.content_delta()
                                           : delta::makeDelta(state.declaration.content(), content));
 }
 
+// Replaces the declaration; the evacuations stay.
+void putInForce(LedgerState &state, const proto::Declaration &declaration, std::string content)
+{
+    const uint64_t revision = nextRevision(state, declaration.version());
+    auto evacuations = std::move(*state.declaration.mutable_evacuations());
+    state.declaration = declaration;
+    state.declaration.set_content(std::move(content));
+    setRevision(state.declaration, revision);
+    *state.declaration.mutable_evacuations() = std::move(evacuations);
+}
+
 proto::CommandResult resultOf(const LedgerState &state, bool replaced)
 {
     proto::CommandResult result;
@@ -105,8 +124,7 @@
         return refusal(content.status());
     }
     recordChange(state, command, *content);
-    state.declaration = declaration;
-    state.declaration.set_content(*std::move(content));
+    putInForce(state, declaration, *std::move(content));
     for (const proto::DeclaredBudget &budget : declaration.budgets()) {
         declareBudget(state, budget);
     }
--- a/source/samphirebridge/ledger/declarationhistory.cpp
+++ b/source/samphirebridge/ledger/declarationhistory.cpp
@@ -20,13 +20,13 @@
 
 } // namespace
 
-void DeclarationHistory::add(uint64_t baseVersion, uint64_t version, proto::ContentDelta delta)
+void DeclarationHistory::add(uint64_t baseRevision, uint64_t revision, proto::ContentDelta delta)
 {
-    if (!this->changes.empty() && this->changes.back().version != baseVersion) {
+    if (!this->changes.empty() && this->changes.back().revision != baseRevision) {
         this->clear();
     }
     const size_t bytes = delta.ByteSizeLong();
-    this->changes.push_back({baseVersion, version, std::move(delta), bytes});
+    this->changes.push_back({baseRevision, revision, std::move(delta), bytes});
     this->totalBytes += bytes;
     while (this->changes.size() > MaximumChanges || this->totalBytes > MaximumHistoryBytes) {
         this->totalBytes -= this->changes.front().bytes;
@@ -40,26 +40,25 @@
     this->totalBytes = 0;
 }
 
-proto::DeclarationChange DeclarationHistory::changeSince(uint64_t knownVersion,
-                                                         uint64_t version,
+proto::DeclarationChange DeclarationHistory::changeSince(uint64_t knownRevision,
+                                                         uint64_t revision,
                                                          std::string_view content) const
 {
     proto::DeclarationChange change;
-    change.set_version(version);
-    if (knownVersion >= version) {
-        change.set_base_version(version);
+    if (knownRevision >= revision) {
+        change.set_base_version(revision);
         return change;
     }
     auto first
         = std::find_if(this->changes.begin(), this->changes.end(), [&](const Change &candidate) {
-              return candidate.baseVersion == knownVersion;
+              return candidate.baseRevision == knownRevision;
           });
     size_t bytes = 0;
     for (auto next = first; next != this->changes.end(); ++next) {
         bytes += next->bytes;
     }
-    if (knownVersion != 0 && first != this->changes.end()) {
-        change.set_base_version(knownVersion);
+    if (knownRevision != 0 && first != this->changes.end()) {
+        change.set_base_version(knownRevision);
         for (; first != this->changes.end(); ++first) {
             *change.add_deltas() = first->delta;
         }
--- a/source/samphirebridge/ledger/ledger.cpp
+++ b/source/samphirebridge/ledger/ledger.cpp
@@ -2,6 +2,7 @@
 
 #include "samphirebridge/ledger/commands.h"
 #include "samphirebridge/ledger/ledgerstate.h"
+#include "samphirebridge/ledger/revision.h"
 #include "samphirebridge/ledger/snapshots.h"
 
 #include <algorithm>
@@ -48,6 +49,8 @@
         return numberOrder(state, command.number_order());
     case proto::Command::kReplaceDeclaration:
         return replaceDeclaration(state, command.replace_declaration());
+    case proto::Command::kChangeEvacuation:
+        return changeEvacuation(state, command.change_evacuation());
     case proto::Command::kReportOutage:
         return reportOutage(state, command.report_outage());
     case proto::Command::VALUE_NOT_SET:
@@ -109,11 +112,16 @@
     return this->state->declaration;
 }
 
-proto::DeclarationChange Ledger::declarationSince(uint64_t knownVersion) const
+proto::DeclarationChange Ledger::declarationSince(uint64_t knownRevision) const
 {
     const proto::Declaration &newest = this->state->declaration;
-    return this->state->declarationHistory.changeSince(
-        knownVersion, newest.version(), newest.content());
+    const uint64_t revision = revisionOf(newest);
+    proto::DeclarationChange change
+        = this->state->declarationHistory.changeSince(knownRevision, revision, newest.content());
+    change.set_version(newest.version());
+    setRevision(change, revision);
+    *change.mutable_evacuations() = newest.evacuations();
+    return change;
 }
 
 std::vector<proto::BudgetState> Ledger::budgets(std::span<const core::BudgetId> ids) const
--- a/source/samphirebridge/ledger/ledger.h
+++ b/source/samphirebridge/ledger/ledger.h
@@ -67,12 +67,14 @@
     // or higher than the one in force.
     [[nodiscard]] proto::ManifestDelta manifestSince(uint64_t knownVersion) const;
 
-    // Returns the declaration in force; its version is 0 if none was accepted yet.
+    // Returns the declaration in force, with its revision and the evacuations; its version is 0 if
+    // none was accepted yet.
     [[nodiscard]] const proto::Declaration &declaration() const;
 
-    // Returns the deltas from the known version of the declaration to the one in force, or the
-    // whole content if the known version is no longer remembered or was never in force.
-    [[nodiscard]] proto::DeclarationChange declarationSince(uint64_t knownVersion) const;
+    // Returns the deltas from the known revision of the declaration to the one in force, or the
+    // whole content if the known revision is no longer remembered or was never in force; and all
+    // evacuations.
+    [[nodiscard]] proto::DeclarationChange declarationSince(uint64_t knownRevision) const;
 
     // Returns the state of the budgets with the given ids, in the order of the ids; unknown ids are
     // skipped. Without ids, returns all budgets, ordered by id.
--- a/source/samphirebridge/ledger/snapshots.cpp
+++ b/source/samphirebridge/ledger/snapshots.cpp
@@ -457,7 +457,8 @@
     for (const proto::ReportOutage &report : state.outages.reports()) {
         *snapshot.add_outages() = report;
     }
-    if (state.declaration.version() > 0) {
+    // A data centre may have been listed before any declaration, and without a change of revision.
+    if (state.declaration.version() > 0 || state.declaration.evacuations_size() > 0) {
         *snapshot.mutable_declaration() = state.declaration;
     }
     return snapshot;
