routing: Keep the targets of evacuated data centres out of the pools

A filter after the subset would leave an instance of the evacuated data centre with the eighth of its 64 targets that are elsewhere. The pools leave these targets out instead, so that the subset is filled from other data centres. Attempts that were chosen before go on.

--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -283,9 +283,17 @@
     std::vector<RoutedTarget *> targets(known.begin(), known.end());
     std::erase_if(targets,
                   [&request](const RoutedTarget *target) { return isOpenAt(request, *target); });
+    this->counts.evacuatedSkips += this->pools.evacuatedCount(request.service, request.model);
     return targets;
 }
 
+void Dispatcher::setEvacuated(std::span<const std::string> dataCentres, core::TimePoint /*now*/)
+{
+    // The targets of a data centre that is no longer listed may be cold from now on, see
+    // docs/design/0012-evacuation.md.
+    this->pools.setEvacuated(dataCentres);
+}
+
 bool Dispatcher::isOpenElsewhere(const RouteRequest &request) const
 {
     return std::any_of(
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -45,6 +46,7 @@
     uint64_t refusedHarmful = 0;
     uint64_t refusedNoTarget = 0;
     uint64_t refusedDeadline = 0;
+    uint64_t evacuatedSkips = 0; // Candidates skipped since their data centre is evacuated.
 };
 
 class Dispatcher
@@ -68,6 +70,17 @@
     // Sets the share of retries from the manifest. 0 means the default of RetryOptions.
     void setPolicy(const proto::Policy &policy);
 
+    // Sets the evacuated data centres: no attempt is started at their targets. Attempts that are
+    // under way go on.
+    void setEvacuated(std::span<const std::string> dataCentres, core::TimePoint now);
+
+    // Returns the services whose READY targets are all in evacuated data centres, ordered; a
+    // service without READY targets is not among them.
+    [[nodiscard]] std::vector<std::string> evacuatedServices() const
+    {
+        return this->pools.evacuatedServices();
+    }
+
     // Sets the bounds of every service's retry budget: retries per hundred first attempts, and how
     // many unused retries it may accumulate.
     void setRetryShare(uint32_t percent, double burst);
--- a/source/samphirebridge/routing/targetpools.cpp
+++ b/source/samphirebridge/routing/targetpools.cpp
@@ -1,5 +1,7 @@
 #include "samphirebridge/routing/targetpools.h"
 
+#include <algorithm>
+
 namespace samphirebridge::routing
 {
 
@@ -12,10 +14,47 @@
 void TargetPools::setKinds(std::span<const proto::TargetKind> kinds)
 {
     this->serviceOfKind.clear();
-    this->pools.clear();
     for (const proto::TargetKind &kind : kinds) {
         this->serviceOfKind[kind.id()] = kind.service();
     }
+    this->regroup();
+}
+
+void TargetPools::setEvacuated(std::span<const std::string> dataCentres)
+{
+    absl::flat_hash_set<std::string> next(dataCentres.begin(), dataCentres.end());
+    if (next == this->evacuated) {
+        return;
+    }
+    this->evacuated = std::move(next);
+    this->regroup();
+}
+
+size_t TargetPools::evacuatedCount(const core::ServiceId &service, const core::ModelId &model) const
+{
+    if (this->evacuatedCounts.empty()) {
+        return 0;
+    }
+    const auto entry = this->evacuatedCounts.find(Key{service.value, model.value});
+    return entry == this->evacuatedCounts.end() ? 0 : entry->second;
+}
+
+std::vector<std::string> TargetPools::evacuatedServices() const
+{
+    std::vector<std::string> services;
+    for (const auto &[key, count] : this->evacuatedCounts) {
+        if (key.model.empty() && count > 0 && !this->pools.contains(key)) {
+            services.push_back(key.service);
+        }
+    }
+    std::sort(services.begin(), services.end());
+    return services;
+}
+
+void TargetPools::regroup()
+{
+    this->pools.clear();
+    this->evacuatedCounts.clear();
     for (const auto &[id, target] : this->targets) {
         this->addToPools(target->record);
     }
@@ -81,6 +120,15 @@
 
 void TargetPools::removeFromPools(const proto::TargetRecord &record)
 {
+    if (this->isEvacuated(record)) {
+        for (const Key &key : this->keysOf(record)) {
+            const auto counted = this->evacuatedCounts.find(key);
+            if (record.state() == proto::READY && counted != this->evacuatedCounts.end()) {
+                --counted->second;
+            }
+        }
+        return;
+    }
     for (const Key &key : this->keysOf(record)) {
         const auto entry = this->pools.find(key);
         if (entry == this->pools.end()) {
@@ -98,6 +146,12 @@
     if (record.state() != proto::READY) {
         return;
     }
+    if (this->isEvacuated(record)) {
+        for (const Key &key : this->keysOf(record)) {
+            ++this->evacuatedCounts[key];
+        }
+        return;
+    }
     for (const Key &key : this->keysOf(record)) {
         const auto entry = this->pools.try_emplace(
             key, Pool{TargetSubset(this->self, key.model, this->options->subset), {}});
--- a/source/samphirebridge/routing/targetpools.h
+++ b/source/samphirebridge/routing/targetpools.h
@@ -8,6 +8,7 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <memory>
 #include <span>
@@ -26,8 +27,26 @@
     // Sets which kind of target serves which service, and regroups all targets.
     void setKinds(std::span<const proto::TargetKind> kinds);
 
-    // Adds a target or replaces its record. A target that is not READY is in no pool. The returned
-    // reference stays valid until eraseTarget.
+    // Sets the evacuated data centres, and regroups all targets. Subsets are filled from the other
+    // data centres.
+    void setEvacuated(std::span<const std::string> dataCentres);
+
+    // Returns whether the target is in an evacuated data centre.
+    [[nodiscard]] bool isEvacuated(const proto::TargetRecord &record) const
+    {
+        return this->evacuated.contains(record.data_centre());
+    }
+
+    // Returns how many READY targets for the model are in no pool since their data centre is
+    // evacuated.
+    [[nodiscard]] size_t evacuatedCount(const core::ServiceId &service,
+                                        const core::ModelId &model) const;
+
+    // Returns the services all of whose READY targets are in evacuated data centres, ordered.
+    [[nodiscard]] std::vector<std::string> evacuatedServices() const;
+
+    // Adds a target or replaces its record. A target that is not READY, or whose data centre is
+    // evacuated, is in no pool. The returned reference stays valid until eraseTarget.
     RoutedTarget &upsertTarget(const proto::TargetRecord &record);
 
     // Removes a target. Does nothing if it is not known.
@@ -69,12 +88,16 @@
     [[nodiscard]] std::vector<Key> keysOf(const proto::TargetRecord &record) const;
     void removeFromPools(const proto::TargetRecord &record);
     void addToPools(const proto::TargetRecord &record);
+    // Puts all targets into their pools anew.
+    void regroup();
 
     core::InstanceId self;
     const RoutingOptions *options;
     absl::flat_hash_map<std::string, std::string> serviceOfKind;
     absl::flat_hash_map<std::string, std::unique_ptr<RoutedTarget>> targets;
     absl::flat_hash_map<Key, Pool> pools;
+    absl::flat_hash_set<std::string> evacuated; // Data centres.
+    absl::flat_hash_map<Key, size_t> evacuatedCounts; // READY targets, by the pool that lacks them.
 };
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -62,6 +62,9 @@
     {Event::CrashReportsWithheld,
      "crash_reports_withheld_total",
      "Reports that were too many to be pushed at once or to be stored."},
+    {Event::EvacuatedCandidatesSkipped,
+     "evacuated_candidates_skipped_total",
+     "Targets that choices left out since their data centre is evacuated."},
 };
 
 constexpr Description<Gauge> Gauges[] = {
@@ -90,6 +93,9 @@
     {Gauge::DeclarationLag,
      "declaration_lag_seconds",
      "Longest time that an entry instance in contact has lacked a declaration applied here."},
+    {Gauge::EvacuatedDataCentres,
+     "evacuated_data_centres",
+     "Data centres that get no requests from this instance."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -45,6 +45,7 @@
     CrashReportsMade,
     CrashReportsReceived,
     CrashReportsWithheld,
+    EvacuatedCandidatesSkipped,
 };
 
 // Metrics whose value can rise and fall.
@@ -64,6 +65,7 @@
     HarmfulParts,
     StorageFull,
     DeclarationLag,
+    EvacuatedDataCentres,
 };
 
 // Durations that are recorded in a histogram.
@@ -110,7 +112,7 @@
     std::array<prometheus::Counter *, core::AllRetryReasons.size()> retries{};
     std::array<prometheus::Counter *, core::AllCloseReasons.size()> closedConnections{};
     std::array<prometheus::Counter *, 32> events{};
-    std::array<prometheus::Gauge *, 16> gauges{};
+    std::array<prometheus::Gauge *, 24> gauges{};
     prometheus::Counter *billed = nullptr;
     std::array<prometheus::Histogram *, 8> latencies{};
 };
