--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -184,6 +184,7 @@
                                          this->counters,
                                          this->shutdownDeadlinePassed})
         , targets(this->node, this->queue, this->counters)
+        , control(this->node, this->client, this->logger)
         , publisher(processSettings.instance, this->peers, this->counters, this->logger)
     {
         this->queue.setPostCallback([this] { this->loop.wake(); });
@@ -244,6 +245,7 @@
     gateway::TargetService targets;
     std::unique_ptr<gateway::OperatorService> operators;
     std::unique_ptr<gateway::Gateway> gateway;
+    entry::FleetControl control;
     entry::DeclarationPublisher publisher;
     std::unique_ptr<ProcessHost> host;
     std::unique_ptr<runtime::ControlThread<ProcessHost, net::LoopWaiter>> thread;
@@ -293,6 +295,13 @@
     const auto answer = [&tasks = this->queue, onReply = std::move(onReply)](auto reply) {
         tasks.post([onReply, reply = std::move(reply)] { onReply(reply); });
     };
+    if (source == this->settings.instance && this->voter != nullptr) {
+        this->voter->fetchDeclaration(
+            request, this->clock.now(), [answer](proto::FetchDeclarationReply reply) {
+                answer(absl::StatusOr<proto::FetchDeclarationReply>(std::move(reply)));
+            });
+        return;
+    }
     transport::PeerChannel *channel = this->peers.channelTo(source);
     if (channel == nullptr) {
         answer(absl::StatusOr<proto::FetchDeclarationReply>(
@@ -421,6 +430,7 @@
     this->operators
         = std::make_unique<gateway::OperatorService>(this->node,
                                                      this->client,
+                                                     this->control,
                                                      this->peers,
                                                      this->queue,
                                                      this->settings.operatorTokenDigests,
@@ -499,6 +509,7 @@
             running.queue,
             running.node,
             running.client,
+            running.control,
             running.counters,
             running.logger};
 }
--- a/source/samphirebridge/daemon/daemon.h
+++ b/source/samphirebridge/daemon/daemon.h
@@ -5,6 +5,7 @@
 #include "samphirebridge/control/ledgerclient.h"
 #include "samphirebridge/daemon/exitcode.h"
 #include "samphirebridge/entry/entrynode.h"
+#include "samphirebridge/entry/fleetcontrol.h"
 #include "samphirebridge/net/eventloop.h"
 #include "samphirebridge/runtime/taskqueue.h"
 #include "samphirebridge/settings/settings.h"
@@ -27,6 +28,7 @@
     runtime::TaskQueue &queue;
     entry::EntryNode &node;
     control::LedgerClient &client;
+    entry::FleetControl &control;
     telemetry::Counters &counters;
     telemetry::Logger &logger;
 };
--- a/source/samphirebridge/entry/declarationfetch.cpp
+++ b/source/samphirebridge/entry/declarationfetch.cpp
@@ -39,6 +39,11 @@
 {
 }
 
+void DeclarationFetch::setRequiresContent(bool isRequired)
+{
+    this->requiresContent = isRequired;
+}
+
 void DeclarationFetch::onNotice(const core::InstanceId &from, uint64_t version)
 {
     if (version < this->committedVersion || version <= this->heldVersion) {
@@ -73,7 +78,8 @@
 {
     // An instance that holds no version asks without a notice: a version may have been committed
     // before it started.
-    const bool isBehind = this->heldVersion < this->committedVersion || this->heldVersion == 0;
+    const bool lacksContent = this->requiresContent && this->heldVersion == 0;
+    const bool isBehind = this->heldVersion < this->committedVersion || lacksContent;
     if (isBehind && this->currentEffort.behindSince == core::TimePoint{}) {
         this->currentEffort.behindSince = now;
     }
--- a/source/samphirebridge/entry/declarationfetch.h
+++ b/source/samphirebridge/entry/declarationfetch.h
@@ -1,4 +1,5 @@
-// Decides which instance to request the newest declaration from, and assembles the replies.
+// Decides which instance to request the newest declaration from, and assembles the replies. A
+// version here is a revision of the declaration and the evacuations.
 #pragma once
 
 #include "instance.pb.h"
@@ -45,6 +46,10 @@
     // starts.
     explicit DeclarationFetch(size_t firstControlIndex);
 
+    // Sets whether this instance needs a declaration, and so asks without a notice while it holds
+    // none; it does by default.
+    void setRequiresContent(bool requiresContent);
+
     // Notes that an instance has announced that it has applied the version.
     void onNotice(const core::InstanceId &from, uint64_t version);
 
@@ -113,6 +118,7 @@
     core::InstanceId notifier; // Announced a newer version, or sent a part of it; empty if none.
     uint64_t committedVersion = 0; // The highest known.
     uint64_t heldVersion = 0;
+    bool requiresContent = true;
     bool needsFullContent = false;
     core::TimePoint nextRequestAt;
     std::vector<PendingRequest> pending; // At most one for each instance, the oldest first.
--- a/source/samphirebridge/entry/declarationkeeper.cpp
+++ b/source/samphirebridge/entry/declarationkeeper.cpp
@@ -3,6 +3,7 @@
 #include "samphirebridge/core/digest.h"
 #include "samphirebridge/core/errors.h"
 #include "samphirebridge/delta/contentdelta.h"
+#include "samphirebridge/ledger/revision.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -21,10 +22,11 @@
 // How long one read may take before it is repeated.
 constexpr core::Duration ReadTimeout = std::chrono::seconds(2);
 
-// The time between two reads while no committed declaration is known.
+// The time between two reads while no committed revision is known.
 constexpr core::Duration ReadInterval = std::chrono::milliseconds(200);
 
-// Passed as the known version of a read; as no version is above it, the reply contains no content.
+// Passed as the known version of a read or as the known revision of a question; as none is above
+// it, the reply contains no content.
 constexpr uint64_t MaximumVersion = std::numeric_limits<uint64_t>::max();
 
 } // namespace
@@ -42,11 +44,13 @@
     , watch(core::checksumOf(self.value))
     , currentTable(std::make_shared<const forwarding::RouteTable>())
 {
+    this->fetch.setRequiresContent(false);
 }
 
 void DeclarationKeeper::setDecoder(DeclarationDecoder contentDecoder)
 {
     this->decoder = std::move(contentDecoder);
+    this->fetch.setRequiresContent(this->usesDeclarations());
 }
 
 bool DeclarationKeeper::usesDeclarations() const
@@ -59,6 +63,11 @@
     this->sendFetch = std::move(fetchSender);
 }
 
+void DeclarationKeeper::setRevisionCallback(OnRevision revisionCallback)
+{
+    this->onRevision = std::move(revisionCallback);
+}
+
 void DeclarationKeeper::setContactCallback(std::function<void()> contactCallback)
 {
     this->onContact = std::move(contactCallback);
@@ -66,12 +75,10 @@
 
 void DeclarationKeeper::tick(core::TimePoint now)
 {
-    if (!this->decoder) {
-        return;
-    }
-    if (this->confirmedVersion == 0 && !this->isReading && now - this->lastReadAt >= ReadInterval) {
+    if (this->needsCommittedRevision() && !this->isReading
+        && now - this->lastReadAt >= ReadInterval) {
         this->lastReadAt = now;
-        this->readCommittedVersion();
+        this->readCommittedRevision();
     }
     this->sendNextFetch(now);
     this->sendNextQuestion(now);
@@ -79,9 +86,6 @@
 
 void DeclarationKeeper::onNotice(const proto::DeclarationNotice &notice, core::TimePoint now)
 {
-    if (!this->decoder) {
-        return;
-    }
     this->fetch.onNotice(core::InstanceId(notice.from()), notice.version());
     this->sendNextFetch(now);
 }
@@ -98,27 +102,34 @@
 
 bool DeclarationKeeper::isConfirmed() const
 {
-    const uint64_t version = this->currentTable->declaration().version;
-    return this->quorumAnswered && version > 0 && version >= this->confirmedVersion;
+    const bool hasDeclaration = this->currentTable->declaration().version > 0;
+    return this->quorumAnswered && (hasDeclaration || !this->usesDeclarations())
+           && this->revisionInForce >= this->confirmedRevision;
+}
+
+bool DeclarationKeeper::needsCommittedRevision() const
+{
+    return this->usesDeclarations() ? this->confirmedRevision == 0 : !this->quorumAnswered;
 }
 
-void DeclarationKeeper::readCommittedVersion()
+void DeclarationKeeper::readCommittedRevision()
 {
     this->isReading = true;
     this->client.readDeclaration(MaximumVersion, ReadTimeout, [this](const auto &reply) {
         this->isReading = false;
-        this->onCommittedVersion(reply);
+        this->onCommittedRevision(reply);
     });
 }
 
-void DeclarationKeeper::onCommittedVersion(const absl::StatusOr<proto::ReadDeclarationReply> &reply)
+void DeclarationKeeper::onCommittedRevision(
+    const absl::StatusOr<proto::ReadDeclarationReply> &reply)
 {
     if (!reply.ok()) {
         return;
     }
     this->quorumAnswered = true;
-    this->confirmedVersion = reply->version();
-    this->fetch.onCommitted(reply->version());
+    this->confirmedRevision = ledger::revisionOf(*reply);
+    this->fetch.onCommitted(this->confirmedRevision);
     this->sendNextFetch(this->clock.now());
 }
 
@@ -163,7 +174,8 @@
         return;
     }
     const core::TimePoint asOf = sentAt - std::chrono::milliseconds(reply.confirmed_ms_ago());
-    if (this->watch.onConfirmed(source, asOf) && this->onContact) {
+    const bool isBack = this->watch.onConfirmed(source, asOf);
+    if (isBack && this->usesDeclarations() && this->onContact) {
         this->onContact();
     }
 }
@@ -198,16 +210,22 @@
         this->logger.change("declaration_change_unusable",
                             {{"version", std::to_string(change.version())},
                              {"base", std::to_string(change.base_version())},
-                             {"held", std::to_string(this->heldDeclaration.version())},
+                             {"held", std::to_string(ledger::revisionOf(this->heldDeclaration))},
                              {"error", std::string(core::messageOf(content.status()))}});
         this->fetch.restart(now);
         return;
     }
+    const bool isOtherVersion = change.version() != this->heldDeclaration.version();
     this->heldDeclaration.set_version(change.version());
     this->heldDeclaration.set_content(*std::move(content));
-    this->putInForce();
+    this->heldDeclaration.set_revision(change.revision());
+    *this->heldDeclaration.mutable_evacuations() = change.evacuations();
+    if (isOtherVersion && this->usesDeclarations()) {
+        this->putInForce();
+    }
+    this->putRevisionInForce();
     // The pause starts after the decoding, which takes time.
-    this->fetch.onVersionHeld(this->heldDeclaration.version(), this->clock.now());
+    this->fetch.onVersionHeld(ledger::revisionOf(this->heldDeclaration), this->clock.now());
 }
 
 absl::StatusOr<std::string>
@@ -247,6 +265,18 @@
     this->onDeclaration(this->currentTable->declaration());
 }
 
+void DeclarationKeeper::putRevisionInForce()
+{
+    const bool isDecoded
+        = this->heldDeclaration.version() == this->currentTable->declaration().version;
+    if (isDecoded || !this->usesDeclarations()) {
+        this->revisionInForce = ledger::revisionOf(this->heldDeclaration);
+    }
+    if (this->onRevision) {
+        this->onRevision(this->revisionInForce, this->heldDeclaration.evacuations());
+    }
+}
+
 void DeclarationKeeper::logInForce()
 {
     const FetchEffort &effort = this->fetch.effort();
--- a/source/samphirebridge/entry/declarationkeeper.h
+++ b/source/samphirebridge/entry/declarationkeeper.h
@@ -1,5 +1,6 @@
-// Keeps the declaration in force on this instance. The committed version is read through the quorum
-// at the start; the content is fetched from control instances as changes to the held content.
+// Keeps the declaration and the evacuations in force on this instance. The committed revision is
+// read through the quorum at the start; the content is fetched from control instances as changes to
+// the held content.
 #pragma once
 
 #include "instance.pb.h"
@@ -35,7 +36,11 @@
 // Called with each declaration that comes into force.
 using OnDeclaration = std::function<void(const forwarding::Declaration &)>;
 
-// The version in force never decreases: older and duplicate changes are ignored. Not thread-safe:
+// Called with the revision in force and all evacuations, each time either may have changed.
+using Evacuations = google::protobuf::RepeatedPtrField<proto::Evacuation>;
+using OnRevision = std::function<void(uint64_t, const Evacuations &)>;
+
+// The revision in force never decreases: older and duplicate changes are ignored. Not thread-safe:
 // used on the control thread only.
 class DeclarationKeeper
 {
@@ -46,23 +51,26 @@
                       telemetry::Logger &logger,
                       OnDeclaration onDeclaration);
 
-    // Sets the decoder. Without one the instance fetches and applies no declarations.
+    // Sets the decoder. Without one the instance applies no declarations, only evacuations.
     void setDecoder(DeclarationDecoder decoder);
     [[nodiscard]] bool usesDeclarations() const;
 
     // Sets how requests reach other instances. Until then nothing is fetched.
     void setFetchSender(FetchSender sendFetch);
 
+    // Sets what receives the revision in force and the evacuations.
+    void setRevisionCallback(OnRevision onRevision);
+
     // Sets what is called when a control instance confirms the newest version after none did for
     // long.
     void setContactCallback(std::function<void()> onContact);
 
-    // Reads the committed version through the quorum until one is known, asks control instances for
-    // newer versions, and requests the content of a newer version than the held one. Call it
+    // Reads the committed revision through the quorum until one is known, asks control instances
+    // for newer ones, and requests the change to a newer revision than the held one. Call it
     // regularly.
     void tick(core::TimePoint now);
 
-    // Notes that another instance has applied a version, and requests it if it is newer.
+    // Notes that another instance has applied a revision, and requests it if it is newer.
     void onNotice(const proto::DeclarationNotice &notice, core::TimePoint now);
 
     // Returns the routes in force; never null.
@@ -71,25 +79,27 @@
     // Returns when the routes in force came into force.
     [[nodiscard]] core::TimePoint inForceSince() const;
 
-    // Returns whether the quorum has answered a read since the start, and a declaration of the
-    // version that it named, or of a newer one, is in force.
+    // Returns whether the quorum has answered a read since the start, and the revision that it
+    // named, or a newer one, is in force; with a decoder, also whether there is a declaration.
     [[nodiscard]] bool isConfirmed() const;
 
 private:
-    void readCommittedVersion();
-    void onCommittedVersion(const absl::StatusOr<proto::ReadDeclarationReply> &reply);
+    // Returns whether the committed revision must still be read.
+    [[nodiscard]] bool needsCommittedRevision() const;
+    void readCommittedRevision();
+    void onCommittedRevision(const absl::StatusOr<proto::ReadDeclarationReply> &reply);
     void sendNextFetch(core::TimePoint now);
     void onFetchReply(const core::InstanceId &source,
                       core::TimePoint sentAt,
                       const absl::StatusOr<proto::FetchDeclarationReply> &reply);
     // Asks a control instance for its newest version if such a question is due.
     void sendNextQuestion(core::TimePoint now);
-    // Notes which version the reply names, and until when the reply confirms that there was no
+    // Notes which revision the reply names, and until when the reply confirms that there was no
     // newer one.
     void noteVersion(const core::InstanceId &source,
                      core::TimePoint sentAt,
                      const proto::FetchDeclarationReply &reply);
-    // Applies a fetched change to the held content and puts the result in force. If it does not
+    // Applies a fetched change to the held declaration and puts the result in force. If it does not
     // apply, the full content is requested instead.
     void applyChange(const proto::DeclarationChange &change, core::TimePoint now);
     // Returns the held content with the change applied.
@@ -97,6 +107,9 @@
     // Decodes the held declaration and makes it current. If it can't be decoded, the current one
     // stays in force.
     void putInForce();
+    // Tells the revision in force and the evacuations. While the held declaration can't be decoded,
+    // the revision stays and only the evacuations change.
+    void putRevisionInForce();
     // Logs the version that came into force, and what it took to get it.
     void logInForce();
     // Logs each organisation whose purchased tokens differ from those of the declaration before.
@@ -112,8 +125,11 @@
     core::SteadyClock clock;
     DeclarationFetch fetch;
     VersionWatch watch;
-    proto::Declaration heldDeclaration; // Only version and content are set.
-    uint64_t confirmedVersion = 0; // Read through the quorum; 0: none yet.
+    OnRevision onRevision;
+    // Only version, content, revision and evacuations are set.
+    proto::Declaration heldDeclaration;
+    uint64_t revisionInForce = 0;
+    uint64_t confirmedRevision = 0; // Read through the quorum; 0: none yet.
     std::shared_ptr<const forwarding::RouteTable> currentTable;
     core::TimePoint currentSince; // When the current table came into force.
     core::TimePoint lastReadAt;
--- a/source/samphirebridge/entry/declarationpublisher.cpp
+++ b/source/samphirebridge/entry/declarationpublisher.cpp
@@ -39,14 +39,14 @@
 {
 }
 
-void DeclarationPublisher::tick(uint64_t committedVersion,
+void DeclarationPublisher::tick(uint64_t committedRevision,
                                 const membership::InstanceDirectory &instances,
                                 core::TimePoint now)
 {
-    if (committedVersion > this->schedule.version()) {
+    if (committedRevision > this->schedule.version()) {
         this->logPropagation(now);
         this->propagation = {};
-        this->schedule.onApplied(committedVersion, now);
+        this->schedule.onApplied(committedRevision, now);
     }
     if (this->schedule.version() == 0) {
         return;
--- a/source/samphirebridge/entry/declarationpublisher.h
+++ b/source/samphirebridge/entry/declarationpublisher.h
@@ -28,7 +28,7 @@
                          telemetry::Logger &logger);
 
     // Sends the notices that are due, see NoticeSchedule.
-    void tick(uint64_t committedVersion,
+    void tick(uint64_t committedRevision,
               const membership::InstanceDirectory &instances,
               core::TimePoint now);
 
--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -114,6 +114,10 @@
 {
     this->fleetView.setRoles(this->options.votes, this->options.serves);
     this->fleetView.setRetryBounds(this->options.retrySharePercent, this->options.retrySlack);
+    this->declarationKeeper.setRevisionCallback(
+        [this](uint64_t revision, const Evacuations &evacuations) {
+            this->onRevision(revision, evacuations);
+        });
     this->declarationKeeper.setContactCallback([this] { this->fleetView.reportToControl(); });
 }
 
@@ -123,7 +127,9 @@
         this->registerHolder();
     }
     this->manifestKeeper.tick();
-    this->declarationKeeper.tick(now);
+    if (this->followsRevision()) {
+        this->declarationKeeper.tick(now);
+    }
     this->fleetView.tick(now);
     if (this->options.discoversPeers && now - this->lastControlCheck >= ControlCheckInterval) {
         this->lastControlCheck = now;
@@ -280,8 +286,14 @@
 
 bool EntryNode::hasConfirmedConfiguration() const
 {
-    return this->declarationKeeper.usesDeclarations() ? this->declarationKeeper.isConfirmed()
-                                                      : this->manifestKeeper.isConfirmed();
+    const bool hasManifest
+        = this->declarationKeeper.usesDeclarations() || this->manifestKeeper.isConfirmed();
+    return hasManifest && (!this->followsRevision() || this->declarationKeeper.isConfirmed());
+}
+
+bool EntryNode::followsRevision() const
+{
+    return this->options.serves || this->declarationKeeper.usesDeclarations();
 }
 
 void EntryNode::onDeclaration(const forwarding::Declaration &declaration)
@@ -298,6 +310,17 @@
     this->fleetView.onDeclaration(declaration, this->clock.now());
 }
 
+void EntryNode::onRevision(uint64_t revision, const Evacuations &evacuations)
+{
+    std::vector<std::string> dataCentres;
+    for (const proto::Evacuation &evacuation : evacuations) {
+        if (evacuation.evacuated()) {
+            dataCentres.push_back(evacuation.data_centre());
+        }
+    }
+    this->fleetView.onRevision(revision, std::move(dataCentres), this->clock.now());
+}
+
 void EntryNode::onManifest(const manifest::Catalogue &catalogue)
 {
     const manifest::EffectivePolicy &policy = catalogue.policy();
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -84,7 +84,11 @@
     void renewIncarnation();
     void onManifest(const manifest::Catalogue &catalogue);
     void onDeclaration(const forwarding::Declaration &declaration);
+    void onRevision(uint64_t revision, const Evacuations &evacuations);
     [[nodiscard]] bool hasConfirmedConfiguration() const;
+    // Returns whether this instance fetches declarations and evacuations; one that serves no
+    // callers need not.
+    [[nodiscard]] bool followsRevision() const;
     void chooseWitnessAndLenders(core::TimePoint now);
     void updateGauges();
     void logFailedMessages();
--- a/source/samphirebridge/entry/fleetcontrol.cpp
+++ b/source/samphirebridge/entry/fleetcontrol.cpp
@@ -4,7 +4,12 @@
 #include "samphirebridge/delta/contentdelta.h"
 #include "samphirebridge/forwarding/declarationcheck.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -17,6 +22,31 @@
 // How long a change or a read may take. Operators try another instance after about this time.
 constexpr core::Duration ChangeTimeout = std::chrono::milliseconds(900);
 
+// Passed as the known version of a read that needs no declaration.
+constexpr uint64_t MaximumVersion = std::numeric_limits<uint64_t>::max();
+
+// Returns the error of an order that the ledger refused.
+absl::Status statusOfRefusal(const proto::CommandResult &result)
+{
+    const auto code = static_cast<core::ErrorCode>(result.error_code());
+    // The command may have been sent several times: the first may have been applied, and another
+    // order after it. A definite refusal would then be wrong.
+    return core::makeError(
+        code == core::ErrorCode::VersionConflict ? core::ErrorCode::OutcomeUnknown : code,
+        result.error_message());
+}
+
+// Returns the number of the last order for the data centre, or 0 if it is not listed.
+uint64_t numberOf(const proto::ReadDeclarationReply &reply, std::string_view dataCentre)
+{
+    for (const proto::Evacuation &evacuation : reply.evacuations()) {
+        if (evacuation.data_centre() == dataCentre) {
+            return evacuation.number();
+        }
+    }
+    return 0;
+}
+
 // Returns the command with the content as a delta to the base, or in full if base is null.
 proto::Command makeReplaceCommand(const forwarding::Declaration &declaration,
                                   std::string_view content,
@@ -46,10 +76,12 @@
 
 FleetControl::FleetControl(EntryNode &entryNode,
                            control::LedgerClient &ledgerClient,
-                           telemetry::Logger &processLogger)
+                           telemetry::Logger &processLogger,
+                           std::vector<std::string> dataCentres)
     : node(entryNode)
     , client(ledgerClient)
     , logger(processLogger)
+    , knownDataCentres(std::move(dataCentres))
 {
 }
 
@@ -130,4 +162,84 @@
         });
 }
 
+void FleetControl::changeEvacuation(const std::string &dataCentre,
+                                    bool evacuated,
+                                    OnEvacuation onChange)
+{
+    const auto order = std::make_shared<const EvacuationOrder>(EvacuationOrder{
+        dataCentre, evacuated, this->clock.now() + ChangeTimeout, std::move(onChange)});
+    if (const absl::Status checked = this->checkDataCentre(dataCentre); !checked.ok()) {
+        this->finish(*order, checked);
+        return;
+    }
+    this->client.readDeclaration(MaximumVersion, ChangeTimeout, [this, order](const auto &reply) {
+        if (!reply.ok()) {
+            this->finish(*order, reply.status());
+            return;
+        }
+        this->propose(order, numberOf(*reply, order->dataCentre));
+    });
+}
+
+absl::Status FleetControl::checkDataCentre(const std::string &dataCentre) const
+{
+    if (const absl::Status valid = core::checkName(dataCentre); !valid.ok()) {
+        return valid;
+    }
+    if (this->knownDataCentres.empty()
+        || std::ranges::find(this->knownDataCentres, dataCentre) != this->knownDataCentres.end()) {
+        return absl::OkStatus();
+    }
+    return core::makeError(core::ErrorCode::InvalidRequest,
+                           fmt::format("found the data centre '{}'; accepted are {}",
+                                       dataCentre,
+                                       fmt::join(this->knownDataCentres, ", ")));
+}
+
+void FleetControl::propose(const std::shared_ptr<const EvacuationOrder> &order,
+                           uint64_t knownNumber)
+{
+    proto::Command command;
+    proto::ChangeEvacuation *change = command.mutable_change_evacuation();
+    change->set_data_centre(order->dataCentre);
+    change->set_evacuated(order->evacuated);
+    change->set_known_number(knownNumber);
+    this->client.submit(
+        command, order->deadline - this->clock.now(), [this, order](const auto &result) {
+            if (!result.ok()) {
+                this->finish(*order, result.status());
+            } else if (result->error_code() != 0) {
+                this->finish(*order, statusOfRefusal(*result));
+            } else {
+                this->finish(*order, result->change_evacuation());
+            }
+        });
+}
+
+void FleetControl::finish(const EvacuationOrder &order,
+                          const absl::StatusOr<proto::ChangeEvacuationResult> &result)
+{
+    this->logger.change(
+        "evacuation_change",
+        {{"data_centre", order.dataCentre},
+         {"order", order.evacuated ? "start" : "finish"},
+         {"number", std::to_string(result.ok() ? result->number() : 0)},
+         {"replaced", result.ok() && result->replaced() ? "true" : "false"},
+         {"error", result.ok() ? std::string() : std::string(core::messageOf(result.status()))}});
+    order.onChange(result);
+}
+
+void FleetControl::readEvacuations(OnEvacuationsRead onRead)
+{
+    this->client.readDeclaration(
+        MaximumVersion, ChangeTimeout, [onRead = std::move(onRead)](const auto &reply) {
+            if (!reply.ok()) {
+                onRead(reply.status());
+                return;
+            }
+            onRead(std::vector<proto::Evacuation>(reply->evacuations().begin(),
+                                                  reply->evacuations().end()));
+        });
+}
+
 } // namespace samphirebridge::entry
--- a/source/samphirebridge/entry/fleetcontrol.h
+++ b/source/samphirebridge/entry/fleetcontrol.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace samphirebridge::entry
 {
@@ -28,7 +29,15 @@
     using OnChange = std::function<void(const absl::Status &)>;
     using OnDeclarationRead = std::function<void(absl::StatusOr<proto::Declaration>)>;
 
-    FleetControl(EntryNode &node, control::LedgerClient &client, telemetry::Logger &logger);
+    // Called with the evacuation after the order, or with an error.
+    using OnEvacuation = std::function<void(const absl::StatusOr<proto::ChangeEvacuationResult> &)>;
+    using OnEvacuationsRead = std::function<void(absl::StatusOr<std::vector<proto::Evacuation>>)>;
+
+    // `knownDataCentres` are those that may be evacuated; if it is empty, any valid name may be.
+    FleetControl(EntryNode &node,
+                 control::LedgerClient &client,
+                 telemetry::Logger &logger,
+                 std::vector<std::string> knownDataCentres = {});
 
     // Processes a target's announcement of itself. Errors: InvalidAnnouncement.
     absl::Status announce(const proto::TargetRecord &record);
@@ -48,7 +57,30 @@
     // Reads the newest committed declaration. Errors: NoQuorum; NotFound if there is none.
     void readDeclaration(OnDeclarationRead onRead);
 
+    // Starts or ends the evacuation of a data centre. An order for the state that is in force is
+    // accepted too. Errors: InvalidName, InvalidRequest; NoQuorum; OutcomeUnknown if it may have
+    // been committed, or if another order for the data centre was committed meanwhile.
+    void changeEvacuation(const std::string &dataCentre, bool evacuated, OnEvacuation onChange);
+
+    // Reads the committed evacuations, also those that have ended. Errors: NoQuorum.
+    void readEvacuations(OnEvacuationsRead onRead);
+
 private:
+    // An order that is being submitted to the ledger.
+    struct EvacuationOrder {
+        std::string dataCentre;
+        bool evacuated = false;
+        core::TimePoint deadline;
+        OnEvacuation onChange;
+    };
+
+    [[nodiscard]] absl::Status checkDataCentre(const std::string &dataCentre) const;
+    // Submits the order, which applies only while the data centre's number is the given one.
+    void propose(const std::shared_ptr<const EvacuationOrder> &order, uint64_t knownNumber);
+    // Logs the outcome of the order and passes it on.
+    void finish(const EvacuationOrder &order,
+                const absl::StatusOr<proto::ChangeEvacuationResult> &result);
+
     // A change that is being submitted to the ledger.
     struct Change {
         forwarding::Declaration declaration;
@@ -63,6 +95,7 @@
     EntryNode &node;
     control::LedgerClient &client;
     telemetry::Logger &logger;
+    std::vector<std::string> knownDataCentres;
     core::SteadyClock clock;
 };
 
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -180,6 +180,7 @@
         this->updateRetryShare(now);
         this->crashDirectory.tick(now);
         this->countWithheldReports();
+        this->countEvacuationSkips();
         this->counters.set(telemetry::Gauge::CrashSuspects,
                            static_cast<double>(this->targetRouter.crashSuspects()));
         this->counters.set(telemetry::Gauge::HarmfulParts,
@@ -212,7 +213,7 @@
     this->send(this->instanceDirectory.tick(now));
 }
 
-void FleetView::onDeclaration(const forwarding::Declaration &declaration, core::TimePoint now)
+void FleetView::onDeclaration(const forwarding::Declaration &declaration, core::TimePoint /*now*/)
 {
     std::vector<proto::TargetKind> kinds;
     for (const forwarding::Service &service : declaration.services) {
@@ -221,10 +222,54 @@
         kind.set_service(service.id.value);
     }
     this->targetRouter.setKinds(kinds);
-    this->instanceDirectory.setDeclarationVersion(declaration.version);
+}
+
+void FleetView::onRevision(uint64_t revision,
+                           std::vector<std::string> dataCentres,
+                           core::TimePoint now)
+{
+    this->targetRouter.setEvacuated(dataCentres, now);
+    this->logEvacuations(dataCentres, revision);
+    this->evacuatedDataCentres = std::move(dataCentres);
+    this->counters.set(telemetry::Gauge::EvacuatedDataCentres,
+                       static_cast<double>(this->evacuatedDataCentres.size()));
+    this->instanceDirectory.setDeclarationVersion(revision);
     this->send(this->instanceDirectory.tick(now));
 }
 
+void FleetView::logEvacuations(std::span<const std::string> dataCentres, uint64_t revision)
+{
+    const auto logMissing = [&](std::span<const std::string> from,
+                                std::span<const std::string> in,
+                                std::string_view state) {
+        for (const std::string &dataCentre : from) {
+            if (std::ranges::find(in, dataCentre) == in.end()) {
+                this->logger.change("evacuation_in_force",
+                                    {{"data_centre", dataCentre},
+                                     {"state", std::string(state)},
+                                     {"revision", std::to_string(revision)}});
+            }
+        }
+    };
+    logMissing(dataCentres, this->evacuatedDataCentres, "started");
+    logMissing(this->evacuatedDataCentres, dataCentres, "ended");
+    if (std::ranges::equal(dataCentres, this->evacuatedDataCentres)) {
+        return;
+    }
+    for (const std::string &service : this->targetRouter.evacuatedServices()) {
+        this->logger.change("evacuation_leaves_no_target",
+                            {{"service", service}, {"revision", std::to_string(revision)}});
+    }
+}
+
+void FleetView::countEvacuationSkips()
+{
+    const uint64_t skips = this->targetRouter.counters().evacuatedSkips;
+    this->counters.count(
+        telemetry::Event::EvacuatedCandidatesSkipped,
+        static_cast<double>(skips - std::exchange(this->countedEvacuationSkips, skips)));
+}
+
 void FleetView::addSeeds(std::span<const core::InstanceId> seeds)
 {
     this->instanceDirectory.addSeeds(seeds);
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -15,6 +15,7 @@
 
 #include <random>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace samphirebridge::entry
@@ -59,10 +60,15 @@
     // the peers which version is in force here.
     void onManifest(const manifest::Catalogue &catalogue, core::TimePoint now);
 
-    // Applies a declaration's services to the router, and tells the peers which version is in force
-    // here.
+    // Applies a declaration's services to the router.
     void onDeclaration(const forwarding::Declaration &declaration, core::TimePoint now);
 
+    // Keeps requests away from the targets of the evacuated data centres, and tells the peers which
+    // revision of the declaration and the evacuations is in force here.
+    void onRevision(uint64_t revision,
+                    std::vector<std::string> evacuatedDataCentres,
+                    core::TimePoint now);
+
     // Adds instances that heartbeats are sent to.
     void addSeeds(std::span<const core::InstanceId> seeds);
 
@@ -116,6 +122,8 @@
                                    core::TimePoint now);
     // Passes the changed and renewed records to the router, and sends the updates for the peers.
     void applyEffect(const membership::DirectoryEffect &effect, core::TimePoint now);
+    // Logs which evacuations have started or ended here, and which services have no target left.
+    void logEvacuations(std::span<const std::string> dataCentres, uint64_t revision);
     // Divides the retry budget of the fleet among the entry instances.
     void updateRetryShare(core::TimePoint now);
     // Logs reports that this instance made. Those of others stand in their logs.
@@ -123,6 +131,7 @@
     // Logs the parts of prompts that have become known as harmful or as sound again.
     void logPartVerdicts();
     void countWithheldReports();
+    void countEvacuationSkips();
     // Sends a digest to a random peer; to a random control instance while no target is ready.
     void sendDigest(core::TimePoint now);
     void sendDigestTo(const core::InstanceId &peer);
@@ -141,6 +150,8 @@
     uint64_t targetChangeCount = 0;
     uint64_t targetDepartureCount = 0;
     uint64_t countedWithheldReports = 0;
+    std::vector<std::string> evacuatedDataCentres; // In force here; ordered.
+    uint64_t countedEvacuationSkips = 0;
     core::TimePoint lastSweep;
     core::TimePoint lastDigest;
     core::TimePoint lastRouterTick;
--- a/source/samphirebridge/entry/noticeschedule.h
+++ b/source/samphirebridge/entry/noticeschedule.h
@@ -1,4 +1,5 @@
-// Decides when a control instance notifies which entry instances of a committed declaration.
+// Decides when a control instance notifies which entry instances of a committed declaration. A
+// version here is a revision of the declaration and the evacuations.
 #pragma once
 
 #include "samphirebridge/core/ids.h"
--- a/source/samphirebridge/entry/versionwatch.h
+++ b/source/samphirebridge/entry/versionwatch.h
@@ -1,5 +1,6 @@
 // Decides when an entry instance asks which control instance for the newest committed declaration
-// version, so that it learns of a version without depending on a notice.
+// version, so that it learns of a version without depending on a notice. A version here is a
+// revision of the declaration and the evacuations.
 #pragma once
 
 #include "samphirebridge/core/ids.h"
--- a/source/samphirebridge/gateway/operatorjson.cpp
+++ b/source/samphirebridge/gateway/operatorjson.cpp
@@ -57,6 +57,32 @@
     return result;
 }
 
+json evacuationsJson(std::span<const proto::Evacuation> evacuations,
+                     std::span<const membership::InstanceView> instances)
+{
+    json result = json::array();
+    for (const proto::Evacuation &evacuation : evacuations) {
+        if (evacuation.revision() == 0) {
+            continue;
+        }
+        json inForce = json::array();
+        json notConfirmed = json::array();
+        for (const membership::InstanceView &view : instances) {
+            if (view.inContact && view.record.serves()) {
+                const bool confirmed = view.record.declaration_version() >= evacuation.revision();
+                (confirmed ? inForce : notConfirmed).push_back(view.record.id());
+            }
+        }
+        result.push_back({{"data_centre", evacuation.data_centre()},
+                          {"evacuated", evacuation.evacuated()},
+                          {"since_ms", evacuation.changed_at_ms()},
+                          {"revision", evacuation.revision()},
+                          {"in_force_on", inForce},
+                          {"not_confirmed_by", notConfirmed}});
+    }
+    return result;
+}
+
 json statusJson(const proto::ReadStatusReply &status,
                 std::span<const membership::InstanceView> instances,
                 std::span<const proto::TargetRecord> targets)
--- a/source/samphirebridge/gateway/operatorservice.cpp
+++ b/source/samphirebridge/gateway/operatorservice.cpp
@@ -47,12 +47,14 @@
 
 OperatorService::OperatorService(entry::EntryNode &entryNode,
                                  control::LedgerClient &ledgerClient,
+                                 entry::FleetControl &fleetControl,
                                  transport::PeerSet &peerSet,
                                  runtime::TaskQueue &taskQueue,
                                  std::vector<std::string> digests,
                                  LocalChangeVoters localVoterChange)
     : node(entryNode)
     , client(ledgerClient)
+    , control(fleetControl)
     , peers(peerSet)
     , queue(taskQueue)
     , tokenDigests(std::move(digests))
@@ -77,6 +79,9 @@
         {"POST", {"v1", "instances", "*", "remove"}, &Service::removeInstance},
         {"POST", {"v1", "instances", "*", "retire"}, &Service::retireInstance},
         {"POST", {"v1", "prompt-parts", "*", "clear"}, &Service::clearPromptPart},
+        {"GET", {"v1", "evacuations"}, &Service::getEvacuations},
+        {"POST", {"v1", "evacuations", "*", "start"}, &Service::startEvacuation},
+        {"POST", {"v1", "evacuations", "*", "finish"}, &Service::finishEvacuation},
     };
     return table;
 }
@@ -476,6 +481,49 @@
     sendJson(writer, {{"cleared", true}});
 }
 
+void OperatorService::startEvacuation(const http::Request &request, http::ResponseWriter &writer)
+{
+    this->changeEvacuation(request, writer, true);
+}
+
+void OperatorService::finishEvacuation(const http::Request &request, http::ResponseWriter &writer)
+{
+    this->changeEvacuation(request, writer, false);
+}
+
+void OperatorService::changeEvacuation(const http::Request &request,
+                                       http::ResponseWriter &writer,
+                                       bool evacuated)
+{
+    using Result = absl::StatusOr<proto::ChangeEvacuationResult>;
+    const std::string dataCentre = pathParts(request.path)[2];
+    const auto result = await<Result>(this->queue, [&](auto onResult) {
+        this->control.changeEvacuation(dataCentre, evacuated, std::move(onResult));
+    });
+    if (!result.ok()) {
+        sendError(writer, result.status());
+        return;
+    }
+    sendJson(writer,
+             {{"data_centre", dataCentre},
+              {"evacuated", evacuated},
+              {"revision", result->revision()},
+              {"replaced", result->replaced()}});
+}
+
+void OperatorService::getEvacuations(const http::Request & /*request*/,
+                                     http::ResponseWriter &writer)
+{
+    using Result = absl::StatusOr<std::vector<proto::Evacuation>>;
+    const auto evacuations = await<Result>(
+        this->queue, [this](auto onRead) { this->control.readEvacuations(std::move(onRead)); });
+    if (!evacuations.ok()) {
+        sendError(writer, evacuations.status());
+        return;
+    }
+    sendJson(writer, {{"evacuations", evacuationsJson(*evacuations, this->instanceViews())}});
+}
+
 std::vector<membership::InstanceView> OperatorService::instanceViews()
 {
     return this->queue.call(
--- a/source/samphirebridge/gateway/operatorservice.h
+++ b/source/samphirebridge/gateway/operatorservice.h
@@ -3,6 +3,7 @@
 
 #include "samphirebridge/control/ledgerclient.h"
 #include "samphirebridge/entry/entrynode.h"
+#include "samphirebridge/entry/fleetcontrol.h"
 #include "samphirebridge/http/request.h"
 #include "samphirebridge/http/responsewriter.h"
 #include "samphirebridge/runtime/taskqueue.h"
@@ -29,6 +30,7 @@
     // tokens.
     OperatorService(entry::EntryNode &node,
                     control::LedgerClient &client,
+                    entry::FleetControl &control,
                     transport::PeerSet &peers,
                     runtime::TaskQueue &queue,
                     std::vector<std::string> tokenDigests,
@@ -61,6 +63,9 @@
     void removeInstance(const http::Request &request, http::ResponseWriter &writer);
     void retireInstance(const http::Request &request, http::ResponseWriter &writer);
     void clearPromptPart(const http::Request &request, http::ResponseWriter &writer);
+    void startEvacuation(const http::Request &request, http::ResponseWriter &writer);
+    void finishEvacuation(const http::Request &request, http::ResponseWriter &writer);
+    void getEvacuations(const http::Request &request, http::ResponseWriter &writer);
 
     [[nodiscard]] bool authorised(const http::Request &request) const;
     // Submits a command to the ledger and waits for its result, in which the ledger may still
@@ -93,9 +98,14 @@
     // Waits until all instances in contact have the version; gives up after InForceTimeout.
     void waitUntilInForce(uint64_t version);
     std::vector<membership::InstanceView> instanceViews();
+    // Orders the start or the end of the evacuation that the path names, and answers once the order
+    // is committed.
+    void
+    changeEvacuation(const http::Request &request, http::ResponseWriter &writer, bool evacuated);
 
     entry::EntryNode &node;
     control::LedgerClient &client;
+    entry::FleetControl &control;
     transport::PeerSet &peers;
     runtime::TaskQueue &queue;
     std::vector<std::string> tokenDigests;
--- a/source/samphirebridge/samphirectl/commandline.cpp
+++ b/source/samphirebridge/samphirectl/commandline.cpp
@@ -35,6 +35,9 @@
   samphirectl instance remove INSTANCE [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl instance retire INSTANCE --incarnation=N --change-id=ID [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl part clear FINGERPRINT [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
+  samphirectl evacuation start DC [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
+  samphirectl evacuation finish DC [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
+  samphirectl evacuation list [--endpoint=URL]... [--token-file=PATH] [--timeout=S] [--json]
   samphirectl key digest [--json]
   samphirectl explain REQUEST [LOG]... [--json]
   samphirectl --help
@@ -74,6 +77,9 @@
     "instance-remove",
     "instance-retire",
     "part-clear",
+    "evacuation-start",
+    "evacuation-finish",
+    "evacuation-list",
     "key-digest",
     "explain",
 });
@@ -215,6 +221,17 @@
                                  reader.readName("--change-id")};
 }
 
+Command readEvacuationCommand(ArgumentReader &reader)
+{
+    if (reader.isGiven("start")) {
+        return EvacuationStartCommand{reader.readName("DC")};
+    }
+    if (reader.isGiven("finish")) {
+        return EvacuationFinishCommand{reader.readName("DC")};
+    }
+    return EvacuationListCommand{};
+}
+
 Command readCommand(ArgumentReader &reader)
 {
     if (reader.isGiven("validate")) {
@@ -243,6 +260,9 @@
     if (reader.isGiven("part")) {
         return PartClearCommand{reader.readName("FINGERPRINT")};
     }
+    if (reader.isGiven("evacuation")) {
+        return readEvacuationCommand(reader);
+    }
     if (reader.isGiven("explain")) {
         return ExplainCommand{reader.readRequestKey("REQUEST"), reader.readTexts("LOG")};
     }
--- a/source/samphirebridge/samphirectl/commandline.h
+++ b/source/samphirebridge/samphirectl/commandline.h
@@ -67,6 +67,14 @@
 struct PartClearCommand {
     std::string fingerprint;
 };
+struct EvacuationStartCommand {
+    std::string dataCentre;
+};
+struct EvacuationFinishCommand {
+    std::string dataCentre;
+};
+struct EvacuationListCommand {
+};
 struct KeyDigestCommand {
 };
 struct ExplainCommand {
@@ -89,6 +97,9 @@
                              InstanceRemoveCommand,
                              InstanceRetireCommand,
                              PartClearCommand,
+                             EvacuationStartCommand,
+                             EvacuationFinishCommand,
+                             EvacuationListCommand,
                              KeyDigestCommand,
                              ExplainCommand>;
 
--- a/source/samphirebridge/samphirectl/commandrunner.cpp
+++ b/source/samphirebridge/samphirectl/commandrunner.cpp
@@ -100,6 +100,11 @@
     return fmt::format("/v1/instances/{}/{}", escapePath(instance), action);
 }
 
+std::string evacuationPath(std::string_view dataCentre, std::string_view action)
+{
+    return fmt::format("/v1/evacuations/{}/{}", escapePath(dataCentre), action);
+}
+
 } // namespace
 
 bool contactsFleet(const Command &command)
@@ -277,6 +282,23 @@
         &doneText);
 }
 
+Report CommandRunner::runCommand(const EvacuationStartCommand &command)
+{
+    return this->sendChange(
+        evacuationPath(command.dataCentre, "start"), nlohmann::json::object(), &evacuationText);
+}
+
+Report CommandRunner::runCommand(const EvacuationFinishCommand &command)
+{
+    return this->sendChange(
+        evacuationPath(command.dataCentre, "finish"), nlohmann::json::object(), &evacuationText);
+}
+
+Report CommandRunner::runCommand(const EvacuationListCommand & /*command*/)
+{
+    return this->sendRead("/v1/evacuations", &evacuationsText);
+}
+
 Report CommandRunner::runCommand(const KeyDigestCommand & /*command*/)
 {
     std::string secret = readStream(this->input, MaximumSecretBytes);
--- a/source/samphirebridge/samphirectl/commandrunner.h
+++ b/source/samphirebridge/samphirectl/commandrunner.h
@@ -39,6 +39,9 @@
     Report runCommand(const InstanceRemoveCommand &command);
     Report runCommand(const InstanceRetireCommand &command);
     Report runCommand(const PartClearCommand &command);
+    Report runCommand(const EvacuationStartCommand &command);
+    Report runCommand(const EvacuationFinishCommand &command);
+    Report runCommand(const EvacuationListCommand &command);
     Report runCommand(const KeyDigestCommand &command);
     Report runCommand(const ExplainCommand &command);
 
--- a/source/samphirebridge/samphirectl/texts.cpp
+++ b/source/samphirebridge/samphirectl/texts.cpp
@@ -3,10 +3,12 @@
 #include "samphirebridge/manifest/manifestdelta.h"
 #include "samphirebridge/samphirectl/report.h"
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
+#include <ctime>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -90,6 +92,16 @@
     return joined.empty() ? "none" : joined;
 }
 
+// Formats a time in milliseconds since 1970 as UTC.
+std::string timeText(const nlohmann::json &milliseconds)
+{
+    if (!milliseconds.is_number_unsigned()) {
+        return "-";
+    }
+    const auto seconds = static_cast<std::time_t>(milliseconds.get<uint64_t>() / 1000);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(seconds));
+}
+
 nlohmann::json nameObject(const manifest::EntityName &name)
 {
     return {{"kind", manifest::kindName(name.kind)}, {"id", name.id}};
@@ -156,6 +168,34 @@
     return tableOf(listOf(result, "instances"), InstanceColumns);
 }
 
+std::string evacuationText(const nlohmann::json &result)
+{
+    const bool evacuated = result.value("evacuated", nlohmann::json(false)) == true;
+    const bool replaced = result.value("replaced", nlohmann::json(false)) == true;
+    return fmt::format("{} is {}{}, revision {}\n",
+                       cellOf(result, "data_centre"),
+                       evacuated ? "evacuated" : "not evacuated",
+                       replaced ? "" : " (as before)",
+                       cellOf(result, "revision"));
+}
+
+std::string evacuationsText(const nlohmann::json &result)
+{
+    std::string text;
+    for (const nlohmann::json &evacuation : listOf(result, "evacuations")) {
+        const bool evacuated = evacuation.value("evacuated", nlohmann::json(false)) == true;
+        text += fmt::format("{}: {} since {}, revision {}\n"
+                            "  in force on: {}\n  not confirmed by: {}\n",
+                            cellOf(evacuation, "data_centre"),
+                            evacuated ? "evacuated" : "not evacuated",
+                            timeText(evacuation.value("since_ms", nlohmann::json(0))),
+                            cellOf(evacuation, "revision"),
+                            joinItems(listOf(evacuation, "in_force_on")),
+                            joinItems(listOf(evacuation, "not_confirmed_by")));
+    }
+    return text.empty() ? "no data centre was evacuated\n" : text;
+}
+
 std::string doneText(const nlohmann::json & /*result*/)
 {
     return "done\n";
--- a/source/samphirebridge/samphirectl/texts.h
+++ b/source/samphirebridge/samphirectl/texts.h
@@ -17,6 +17,10 @@
 std::string budgetText(const nlohmann::json &result);
 std::string claimsText(const nlohmann::json &result);
 std::string instancesText(const nlohmann::json &result);
+// Formats the evacuation after an order.
+std::string evacuationText(const nlohmann::json &result);
+// Formats all evacuations, with the instances that have the last change in force.
+std::string evacuationsText(const nlohmann::json &result);
 std::string doneText(const nlohmann::json &result);
 
 // Returns the names of the entities that the delta adds to, changes in and removes from the current
--- a/tests/entry/declarationspreadtest.cpp
+++ b/tests/entry/declarationspreadtest.cpp
@@ -31,9 +31,25 @@
     }
 }
 
+// Commits a version, or with evacuations in half of the cases an order for one of three data
+// centres.
+void commitAny(SpreadFleet &fleet, bool withEvacuations)
+{
+    constexpr const char *DataCentres[] = {"a", "b", "c"};
+    if (withEvacuations && fleet.random() % 2 == 0) {
+        const char *dataCentre = DataCentres[fleet.random() % std::size(DataCentres)];
+        fleet.commitEvacuation(dataCentre, fleet.random() % 2 == 0);
+        return;
+    }
+    fleet.commit();
+}
+
 // Commits versions at random intervals, of which short ones are the most frequent, while a minority
 // of the control instances and some entry instances get into trouble and out of it at random times.
-void playRandomDay(SpreadFleet &fleet, size_t controlInstances, size_t entryInstances)
+void playRandomDay(SpreadFleet &fleet,
+                   size_t controlInstances,
+                   size_t entryInstances,
+                   bool withEvacuations = false)
 {
     constexpr core::Duration Length = 15s;
     constexpr core::Duration ShortestGap = 50ms;
@@ -44,7 +60,7 @@
     std::vector<bool> isCutOff(entryInstances);
     const core::TimePoint end = fleet.now + Length;
     while (fleet.now < end) {
-        fleet.commit();
+        commitAny(fleet, withEvacuations);
         const uint64_t longest = uint64_t{1} << fleet.random() % (GapSteps + 1);
         fleet.run(ShortestGap * (1 + fleet.random() % longest));
         if (fleet.random() % 16 == 0) {
@@ -171,3 +187,21 @@
         CHECK(fleet.longestWait() <= Bound);
     }
 }
+
+// Guards against an evacuation that is propagated later than a declaration, that a declaration
+// after it undoes at an instance, or that leaves an instance with the content of another version.
+TEST_CASE("evacuations between the versions are in force in time with the right content")
+{
+    constexpr uint64_t Seeds = 24;
+    constexpr size_t ControlSizes[] = {3, 5, 5, 7};
+    constexpr size_t EntrySizes[] = {6, 8, 30, 82, 8};
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const size_t controlInstances = ControlSizes[seed % std::size(ControlSizes)];
+        const size_t entryInstances = EntrySizes[seed % std::size(EntrySizes)];
+        SpreadFleet fleet(controlInstances, entryInstances, seed);
+        playRandomDay(fleet, controlInstances, entryInstances, true);
+        CAPTURE(seed, controlInstances, entryInstances);
+        CHECK(fleet.longestWait() <= Bound);
+        CHECK(fleet.wrongStates() == 0);
+    }
+}
--- a/tests/entry/spreadfleet.cpp
+++ b/tests/entry/spreadfleet.cpp
@@ -1,6 +1,8 @@
 #include "tests/entry/spreadfleet.h"
 
 #include "samphirebridge/core/errors.h"
+#include "samphirebridge/delta/contentdelta.h"
+#include "samphirebridge/ledger/revision.h"
 
 #include <fmt/format.h>
 
@@ -113,8 +115,43 @@
 }
 
 void SpreadFleet::commit()
+{
+    proto::Command command;
+    proto::Declaration *declaration = command.mutable_replace_declaration()->mutable_declaration();
+    declaration->set_version(++this->newestDeclaration);
+    declaration->set_content(fmt::format("content {}", this->newestDeclaration));
+    this->commit(command);
+}
+
+void SpreadFleet::commitEvacuation(const std::string &dataCentre, bool evacuated)
+{
+    proto::Command command;
+    proto::ChangeEvacuation *change = command.mutable_change_evacuation();
+    change->set_data_centre(dataCentre);
+    change->set_evacuated(evacuated);
+    bool isEvacuated = false;
+    for (const proto::Evacuation &evacuation : this->reference.declaration().evacuations()) {
+        if (evacuation.data_centre() == dataCentre) {
+            change->set_known_number(evacuation.number());
+            isEvacuated = evacuation.evacuated();
+        }
+    }
+    if (isEvacuated != evacuated) {
+        this->commit(command);
+    }
+}
+
+size_t SpreadFleet::wrongStates() const
+{
+    return this->wrongStateCount;
+}
+
+void SpreadFleet::commit(const proto::Command &command)
 {
     ++this->newestVersion;
+    this->reference.apply(command, this->newestVersion);
+    this->commands.push_back(command);
+    this->states.push_back(this->reference.declaration());
     this->versions[this->newestVersion].acknowledged = this->now;
     const auto leader = std::ranges::find(
         this->controls, Trouble::None, [](const auto &control) { return control->trouble; });
@@ -210,19 +247,19 @@
     control.nextHeartbeat = this->now + LeaderHeartbeat;
     this->apply(control, this->newestVersion);
     control.freshness.onCommitted(this->newestVersion, this->now);
-    control.freshness.onApplied(control.ledger.declaration().version());
+    control.freshness.onApplied(ledger::revisionOf(control.ledger.declaration()));
 }
 
 void SpreadFleet::apply(ControlProcess &control, uint64_t version)
 {
-    if (version <= control.ledger.declaration().version()) {
+    uint64_t applied = ledger::revisionOf(control.ledger.declaration());
+    if (version <= applied) {
         return;
     }
-    proto::Command command;
-    proto::Declaration *declaration = command.mutable_replace_declaration()->mutable_declaration();
-    declaration->set_version(version);
-    declaration->set_content(fmt::format("content {}", version));
-    control.ledger.apply(command, version);
+    while (applied < version) {
+        const proto::Command &command = this->commands[applied];
+        control.ledger.apply(command, ++applied);
+    }
     control.schedule->onApplied(version, this->now);
 }
 
@@ -236,7 +273,7 @@
         return;
     }
     control.lastPublished = this->now;
-    const uint64_t version = control.ledger.declaration().version();
+    const uint64_t version = ledger::revisionOf(control.ledger.declaration());
     for (const core::InstanceId &receiver :
          control.schedule->takeDue(control.directory->view(this->now), this->now)) {
         ++this->noticeCount;
@@ -302,7 +339,7 @@
                                                  const proto::FetchDeclarationRequest &request)
 {
     proto::FetchDeclarationReply reply = control.source.answer(request, control.ledger);
-    if (reply.version() == control.ledger.declaration().version()) {
+    if (reply.version() == ledger::revisionOf(control.ledger.declaration())) {
         control.freshness.confirm(reply, this->now);
     }
     return reply;
@@ -365,7 +402,7 @@
 {
     const auto change = entry.fetch->onReply(source, reply, this->now);
     if (change.ok() && *change) {
-        entry.heldVersion = (*change)->version();
+        this->putInForce(entry, **change);
         this->endWaits(entry, entry.heldVersion);
         for (auto &[version, spread] : this->versions) {
             if (version <= entry.heldVersion) {
@@ -378,6 +415,33 @@
     this->sendNextFetch(entry);
 }
 
+void SpreadFleet::putInForce(EntryProcess &entry, const proto::DeclarationChange &change)
+{
+    std::string content = change.base_version() == 0 ? std::string() : entry.heldContent;
+    bool isWhole = true;
+    for (const proto::ContentDelta &delta : change.deltas()) {
+        const auto next = delta::applyDelta(content, delta);
+        isWhole = isWhole && next.ok();
+        content = next.ok() ? *next : content;
+    }
+    entry.heldContent = content;
+    entry.heldVersion = ledger::revisionOf(change);
+    const proto::Declaration &committed = this->states[entry.heldVersion - 1];
+    const auto evacuatedIn = [](const auto &message) {
+        std::set<std::string> dataCentres;
+        for (const proto::Evacuation &evacuation : message.evacuations()) {
+            if (evacuation.evacuated()) {
+                dataCentres.insert(evacuation.data_centre());
+            }
+        }
+        return dataCentres;
+    };
+    const bool isRight = isWhole && content == committed.content()
+                         && change.version() == committed.version()
+                         && evacuatedIn(change) == evacuatedIn(committed);
+    this->wrongStateCount += isRight ? 0 : 1;
+}
+
 void SpreadFleet::sendHeartbeats(const std::string &from,
                                  const std::vector<membership::Outgoing> &outgoing)
 {
--- a/tests/entry/spreadfleet.h
+++ b/tests/entry/spreadfleet.h
@@ -1,5 +1,6 @@
-// Simulates how a committed declaration reaches the entry instances of a fleet. Time is virtual,
-// and all random choices come from one seed.
+// Simulates how a committed declaration, or a committed evacuation, reaches the entry instances of
+// a fleet. Time is virtual, and all random choices come from one seed. A version is a revision
+// here.
 #pragma once
 
 #include "samphirebridge/control/commitfreshness.h"
@@ -54,6 +55,7 @@
     std::unique_ptr<VersionWatch> watch;
     std::vector<core::InstanceId> controlInstances;
     uint64_t heldVersion = 0;
+    std::string heldContent;
     core::TimePoint lastControlCheck;
     bool isCutOff = false; // No message reaches or leaves the instance.
     core::TimePoint backSince; // When its last isolation ended; unset: it had none.
@@ -79,6 +81,14 @@
     // has applied it, and the others without trouble do so at the leader's next heartbeat.
     void commit();
 
+    // Commits an order to evacuate the data centre, or to end that, as the next version. Does
+    // nothing if the data centre is in that state.
+    void commitEvacuation(const std::string &dataCentre, bool evacuated);
+
+    // Returns how often an entry instance put something else in force than what was committed under
+    // that version.
+    [[nodiscard]] size_t wrongStates() const;
+
     // Sets or ends the trouble of a control instance. One that is well again applies what it lacks.
     void setTrouble(size_t control, Trouble trouble);
 
@@ -105,7 +115,11 @@
 
 private:
     void start(size_t controlInstances, size_t entryInstances);
+    // Commits a command that makes the next version.
+    void commit(const proto::Command &command);
     void apply(ControlProcess &control, uint64_t version);
+    // Applies the change to what the entry instance holds.
+    void putInForce(EntryProcess &entry, const proto::DeclarationChange &change);
     void hearLeader(ControlProcess &control);
     void stepControl(ControlProcess &control);
     void stepEntry(EntryProcess &entry);
@@ -146,6 +160,11 @@
     std::set<std::pair<std::string, std::string>> unreachable;
     std::multimap<core::TimePoint, std::function<void()>> queue;
     std::map<uint64_t, Spread> versions;
+    ledger::Ledger reference; // Has applied all that is committed.
+    std::vector<proto::Command> commands; // Of each version from 1 on.
+    std::vector<proto::Declaration> states; // After each of them.
+    uint64_t newestDeclaration = 0;
+    size_t wrongStateCount = 0;
     core::Duration longestPastWait{}; // Of waits that force or an isolation has ended.
     uint64_t newestVersion = 0;
     size_t noticeCount = 0;
--- a/tests/samphirectl/commandrunnertest.cpp
+++ b/tests/samphirectl/commandrunnertest.cpp
@@ -75,6 +75,11 @@
     CHECK(retire.starts_with("POST /v1/instances/i/retire HTTP"));
     CHECK(retire.ends_with(R"({"change_id":"c","incarnation":9})"));
     CHECK(sentRequest(PartClearCommand{"5f"}).starts_with("POST /v1/prompt-parts/5f/clear HTTP"));
+    CHECK(sentRequest(EvacuationStartCommand{"a/1"})
+              .starts_with("POST /v1/evacuations/a%2F1/start HTTP"));
+    CHECK(sentRequest(EvacuationFinishCommand{"a"})
+              .starts_with("POST /v1/evacuations/a/finish HTTP"));
+    CHECK(sentRequest(EvacuationListCommand{}).starts_with("GET /v1/evacuations HTTP"));
     const std::string topUp = sentRequest(BudgetTopUpCommand{"b", 5, "c"});
     CHECK(topUp.starts_with("POST /v1/budgets/b/top-up HTTP"));
     CHECK(topUp.ends_with(R"({"change_id":"c","tokens":5})"));
@@ -101,6 +106,24 @@
     CHECK(request.ends_with("\r\n\r\n" + text));
 }
 
+// Guards against a list that hides where an evacuation is not in force yet.
+TEST_CASE("the list of evacuations shows since when and on which instances each is in force")
+{
+    StubServer server(jsonAnswer(
+        200,
+        R"({"evacuations":[{"data_centre":"a","evacuated":true,"since_ms":1700000000123,)"
+        R"("revision":8,"in_force_on":["i0"],"not_confirmed_by":["i1","i2"]},)"
+        R"({"data_centre":"b","evacuated":false,"since_ms":0,"revision":9,"in_force_on":[],)"
+        R"("not_confirmed_by":[]}]})"));
+    const Report report = runAgainst(server.endpoint(), EvacuationListCommand{});
+    CHECK(report.exitCode == ExitCode::Success);
+    CHECK(report.text
+          == "a: evacuated since 2023-11-14T22:13:20Z, revision 8\n"
+             "  in force on: i0\n  not confirmed by: i1, i2\n"
+             "b: not evacuated since 1970-01-01T00:00:00Z, revision 9\n"
+             "  in force on: none\n  not confirmed by: none\n");
+}
+
 TEST_CASE("the report of a version conflict contains the current version")
 {
     StubServer server(
