--- a/source/samphirebridge/entry/fleetcontrol.cpp
+++ b/source/samphirebridge/entry/fleetcontrol.cpp
@@ -183,7 +183,7 @@
 
 absl::Status FleetControl::checkDataCentre(const std::string &dataCentre) const
 {
-    if (const absl::Status valid = core::checkName(dataCentre); !valid.ok()) {
+    if (absl::Status valid = core::checkName(dataCentre); !valid.ok()) {
         return valid;
     }
     if (this->knownDataCentres.empty()
