--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -120,6 +120,16 @@
     return server;
 }
 
+// Returns the data centres that the settings place in a region.
+std::vector<std::string> dataCentresOf(const settings::Settings &settings)
+{
+    std::vector<std::string> dataCentres;
+    for (const auto &[dataCentre, region] : settings.dataCentreRegions) {
+        dataCentres.push_back(dataCentre);
+    }
+    return dataCentres;
+}
+
 entry::EntryOptions entryOptions(const settings::Settings &settings)
 {
     entry::EntryOptions options;
@@ -185,6 +195,7 @@
                                          this->counters,
                                          this->shutdownDeadlinePassed})
         , targets(this->node, this->queue, this->counters)
+        , control(this->node, this->client, this->logger, dataCentresOf(this->settings))
         , publisher(processSettings.instance, this->peers, this->counters, this->logger)
     {
         this->queue.setPostCallback([this] { this->loop.wake(); });
@@ -245,6 +256,7 @@
     gateway::TargetService targets;
     std::unique_ptr<gateway::OperatorService> operators;
     std::unique_ptr<gateway::Gateway> gateway;
+    entry::FleetControl control;
     entry::DeclarationPublisher publisher;
     std::unique_ptr<ProcessHost> host;
     std::unique_ptr<runtime::ControlThread<ProcessHost, net::LoopWaiter>> thread;
@@ -294,6 +306,13 @@
     const auto answer = [&tasks = this->queue, onReply = std::move(onReply)](auto reply) {
         tasks.post([onReply, reply = std::move(reply)] { onReply(reply); });
     };
+    if (source == this->settings.instance && this->voter != nullptr) {
+        this->voter->fetchDeclaration(
+            request, this->clock.now(), [answer](proto::FetchDeclarationReply reply) {
+                answer(absl::StatusOr<proto::FetchDeclarationReply>(std::move(reply)));
+            });
+        return;
+    }
     transport::PeerChannel *channel = this->peers.channelTo(source);
     if (channel == nullptr) {
         answer(absl::StatusOr<proto::FetchDeclarationReply>(
@@ -422,6 +441,7 @@
     this->operators
         = std::make_unique<gateway::OperatorService>(this->node,
                                                      this->client,
+                                                     this->control,
                                                      this->peers,
                                                      this->queue,
                                                      this->settings.operatorTokenDigests,
@@ -500,6 +520,7 @@
             running.queue,
             running.node,
             running.client,
+            running.control,
             running.counters,
             running.logger};
 }
--- a/source/samphirebridge/entry/declarationfreshness.cpp
+++ b/source/samphirebridge/entry/declarationfreshness.cpp
@@ -15,27 +15,27 @@
 
 } // namespace
 
-void DeclarationFreshness::onConfirmed(uint64_t version, core::TimePoint asOf)
+void DeclarationFreshness::onConfirmed(uint64_t revision, core::TimePoint asOf)
 {
-    if (version <= this->versionInForce) {
+    if (revision <= this->revisionInForce) {
         this->newestAsOf = std::max(this->newestAsOf.value_or(asOf), asOf);
         return;
     }
-    if (version == this->awaitedVersion) {
+    if (revision == this->awaitedRevision) {
         this->awaitedAsOf = std::max(this->awaitedAsOf, asOf);
-    } else if (version > this->awaitedVersion) {
-        this->awaitedVersion = version;
+    } else if (revision > this->awaitedRevision) {
+        this->awaitedRevision = revision;
         this->awaitedAsOf = asOf;
     }
 }
 
-void DeclarationFreshness::onInForce(uint64_t version)
+void DeclarationFreshness::onInForce(uint64_t revision)
 {
-    this->versionInForce = std::max(this->versionInForce, version);
-    if (this->awaitedVersion > 0 && this->awaitedVersion <= this->versionInForce) {
+    this->revisionInForce = std::max(this->revisionInForce, revision);
+    if (this->awaitedRevision > 0 && this->awaitedRevision <= this->revisionInForce) {
         this->newestAsOf
             = std::max(this->newestAsOf.value_or(this->awaitedAsOf), this->awaitedAsOf);
-        this->awaitedVersion = 0;
+        this->awaitedRevision = 0;
     }
 }
 
--- a/source/samphirebridge/entry/declarationfreshness.h
+++ b/source/samphirebridge/entry/declarationfreshness.h
@@ -10,25 +10,25 @@
 namespace samphirebridge::entry
 {
 
-// A confirmation counts once the version that it names is in force: an instance that knows of a
-// newer version, but can't get or read it, does not apply what that version says. Not thread-safe;
+// A confirmation counts once the revision that it names is in force: an instance that knows of a
+// newer revision, but can't get or read it, does not apply what that one says. Not thread-safe;
 // reads no clock.
 class DeclarationFreshness
 {
 public:
-    // Notes that `version` was the newest committed one at `asOf`.
-    void onConfirmed(uint64_t version, core::TimePoint asOf);
+    // Notes that `revision` was the newest committed one at `asOf`.
+    void onConfirmed(uint64_t revision, core::TimePoint asOf);
 
-    // Notes that the version is in force now.
-    void onInForce(uint64_t version);
+    // Notes that the revision is in force now.
+    void onInForce(uint64_t revision);
 
-    // Returns whether the version in force has not been confirmed as the newest for too long.
+    // Returns whether the revision in force has not been confirmed as the newest for too long.
     [[nodiscard]] bool mayBeOld(core::TimePoint now) const;
 
 private:
-    uint64_t versionInForce = 0;
-    std::optional<core::TimePoint> newestAsOf; // The version in force was the newest then.
-    uint64_t awaitedVersion = 0; // A version above the one in force that was confirmed; 0: none.
+    uint64_t revisionInForce = 0;
+    std::optional<core::TimePoint> newestAsOf; // The revision in force was the newest then.
+    uint64_t awaitedRevision = 0; // A revision above the one in force that was confirmed; 0: none.
     core::TimePoint awaitedAsOf;
 };
 
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -17,6 +17,7 @@
 
 #include <random>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace samphirebridge::entry
@@ -61,10 +62,15 @@
     // the peers which version is in force here.
     void onManifest(const manifest::Catalogue &catalogue, core::TimePoint now);
 
-    // Applies a declaration's services to the router, and tells the peers which version is in force
-    // here.
+    // Applies a declaration's services to the router.
     void onDeclaration(const forwarding::Declaration &declaration, core::TimePoint now);
 
+    // Keeps requests away from the targets of the evacuated data centres, and tells the peers which
+    // revision of the declaration and the evacuations is in force here.
+    void onRevision(uint64_t revision,
+                    std::vector<std::string> evacuatedDataCentres,
+                    core::TimePoint now);
+
     // Adds instances that heartbeats are sent to.
     void addSeeds(std::span<const core::InstanceId> seeds);
 
@@ -118,6 +124,8 @@
                                    core::TimePoint now);
     // Passes the changed and renewed records to the router, and sends the updates for the peers.
     void applyEffect(const membership::DirectoryEffect &effect, core::TimePoint now);
+    // Logs which evacuations have started or ended here, and which services have no target left.
+    void logEvacuations(std::span<const std::string> dataCentres, uint64_t revision);
     // Divides the retry budget of the fleet among the entry instances.
     void updateRetryShare(core::TimePoint now);
     // Applies the limits of the services whose targets are cold for a while.
@@ -134,6 +142,7 @@
     // Logs the parts of prompts that have become known as harmful or as sound again.
     void logPartVerdicts();
     void countWithheldReports();
+    void countEvacuationSkips();
     // Sends a digest to a random peer; to a random control instance while no target is ready.
     void sendDigest(core::TimePoint now);
     void sendDigestTo(const core::InstanceId &peer);
@@ -158,6 +167,8 @@
     uint64_t countedColdSkips = 0;
     membership::ShareState loggedShareState = membership::ShareState::Starting;
     core::TimePoint lastColdMembers;
+    std::vector<std::string> evacuatedDataCentres; // In force here; ordered.
+    uint64_t countedEvacuationSkips = 0;
     core::TimePoint lastSweep;
     core::TimePoint lastDigest;
     core::TimePoint lastRouterTick;
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -339,6 +339,7 @@
     std::erase_if(targets, [this, &request](const RoutedTarget *target) {
         return isOpenAt(request, *target) || !this->isRegionAllowed(request, *target);
     });
+    this->counts.evacuatedSkips += this->pools.evacuatedCount(request.service, request.model);
     return targets;
 }
 
@@ -368,6 +369,18 @@
     return this->refuse(core::RefusalReason::NoTargetInRegion, DefaultRetryAfter);
 }
 
+void Dispatcher::setEvacuated(std::span<const std::string> dataCentres, core::TimePoint now)
+{
+    // The targets of a data centre that is no longer evacuated may be cold, and the announcements
+    // that say so may be late.
+    for (const std::string &dataCentre : this->pools.evacuatedDataCentres()) {
+        if (std::find(dataCentres.begin(), dataCentres.end(), dataCentre) == dataCentres.end()) {
+            this->assumeCold(dataCentre, now);
+        }
+    }
+    this->pools.setEvacuated(dataCentres);
+}
+
 bool Dispatcher::isOpenElsewhere(const RouteRequest &request) const
 {
     return std::any_of(
--- a/source/samphirebridge/routing/targetpools.h
+++ b/source/samphirebridge/routing/targetpools.h
@@ -8,6 +8,7 @@
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <memory>
 #include <span>
@@ -27,8 +28,31 @@
     // Sets which kind of target serves which service, and regroups all targets.
     void setKinds(std::span<const proto::TargetKind> kinds);
 
-    // Adds a target or replaces its record. A target that is not READY is in no pool. The returned
-    // reference stays valid until eraseTarget.
+    // Sets the evacuated data centres, and regroups all targets. Subsets are filled from the other
+    // data centres.
+    void setEvacuated(std::span<const std::string> dataCentres);
+
+    [[nodiscard]] const absl::flat_hash_set<std::string> &evacuatedDataCentres() const
+    {
+        return this->evacuated;
+    }
+
+    // Returns whether the target is in an evacuated data centre.
+    [[nodiscard]] bool isEvacuated(const proto::TargetRecord &record) const
+    {
+        return this->evacuated.contains(record.data_centre());
+    }
+
+    // Returns how many READY targets for the model are in no pool since their data centre is
+    // evacuated.
+    [[nodiscard]] size_t evacuatedCount(const core::ServiceId &service,
+                                        const core::ModelId &model) const;
+
+    // Returns the services all of whose READY targets are in evacuated data centres, ordered.
+    [[nodiscard]] std::vector<std::string> evacuatedServices() const;
+
+    // Adds a target or replaces its record. A target that is not READY, or whose data centre is
+    // evacuated, is in no pool. The returned reference stays valid until eraseTarget.
     RoutedTarget &upsertTarget(const proto::TargetRecord &record);
 
     // Removes a target. Does nothing if it is not known.
@@ -55,8 +79,8 @@
     // Returns the service that the target's kind serves; empty if none does.
     [[nodiscard]] std::string_view serviceOf(const proto::TargetRecord &record) const;
 
-    // Tells whether the target is READY and serves the model, which may be empty as in
-    // candidates().
+    // Tells whether the target is READY, in a data centre that is not evacuated, and serves the
+    // model, which may be empty as in candidates().
     [[nodiscard]] bool serves(const proto::TargetRecord &record,
                               const core::ServiceId &service,
                               const core::ModelId &model) const;
@@ -93,6 +117,8 @@
     void addRegionList(const std::vector<std::string> &regions);
     void removeFromPools(const proto::TargetRecord &record);
     void addToPools(const proto::TargetRecord &record);
+    // Puts all targets into their pools anew.
+    void regroup();
 
     core::InstanceId self;
     const RoutingOptions *options;
@@ -101,6 +127,8 @@
     absl::flat_hash_map<Key, Pool> pools;
     // The lists of regions by which requests were restricted, which have pools of their own.
     absl::btree_set<std::vector<std::string>> regionLists;
+    absl::flat_hash_set<std::string> evacuated; // Data centres.
+    absl::flat_hash_map<Key, size_t> evacuatedCounts; // READY targets, by the pool that lacks them.
 };
 
 } // namespace samphirebridge::routing
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -68,6 +68,9 @@
     {Event::ColdTargetsSkipped,
      "cold_targets_skipped_total",
      "Choices that left out a cold target since this instance may send it nothing at the time."},
+    {Event::EvacuatedCandidatesSkipped,
+     "evacuated_candidates_skipped_total",
+     "Targets that choices left out since their data centre is evacuated."},
 };
 
 constexpr Description<Gauge> Gauges[] = {
@@ -103,6 +106,9 @@
      "link_utilisation",
      "Share of the network link that was used when the readiness was last asked for."},
     {Gauge::TargetsCold, "targets_cold", "Targets that are cold and whose service limits that."},
+    {Gauge::EvacuatedDataCentres,
+     "evacuated_data_centres",
+     "Data centres that get no requests from this instance."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/source/samphirebridge/telemetry/counters.h
+++ b/source/samphirebridge/telemetry/counters.h
@@ -47,6 +47,7 @@
     CrashReportsWithheld,
     ColdAllotmentsUsed,
     ColdTargetsSkipped,
+    EvacuatedCandidatesSkipped,
 };
 
 // Metrics whose value can rise and fall.
@@ -69,6 +70,7 @@
     RegionsUnconfirmed,
     LinkUtilisation,
     TargetsCold,
+    EvacuatedDataCentres,
 };
 
 // Durations that are recorded in a histogram.
--- a/tests/entry/coldlimittest.cpp
+++ b/tests/entry/coldlimittest.cpp
@@ -17,7 +17,7 @@
     telemetry::Logger logger{"a"};
     transport::PeerSet peers{std::vector<transport::PeerAddress>{}, counters};
     entry::FleetView view{
-        core::InstanceId("a"), 1, core::DataCentreId("dc"), {}, peers, counters, logger, 1};
+        core::InstanceId("a"), 1, routing::RoutingOptions(), {}, peers, counters, logger, 1};
     core::TimePoint now = core::TimePoint(1000s);
 
     SingleInstance()
--- a/tests/routing/coldtargetstest.cpp
+++ b/tests/routing/coldtargetstest.cpp
@@ -287,3 +287,25 @@
     router.tick(Start + 3s);
     CHECK(offer(router, unused, Start + 3s) == 0);
 }
+
+// Guards against targets that come back cold with the end of an evacuation and get the whole load
+// before they announce it, and against a cold target that is added to the candidates although its
+// data centre is evacuated.
+TEST_CASE("the targets of a data centre are limited from the end of its evacuation on")
+{
+    ColdRouter router(14, 14, 0);
+    proto::TargetRecord record = readyRecord("t0");
+    record.set_data_centre("dc");
+    router.onTarget(record, Start);
+    const std::vector<std::string> evacuated{"dc"};
+    router.setEvacuated(evacuated, Start);
+    router.onTarget(coldRecord("t0", 3000), Start);
+    CHECK(offer(router, "t0", Start) == 0);
+
+    const core::TimePoint end = Start + 10s;
+    router.setColdMembers(instances(14), true, end);
+    router.setEvacuated({}, end);
+    CHECK(offer(router, "t0", end) == 1);
+    CHECK(offer(router, "t0", end + 500ms) == 0);
+    CHECK(offer(router, "t0", end + 4s) == 60);
+}
