--- a/tests/samphirectl/pagestest.cpp
+++ b/tests/samphirectl/pagestest.cpp
@@ -104,6 +104,7 @@
                                       "escrow",
                                       "discovery",
                                       "interface",
+                                      "link",
                                       "retries",
                                       "fault_injection"}) {
         CHECK(names.erase(section) == 1);
