--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "instance.pb.h"
+#include "samphirebridge/core/bootclock.h"
 #include "samphirebridge/forwarding/declaration.h"
 #include "samphirebridge/manifest/catalogue.h"
+#include "samphirebridge/membership/allotmentmembers.h"
 #include "samphirebridge/membership/crashdirectory.h"
 #include "samphirebridge/membership/instancedirectory.h"
 #include "samphirebridge/membership/targetdirectory.h"
@@ -15,6 +17,7 @@
 
 #include <random>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace samphirebridge::entry
@@ -29,7 +32,7 @@
 
     FleetView(core::InstanceId self,
               core::Incarnation incarnation,
-              const core::DataCentreId &dataCentre,
+              const routing::RoutingOptions &routingOptions,
               const membership::MembershipOptions &membershipOptions,
               transport::PeerSet &peers,
               telemetry::Counters &counters,
@@ -59,10 +62,15 @@
     // the peers which version is in force here.
     void onManifest(const manifest::Catalogue &catalogue, core::TimePoint now);
 
-    // Applies a declaration's services to the router, and tells the peers which version is in force
-    // here.
+    // Applies a declaration's services to the router.
     void onDeclaration(const forwarding::Declaration &declaration, core::TimePoint now);
 
+    // Keeps requests away from the targets of the evacuated data centres, and tells the peers which
+    // revision of the declaration and the evacuations is in force here.
+    void onRevision(uint64_t revision,
+                    std::vector<std::string> evacuatedDataCentres,
+                    core::TimePoint now);
+
     // Adds instances that heartbeats are sent to.
     void addSeeds(std::span<const core::InstanceId> seeds);
 
@@ -116,13 +124,25 @@
                                    core::TimePoint now);
     // Passes the changed and renewed records to the router, and sends the updates for the peers.
     void applyEffect(const membership::DirectoryEffect &effect, core::TimePoint now);
+    // Logs which evacuations have started or ended here, and which services have no target left.
+    void logEvacuations(std::span<const std::string> dataCentres, uint64_t revision);
     // Divides the retry budget of the fleet among the entry instances.
     void updateRetryShare(core::TimePoint now);
+    // Applies the limits of the services whose targets are cold for a while.
+    void setColdLimits(const forwarding::Declaration &declaration, core::TimePoint now);
+    // Tells the router among which instances those limits are divided, and whether this instance
+    // may use its part.
+    void updateColdMembers(core::TimePoint now);
+    // Logs that this instance may use its part again, or no longer.
+    void logColdShare();
+    // Logs and counts what became known of cold targets.
+    void reportColdTargets();
     // Logs reports that this instance made. Those of others stand in their logs.
     void logCrashReports(std::span<const proto::CrashReport> reports);
     // Logs the parts of prompts that have become known as harmful or as sound again.
     void logPartVerdicts();
     void countWithheldReports();
+    void countEvacuationSkips();
     // Sends a digest to a random peer; to a random control instance while no target is ready.
     void sendDigest(core::TimePoint now);
     void sendDigestTo(const core::InstanceId &peer);
@@ -135,12 +155,20 @@
     membership::TargetDirectory targetDirectory;
     membership::InstanceDirectory instanceDirectory;
     membership::CrashDirectory crashDirectory;
+    membership::AllotmentMembers coldMembers;
+    core::BootClock bootClock;
     Router targetRouter;
     uint32_t retrySharePercent = 0;
     double fleetRetryBurst = 0;
     uint64_t targetChangeCount = 0;
     uint64_t targetDepartureCount = 0;
     uint64_t countedWithheldReports = 0;
+    uint64_t countedColdChoices = 0;
+    uint64_t countedColdSkips = 0;
+    membership::ShareState loggedShareState = membership::ShareState::Starting;
+    core::TimePoint lastColdMembers;
+    std::vector<std::string> evacuatedDataCentres; // In force here; ordered.
+    uint64_t countedEvacuationSkips = 0;
     core::TimePoint lastSweep;
     core::TimePoint lastDigest;
     core::TimePoint lastRouterTick;
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -77,7 +77,8 @@
 } // namespace
 
 TcpStream::TcpStream(EventLoop &loop)
-    : handle(new uv_tcp_t)
+    : traffic(&loop.traffic())
+    , handle(new uv_tcp_t)
 {
     uv_tcp_init(loop.handle(), this->handle);
     this->handle->data = this;
@@ -187,6 +188,7 @@
                 stream->reportEnd(closed ? StreamEnd::Closed : StreamEnd::Broken);
                 return;
             }
+            stream->traffic->receivedBytes += static_cast<uint64_t>(count);
             const auto onData = stream->events.onData;
             if (onData) {
                 onData(std::string_view(buffer->base, static_cast<size_t>(count)));
@@ -210,9 +212,11 @@
         const uv_buf_t buffer
             = uv_buf_init(const_cast<char *>(bytes.data()), static_cast<unsigned>(bytes.size()));
         const int written = uv_try_write(reinterpret_cast<uv_stream_t *>(this->handle), &buffer, 1);
+        this->traffic->sentBytes += written > 0 ? static_cast<uint64_t>(written) : 0;
         if (written == static_cast<int>(bytes.size())) {
             return;
         }
+        this->resetSeen = this->resetSeen || (written < 0 && written != UV_EAGAIN);
         bytes.remove_prefix(written > 0 ? static_cast<size_t>(written) : 0);
     }
     this->queueWrite(bytes);
@@ -236,7 +240,7 @@
     if (started != 0) {
         const std::unique_ptr<WriteRequest> request(writing);
         this->pendingBytes -= bytes.size();
-        // The connection is broken; the read callback reports its end.
+        this->resetSeen = true; // The read callback reports the end.
     }
 }
 
@@ -252,7 +256,9 @@
 void TcpStream::onWritten(size_t bytes, int status)
 {
     this->pendingBytes -= bytes;
+    this->traffic->sentBytes += status == 0 ? bytes : 0;
     this->failedBytes += status == 0 ? 0 : bytes;
+    this->resetSeen = this->resetSeen || status != 0;
     if (!this->isOpen()) {
         return;
     }
@@ -270,10 +276,11 @@
 }
 
 // When a hang-up arrives together with the last bytes, libuv reports the end of the stream without
-// another read, for a reset as for an orderly close. Only reading from the socket tells them apart.
+// another read, for a reset as for an orderly close. Only reading from the socket tells them apart,
+// unless the error was taken before.
 bool TcpStream::wasReset() const
 {
-    return this->peek() != 0;
+    return this->resetSeen || this->peek() != 0;
 }
 
 bool TcpStream::hasUnreadBytes() const
@@ -316,7 +323,9 @@
         return -1;
     }
     char next = 0;
-    return recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t count = recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    this->resetSeen = this->resetSeen || (count < 0 && errno != EAGAIN && errno != EINTR);
+    return count;
 }
 
 void TcpStream::reportEnd(StreamEnd end)
--- a/source/samphirebridge/net/tcpstream.h
+++ b/source/samphirebridge/net/tcpstream.h
@@ -119,12 +119,16 @@
     void onWritten(size_t bytes, int status);
     void queueWrite(std::string_view bytes);
 
+    Traffic *traffic; // Of the loop.
     uv_tcp_s *handle;
     StreamEvents events;
     size_t pendingBytes = 0; // Of writes that have not ended.
     size_t failedBytes = 0; // Of writes that did not succeed.
     bool ended = false; // No more bytes come.
     bool broken = false;
+    // A write or a look at the socket has failed. The kernel reports a reset once only, after which
+    // the end looks orderly to a read.
+    mutable bool resetSeen = false;
 };
 
 } // namespace samphirebridge::net
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -6,6 +6,7 @@
 #include "samphirebridge/core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -50,6 +51,9 @@
     core::Duration rendezvousSlack{};
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0; // Expected length of the answer, not its limit.
+    // The regions whose targets may serve the request, each once and in ascending order; no value:
+    // all regions. An empty list allows no target.
+    std::optional<std::vector<std::string>> allowedRegions{};
     int32_t priority = 0; // Lower runs sooner, in steps of one.
     core::TimePoint deadline = core::TimePoint::max(); // For the first token.
     // 1 for the first attempt; later ones are charged to the retry budget.
@@ -74,9 +78,10 @@
     uint32_t cachedTokens = 0;
 };
 
-// The request is not to be sent now. The reason is NoTarget, Overloaded, DeadlineExceeded,
+// The request is not to be sent now. The reason is NoTarget, NoTargetInRegion, Overloaded,
+// DeadlineExceeded,
 // RetryBudgetExhausted, TargetsFailed (every target's breaker refuses requests), TargetsPaused,
-// CrashSuspect or HarmfulPrompt.
+// TargetsCold, CrashSuspect or HarmfulPrompt.
 struct Refusal {
     core::RefusalReason reason = core::RefusalReason::NoTarget;
     core::Duration retryAfter{};
@@ -88,6 +93,7 @@
 struct TargetNotice {
     bool leaving = false; // It takes no more requests.
     core::Duration pause{}; // It wants no requests from this instance for so long; 0: not said.
+    std::optional<core::Duration> coldRemaining{}; // How much longer it is cold; empty: not said.
 };
 
 // A complete answer.
--- a/source/samphirebridge/settings/settings.h
+++ b/source/samphirebridge/settings/settings.h
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -69,6 +70,11 @@
     core::Duration limitsKnownWithin{};
 };
 
+// The network link of the machine that the instance runs on.
+struct LinkSettings {
+    double mbps = 0; // Capacity in Mbit/s of each direction; 0: not known.
+};
+
 // Limits the retries that the whole fleet sends to the targets of one service: over any interval,
 // at most share * requests + slack.
 struct RetrySettings {
@@ -93,6 +99,8 @@
 struct Settings {
     core::InstanceId instance;
     core::DataCentreId dataCentre;
+    // The region of each data centre of the fleet; empty for one that is in no region.
+    std::map<std::string, std::string> dataCentreRegions;
     Roles roles;
     HttpSettings http;
     Address rpcListen;
@@ -100,6 +108,7 @@
         peers; // In the file's order, with this instance; may be empty with discovery.
     std::optional<DiscoverySettings> discovery;
     InterfaceSettings interface;
+    LinkSettings link;
     RetrySettings retries;
     FaultInjectionSettings faultInjection;
     std::string dataFolder; // Empty without the role control. Existence isn't checked here.
--- a/source/samphirebridge/settings/settingsreader.cpp
+++ b/source/samphirebridge/settings/settingsreader.cpp
@@ -14,15 +14,17 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 17> TopKeys{
+constexpr std::array<std::string_view, 19> TopKeys{
     "instance",
     "data_centre",
+    "data_centre_regions",
     "roles",
     "http",
     "rpc",
     "peers",
     "discovery",
     "interface",
+    "link",
     "data_folder",
     "operator_token_sha256",
     "consensus",
@@ -50,9 +52,10 @@
     "control",
     "limits_known_within_ms",
 };
+constexpr std::array<std::string_view, 1> LinkKeys{"mbps"};
 constexpr std::array<std::string_view, 2> RetryKeys{"share", "slack"};
 constexpr std::array<std::string_view, 2> FaultInjectionKeys{"lose_unsynced", "sync_delay_ms"};
-constexpr std::array<SettingSection, 10> Sections{{
+constexpr std::array<SettingSection, 11> Sections{{
     {"", TopKeys},
     {"http", HttpKeys},
     {"rpc", RpcKeys},
@@ -61,6 +64,7 @@
     {"escrow", EscrowKeys},
     {"discovery", DiscoveryKeys},
     {"interface", InterfaceKeys},
+    {"link", LinkKeys},
     {"retries", RetryKeys},
     {"fault_injection", FaultInjectionKeys},
 }};
@@ -70,6 +74,7 @@
     = "HOST:PORT with a port from 1 to 65535, IPv6 addresses in brackets";
 constexpr std::string_view AcceptedRoles = "a list of entry, control or both";
 constexpr size_t MaximumFolderBytes = 1024;
+constexpr size_t MaximumRegionBytes = 128;
 constexpr size_t MaximumPeers = 1024;
 
 // A value's accepted range and its default.
@@ -89,6 +94,7 @@
 constexpr int64_t MinimumHeartbeatsPerElectionTimeout = 3;
 constexpr IntegerRange Ports{1, 65535};
 constexpr DecimalRange RetryShare{0, 1};
+constexpr DecimalRange LinkMbps{0, 1'000'000};
 constexpr DecimalRange RetrySlack{0, 1'000'000};
 constexpr DecimalRange StopWithinSeconds{0.1, 3600};
 
@@ -215,6 +221,49 @@
     return peer;
 }
 
+// Reads the region of one data centre. A data centre without one, by no value or an empty text, is
+// in no region: a template may render a missing value as either.
+std::string readRegion(const DocumentNode &node, const Place &place, ProblemCollector &problems)
+{
+    const bool isEmpty
+        = node.kind == NodeKind::Null || (node.kind == NodeKind::Scalar && node.value.empty());
+    if (isEmpty) {
+        return {};
+    }
+    return readText(node, place, MaximumRegionBytes, problems).value_or("");
+}
+
+// Reads the regions of the data centres. A key without a value is accepted like an empty map, since
+// that is what a template renders for an empty table.
+void readDataCentreRegions(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const DocumentNode *node = top.find("data_centre_regions");
+    if (node == nullptr || node->kind == NodeKind::Null) {
+        return;
+    }
+    const Place place = top.placeOf("data_centre_regions");
+    if (node->kind != NodeKind::Map) {
+        problems.add(
+            node->line, place, describeValue(*node), "a map of data centres to their regions");
+        return;
+    }
+    for (const DocumentNode &child : node->children) {
+        const Place childPlace{.parent = &place, .key = child.key};
+        if (!core::checkName(child.key).ok()) {
+            problems.add(child.line,
+                         childPlace,
+                         "a key that names no data centre",
+                         "1 to 128 letters, digits, '-', '_', '.', '/'");
+            continue;
+        }
+        const std::string region = readRegion(child, childPlace, problems);
+        if (!settings.dataCentreRegions.emplace(child.key, region).second) {
+            problems.add(
+                child.line, childPlace, "the data centre a second time", "each data centre once");
+        }
+    }
+}
+
 // Reports ids and addresses that occur in more than one peer.
 class DuplicatePeerCheck
 {
@@ -358,6 +407,13 @@
         = readMilliseconds(reader, "limits_known_within_ms", LimitsKnownWithinMs);
 }
 
+void readLink(MapReader &top, Settings &settings, ProblemCollector &problems)
+{
+    const Place place = top.placeOf("link");
+    MapReader reader(sectionOrEmpty(top, "link"), place, LinkKeys, problems);
+    settings.link.mbps = reader.decimal("mbps", LinkMbps, settings.link.mbps);
+}
+
 void readRetries(MapReader &top, Settings &settings, ProblemCollector &problems)
 {
     const Place place = top.placeOf("retries");
@@ -501,6 +557,7 @@
     }
     settings.instance = core::InstanceId(top.name("instance"));
     settings.dataCentre = core::DataCentreId(top.name("data_centre"));
+    readDataCentreRegions(top, settings, problems);
     settings.roles = readRoles(top, problems);
     readHttp(top, settings, problems);
     readRpc(top, settings, problems);
@@ -513,6 +570,7 @@
     readConsensus(top, settings, problems);
     readEscrow(top, settings, problems);
     readFaultInjection(top, settings, problems);
+    readLink(top, settings, problems);
     readRetries(top, settings, problems);
     readShutdown(top, settings);
     const auto info = static_cast<size_t>(LogLevel::Info);
--- a/source/samphirebridge/telemetry/counters.cpp
+++ b/source/samphirebridge/telemetry/counters.cpp
@@ -62,6 +62,15 @@
     {Event::CrashReportsWithheld,
      "crash_reports_withheld_total",
      "Reports that were too many to be pushed at once or to be stored."},
+    {Event::ColdAllotmentsUsed,
+     "cold_allotments_used_total",
+     "Choices of a cold target within the part of its limit that this instance has."},
+    {Event::ColdTargetsSkipped,
+     "cold_targets_skipped_total",
+     "Choices that left out a cold target since this instance may send it nothing at the time."},
+    {Event::EvacuatedCandidatesSkipped,
+     "evacuated_candidates_skipped_total",
+     "Targets that choices left out since their data centre is evacuated."},
 };
 
 constexpr Description<Gauge> Gauges[] = {
@@ -90,6 +99,16 @@
     {Gauge::DeclarationLag,
      "declaration_lag_seconds",
      "Longest time that an entry instance in contact has lacked a declaration applied here."},
+    {Gauge::RegionsUnconfirmed,
+     "regions_unconfirmed",
+     "1 while requests with allowed regions are refused as the declaration may be old, else 0."},
+    {Gauge::LinkUtilisation,
+     "link_utilisation",
+     "Share of the network link that was used when the readiness was last asked for."},
+    {Gauge::TargetsCold, "targets_cold", "Targets that are cold and whose service limits that."},
+    {Gauge::EvacuatedDataCentres,
+     "evacuated_data_centres",
+     "Data centres that get no requests from this instance."},
 };
 
 constexpr Description<Latency> Latencies[] = {
--- a/tests/forwarding/forwardmachinetest.cpp
+++ b/tests/forwarding/forwardmachinetest.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,12 +20,20 @@
 namespace
 {
 
+// The data centre "dc-a" is in the region "a", "dc-b" in "b".
+routing::RoutingOptions optionsWithRegions()
+{
+    routing::RoutingOptions options;
+    options.dataCentreRegions = {{"dc-a", "a"}, {"dc-b", "b"}};
+    return options;
+}
+
 // Records the machine's decisions without carrying them out.
 class RecordingHost
 {
 public:
     RecordingHost()
-        : targets(core::InstanceId("self"), {}, std::mt19937_64(1))
+        : targets(core::InstanceId("self"), optionsWithRegions(), std::mt19937_64(1))
     {
         proto::TargetKind kind;
         kind.set_id("letters");
@@ -32,13 +41,14 @@
         this->targets.setKinds(std::vector{kind});
     }
 
-    void addTarget(const std::string &id)
+    void addTarget(const std::string &id, const std::string &dataCentre = {})
     {
         proto::TargetRecord record;
         record.set_id(id);
         record.set_incarnation(1);
         record.set_address("10.0.0.1:80");
         record.set_kind("letters");
+        record.set_data_centre(dataCentre);
         record.set_state(proto::READY);
         record.mutable_load()->set_capacity(8);
         this->records[id] = record;
@@ -139,6 +149,10 @@
     {
         return this->timeout;
     }
+    forwarding::AllowedRegions allowedRegionsInForce()
+    {
+        return this->allowedRegions;
+    }
     void setTimer(core::TimePoint due)
     {
         this->timer = due;
@@ -171,6 +185,7 @@
     bool relayedWhole = false;
     bool aborted = false;
     std::optional<forwarding::ForwardRefusal> refusal;
+    forwarding::AllowedRegions allowedRegions{};
     core::Duration timeout{}; // Of the route, by the declaration in force.
     core::TimePoint timer;
     std::vector<std::string> loggedEvents;
@@ -449,6 +464,57 @@
     CHECK(request.host.refusal->retryAfter > core::Duration::zero());
 }
 
+// Guards against a malformed answer that is relayed, retried where the request may have run, or
+// told to the caller as not run.
+TEST_CASE("a request whose target answers with an invalid status is handled by what may have run")
+{
+    struct Case {
+        RequestKind kind;
+        bool resumable;
+        size_t attempts;
+    };
+    const Case expected = GENERATE(Case{RequestKind::Once, false, 1},
+                                   Case{RequestKind::Repeatable, false, 2},
+                                   Case{RequestKind::Stream, false, 1},
+                                   Case{RequestKind::Stream, true, 2});
+    const int status = GENERATE(0, 99, 100, 101, 600, 999);
+    const bool byParser = GENERATE(false, true);
+    Fixture request(expected.kind, expected.resumable);
+    request.start();
+    size_t attempts = 0;
+    while (!request.machine->done()) {
+        REQUIRE(++attempts <= expected.attempts);
+        request.reportSent();
+        if (byParser) {
+            request.machine->onFailed({core::RetryReason::ForeignAnswer, true});
+        } else {
+            CHECK(request.receiveHead(status) == AnswerHandling::Abandoned);
+        }
+    }
+    CHECK(request.host.sentTo.size() == expected.attempts);
+    CHECK(request.host.relayedHeads == 0);
+    REQUIRE(request.host.refusal);
+    CHECK(request.host.refusal->reason == core::RefusalReason::TargetsFailed);
+    CHECK(request.host.refusal->outcome == core::Outcome::Unknown);
+}
+
+// Guards against the same in a stream of which the caller has a part.
+TEST_CASE("a stream goes on at another target after an invalid status, and ends after the last one")
+{
+    Fixture request(RequestKind::Stream, true);
+    request.start();
+    request.reportSent();
+    CHECK(request.receiveHead(200) == AnswerHandling::Accept);
+    request.machine->onBody(Fixture::event(1));
+    request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    REQUIRE(request.host.sentTo.size() == 2);
+    request.reportSent();
+    CHECK(request.receiveHead(600) == AnswerHandling::Abandoned);
+    CHECK(request.host.aborted);
+    CHECK(request.host.body == Fixture::event(1));
+    CHECK_FALSE(request.host.answerEnded);
+}
+
 TEST_CASE("a repeatable request that failed is sent to no more targets than its route allows")
 {
     Fixture request(RequestKind::Repeatable);
@@ -1332,3 +1398,93 @@
     REQUIRE(request.host.sentTo.size() == 2);
     CHECK(request.host.metadata.timeout == 4s);
 }
+
+// Guards against attempts outside the allowed regions when the targets inside fail or are silent:
+// t1 and t2 are in no region.
+TEST_CASE("every attempt of a request goes to a target in the allowed regions")
+{
+    const bool fails = GENERATE(false, true); // Otherwise the target is silent.
+    Fixture request(RequestKind::Stream, true);
+    request.host.allowedRegions = std::vector<std::string>{"a"};
+    request.host.addTarget("a1", "dc-a");
+    request.host.addTarget("b1", "dc-b");
+    SECTION("with another target there")
+    {
+        request.host.addTarget("a2", "dc-a");
+        request.start();
+        request.reportSent();
+        REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(Fixture::event(1));
+        if (fails) {
+            request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        } else {
+            request.beSilent(3s);
+        }
+        REQUIRE(request.host.sentTo.size() == 2);
+        CHECK(request.host.metadata.lastEventId == 1);
+        CHECK(request.host.lastRole == (fails ? AttemptRole::Current : AttemptRole::Standby));
+        CHECK(std::set<std::string>(request.host.sentTo.begin(), request.host.sentTo.end())
+              == std::set<std::string>{"a1", "a2"});
+    }
+    SECTION("with no other target there")
+    {
+        request.start();
+        request.reportSent();
+        REQUIRE(request.receiveHead(200) == AnswerHandling::Accept);
+        request.machine->onBody(Fixture::event(1));
+        if (fails) {
+            request.host.setTargetState("a1", proto::GONE);
+            request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+            CHECK(request.host.aborted);
+        } else {
+            request.beSilent(3s);
+            CHECK_FALSE(request.machine->done());
+        }
+        CHECK(request.host.sentTo == std::vector<std::string>{"a1"});
+    }
+}
+
+// Guards against a request that waits for tokens, or is retried, though nothing may serve it.
+TEST_CASE("a request without a target in its allowed regions is refused before it reserves tokens")
+{
+    Fixture request(RequestKind::Repeatable);
+    request.organisation = &request.limitedOrganisation;
+    request.host.allowedRegions
+        = GENERATE(std::vector<std::string>{}, std::vector<std::string>{"b"});
+    request.host.addTarget("a1", "dc-a");
+    request.start();
+    REQUIRE(request.host.refusal);
+    CHECK(request.host.refusal->reason == core::RefusalReason::NoTargetInRegion);
+    CHECK(request.host.refusal->outcome == core::Outcome::NotRun);
+    CHECK(request.host.refusal->retryAfter > core::Duration::zero());
+    CHECK_FALSE(request.host.reserved);
+    CHECK_FALSE(request.host.released);
+    CHECK(request.host.sentTo.empty());
+    CHECK(request.machine->done());
+}
+
+// Guards against a retry by lists that may have been replaced: the host then allows no region.
+TEST_CASE("a retry follows the regions that are allowed when it is sent")
+{
+    Fixture request(RequestKind::Repeatable);
+    request.host.allowedRegions = std::vector<std::string>{"a"};
+    request.host.addTarget("a1", "dc-a");
+    request.host.addTarget("b1", "dc-b");
+    request.start();
+    request.reportSent();
+    SECTION("other regions")
+    {
+        request.host.allowedRegions = std::vector<std::string>{"b"};
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        CHECK(request.host.sentTo == std::vector<std::string>{"a1", "b1"});
+    }
+    SECTION("none")
+    {
+        request.host.allowedRegions.emplace();
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+        REQUIRE(request.host.refusal);
+        CHECK(request.host.refusal->reason == core::RefusalReason::NoTargetInRegion);
+        CHECK(request.host.refusal->outcome == core::Outcome::Unknown);
+        CHECK(request.host.sentTo == std::vector<std::string>{"a1"});
+    }
+}
