entry, ledger: Spread the cold state of targets from control instances without callers

An entry instance was never told that a target had become cold again within its incarnation: control instances without callers decode no declaration, so they took the announcement for a renewal, which only watchers hear. Found in review with real processes: targets_cold stayed 0 at the entry instance.

The command that replaces a declaration names the services that limit cold targets, and each control instance takes them from the declaration that its voter has applied.

Also: an instance that starts shortly after an evacuation has ended takes the targets of that data centre for cold, and a list of regions that is used for the first time no longer counts evacuated targets twice (test failed, 2 == 1).

--- a/source/samphirebridge/entry/entrynode.cpp
+++ b/source/samphirebridge/entry/entrynode.cpp
@@ -44,6 +44,18 @@
 // has not answered for this long.
 constexpr core::Duration DeclarationContactTimeout = std::chrono::milliseconds(600);
 
+// How long after an evacuation its targets may still be cold, with room for clocks that differ.
+constexpr std::chrono::seconds RecentEvacuation{30};
+
+// Tells whether the data centre was evacuated until a moment ago, by the wall clocks of this
+// instance and of the leader.
+bool hasEndedRecently(const proto::Evacuation &evacuation)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto age = now - std::chrono::milliseconds(evacuation.changed_at_ms());
+    return evacuation.revision() > 0 && age < RecentEvacuation && -age < RecentEvacuation;
+}
+
 membership::MembershipOptions membershipOptions(const EntryOptions &options)
 {
     membership::MembershipOptions membership;
@@ -148,6 +160,7 @@
             this->client.setControlInstances(std::move(control));
         }
     }
+    this->updateColdKinds();
     const bool canServe
         = this->registered && this->hasConfirmedConfiguration() && !this->shuttingDown;
     if (canServe != this->isServing.exchange(canServe)) {
@@ -324,8 +337,12 @@
     for (const proto::Evacuation &evacuation : evacuations) {
         if (evacuation.evacuated()) {
             dataCentres.push_back(evacuation.data_centre());
+        } else if (!this->revisionSeen && hasEndedRecently(evacuation)) {
+            // This instance did not see the end, so it must not take the targets for warm.
+            this->fleetView.router().assumeCold(evacuation.data_centre(), this->clock.now());
         }
     }
+    this->revisionSeen = true;
     this->fleetView.onRevision(revision, std::move(dataCentres), this->clock.now());
 }
 
@@ -364,6 +381,17 @@
     this->escrowKeeper.setLenders(std::move(lenders));
 }
 
+void EntryNode::updateColdKinds()
+{
+    const proto::Declaration *applied = this->client.appliedDeclaration();
+    if (applied == nullptr || applied->version() == this->coldKindsVersion) {
+        return;
+    }
+    this->coldKindsVersion = applied->version();
+    this->fleetView.setColdKinds(
+        {applied->cold_limited_services().begin(), applied->cold_limited_services().end()});
+}
+
 void EntryNode::updateGauges()
 {
     core::Tokens escrow;
--- a/source/samphirebridge/entry/entrynode.h
+++ b/source/samphirebridge/entry/entrynode.h
@@ -94,6 +94,9 @@
     // callers need not.
     [[nodiscard]] bool followsRevision() const;
     void chooseWitnessAndLenders(core::TimePoint now);
+    // Applies from the declaration that this process's voter has applied which targets announce a
+    // cold state that all instances need.
+    void updateColdKinds();
     void updateGauges();
     void logFailedMessages();
 
@@ -109,6 +112,8 @@
     ManifestKeeper manifestKeeper;
     DeclarationKeeper declarationKeeper;
     core::TimePoint lastControlCheck;
+    bool revisionSeen = false; // Evacuations have been applied since the start.
+    uint64_t coldKindsVersion = 0; // Of the declaration that they were taken from.
     core::TimePoint lastGaugeUpdate;
     double loggedFailedMessages = 0; // Already logged as given up.
     double loggedFailedBytes = 0;
--- a/source/samphirebridge/entry/fleetcontrol.cpp
+++ b/source/samphirebridge/entry/fleetcontrol.cpp
@@ -69,6 +69,11 @@
             budget->set_tokens(organisation.purchased->count);
         }
     }
+    for (const forwarding::Service &service : declaration.services) {
+        if (service.coldRequestsPerSecond > 0) {
+            message->add_cold_limited_services(service.id.value);
+        }
+    }
     return command;
 }
 
--- a/source/samphirebridge/entry/fleetview.cpp
+++ b/source/samphirebridge/entry/fleetview.cpp
@@ -267,6 +267,11 @@
         }
     }
     this->targetRouter.setColdLimits(limits, now);
+    this->setColdKinds(std::move(kinds));
+}
+
+void FleetView::setColdKinds(std::set<std::string, std::less<>> kinds)
+{
     this->targetDirectory.setColdKinds(std::move(kinds));
 }
 
--- a/source/samphirebridge/entry/fleetview.h
+++ b/source/samphirebridge/entry/fleetview.h
@@ -15,7 +15,9 @@
 #include "samphirebridge/telemetry/logger.h"
 #include "samphirebridge/transport/peerset.h"
 
+#include <functional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -71,6 +73,10 @@
                     std::vector<std::string> evacuatedDataCentres,
                     core::TimePoint now);
 
+    // Sets the kinds of targets whose cold state is spread to all instances. onDeclaration() does
+    // so too; an instance that applies no declaration needs the call.
+    void setColdKinds(std::set<std::string, std::less<>> kinds);
+
     // Adds instances that heartbeats are sent to.
     void addSeeds(std::span<const core::InstanceId> seeds);
 
--- a/source/samphirebridge/routing/targetpools.cpp
+++ b/source/samphirebridge/routing/targetpools.cpp
@@ -140,9 +140,7 @@
         absl::erase_if(this->pools, [](const auto &entry) { return !entry.first.regions.empty(); });
     }
     this->regionLists.insert(regions);
-    for (const auto &[id, target] : this->targets) {
-        this->addToPools(target->record);
-    }
+    this->regroup();
 }
 
 std::span<RoutedTarget *const> TargetPools::candidatesOf(const Key &key)
--- a/tests/entry/fleetcontroltest.cpp
+++ b/tests/entry/fleetcontroltest.cpp
@@ -112,3 +112,22 @@
     REQUIRE(outcome);
     CHECK(core::errorCodeOf(*outcome) == core::ErrorCode::NotFound);
 }
+
+// Guards against control instances that keep a target's cold state to themselves, because they do
+// not know which services limit it.
+TEST_CASE("a declaration tells the control instances which services limit cold targets")
+{
+    ControlScene scene;
+    forwarding::Declaration declaration;
+    declaration.version = 1;
+    for (const std::string name : {"limited", "unlimited"}) {
+        forwarding::Service &service = declaration.services.emplace_back();
+        service.id = core::ServiceId(name);
+        service.coldRequestsPerSecond = name == "limited" ? 14 : 0;
+    }
+    scene.control.replaceDeclaration(declaration, "content", [](const auto &) {});
+    scene.runTasks();
+    const auto &services = scene.ledger.declaration().cold_limited_services();
+    REQUIRE(services.size() == 1);
+    CHECK(services[0] == "limited");
+}
--- a/tests/routing/evacuationtest.cpp
+++ b/tests/routing/evacuationtest.cpp
@@ -137,3 +137,24 @@
     scene.usedDataCentres();
     CHECK(scene.router.counters().evacuatedSkips == 50);
 }
+
+// Guards against counting evacuated targets again when a list of regions is first used.
+TEST_CASE("a list of regions does not count evacuated targets again")
+{
+    RoutingOptions options = Scene::optionsInA();
+    options.dataCentreRegions = {{"a", "x"}, {"b", "y"}};
+    TestRouter router(core::InstanceId("self"), options, std::mt19937_64(1));
+    addTargets(router, 0);
+    for (const std::string id : {"a0", "b0"}) {
+        proto::TargetRecord record = readyRecord(id);
+        record.set_data_centre(id.substr(0, 1));
+        router.onTarget(record, Now);
+    }
+    router.setEvacuated(std::vector<std::string>{"a"}, Now);
+    RouteRequest restricted = requestOf('s');
+    restricted.allowedRegions = std::vector<std::string>{"y"};
+    (void)router.choose(restricted, Now);
+    const auto before = router.counters().evacuatedSkips;
+    (void)router.choose(requestOf('q'), Now);
+    CHECK(router.counters().evacuatedSkips - before == 1);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -434,11 +434,14 @@
 
 std::string Fleet::interfaceSettings(int index) const
 {
-    std::string text = fmt::format("interface:\n  callers: \"127.0.0.1:{}\"\n"
-                                   "  readiness: \"127.0.0.1:{}\"\n",
-                                   this->interfacePort(index, CallersInterface),
+    std::string text = fmt::format("interface:\n  readiness: \"127.0.0.1:{}\"\n",
                                    this->interfacePort(index, ReadinessInterface));
-    if (index < this->options.controlInstances) {
+    const bool isControl = index < this->options.controlInstances;
+    if (!isControl || !this->options.separateControl) {
+        text += fmt::format("  callers: \"127.0.0.1:{}\"\n",
+                            this->interfacePort(index, CallersInterface));
+    }
+    if (isControl) {
         text += fmt::format("  control: \"127.0.0.1:{}\"\n",
                             this->interfacePort(index, ControlInterface));
     }
@@ -463,7 +466,10 @@
 void Fleet::writeSettings(int index) const
 {
     const auto roles = [this](int other) {
-        return other < this->options.controlInstances ? "[entry, control]" : "[entry]";
+        if (other >= this->options.controlInstances) {
+            return "[entry]";
+        }
+        return this->options.separateControl ? "[control]" : "[entry, control]";
     };
     std::string text = fmt::format("instance: i{}\n"
                                    "data_centre: dc{}\n"
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -38,6 +38,8 @@
     int maximumBodyBytes = 1 << 20;
     // Run the platform's program, whose instances are configured by declarations.
     bool platform = false;
+    // The control instances have no entry role and serve no callers.
+    bool separateControl = false;
     std::string additionalSettings{}; // Lines appended to each instance's settings file.
 };
 
--- a/utilities/standins/main.cpp
+++ b/utilities/standins/main.cpp
@@ -54,6 +54,7 @@
   --deduplicates         The payment service recognises a repeated key.
   --delay-ms=N           Delay of each payment, and of each answer of a plain target [default: 0].
   --crash-part=ID        A plain target ends when it is to answer a prompt with this part.
+  --cold-from=N          Announce a cold state from this announcement on; 0: never [default: 0].
   --linger-ms=N          Serve this long after announcing that it leaves [default: 0].
   -h --help              Show this text.
 
@@ -121,6 +122,7 @@
     settings.runLog = textOption(arguments, "--run-log", "");
     settings.delay = std::chrono::milliseconds(numberOption(arguments, "--delay-ms"));
     settings.crashPart = textOption(arguments, "--crash-part", "");
+    settings.coldFrom = static_cast<uint64_t>(numberOption(arguments, "--cold-from"));
     return settings;
 }
 
--- a/utilities/standins/platformtarget.cpp
+++ b/utilities/standins/platformtarget.cpp
@@ -16,6 +16,9 @@
 namespace header = platform::header;
 
 constexpr int64_t AnnouncedSlots = 16; // Not enforced.
+
+// How much longer a cold target says that it is cold.
+constexpr int ColdTimeMs = 20'000;
 constexpr std::string_view AnswerText = "done";
 constexpr std::chrono::milliseconds EventInterval{20};
 constexpr size_t BodyPartBytes = size_t{64} * 1024;
@@ -121,10 +124,12 @@
 
 nlohmann::json PlatformTarget::heartbeat(bool leaving)
 {
+    const uint64_t number = ++this->sequence;
+    const bool isCold = this->settings.coldFrom > 0 && number >= this->settings.coldFrom;
     return {{"State", leaving ? "draining" : "ready"},
             {"Slots", AnnouncedSlots},
-            {"ColdRemainingMs", 0},
-            {"Sequence", ++this->sequence}};
+            {"ColdRemainingMs", isCold ? ColdTimeMs : 0},
+            {"Sequence", number}};
 }
 
 } // namespace samphirebridge::standins
--- a/utilities/standins/platformtarget.h
+++ b/utilities/standins/platformtarget.h
@@ -22,6 +22,8 @@
     // The id of a part, in hexadecimal, that crashes the process when an answer to a prompt that
     // holds it is to begin; the last part of a prompt is no such part. Empty: none does.
     std::string crashPart;
+    // The number of the announcement from which on it is cold; 0: it never is.
+    uint64_t coldFrom = 0;
 };
 
 // Runs every request that is meant for it and answers with a signature, like a plain service of the
