ingress, net: Sample the link's load at fixed intervals

A timer samples each 100 ms, queued writes have at most 64 KiB, nothing is reported before the first window is over, and a busy link stays so for 2 s.

routing: a service that has targets in other regions is not listed as evacuated.

--- a/source/samphirebridge/forwarding/linkload.cpp
+++ b/source/samphirebridge/forwarding/linkload.cpp
@@ -16,6 +16,9 @@
 // The utilisation below which the link is no longer busy.
 constexpr double CalmUtilisation = 0.2;
 
+// Two checks in a row, a second apart, find a link busy whose load comes in bursts.
+constexpr core::Duration MinimumBusyTime = std::chrono::seconds(2);
+
 } // namespace
 
 LinkLoad::LinkLoad(double linkBytesPerSecond)
@@ -25,29 +28,29 @@
 
 void LinkLoad::onTraffic(uint64_t receivedBytes, uint64_t sentBytes, core::TimePoint now)
 {
-    if (this->sampleCount > 0 && now - this->samples[this->newest].at < IntervalLength) {
-        return;
-    }
     this->newest = (this->newest + 1) % this->samples.size();
     this->samples[this->newest] = {now, receivedBytes, sentBytes};
     this->sampleCount = std::min(this->sampleCount + 1, this->samples.size());
 }
 
-bool LinkLoad::isBusy()
+bool LinkLoad::isBusy(core::TimePoint now)
 {
-    const double limit = this->busy ? CalmUtilisation : BusyUtilisation;
-    this->busy = this->utilisation() >= limit;
-    return this->busy;
+    if (!this->busySince && this->utilisation() >= BusyUtilisation) {
+        this->busySince = now;
+    } else if (this->busySince && this->utilisation() < CalmUtilisation
+               && now - *this->busySince >= MinimumBusyTime) {
+        this->busySince.reset();
+    }
+    return this->busySince.has_value();
 }
 
 double LinkLoad::utilisation() const
 {
-    if (this->bytesPerSecond <= 0 || this->sampleCount < 2) {
+    if (this->bytesPerSecond <= 0 || this->sampleCount < this->samples.size()) {
         return 0;
     }
-    const size_t size = this->samples.size();
     const Sample &last = this->samples[this->newest];
-    const Sample &first = this->samples[(this->newest + size + 1 - this->sampleCount) % size];
+    const Sample &first = this->samples[(this->newest + 1) % this->samples.size()];
     const double seconds = std::chrono::duration<double>(last.at - first.at).count();
     const uint64_t bytes
         = std::max(last.receivedBytes - first.receivedBytes, last.sentBytes - first.sentBytes);
--- a/source/samphirebridge/forwarding/linkload.h
+++ b/source/samphirebridge/forwarding/linkload.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace samphirebridge::forwarding
 {
@@ -20,24 +21,33 @@
 class LinkLoad
 {
 public:
+    // The interval at which onTraffic() is to be called.
+    static constexpr core::Duration IntervalLength = std::chrono::milliseconds(100);
+
     // `bytesPerSecond` is the capacity of the link in one direction; 0: not known, and never busy.
     explicit LinkLoad(double bytesPerSecond);
 
+    [[nodiscard]] bool hasCapacity() const
+    {
+        return this->bytesPerSecond > 0;
+    }
+
     // Notes how many bytes the instance has received and sent since its start.
     void onTraffic(uint64_t receivedBytes, uint64_t sentBytes, core::TimePoint now);
 
-    // Tells whether the link is busy. Once it is, it stays so until the utilisation is clearly
-    // lower, so that a balancer that asks twice before it reacts sees a steady answer.
-    [[nodiscard]] bool isBusy();
+    // Tells whether the link is busy. Once it is, it stays so for MinimumBusyTime and until the
+    // utilisation is clearly lower, so that a balancer that asks twice before it reacts sees a
+    // steady answer.
+    [[nodiscard]] bool isBusy(core::TimePoint now);
 
-    // Returns the utilisation within the window, where 1 is the capacity; 0 if that is not known.
+    // Returns the utilisation within the window, where 1 is the capacity; 0 if that is not known or
+    // the first window is not over.
     [[nodiscard]] double utilisation() const;
 
 private:
     // The window is shorter than the interval at which balancers ask for the readiness, and long
     // enough that one large request does not fill it.
     static constexpr size_t IntervalCount = 5;
-    static constexpr core::Duration IntervalLength = std::chrono::milliseconds(100);
 
     struct Sample {
         core::TimePoint at;
@@ -49,7 +59,7 @@
     std::array<Sample, IntervalCount + 1> samples{}; // A ring; `newest` was written last.
     size_t newest = 0;
     size_t sampleCount = 0;
-    bool busy = false;
+    std::optional<core::TimePoint> busySince;
 };
 
 } // namespace samphirebridge::forwarding
--- a/source/samphirebridge/ingress/ingress.h
+++ b/source/samphirebridge/ingress/ingress.h
@@ -6,6 +6,7 @@
 #include "samphirebridge/forwarding/linkload.h"
 #include "samphirebridge/ingress/forwardsession.h"
 #include "samphirebridge/net/httpserver.h"
+#include "samphirebridge/net/timer.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
@@ -52,6 +53,7 @@
                   }}
         , startedAt(this->context.clock.now())
         , linkLoad(linkBytesPerSecond)
+        , linkTimer(eventLoop, [this] { this->sampleLink(); })
     {
     }
 
@@ -71,6 +73,9 @@
             return httpServer.status();
         }
         this->server = std::move(*httpServer);
+        if (this->linkLoad.hasCapacity()) {
+            this->sampleLink();
+        }
         return absl::OkStatus();
     }
 
@@ -94,8 +99,7 @@
     // this one is close to its capacity. Requests are still served.
     [[nodiscard]] bool isLinkBusy()
     {
-        this->sampleLink();
-        const bool isBusy = this->linkLoad.isBusy();
+        const bool isBusy = this->linkLoad.isBusy(this->context.clock.now());
         this->context.counters.set(telemetry::Gauge::LinkUtilisation, this->linkLoad.utilisation());
         if (isBusy != std::exchange(this->loggedLinkBusy, isBusy)) {
             this->context.logger.change(
@@ -153,7 +157,6 @@
     void onRequest(net::IncomingRequest incoming, std::shared_ptr<net::Responder> responder)
     {
         this->context.counters.count(telemetry::Event::RequestsReceived);
-        this->sampleLink();
         auto request = this->context.interface.decodeRequest(incoming);
         if (!request.ok()) {
             this->refuse({}, {core::RefusalReason::InvalidRequest}, *responder);
@@ -232,11 +235,13 @@
         return std::nullopt;
     }
 
+    // Notes the traffic so far, and again after each interval.
     void sampleLink()
     {
         const net::Traffic &traffic = this->context.loop.traffic();
         this->linkLoad.onTraffic(
             traffic.receivedBytes, traffic.sentBytes, this->context.clock.now());
+        this->linkTimer.start(forwarding::LinkLoad::IntervalLength);
     }
 
     // Makes and counts the refusal of a request that comes too late before the instance stops.
@@ -279,6 +284,7 @@
     core::TimePoint startedAt;
     uint64_t refusedAtStop = 0;
     forwarding::LinkLoad linkLoad;
+    net::Timer linkTimer;
     bool loggedLinkBusy = false;
     std::unique_ptr<net::HttpServer> server;
     absl::flat_hash_map<Session *, std::shared_ptr<Session>> sessions;
--- a/source/samphirebridge/net/tcpstream.cpp
+++ b/source/samphirebridge/net/tcpstream.cpp
@@ -31,6 +31,10 @@
 // nothing, and callers pause for seconds.
 constexpr unsigned CallerAcknowledgeTimeoutMs = 30'000;
 
+// The most bytes of one queued write. The bytes of a write count as sent when it ends, so a long
+// one would hide the load of the link while it lasts.
+constexpr size_t MaximumWriteBytes = size_t{64} * 1024;
+
 // Size of the read buffer. All streams of a thread share one, since data is passed on at once.
 constexpr size_t ReadBufferBytes = size_t{64} * 1024;
 
@@ -219,7 +223,11 @@
         this->resetSeen = this->resetSeen || (written < 0 && written != UV_EAGAIN);
         bytes.remove_prefix(written > 0 ? static_cast<size_t>(written) : 0);
     }
-    this->queueWrite(bytes);
+    while (!bytes.empty()) {
+        const size_t length = std::min(bytes.size(), MaximumWriteBytes);
+        this->queueWrite(bytes.substr(0, length));
+        bytes.remove_prefix(length);
+    }
 }
 
 void TcpStream::queueWrite(std::string_view bytes)
--- a/source/samphirebridge/routing/targetpools.cpp
+++ b/source/samphirebridge/routing/targetpools.cpp
@@ -52,7 +52,8 @@
 {
     std::vector<std::string> services;
     for (const auto &[key, count] : this->evacuatedCounts) {
-        if (key.model.empty() && count > 0 && !this->pools.contains(key)) {
+        const bool isWhole = key.model.empty() && key.regions.empty();
+        if (isWhole && count > 0 && !this->pools.contains(key)) {
             services.push_back(key.service);
         }
     }
--- a/tests/routing/evacuationtest.cpp
+++ b/tests/routing/evacuationtest.cpp
@@ -158,3 +158,22 @@
     (void)router.choose(requestOf('q'), Now);
     CHECK(router.counters().evacuatedSkips - before == 1);
 }
+
+// Guards against a warning about a service that has targets left in other regions.
+TEST_CASE("a service with targets in other regions is not listed as evacuated")
+{
+    RoutingOptions options = Scene::optionsInA();
+    options.dataCentreRegions = {{"a", "x"}, {"b", "y"}};
+    TestRouter router(core::InstanceId("self"), options, std::mt19937_64(1));
+    addTargets(router, 0);
+    for (const std::string id : {"a0", "b0"}) {
+        proto::TargetRecord record = readyRecord(id);
+        record.set_data_centre(id.substr(0, 1));
+        router.onTarget(record, Now);
+    }
+    RouteRequest restricted = requestOf('s');
+    restricted.allowedRegions = std::vector<std::string>{"x"};
+    (void)router.choose(restricted, Now);
+    router.setEvacuated(std::vector<std::string>{"a"}, Now);
+    CHECK(router.evacuatedServices().empty());
+}
