--- a/source/samphirebridge/routing/targetpools.cpp
+++ b/source/samphirebridge/routing/targetpools.cpp
@@ -52,7 +52,8 @@
 {
     std::vector<std::string> services;
     for (const auto &[key, count] : this->evacuatedCounts) {
-        if (key.model.empty() && count > 0 && !this->pools.contains(key)) {
+        const bool isWhole = key.model.empty() && key.regions.empty();
+        if (isWhole && count > 0 && !this->pools.contains(key)) {
             services.push_back(key.service);
         }
     }
@@ -140,9 +141,7 @@
         absl::erase_if(this->pools, [](const auto &entry) { return !entry.first.regions.empty(); });
     }
     this->regionLists.insert(regions);
-    for (const auto &[id, target] : this->targets) {
-        this->addToPools(target->record);
-    }
+    this->regroup();
 }
 
 std::span<RoutedTarget *const> TargetPools::candidatesOf(const Key &key)
