--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -306,7 +306,10 @@
     const auto answer = [&tasks = this->queue, onReply = std::move(onReply)](auto reply) {
         tasks.post([onReply, reply = std::move(reply)] { onReply(reply); });
     };
-    if (source == this->settings.instance && this->voter != nullptr) {
+    // With declarations the content comes from another instance, as the evidence of crashes does: an
+    // instance that restarted alone would serve before it knows that evidence.
+    const bool isOwnVoter = source == this->settings.instance && this->voter != nullptr;
+    if (isOwnVoter && !this->node.declaration().usesDeclarations()) {
         this->voter->fetchDeclaration(
             request, this->clock.now(), [answer](proto::FetchDeclarationReply reply) {
                 answer(absl::StatusOr<proto::FetchDeclarationReply>(std::move(reply)));
