--- a/source/samphirebridge/daemon/daemon.cpp
+++ b/source/samphirebridge/daemon/daemon.cpp
@@ -306,8 +306,8 @@
     const auto answer = [&tasks = this->queue, onReply = std::move(onReply)](auto reply) {
         tasks.post([onReply, reply = std::move(reply)] { onReply(reply); });
     };
-    // With declarations the content comes from another instance, as the evidence of crashes does: an
-    // instance that restarted alone would serve before it knows that evidence.
+    // With declarations the content comes from another instance, as the evidence of crashes does:
+    // an instance that restarted alone would serve before it knows that evidence.
     const bool isOwnVoter = source == this->settings.instance && this->voter != nullptr;
     if (isOwnVoter && !this->node.declaration().usesDeclarations()) {
         this->voter->fetchDeclaration(
