--- a/source/samphirebridge/forwarding/linkload.cpp
+++ b/source/samphirebridge/forwarding/linkload.cpp
@@ -10,11 +10,12 @@
 
 // The utilisation at which the link becomes busy. The balancer takes up to two seconds to react,
 // and the requests of that time and the answers under way still have to pass the link without a
-// queue.
-constexpr double BusyUtilisation = 0.4;
+// queue. At 0.4, instances gave away connections that they could carry to others with smaller
+// links.
+constexpr double BusyUtilisation = 0.6;
 
 // The utilisation below which the link is no longer busy.
-constexpr double CalmUtilisation = 0.2;
+constexpr double CalmUtilisation = 0.3;
 
 // Two checks in a row, a second apart, find a link busy whose load comes in bursts.
 constexpr core::Duration MinimumBusyTime = std::chrono::seconds(2);
