forwarding: Count every target that was sent a request against the route's limit

A target fell silent for a second, a standby was sent, the target went on and the standby was cancelled; the next silence brought another standby at a third target.

Cause: ForwardMachine::cancelAttempt() left a stream's cancelled standby out of the count, on the grounds that a standby becomes the current attempt with its first token. It does with its first event. A target runs from its first token, an event holds several, and the head may leave late, too.

Now each attempt that was sent counts, whatever was seen of its answer, in one place (TargetHistory), which mayTryAnother(), mayRetry() and retryOrGiveUp() all ask. A target counts once. So a request that is at its limit may go again to a target that counts and did not fail it: a stream whose first target only paused keeps its second one, as before.

The retry budget needed no change: the router charges each attempt but the first when it is chosen, standbys too, so it never counts less than is sent.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -20,6 +20,7 @@
 #include "samphirebridge/forwarding/forwardpolicy.h"
 #include "samphirebridge/forwarding/promptparts.h"
 #include "samphirebridge/forwarding/streamrelay.h"
+#include "samphirebridge/forwarding/targethistory.h"
 #include "samphirebridge/net/httpmessage.h"
 #include "samphirebridge/routing/dispatcher.h"
 
@@ -148,6 +149,7 @@
         , request(callerRequest)
         , arrived(machineHost.now())
         , relay(callerRequest.lastEventId)
+        , targets(requestRoute.maximumTargets)
     {
         static_assert(ForwardHost<Host>);
         this->setTimeLimit(requestRoute.timeout);
@@ -530,7 +532,10 @@
         query.allowedRegions = this->host.allowedRegionsInForce();
         query.deadline = this->deadline;
         query.attempt = this->attempts + 1;
-        query.excluded = this->failedTargets;
+        query.excluded = this->targets.failedTargets();
+        if (NextTargets next = this->nextTargets(); !next.any) {
+            query.onlyTargets = std::move(next.only);
+        }
         if (this->current.ticketOpen) {
             query.heldBy.push_back({this->current.choice.target, this->current.choice.incarnation});
         }
@@ -717,7 +722,7 @@
         this->lastFailure = reason;
         this->host.abandonAttempt(role);
         this->countPossibleRun(attempt);
-        this->failedTargets.push_back(attempt.choice.target);
+        this->targets.recordFailure(attempt.choice.target);
         if (!std::exchange(attempt.ticketOpen, false)) {
             return;
         }
@@ -851,11 +856,7 @@
     {
         ForwardAttempt &attempt = this->attemptOf(role);
         this->host.abandonAttempt(role);
-        // A stream starts to run with its first token, with which a standby becomes the current
-        // attempt.
-        if (role == AttemptRole::Current || this->route.kind != RequestKind::Stream) {
-            this->countPossibleRun(attempt);
-        }
+        this->countPossibleRun(attempt);
         if (std::exchange(attempt.ticketOpen, false)) {
             this->host.router().onCancelled(attempt.choice.ticket, this->host.now());
         }
@@ -864,14 +865,35 @@
     // Counts an attempt that has ended if its target may have run the request.
     void countPossibleRun(const ForwardAttempt &attempt)
     {
-        this->mayHaveRun = this->mayHaveRun || attempt.sent;
-        this->possibleRuns += attempt.sent ? 1 : 0;
+        if (attempt.sent) {
+            this->targets.recordPossibleRun(attempt.choice.target);
+        }
     }
 
-    // Tells whether the request may run on another target even if the current attempt has run.
+    // Returns the targets that may get the request next, counting those at which it is open.
+    [[nodiscard]] NextTargets nextTargets() const
+    {
+        std::vector<core::TargetId> open;
+        if (this->current.ticketOpen) {
+            open.push_back(this->current.choice.target);
+        }
+        if (this->standby) {
+            open.push_back(this->standby->choice.target);
+        }
+        return this->targets.nextTargets(open);
+    }
+
+    // Tells whether the request may run at another target than those that have it, though it may
+    // run there.
+    [[nodiscard]] bool mayTryAnother() const
+    {
+        return mayRetryAfterRun(this->route) && !this->nextTargets().isNone();
+    }
+
+    // Tells whether the request may go on if its current attempt, whose target has answered, fails.
     [[nodiscard]] bool mayRetry() const
     {
-        return mayRetryAfterRun(this->route) && this->possibleRuns + 1 < this->route.maximumTargets;
+        return this->standby ? mayRetryAfterRun(this->route) : this->mayTryAnother();
     }
 
     // Begins the next attempt if time, limits and route allow it.
@@ -883,9 +905,7 @@
         }
         this->applyRaisedTimeout();
         const bool timeLeft = this->host.now() < this->deadline;
-        const bool mayRun
-            = this->possibleRuns == 0
-              || (mayRetryAfterRun(this->route) && this->possibleRuns < this->route.maximumTargets);
+        const bool mayRun = !this->targets.mayHaveRun() || this->mayTryAnother();
         if (timeLeft && mayRun && this->attempts < MaximumAttempts) {
             this->beginNextAnswer();
             this->chooseTarget();
@@ -916,7 +936,7 @@
             return;
         }
         const core::Outcome outcome
-            = this->mayHaveRun ? core::Outcome::Unknown : core::Outcome::NotRun;
+            = this->targets.mayHaveRun() ? core::Outcome::Unknown : core::Outcome::NotRun;
         this->refuse({reason, outcome, retryAfter});
     }
 
@@ -990,7 +1010,6 @@
         if (!std::exchange(this->current.ticketOpen, false)) {
             return;
         }
-        this->mayHaveRun = true;
         routing::FinishedAttempt finished;
         finished.failed = this->current.head->status >= FirstFailedStatus;
         finished.endedByConnection = this->current.head->framing == net::BodyFraming::UntilClosed;
@@ -1072,14 +1091,6 @@
         return std::max(due, this->nextSearch);
     }
 
-    // Tells whether the request may run at another target, though it may run at those that have it.
-    [[nodiscard]] bool mayTryAnother() const
-    {
-        const uint32_t open = this->standby ? 2 : 1;
-        return mayRetryAfterRun(this->route)
-               && this->possibleRuns + open < this->route.maximumTargets;
-    }
-
     void armTimer()
     {
         const core::TimePoint end = this->endOfTime();
@@ -1105,10 +1116,8 @@
     ForwardAttempt current;
     std::optional<ForwardAttempt> standby;
     core::TimePoint nextSearch; // The earliest time to look for a standby again.
-    bool mayHaveRun = false;
     uint32_t attempts = 0;
-    uint32_t possibleRuns = 0; // Attempts that have ended and may have run.
-    std::vector<core::TargetId> failedTargets;
+    TargetHistory targets;
     std::optional<core::RetryReason> lastFailure; // Of the last attempt that failed.
     core::TimePoint relayedAt; // When the last events went to the caller.
     core::Duration firstEventAfter{}; // From the arrival to the first events for the caller.
--- a/source/samphirebridge/routing/dispatcher.cpp
+++ b/source/samphirebridge/routing/dispatcher.cpp
@@ -56,6 +56,17 @@
         });
 }
 
+// Tells whether the request may be sent to the target, as far as its earlier attempts matter.
+bool isAllowedAgain(const RouteRequest &request, const RoutedTarget &target)
+{
+    if (!request.onlyTargets) {
+        return true;
+    }
+    return std::any_of(request.onlyTargets->begin(),
+                       request.onlyTargets->end(),
+                       [&target](const auto &id) { return id.value == target.record.id(); });
+}
+
 // Returns the reason of a refusal because no target takes the request.
 core::RefusalReason noTargetReason(const RouteRequest &request)
 {
@@ -337,7 +348,8 @@
     std::vector<RoutedTarget *> targets(known.begin(), known.end());
     this->cold.addCandidates(request.service, request.model, targets, now);
     std::erase_if(targets, [this, &request](const RoutedTarget *target) {
-        return isOpenAt(request, *target) || !this->isRegionAllowed(request, *target);
+        return isOpenAt(request, *target) || !isAllowedAgain(request, *target)
+               || !this->isRegionAllowed(request, *target);
     });
     this->counts.evacuatedSkips += this->pools.evacuatedCount(request.service, request.model);
     return targets;
--- a/source/samphirebridge/routing/dispatcher.h
+++ b/source/samphirebridge/routing/dispatcher.h
@@ -260,7 +260,7 @@
     [[nodiscard]] bool isRegionAllowed(const RouteRequest &request,
                                        const RoutedTarget &target) const;
     // Returns the targets that serve the request's model in a region that it allows, without those
-    // that hold the request.
+    // that hold the request or may not get it again.
     [[nodiscard]] std::vector<RoutedTarget *> candidatesFor(const RouteRequest &request,
                                                             core::TimePoint now);
     // Tells whether an attempt of the request is open at a target that has not been replaced.
--- a/source/samphirebridge/routing/routerequest.h
+++ b/source/samphirebridge/routing/routerequest.h
@@ -60,6 +60,8 @@
     uint32_t attempt = 1;
     // Targets that already failed this request; chosen only if there is no other.
     std::vector<core::TargetId> excluded;
+    // The only targets that may be chosen; no value: all. An empty list allows no target.
+    std::optional<std::vector<core::TargetId>> onlyTargets{};
     // The targets at which other attempts of the request are open. They are never chosen, but a
     // later incarnation of one may be.
     std::vector<OpenAttempt> heldBy;
