--- a/tests/routing/routertest.cpp
+++ b/tests/routing/routertest.cpp
@@ -101,6 +101,21 @@
     CHECK(router.counters().cacheGaps == 1);
 }
 
+// Guards against a request at its route's limit that runs at one target more.
+TEST_CASE("a request that names the only targets it may go to goes to none else")
+{
+    TestRouter router = makeRouter();
+    addTargets(router, 8);
+    routing::RouteRequest request = requestOf('a');
+    request.onlyTargets = {core::TargetId("t3"), core::TargetId("gone")};
+    CHECK(send(router, request, Start).target.value == "t3");
+    request.heldBy = {{core::TargetId("t3"), 1}};
+    CHECK(refusalOf(router.choose(request, Start)).reason == RefusalReason::NoTarget);
+    request.heldBy.clear();
+    request.onlyTargets.emplace();
+    CHECK(refusalOf(router.choose(request, Start)).reason == RefusalReason::NoTarget);
+}
+
 TEST_CASE("an excluded target is used only when there is no other")
 {
     TestRouter router = makeRouter();
