forwarding: Bill an answer whose tokens can't be counted the most that it may hold

Cause: billedTokens() added the events of a stream that were relayed, which are none for a body. The machine knows nothing of a body's tokens but the maximum that was reserved. The same sum left out more of what callers have: a body that was relayed as it came and broke off, or whose caller left, was billed nothing; a 2xx other than 200 on a route of streams, and content of a stream that is in no event with an id, cost nothing.

TokenBill states it once: a bill holds the prompt and what the caller has got, and no more than the reservation. Where the tokens can't be counted, it is the reservation.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -21,6 +21,7 @@
 #include "samphirebridge/forwarding/promptparts.h"
 #include "samphirebridge/forwarding/streamrelay.h"
 #include "samphirebridge/forwarding/targethistory.h"
+#include "samphirebridge/forwarding/tokenbill.h"
 #include "samphirebridge/net/httpmessage.h"
 #include "samphirebridge/routing/dispatcher.h"
 
@@ -150,6 +151,9 @@
         , arrived(machineHost.now())
         , relay(callerRequest.lastEventId)
         , targets(requestRoute.maximumTargets)
+        , bill(callerRequest.promptTokens,
+               callerRequest.maximumOutputTokens,
+               tokensPerEventOf(requestService))
     {
         static_assert(ForwardHost<Host>);
         this->setTimeLimit(requestRoute.timeout);
@@ -163,13 +167,12 @@
         if (this->refuseOutsideRegions()) {
             return;
         }
-        const core::Tokens bound{this->reservationBound()};
-        if (bound.count == 0) {
+        if (!this->isBudgetLimited() || this->bill.reservation().count == 0) {
             this->chooseTarget();
             return;
         }
         this->phase = Phase::Reserving;
-        this->host.reserveTokens(bound);
+        this->host.reserveTokens(this->bill.reservation());
     }
 
     void onReservationResult(const ReservationResult &result)
@@ -275,7 +278,7 @@
         }
         this->cancelStandby();
         this->closeFinishedTicket();
-        this->answerComplete = true;
+        this->noteWholeAnswer();
         if (this->streaming) {
             this->ensureHeadRelayed();
             this->host.relayEnd();
@@ -403,13 +406,15 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     }
 
-    // Returns the tokens to reserve; 0 if the organisation's spending is not limited.
-    [[nodiscard]] int64_t reservationBound() const
+    // Returns the most output tokens in one event of the service's streams.
+    static uint32_t tokensPerEventOf(const Service *service)
     {
-        if (this->organisation == nullptr || !this->organisation->purchased) {
-            return 0;
-        }
-        return int64_t{this->request.promptTokens} + this->request.maximumOutputTokens;
+        return service != nullptr && service->engine ? service->engine->tokensPerEvent : 1;
+    }
+
+    [[nodiscard]] bool isBudgetLimited() const
+    {
+        return this->organisation != nullptr && this->organisation->purchased;
     }
 
     [[nodiscard]] int32_t priority() const
@@ -590,6 +595,7 @@
             fmt::format("target={} held={}", this->current.choice.target.value, this->body.size()));
         this->relayedUnheld = true;
         this->headRelayed = true;
+        this->noteUncountedPart();
         this->host.relayHead(*this->current.head);
         this->host.relayBody(this->body);
         this->discardBody();
@@ -616,8 +622,32 @@
         this->host.relayHead(relayed);
     }
 
+    // The caller gets a part of an answer that is no stream. A failure holds no tokens.
+    void noteUncountedPart()
+    {
+        if (isSuccess(this->current.head->status)) {
+            this->bill.onUncountedPart();
+        }
+    }
+
+    // The caller gets the end of the answer, and all of it if it was held.
+    void noteWholeAnswer()
+    {
+        if (!isSuccess(this->current.head->status)) {
+            return;
+        }
+        this->bill.onWholeAnswer();
+        if (!this->body.empty()) {
+            this->bill.onUncountedPart();
+        }
+    }
+
     void relayEvents(std::string_view events)
     {
+        this->bill.onEvents(this->relay.relayedEvents());
+        if (this->relay.hasUncountedContent()) {
+            this->bill.onUncountedPart();
+        }
         const uint64_t countedBefore
             = std::exchange(this->countedEvents, this->relay.relayedEvents());
         if (this->countedEvents == countedBefore) {
@@ -1013,30 +1043,15 @@
         routing::FinishedAttempt finished;
         finished.failed = this->current.head->status >= FirstFailedStatus;
         finished.endedByConnection = this->current.head->framing == net::BodyFraming::UntilClosed;
-        finished.outputTokens = static_cast<uint32_t>(std::max<int64_t>(this->outputTokens(), 1));
+        finished.outputTokens
+            = static_cast<uint32_t>(std::max<int64_t>(this->bill.eventTokens(), 1));
         this->host.router().onFinished(this->current.choice.ticket, finished, this->host.now());
     }
 
-    // Returns an upper bound of the output tokens in the events relayed so far.
-    [[nodiscard]] int64_t outputTokens() const
-    {
-        const bool known = this->service != nullptr && this->service->engine;
-        const int64_t perEvent = known ? this->service->engine->tokensPerEvent : 1;
-        return static_cast<int64_t>(this->relay.relayedEvents()) * perEvent;
-    }
-
-    // Returns what the request is billed if it ends now: the prompt once, plus the events relayed
-    // to the caller. A caller that got nothing of an answer, or a failure, is billed nothing: what
-    // a target may have done for it is the fleet's cost, as with every repeated attempt.
+    // Returns what the request is billed if it ends now.
     [[nodiscard]] int64_t billedTokens() const
     {
-        const bool succeeded = this->answerComplete && isSuccess(this->current.head->status);
-        const bool answered = succeeded || this->relay.relayedEvents() > 0;
-        if (!this->reserved || !answered) {
-            return 0;
-        }
-        const int64_t used = this->request.promptTokens + this->outputTokens();
-        return std::min(used, this->reservationBound());
+        return this->reserved ? this->bill.billed().count : 0;
     }
 
     // Ends the machine. Reserved tokens are released if nothing is billed, and settled otherwise.
@@ -1118,6 +1133,7 @@
     core::TimePoint nextSearch; // The earliest time to look for a standby again.
     uint32_t attempts = 0;
     TargetHistory targets;
+    TokenBill bill;
     std::optional<core::RetryReason> lastFailure; // Of the last attempt that failed.
     core::TimePoint relayedAt; // When the last events went to the caller.
     core::Duration firstEventAfter{}; // From the arrival to the first events for the caller.
@@ -1128,7 +1144,6 @@
     bool headRelayed = false;
     bool relayedUnheld = false; // The answer is no stream, and relayed as it comes.
     bool readingPaused = false; // The caller reads slowly.
-    bool answerComplete = false;
 };
 
 } // namespace samphirebridge::forwarding
--- a/source/samphirebridge/forwarding/streamrelay.cpp
+++ b/source/samphirebridge/forwarding/streamrelay.cpp
@@ -64,6 +64,22 @@
     return std::nullopt;
 }
 
+// Tells whether all of the event's lines are comments or set the caller's reconnection time.
+bool isWithoutContent(std::string_view event)
+{
+    constexpr std::string_view ReconnectionTime = "retry:";
+    while (!event.empty()) {
+        const size_t end = event.find('\n');
+        const std::string_view line = event.substr(0, end);
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+        const bool isBlank = line.empty() || line == "\r";
+        if (!isBlank && !line.starts_with(':') && !line.starts_with(ReconnectionTime)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 StreamRelay::StreamRelay(std::optional<uint64_t> lastEventId)
@@ -104,6 +120,7 @@
                 core::ErrorCode::ConnectionBroken,
                 fmt::format("more than {} bytes of events without an id", MaximumBytesWithoutId));
         }
+        this->uncountedContent = this->uncountedContent || !isWithoutContent(event);
         relayed += event;
         return absl::OkStatus();
     }
--- a/source/samphirebridge/forwarding/streamrelay.h
+++ b/source/samphirebridge/forwarding/streamrelay.h
@@ -56,6 +56,13 @@
         return this->relayedCount;
     }
 
+    // Tells whether content was relayed that is part of no event with an id, so that
+    // relayedEvents() doesn't say how much the caller has. Comments are no content.
+    [[nodiscard]] bool hasUncountedContent() const
+    {
+        return this->uncountedContent;
+    }
+
 private:
     absl::Status relayEvent(std::string_view event, std::string &relayed);
 
@@ -63,6 +70,7 @@
     size_t bytesWithoutId = 0; // Relayed since the last event with an id.
     std::optional<uint64_t> lastId;
     uint64_t relayedCount = 0;
+    bool uncountedContent = false;
 };
 
 } // namespace samphirebridge::forwarding
--- /dev/null
+++ b/source/samphirebridge/forwarding/tokenbill.cpp
@@ -0,0 +1,52 @@
+#include "samphirebridge/forwarding/tokenbill.h"
+
+#include <algorithm>
+
+namespace samphirebridge::forwarding
+{
+
+TokenBill::TokenBill(uint32_t promptTokens, uint32_t maximumOutputTokens, uint32_t tokensPerEvent)
+    : promptTokens(promptTokens)
+    , maximumOutputTokens(maximumOutputTokens)
+    , tokensPerEvent(tokensPerEvent)
+{
+}
+
+core::Tokens TokenBill::reservation() const
+{
+    return core::Tokens{this->promptTokens + this->maximumOutputTokens};
+}
+
+void TokenBill::onEvents(uint64_t relayedEvents)
+{
+    this->events = relayedEvents;
+}
+
+void TokenBill::onUncountedPart()
+{
+    this->hasUncountedPart = true;
+}
+
+void TokenBill::onWholeAnswer()
+{
+    this->isWhole = true;
+}
+
+int64_t TokenBill::eventTokens() const
+{
+    return static_cast<int64_t>(this->events) * this->tokensPerEvent;
+}
+
+core::Tokens TokenBill::billed() const
+{
+    if (this->hasUncountedPart) {
+        return this->reservation();
+    }
+    if (this->events == 0 && !this->isWhole) {
+        return core::Tokens{0};
+    }
+    return core::Tokens{this->promptTokens
+                        + std::min(this->eventTokens(), this->maximumOutputTokens)};
+}
+
+} // namespace samphirebridge::forwarding
--- /dev/null
+++ b/tests/forwarding/tokenbilltest.cpp
@@ -0,0 +1,227 @@
+// What an organisation is billed, whatever its callers get and however their requests end.
+#include "tests/forwarding/forwardfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string>
+
+using namespace samphirebridge;
+using namespace std::chrono_literals;
+using forwarding::ForwardFixture;
+using forwarding::RequestKind;
+
+namespace
+{
+
+// A letter in an answer stands for a token.
+constexpr char Token = 'T';
+
+int64_t tokensIn(const std::string &answer)
+{
+    return std::count(answer.begin(), answer.end(), Token);
+}
+
+std::string eventOf(int id, size_t tokens)
+{
+    return "id: " + std::to_string(id) + "\ndata: " + std::string(tokens, Token) + "\n\n";
+}
+
+// Starts a request of an organisation with a limited budget, up to the head of its answer.
+void startLimited(ForwardFixture &request, int status = 200)
+{
+    request.organisation = &request.limitedOrganisation;
+    request.start();
+    request.machine->onReservationResult({true});
+    request.reportSent();
+    REQUIRE(request.receiveHead(status) == forwarding::AnswerHandling::Accept);
+}
+
+int64_t billOf(const ForwardFixture &request)
+{
+    return request.host.settled.value_or(core::Tokens{0}).count;
+}
+
+// One request whose route, answer and end are drawn from a seed.
+class RandomAnswer
+{
+public:
+    explicit RandomAnswer(uint64_t seed)
+        : random(seed)
+        , request(this->drawKind(), true)
+    {
+        using net::BodyFraming;
+        constexpr std::array Framings{
+            BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClosed};
+        constexpr std::array Statuses{200, 200, 200, 201, 206};
+        this->request.answerFraming = Framings.at(this->random() % Framings.size());
+        this->status = Statuses.at(this->random() % Statuses.size());
+        this->request.host.bufferLimit = this->random() % 2 == 0 ? 10 : 1'000'000;
+        this->sendsEvents = this->random() % 2 == 0;
+    }
+
+    void play()
+    {
+        startLimited(this->request, this->status);
+        while (!this->request.machine->done() && this->random() % 12 != 0) {
+            this->sendPart();
+        }
+        if (!this->request.machine->done()) {
+            this->end();
+        }
+    }
+
+    ForwardFixture &played()
+    {
+        return this->request;
+    }
+
+private:
+    RequestKind drawKind()
+    {
+        constexpr std::array Kinds{RequestKind::Stream, RequestKind::Repeatable, RequestKind::Once};
+        return Kinds.at(this->random() % Kinds.size());
+    }
+
+    // The target sends no more tokens than the request allows.
+    void sendPart()
+    {
+        const size_t perEvent = this->request.service.engine->tokensPerEvent;
+        const size_t left = this->request.request.maximumOutputTokens - this->tokensSent;
+        const size_t tokens = std::min<size_t>(1 + this->random() % perEvent, left);
+        this->tokensSent += tokens;
+        if (this->sendsEvents) {
+            const bool hasId = this->random() % 8 != 0;
+            this->request.machine->onBody(hasId ? eventOf(++this->lastEvent, tokens)
+                                                : "data: " + std::string(tokens, Token) + "\n\n");
+        } else {
+            this->request.machine->onBody(std::string(tokens, Token)
+                                          + (this->random() % 4 == 0 ? "\n\n" : " "));
+        }
+    }
+
+    void end()
+    {
+        auto &machine = *this->request.machine;
+        switch (this->random() % 5) {
+        case 0:
+            machine.onAnswerEnd();
+            break;
+        case 1:
+            machine.onFailed({core::RetryReason::ConnectionBroken, true});
+            break;
+        case 2:
+            machine.onCallerDisconnected();
+            break;
+        case 3:
+            machine.onShutdownDeadline();
+            break;
+        default:
+            this->request.host.time += 10s;
+            machine.onTimer();
+        }
+        // No other target answers a request that goes on.
+        while (!machine.done()) {
+            this->request.reportSent();
+            machine.onFailed({core::RetryReason::ConnectionBroken, true});
+        }
+    }
+
+    std::mt19937_64 random;
+    ForwardFixture request;
+    int status = 200;
+    bool sendsEvents = false;
+    size_t tokensSent = 0;
+    int lastEvent = 0;
+};
+
+} // namespace
+
+// Guards against tokens that callers get and nobody pays for: an answer that was no stream was
+// billed its prompt alone, and one that broke off after a part of it had been relayed nothing.
+TEST_CASE("a bill covers the prompt and what the caller has got, and is covered by its reservation")
+{
+    for (uint64_t seed = 1; seed <= 4000; ++seed) {
+        RandomAnswer answer(seed);
+        answer.play();
+        const ForwardFixture &request = answer.played();
+        INFO("seed " << seed << " status " << request.host.status << " body " << request.host.body);
+        REQUIRE(answer.played().machine->done());
+        const int64_t got = tokensIn(request.host.body);
+        const int64_t owed = got > 0 || request.host.answerEnded ? 100 + got : 0;
+        REQUIRE(billOf(request) >= owed);
+        REQUIRE(billOf(request) <= request.host.reserved->count);
+        REQUIRE((request.host.released || request.host.settled.has_value()));
+    }
+}
+
+// Guards against a model's answers that are no streams and cost no more than their prompts.
+TEST_CASE("a whole answer that is no stream is billed the most that it may hold")
+{
+    const RequestKind kind
+        = GENERATE(RequestKind::Repeatable, RequestKind::Once, RequestKind::Stream);
+    ForwardFixture request(kind);
+    startLimited(request, kind == RequestKind::Stream ? 201 : 200);
+    request.machine->onBody("body");
+    request.machine->onAnswerEnd();
+    CHECK(request.host.settled == core::Tokens{140});
+}
+
+TEST_CASE("an answer that is no stream and has no body is billed its prompt")
+{
+    ForwardFixture request(RequestKind::Repeatable);
+    request.answerFraming = net::BodyFraming::None;
+    startLimited(request, 204);
+    request.machine->onAnswerEnd();
+    CHECK(request.host.settled == core::Tokens{100});
+}
+
+// Guards against a caller that gets a long answer for nothing, since it breaks off at its end.
+TEST_CASE("an answer that was relayed as it came and broke off is billed the most it may hold")
+{
+    ForwardFixture request(RequestKind::Repeatable);
+    request.host.bufferLimit = 100;
+    startLimited(request);
+    request.machine->onBody(std::string(120, 'x'));
+    SECTION("its target fails")
+    {
+        request.machine->onFailed({core::RetryReason::ConnectionBroken, true});
+    }
+    SECTION("its caller leaves")
+    {
+        request.machine->onCallerDisconnected();
+    }
+    SECTION("its time is up")
+    {
+        request.beSilent(6s);
+    }
+    CHECK(request.host.settled == core::Tokens{140});
+}
+
+// Guards against events that cost nothing since they have no id.
+TEST_CASE("a stream with events that can't be counted is billed the most that it may hold")
+{
+    ForwardFixture request(RequestKind::Stream);
+    startLimited(request);
+    request.machine->onBody(eventOf(1, 5));
+    SECTION("data without an id")
+    {
+        request.machine->onBody("data: T\n\n");
+        request.machine->onAnswerEnd();
+        CHECK(request.host.settled == core::Tokens{140});
+    }
+    SECTION("lines that are no event")
+    {
+        request.machine->onBody("{\"text\":\"T\"}\n\n");
+        request.machine->onCallerDisconnected();
+        CHECK(request.host.settled == core::Tokens{140});
+    }
+    SECTION("comments hold no tokens")
+    {
+        request.machine->onBody(": wait\n\nretry: 100\n\n:\r\n\r\n");
+        request.machine->onAnswerEnd();
+        CHECK(request.host.settled == core::Tokens{105});
+    }
+}
