forwarding: Log an answer above the instance's limit as too long, not as broken off

An answer of more than 16 MiB was cut off there though its target went on.

Cause: failureReasonOf() told malformed answers apart and took every other error of an exchange for the end of the connection. TooLarge is the instance's own limit, of a body, a head or of skipped answers. It is the new reason answer_too_long: no crash, but still a failure of the target for its breaker, since answers without end are a fault that targets have.

--- a/source/samphirebridge/core/reasons.cpp
+++ b/source/samphirebridge/core/reasons.cpp
@@ -94,6 +94,8 @@
         return "wrong_length";
     case RetryReason::ForeignAnswer:
         return "foreign_answer";
+    case RetryReason::AnswerTooLong:
+        return "answer_too_long";
     case RetryReason::Takeover:
         return "takeover";
     }
--- a/source/samphirebridge/core/reasons.h
+++ b/source/samphirebridge/core/reasons.h
@@ -56,6 +56,7 @@
     MissingTerminator, // The event stream ended without its terminating event.
     WrongLength, // The body ended before its announced length or its last chunk.
     ForeignAnswer, // The answer belongs to another attempt.
+    AnswerTooLong, // The answer exceeded a limit of this instance, which read no further.
     Takeover, // The holder that first claimed the request key has ended.
 };
 
@@ -111,6 +112,7 @@
     RetryReason::MissingTerminator,
     RetryReason::WrongLength,
     RetryReason::ForeignAnswer,
+    RetryReason::AnswerTooLong,
     RetryReason::Takeover,
 };
 
--- a/source/samphirebridge/forwarding/answercheck.cpp
+++ b/source/samphirebridge/forwarding/answercheck.cpp
@@ -43,10 +43,15 @@
 
 core::RetryReason failureReasonOf(const absl::Status &error)
 {
-    // The answer was malformed. The target goes on, so this is no crash.
-    return core::errorCodeOf(error) == core::ErrorCode::InvalidRequest
-               ? core::RetryReason::ForeignAnswer
-               : core::RetryReason::ConnectionBroken;
+    // After an answer that is malformed or too long the target goes on, so neither is a crash.
+    switch (core::errorCodeOf(error)) {
+    case core::ErrorCode::InvalidRequest:
+        return core::RetryReason::ForeignAnswer;
+    case core::ErrorCode::TooLarge:
+        return core::RetryReason::AnswerTooLong;
+    default:
+        return core::RetryReason::ConnectionBroken;
+    }
 }
 
 bool mayRetryAfterRun(const Route &route)
