forwarding: Refuse a request for tokens that states no maximum if its budget is limited

A request of an organisation with a purchased budget that stated no tokens, or a maximum of 0, reserved nothing (or its prompt alone), and whatever its answer held was free.

The request is refused with 400 invalid_request, not run, before it waits for anything; the log line token_maximum_missing says why. It concerns routes of engines, whose requests state their tokens by the users' pages, and streams of a service that is an engine. Plain services and organisations without a limit are served as before.

Weighed: passing it on and cutting it at what the budget has left, which can't be counted for a body; 402, which says that the balance is too small.

--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -164,7 +164,7 @@
     {
         this->armTimer();
         // Checked before the request waits for tokens.
-        if (this->refuseOutsideRegions()) {
+        if (this->refuseOutsideRegions() || this->refuseUnboundedTokens()) {
             return;
         }
         if (!this->isBudgetLimited() || this->bill.reservation().count == 0) {
@@ -446,6 +446,28 @@
         return refusal.has_value();
     }
 
+    // Tells whether the request's answer consists of tokens.
+    [[nodiscard]] bool producesTokens() const
+    {
+        const bool isEngineStream = this->service != nullptr && this->service->engine
+                                    && this->route.kind == RequestKind::Stream;
+        return this->route.engine || isEngineStream;
+    }
+
+    // Refuses a request that states no maximum of output tokens, if its budget is limited: no
+    // reservation would cover its answer. Returns whether it was.
+    bool refuseUnboundedTokens()
+    {
+        const bool isBounded = this->request.maximumOutputTokens > 0;
+        if (isBounded || !this->isBudgetLimited() || !this->producesTokens()) {
+            return false;
+        }
+        this->logEvent("token_maximum_missing",
+                       fmt::format("prompt_tokens={}", this->request.promptTokens));
+        this->refuse({core::RefusalReason::InvalidRequest, core::Outcome::NotRun, {}});
+        return true;
+    }
+
     // Begins the next attempt at the target that the router chooses; gives up if there is none.
     void chooseTarget()
     {
--- a/tests/forwarding/tokenbilltest.cpp
+++ b/tests/forwarding/tokenbilltest.cpp
@@ -169,6 +169,51 @@
     CHECK(request.host.settled == core::Tokens{140});
 }
 
+// Guards against answers that nobody pays for, since their requests state no maximum.
+TEST_CASE("a request for tokens that states no maximum is refused if its budget is limited")
+{
+    const RequestKind kind = GENERATE(RequestKind::Repeatable, RequestKind::Stream);
+    ForwardFixture request(kind);
+    request.request.promptTokens = GENERATE(0, 100);
+    request.request.maximumOutputTokens = 0;
+    request.route.engine = true;
+    SECTION("and limited")
+    {
+        request.organisation = &request.limitedOrganisation;
+        request.start();
+        REQUIRE(request.host.refusal);
+        CHECK(request.host.refusal->reason == core::RefusalReason::InvalidRequest);
+        CHECK(request.host.refusal->outcome == core::Outcome::NotRun);
+        CHECK(request.host.sentTo.empty());
+        CHECK_FALSE(request.host.reserved);
+    }
+    SECTION("a stream of an engine, whatever its route states")
+    {
+        request.organisation = &request.limitedOrganisation;
+        request.route.engine = false;
+        request.start();
+        CHECK(request.host.refusal.has_value() == (kind == RequestKind::Stream));
+    }
+    SECTION("but not otherwise")
+    {
+        request.start();
+        CHECK_FALSE(request.host.refusal);
+        CHECK(request.host.sentTo.size() == 1);
+    }
+}
+
+TEST_CASE("a request to a plain service states no tokens and reserves none")
+{
+    ForwardFixture request(RequestKind::Repeatable);
+    request.request.promptTokens = 0;
+    request.request.maximumOutputTokens = 0;
+    request.service.engine.reset();
+    request.organisation = &request.limitedOrganisation;
+    request.start();
+    CHECK(request.host.sentTo.size() == 1);
+    CHECK_FALSE(request.host.reserved);
+}
+
 TEST_CASE("an answer that is no stream and has no body is billed its prompt")
 {
     ForwardFixture request(RequestKind::Repeatable);
