forwarding, platform: Bill a stream the most it may hold if no event size is declared

An event counted as one token where the declaration states no Stride, or the service no Engine: a caller got several tokens an event for one.

Cause: 1 stood for "not stated". It is 0 now, and a stream whose events can't be counted is billed like a body.

"a stream is billed the most that it may hold if its service declares no event size" failed in both sections before.

--- a/source/samphirebridge/forwarding/declaration.h
+++ b/source/samphirebridge/forwarding/declaration.h
@@ -49,7 +49,7 @@
 struct EngineTraits {
     uint32_t slots = 0; // Requests that an engine runs at the same time.
     uint64_t cacheTokens = 0; // Size of an engine's prompt cache.
-    uint32_t tokensPerEvent = 1; // The most output tokens in one event of a stream.
+    uint32_t tokensPerEvent = 0; // The most output tokens in one event of a stream; 0: not stated.
 };
 
 struct Service {
--- a/source/samphirebridge/forwarding/forwardmachine.h
+++ b/source/samphirebridge/forwarding/forwardmachine.h
@@ -435,10 +435,10 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     }
 
-    // Returns the most output tokens in one event of the service's streams.
+    // Returns the most output tokens in one event of the service's streams; 0: not stated.
     static uint32_t tokensPerEventOf(const Service *service)
     {
-        return service != nullptr && service->engine ? service->engine->tokensPerEvent : 1;
+        return service != nullptr && service->engine ? service->engine->tokensPerEvent : 0;
     }
 
     [[nodiscard]] bool isBudgetLimited() const
@@ -712,9 +712,9 @@
     // Reserves further tokens for events beyond the maximum that the request states.
     void extendReservation(std::string_view events)
     {
-        const core::Tokens least{EventsPerExtension * tokensPerEventOf(this->service)};
         this->extension.emplace();
-        this->extension->tokens = std::max(this->bill.missing(), least);
+        this->extension->tokens
+            = std::max(this->bill.missing(), this->bill.tokensOf(EventsPerExtension));
         this->extension->events = events;
         this->logEvent("token_maximum_exceeded",
                        fmt::format("target={} events={} maximum={} further={}",
--- a/source/samphirebridge/forwarding/tokenbill.cpp
+++ b/source/samphirebridge/forwarding/tokenbill.cpp
@@ -9,6 +9,7 @@
     : promptTokens(promptTokens)
     , maximumOutputTokens(maximumOutputTokens)
     , tokensPerEvent(std::max(tokensPerEvent, 1U))
+    , isEventSizeKnown(tokensPerEvent > 0)
 {
 }
 
@@ -33,6 +34,8 @@
 void TokenBill::onEvents(uint64_t relayedEvents)
 {
     this->events = relayedEvents;
+    this->hasUncountedPart
+        = this->hasUncountedPart || (!this->isEventSizeKnown && this->events > 0);
 }
 
 void TokenBill::onUncountedPart()
--- a/source/samphirebridge/forwarding/tokenbill.h
+++ b/source/samphirebridge/forwarding/tokenbill.h
@@ -18,7 +18,7 @@
 {
 public:
     // `maximumOutputTokens`: the most that the request may produce. `tokensPerEvent`: the most in
-    // one event of a stream.
+    // one event of a stream; 0 if that is not known, so that events can't be counted.
     TokenBill(uint32_t promptTokens, uint32_t maximumOutputTokens, uint32_t tokensPerEvent);
 
     // Returns the tokens to reserve before the request is sent, with those reserved since.
@@ -40,9 +40,15 @@
     // The caller has got a whole answer, which may be empty.
     void onWholeAnswer();
 
-    // Returns an upper bound of the output tokens in the events that the caller has got.
+    // Returns the most output tokens in the events that the caller has got, at least one each.
     [[nodiscard]] int64_t eventTokens() const;
 
+    // Returns the most output tokens in that many events, at least one each.
+    [[nodiscard]] core::Tokens tokensOf(int64_t eventCount) const
+    {
+        return core::Tokens{eventCount * this->tokensPerEvent};
+    }
+
     // Returns the bill if the request ends now: nothing for a caller that has got nothing. What a
     // target may have done for it is the fleet's cost, as with every repeated attempt.
     [[nodiscard]] core::Tokens billed() const;
@@ -51,6 +57,7 @@
     int64_t promptTokens;
     int64_t maximumOutputTokens;
     int64_t tokensPerEvent;
+    bool isEventSizeKnown;
     int64_t extension = 0; // Reserved beyond the maximum.
     uint64_t events = 0;
     bool hasUncountedPart = false;
--- a/tests/forwarding/tokenbilltest.cpp
+++ b/tests/forwarding/tokenbilltest.cpp
@@ -281,6 +281,24 @@
     CHECK(request.host.settled == core::Tokens{140});
 }
 
+// Guards against events of several tokens that cost one each.
+TEST_CASE("a stream is billed the most that it may hold if its service declares no event size")
+{
+    ForwardFixture request(RequestKind::Stream);
+    SECTION("the service is no engine")
+    {
+        request.service.engine.reset();
+    }
+    SECTION("the engine's traits leave it out")
+    {
+        request.service.engine = forwarding::EngineTraits{};
+    }
+    startLimited(request);
+    request.machine->onBody(eventOf(1, 9));
+    request.machine->onCallerDisconnected();
+    CHECK(request.host.settled == core::Tokens{140});
+}
+
 // Guards against what a target sends beyond the maximum that the request states: it was relayed and
 // not billed.
 TEST_CASE("events beyond a stream's maximum are relayed once tokens are reserved for them")
