tests/fleet: Give the evacuation test a target that every instance prefers

Here it failed in 3 of 35 runs beside load, each time in its first check: none of 40 requests had run in data centre "a" before the order.

Cause, and it is the test's: an instance sends requests that come one after the other to the target that it knows to be quick, which is the first that it chose (trial: 64 of 64 routers, ten requests each, two idle targets). So all four instances chose "b" with a probability of 1 in 16. Load plays no part.

Now the target in "a" is the only one at first, so that every instance has used it, and the one in "b" joins before the order. Both checks before the order demand runs in "a", as the one check did; those after it are unchanged and harder to pass, since every instance prefers "a".

--- a/tests/fleet/evacuationtest.cpp
+++ b/tests/fleet/evacuationtest.cpp
@@ -25,24 +25,27 @@
            R"("AllowAnonymous":true,"Service":"s"}]})";
 }
 
-// Targets of one service in the data centres "a" and "b".
+// Targets of one service in data centres, one in each.
 class EvacuationScene
 {
 public:
     explicit EvacuationScene(uint16_t basePort)
         : fleet({.basePort = basePort, .instances = Instances, .relays = true, .platform = true})
+        , nextTargetPort(basePort + TargetOffset)
     {
         this->fleet.start();
         this->fleet.sendDeclaration(0, declaration());
         this->fleet.waitForDeclaration(1);
-        int port = basePort + TargetOffset;
-        for (const std::string dataCentre : {"a", "b"}) {
-            this->fleet.startPlatformTarget(
-                dataCentre + "0",
-                port++,
-                "s",
-                {"--data-centre=" + dataCentre, "--run-log=" + this->runLog(dataCentre).string()});
-        }
+    }
+
+    void startTarget(const std::string &dataCentre)
+    {
+        this->fleet.startPlatformTarget(
+            dataCentre + "0",
+            this->nextTargetPort++,
+            "s",
+            {"--data-centre=" + dataCentre, "--run-log=" + this->runLog(dataCentre).string()});
+        ++this->targets;
         this->waitForTargets();
     }
 
@@ -55,7 +58,7 @@
     {
         for (int index = 0; index < Instances; ++index) {
             this->fleet.waitUntilReady(index);
-            this->fleet.waitForTargets(index, 2);
+            this->fleet.waitForTargets(index, this->targets);
         }
     }
 
@@ -84,8 +87,9 @@
             });
     }
 
-    // Sends requests through every instance and returns how many of them the targets of the data
-    // centre ran. All must be answered.
+    // Sends requests through every instance and returns how many of them the target of the data
+    // centre ran. All must be answered. An instance sends such requests, one at a time, to the same
+    // target as long as it may: the first that it chose at random.
     size_t runsIn(const std::string &dataCentre)
     {
         const size_t before = readFile(this->runLog(dataCentre)).size();
@@ -102,6 +106,8 @@
     Fleet fleet;
 
 private:
+    int nextTargetPort;
+    int targets = 0;
     int requests = 0;
 };
 
@@ -112,6 +118,10 @@
 TEST_CASE("an evacuated data centre gets no requests until the order is revoked")
 {
     EvacuationScene scene(27500);
+    // Every instance prefers the target that it has used, which is the one in "a".
+    scene.startTarget("a");
+    CHECK(scene.runsIn("a") > 0);
+    scene.startTarget("b");
     CHECK(scene.runsIn("a") > 0);
     scene.fleet.isolate(3);
     scene.orderUntilAccepted(0, platform::call::StartEvacuation, "a");
@@ -159,6 +169,7 @@
 TEST_CASE("an order is refused for an invalid name and has no definite answer without a quorum")
 {
     EvacuationScene scene(27600);
+    scene.startTarget("a");
     CHECK(scene.order(0, platform::call::StartEvacuation, "") == 400);
     CHECK(scene.order(0, platform::call::StartEvacuation, "a%20b") == 400);
     scene.fleet.instance(1).kill();
