--- a/review/lib3/invalid.cpp
+++ b/review/lib3/invalid.cpp
@@ -1,4 +1,4 @@
-// Case: the operator sends invalid configurations. See review/14/claim.txt.
+// Case: the operator sends invalid configurations. See review/15/claim.txt.
 #include "scene.h"
 
 using namespace scene;
--- a/review/lib3/killed.cpp
+++ b/review/lib3/killed.cpp
@@ -1,5 +1,5 @@
 // Case: entry machines are killed one at a time and come back. Counts the answers 402 to a tenant
-// whose balance covers the request. See review/13/claim.txt.
+// whose balance covers the request. See review/14/claim.txt.
 #include "letters.h"
 
 using namespace scene;
